--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,133 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// EventEnd is the name of the last frame of a stream that ended whole.
+const EventEnd = "end"
+
+// MaxFrame is the largest server-sent event that is read, in bytes.
+const MaxFrame = 64 << 10
+
+// EventID is the id of a server-sent event: which request, which endpoint made
+// it and which token it holds.
+type EventID struct {
+	Request  string
+	Endpoint string
+	Offset   int // Number of the token, from 0.
+}
+
+// String formats id as request/endpoint/offset.
+func (id EventID) String() string {
+	return id.Request + "/" + id.Endpoint + "/" + strconv.Itoa(id.Offset)
+}
+
+// ParseEventID reads an id as a caller or an agent sends it.
+func ParseEventID(text string) (id EventID, err error) {
+	defer func() { err = errors.Wrapf(err, "event id %.80q", text) }()
+	first, rest, ok := strings.Cut(text, "/")
+	if !ok || first == "" || len(first) > 64 {
+		return id, errors.New("no request id")
+	}
+	middle, last, ok := strings.Cut(rest, "/")
+	if !ok || middle == "" || len(middle) > 255 {
+		return id, errors.New("no endpoint")
+	}
+	n, err := strconv.Atoi(last)
+	if err != nil || n < 0 {
+		return id, errors.New("no offset")
+	}
+	return EventID{Request: first, Endpoint: middle, Offset: n}, nil
+}
+
+// Frame is one server-sent event.
+type Frame struct {
+	ID    string
+	Event string
+	Data  []byte // Valid until the next read.
+}
+
+// FrameReader reads server-sent events from a stream.
+type FrameReader struct {
+	r    *bufio.Reader
+	data []byte
+}
+
+// NewFrameReader reads frames from r through a small buffer.
+func NewFrameReader(r io.Reader) *FrameReader {
+	return &FrameReader{r: bufio.NewReaderSize(r, 2048)}
+}
+
+// Next returns the next frame. A stream that stops inside a frame gives
+// io.ErrUnexpectedEOF, one that stops between frames io.EOF.
+func (fr *FrameReader) Next() (f Frame, err error) {
+	fr.data = fr.data[:0]
+	begun := false
+	for {
+		line, err := fr.r.ReadSlice('\n')
+		if err != nil {
+			if errors.Is(err, io.EOF) && (begun || len(line) > 0) {
+				err = io.ErrUnexpectedEOF
+			}
+			return f, err
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			if begun {
+				f.Data = fr.data
+				return f, nil
+			}
+			continue
+		}
+		begun = true
+		if err := fr.field(&f, line); err != nil {
+			return f, err
+		}
+	}
+}
+
+func (fr *FrameReader) field(f *Frame, line []byte) (err error) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		f.ID = string(value)
+	case "event":
+		f.Event = string(value)
+	case "data":
+		if len(fr.data) > 0 {
+			fr.data = append(fr.data, '\n')
+		}
+		fr.data = append(fr.data, value...)
+	}
+	if len(fr.data) > MaxFrame {
+		return errors.Newf("frame is larger than %d bytes", MaxFrame)
+	}
+	return nil
+}
+
+// AppendFrame appends the text of a frame to dst.
+func AppendFrame(dst []byte, id EventID, event string, data []byte) []byte {
+	dst = append(dst, "id: "...)
+	dst = append(dst, id.Request...)
+	dst = append(dst, '/')
+	dst = append(dst, id.Endpoint...)
+	dst = append(dst, '/')
+	dst = strconv.AppendInt(dst, int64(id.Offset), 10)
+	if event != "" {
+		dst = append(dst, "\nevent: "...)
+		dst = append(dst, event...)
+	}
+	dst = append(dst, "\ndata: "...)
+	dst = append(dst, data...)
+	return append(dst, "\n\n"...)
+}
