--- /dev/null
+++ b/internal/example/example.go
@@ -0,0 +1,269 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package example lays out a small site: what its operators publish, its
+// stand-ins and the settings of each process. The demonstration, the README
+// and the tests start from it. It starts nothing itself.
+package example
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/canvaspulley/canvaspulley/internal/published"
+)
+
+// User is which of the two first users a site resembles.
+type User string
+
+// The users.
+const (
+	Archive    User = "archive"
+	RefundDesk User = "refunds"
+)
+
+// Process is one daemon of a site.
+type Process struct {
+	Name      string
+	Role      string
+	Domain    string
+	Endpoint  string
+	Peers     string // Addresses.
+	Operators string
+	Callers   string
+	Backend   string // Engine or service beside an agent.
+}
+
+// Site is the layout of one site.
+type Site struct {
+	User      User
+	Model     string
+	Path      string // Path of the plain service.
+	Domains   []string
+	Entries   []Process
+	Agents    []Process
+	Groups    map[string][]Process // By group name, in the order of ranks.
+	Directory map[string]string    // Address of the platform's services, by failure domain.
+	Control   string               // Address of the stand-ins' control.
+	Customers []Customer
+	Public    ed25519.PublicKey
+	Private   ed25519.PrivateKey
+}
+
+// Customer is a caller with its bearer key.
+type Customer struct {
+	Name string
+	Key  string
+	Rate float64
+}
+
+// Size says how much of a site to lay out.
+type Size struct {
+	Domains         int
+	EntriesADomain  int
+	RanksADomain    int // One group of so many ranks in each failure domain.
+	ServicesADomain int
+	Customers       int
+}
+
+// Today is the size of each user's site of today.
+var Today = Size{Domains: 3, EntriesADomain: 2, RanksADomain: 4, ServicesADomain: 1, Customers: 10}
+
+// Small is the least site that has everything.
+var Small = Size{Domains: 1, EntriesADomain: 1, RanksADomain: 1, ServicesADomain: 1, Customers: 2}
+
+// New lays out a site with free ports of this machine. The seed fixes the keys.
+func New(user User, size Size, seed byte) (s *Site, err error) {
+	defer func() { err = errors.Wrap(err, "lay out site") }()
+	s = &Site{User: user, Groups: map[string][]Process{}, Directory: map[string]string{}}
+	city := "krk"
+	s.Model, s.Path = "plates", "/catalogue/"
+	if user == RefundDesk {
+		city = "sof"
+		s.Model, s.Path = "receipts", "/payments/"
+	}
+	s.Private = ed25519.NewKeyFromSeed([]byte(strings.Repeat(string(rune('a'+seed%26)), ed25519.SeedSize)))
+	s.Public = s.Private.Public().(ed25519.PublicKey)
+	p := &ports{}
+	defer p.release()
+	s.Control = p.take()
+	for d := range size.Domains {
+		domain := fmt.Sprintf("%s-%c", city, 'a'+d)
+		s.Domains = append(s.Domains, domain)
+		s.Directory[domain] = p.take()
+		s.addDomain(domain, size, p)
+	}
+	for i := range size.Customers {
+		name := fmt.Sprintf("%s-%d", user, i+1)
+		c := Customer{Name: name, Key: "key-of-" + name, Rate: 1000}
+		s.Customers = append(s.Customers, c)
+	}
+	return s, p.err
+}
+
+func (s *Site) addDomain(domain string, size Size, p *ports) {
+	for i := range size.EntriesADomain {
+		s.Entries = append(s.Entries, Process{
+			Name: fmt.Sprintf("%s-entry-%d", domain, i+1), Role: "entry", Domain: domain,
+			Peers: p.take(), Operators: p.take(), Callers: p.take(),
+		})
+	}
+	group := "group-" + domain
+	for i := range size.RanksADomain {
+		a := s.addAgent(domain, fmt.Sprintf("%s-rank-%d", domain, i), p)
+		s.Groups[group] = append(s.Groups[group], a)
+	}
+	for i := range size.ServicesADomain {
+		s.addAgent(domain, fmt.Sprintf("%s-svc-%d", domain, i+1), p)
+	}
+}
+
+func (s *Site) addAgent(domain, endpoint string, p *ports) Process {
+	a := Process{
+		Name: endpoint + "-vm1", Role: "endpoint", Domain: domain, Endpoint: endpoint,
+		Peers: p.take(), Operators: p.take(), Backend: p.take(),
+	}
+	s.Agents = append(s.Agents, a)
+	return a
+}
+
+// IsRank reports whether the agent stands beside an engine.
+func (s *Site) IsRank(p Process) bool {
+	return strings.Contains(p.Endpoint, "-rank-")
+}
+
+// ports hands out free ports; all stay reserved until release.
+type ports struct {
+	held []net.Listener
+	err  error
+}
+
+func (p *ports) take() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		p.err = err
+		return ""
+	}
+	p.held = append(p.held, l)
+	return l.Addr().String()
+}
+
+func (p *ports) release() {
+	for _, l := range p.held {
+		_ = l.Close()
+	}
+}
+
+// policies of the two users, as they are published.
+var policies = map[User]string{
+	Archive: `; Streams that pace a researcher go before scripts.
+[policy]
+priority = class == "script" ? 1 : (class == "batch" ? 0 : 5)
+retry = attempt < 3
+move = reason != "caller has gone"
+retry-share = 0.1
+skew-price = 10
+move-price = 1
+`,
+	RefundDesk: `; Kiosks before tills, tills before the office.
+[policy]
+priority = class == "kiosk" ? 9 : (class == "till" ? 6 : 1)
+retry = attempt < 3 && (deadline_ms == 0 || deadline_ms > 500)
+move = tokens < 2000
+retry-share = 0.05
+skew-price = 1
+move-price = 10
+`,
+}
+
+// Published returns the values that the site's operators publish.
+func (s *Site) Published() map[string][]byte {
+	values := map[string][]byte{}
+	policy := string(s.User)
+	values["policy/"+policy+".ini"] = []byte(policies[s.User])
+	for _, c := range s.Customers {
+		sum := sha256.Sum256([]byte(c.Key))
+		values["customer/"+c.Name+".ini"] = fmt.Appendf(nil,
+			"[customer]\nkey-hash = %s\npolicy = %s\nrate = %v\nburst = %v\n",
+			hex.EncodeToString(sum[:]), policy, c.Rate, c.Rate)
+	}
+	for name, ranks := range s.Groups {
+		text := fmt.Appendf(nil, "[group]\nmodel = %s\nexperts = 64\nslots = 20\n", s.Model)
+		for i, r := range ranks {
+			text = fmt.Appendf(text, "\n[endpoint %s]\ndomain = %s\nrank = %d\n", r.Endpoint, r.Domain, i)
+		}
+		values["group/"+name+".ini"] = text
+	}
+	text := fmt.Appendf(nil, "[service]\npath = %s\nnot-repeatable = POST\ntimeout = 5s\n", s.Path)
+	for _, a := range s.Agents {
+		if !s.IsRank(a) {
+			text = fmt.Appendf(text, "\n[endpoint %s]\ndomain = %s\n", a.Endpoint, a.Domain)
+		}
+	}
+	values["service/"+strings.Trim(s.Path, "/")+".ini"] = text
+	return values
+}
+
+// Pack returns one signed generation of values.
+func (s *Site) Pack(generation uint64, parent string, values map[string][]byte) published.Manifest {
+	return published.Pack(generation, parent, values, s.Private)
+}
+
+// Settings returns the settings file of a process.
+func (s *Site) Settings(p Process) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[instance]\nname = %s\nrole = %s\ndomain = %s\n", p.Name, p.Role, p.Domain)
+	if p.Endpoint != "" {
+		fmt.Fprintf(&b, "endpoint = %s\n", p.Endpoint)
+	}
+	fmt.Fprintf(&b, "\n[listen]\npeers = %s\noperators = %s\n", p.Peers, p.Operators)
+	if p.Callers != "" {
+		fmt.Fprintf(&b, "callers = %s\n", p.Callers)
+	}
+	directory := "http://" + s.Directory[p.Domain]
+	fmt.Fprintf(&b, "\n[platform]\nconfig-service = %s\ninstances = %s\noperator-key = %s\n",
+		directory, directory, base64.StdEncoding.EncodeToString(s.Public))
+	if p.Backend != "" {
+		kind := "service"
+		if s.IsRank(p) {
+			kind = "engine"
+		}
+		fmt.Fprintf(&b, "\n[endpoint]\n%s = http://%s\n", kind, p.Backend)
+	}
+	b.WriteString("\n[timing]\ngossip-interval = 200ms\nsuspect-after = 1s\nclock-skew = 100ms\n")
+	return []byte(b.String())
+}
+
+// Standin returns the settings file of the stand-ins.
+func (s *Site) Standin(bundle string) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[standin]\ncontrol = %s\nbundle = %s\n", s.Control, bundle)
+	for _, d := range s.Domains {
+		fmt.Fprintf(&b, "\n[view %s]\naddress = %s\n", d, s.Directory[d])
+	}
+	for name, ranks := range s.Groups {
+		fmt.Fprintf(&b, "\n[group %s]\nstep = 5ms\nranks =", name)
+		for _, r := range ranks {
+			fmt.Fprintf(&b, " %s", r.Backend)
+		}
+		b.WriteString("\n")
+	}
+	for _, a := range s.Agents {
+		if !s.IsRank(a) {
+			fmt.Fprintf(&b, "\n[service %s]\naddress = %s\n", a.Endpoint, a.Backend)
+		}
+	}
+	for _, p := range append(append([]Process(nil), s.Entries...), s.Agents...) {
+		fmt.Fprintf(&b, "\n[instance %s]\nrole = %s\ndomain = %s\naddress = %s\n", p.Name, p.Role, p.Domain, p.Peers)
+		if p.Endpoint != "" {
+			fmt.Fprintf(&b, "endpoint = %s\n", p.Endpoint)
+		}
+	}
+	return []byte(b.String())
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,113 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package platform holds the narrow adapters to what the system runs on: the
+// model engine, the plain service, the configuration service, the list of
+// instances and the weight store. Each adapter is a struct of functions, so
+// that a test or a bench can put its own in place; the constructors here speak
+// the HTTP protocols. Nothing in this package decides anything.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxAnswer bounds what is read of a platform answer that is not a stream.
+const maxAnswer = 8 << 20
+
+// statusError is an HTTP answer other than the expected one.
+type statusError struct {
+	code int
+	text string
+}
+
+func (e *statusError) Error() string { return http.StatusText(e.code) + ": " + e.text }
+
+// Status returns the HTTP status of a failed call, or 0 when err is not one.
+func Status(err error) int {
+	var se *statusError
+	if errors.As(err, &se) {
+		return se.code
+	}
+	return 0
+}
+
+// notSentError marks a call of which no byte left the process.
+type notSentError struct{ error }
+
+func (e notSentError) Unwrap() error { return e.error }
+
+// NotSent reports whether err proves that nothing of the call was sent.
+func NotSent(err error) bool {
+	var ns notSentError
+	return errors.As(err, &ns)
+}
+
+// sent classifies a transport error: a failed dial proves that nothing left.
+func classify(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return notSentError{err}
+	}
+	return err
+}
+
+// NewTransport returns a transport that keeps connections to many peers. It is
+// used only for requests that are harmless to repeat: net/http sends some
+// requests again by itself when a kept connection breaks.
+func NewTransport() *http.Transport {
+	return &http.Transport{
+		Proxy:                 nil,
+		DialContext:           (&net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}).DialContext,
+		MaxIdleConnsPerHost:   256,
+		IdleConnTimeout:       60 * time.Second,
+		ReadBufferSize:        2 << 10,
+		WriteBufferSize:       2 << 10,
+		ResponseHeaderTimeout: 0,
+		DisableCompression:    true,
+	}
+}
+
+// NewSingleTransport returns a transport that opens a connection for each
+// request and closes it afterwards. net/http repeats a request by itself only
+// on a connection it has used before, so that one sent here is sent once.
+func NewSingleTransport() *http.Transport {
+	t := NewTransport()
+	t.DisableKeepAlives = true
+	return t
+}
+
+// getJSON reads a JSON answer into v.
+func getJSON(ctx context.Context, c *http.Client, url string, v any) (err error) {
+	raw, err := get(ctx, c, url)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, v)
+}
+
+func get(ctx context.Context, c *http.Client, url string) (raw []byte, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return nil, classify(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, &statusError{resp.StatusCode, string(raw[:min(len(raw), 200)])}
+	}
+	return raw, nil
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,362 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/canvaspulley/canvaspulley/internal/platform"
+	"github.com/canvaspulley/canvaspulley/internal/wire"
+)
+
+// GroupConfig sizes a stand-in engine group.
+type GroupConfig struct {
+	Ranks       int
+	StepTime    time.Duration // Step time of an idle group.
+	PerSequence time.Duration // Added by each sequence on the fullest rank.
+	PrefillStep int           // Prompt bytes that one step takes in.
+	CacheBytes  int           // Prompt prefixes kept by a rank, in bytes.
+	ReportLag   time.Duration // Age of what State reports.
+}
+
+// Group is ranks that advance in lock-step: the slowest one paces all.
+type Group struct {
+	cfg   GroupConfig
+	ranks []*Engine
+
+	mu    sync.Mutex
+	step  uint64
+	lastS time.Duration // Time of the last step.
+}
+
+// sequence is one request at a rank.
+type sequence struct {
+	req    platform.Generate
+	next   int // Next token to make.
+	fill   int // Prompt bytes not yet taken in.
+	tokens chan int
+	gone   <-chan struct{}
+}
+
+// Engine is one rank of a group.
+type Engine struct {
+	group *Group
+	rank  int
+
+	mu     sync.Mutex
+	active map[*sequence]bool
+	runs   map[string]int // Starts by request id.
+	cache  *prefixCache
+	down   bool
+	stall  bool
+	slow   time.Duration
+	report reportLog
+}
+
+// NewGroup returns a group whose steps are made by Run.
+func NewGroup(cfg GroupConfig) *Group {
+	g := &Group{cfg: cfg}
+	for i := range cfg.Ranks {
+		g.ranks = append(g.ranks, &Engine{
+			group:  g,
+			rank:   i,
+			active: map[*sequence]bool{},
+			runs:   map[string]int{},
+			cache:  newPrefixCache(cfg.CacheBytes),
+			report: reportLog{lag: cfg.ReportLag},
+		})
+	}
+	return g
+}
+
+// Rank returns the engine of rank i.
+func (g *Group) Rank(i int) *Engine { return g.ranks[i] }
+
+// Run makes steps until ctx ends.
+func (g *Group) Run(ctx context.Context) error {
+	timer := time.NewTimer(g.cfg.StepTime)
+	defer timer.Stop()
+	for {
+		d, ok := g.stepTime()
+		timer.Reset(d)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-timer.C:
+		}
+		if ok {
+			g.advance(d)
+		}
+	}
+}
+
+// stepTime is the time of the next step, set by the slowest rank; ok is false
+// while a rank stalls, and then no rank advances.
+func (g *Group) stepTime() (d time.Duration, ok bool) {
+	for _, e := range g.ranks {
+		e.mu.Lock()
+		own := g.cfg.StepTime + time.Duration(len(e.active))*g.cfg.PerSequence + e.slow
+		stall := e.stall
+		e.mu.Unlock()
+		if stall {
+			return g.cfg.StepTime, false
+		}
+		d = max(d, own)
+	}
+	return d, true
+}
+
+// advance makes one step: one token for each sequence of each rank.
+func (g *Group) advance(d time.Duration) {
+	g.mu.Lock()
+	g.step++
+	g.lastS = d
+	n := g.step
+	g.mu.Unlock()
+	for _, e := range g.ranks {
+		e.advance(n, d)
+	}
+}
+
+func (e *Engine) advance(step uint64, d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for s := range e.active {
+		select {
+		case <-s.gone:
+			delete(e.active, s)
+			continue
+		default:
+		}
+		if s.fill > 0 {
+			s.fill -= e.group.cfg.PrefillStep
+			continue
+		}
+		select {
+		case s.tokens <- s.next:
+			s.next++
+		default: // The reader is behind; the sequence waits.
+		}
+		if s.next >= s.req.MaxTokens {
+			delete(e.active, s)
+			close(s.tokens)
+		}
+	}
+	e.report.add(time.Now(), platform.EngineState{
+		Step: step, StepMS: float64(d) / float64(time.Millisecond), Running: len(e.active),
+	})
+}
+
+// start adds a sequence; ok is false while the engine is down.
+func (e *Engine) start(req platform.Generate, gone <-chan struct{}) (s *sequence, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return nil, false
+	}
+	e.runs[req.ID]++
+	cached := e.cache.hit(req.Prompt)
+	s = &sequence{
+		req: req, next: req.From, fill: len(req.Prompt) - cached,
+		tokens: make(chan int, 64), gone: gone,
+	}
+	e.active[s] = true
+	return s, true
+}
+
+// Runs returns how often a request was started at this rank.
+func (e *Engine) Runs(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[id]
+}
+
+// Hits returns the prompt bytes that were found in the cache and all of them.
+func (e *Engine) Hits() (hit, all int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cache.hits, e.cache.asked
+}
+
+// Stall stops or resumes the whole group through this rank.
+func (e *Engine) Stall(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stall = on
+}
+
+// Slow adds time to each step of the group through this rank.
+func (e *Engine) Slow(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.slow = d
+}
+
+// Kill ends all sequences of this rank without a last word and refuses new
+// ones until Revive.
+func (e *Engine) Kill() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = true
+	for s := range e.active {
+		delete(e.active, s)
+		close(s.tokens)
+	}
+}
+
+// Revive lets a killed engine take requests again.
+func (e *Engine) Revive() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = false
+}
+
+// Handler serves the engine's protocol.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/generate", e.generate)
+	mux.HandleFunc("GET /v1/state", e.state)
+	return mux
+}
+
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	var req platform.Generate
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s, ok := e.start(req, r.Context().Done())
+	if !ok {
+		http.Error(w, "engine is down", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(w)
+	_ = rc.Flush()
+	e.write(w, rc, s)
+}
+
+// write sends the tokens of s, and the last event only when all were made.
+func (e *Engine) write(w http.ResponseWriter, rc *http.ResponseController, s *sequence) {
+	var buf []byte
+	sent := s.req.From
+	for {
+		select {
+		case <-s.gone:
+			return
+		case n, ok := <-s.tokens:
+			if !ok {
+				if sent < s.req.MaxTokens {
+					panic(http.ErrAbortHandler) // Killed: the stream breaks off.
+				}
+				_, _ = w.Write(wire.AppendFrame(buf[:0], e.eventID(s, sent), wire.EventEnd, []byte("{}")))
+				return
+			}
+			text, _ := json.Marshal(Token(s.req.Prompt, n))
+			buf = wire.AppendFrame(buf[:0], e.eventID(s, n), "", text)
+			if _, err := w.Write(buf); err != nil {
+				return
+			}
+			_ = rc.Flush()
+			sent = n + 1
+		}
+	}
+}
+
+func (e *Engine) eventID(s *sequence, n int) wire.EventID {
+	return wire.EventID{Request: s.req.ID, Endpoint: "engine", Offset: n}
+}
+
+func (e *Engine) state(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	s := e.report.get(time.Now())
+	down := e.down
+	e.mu.Unlock()
+	if down {
+		http.Error(w, "engine is down", http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, s)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // The reader may be gone.
+}
+
+// reportLog gives back a report that is at least lag old.
+type reportLog struct {
+	lag  time.Duration
+	past []timedReport
+}
+
+type timedReport struct {
+	at    time.Time
+	state platform.EngineState
+}
+
+func (l *reportLog) add(now time.Time, s platform.EngineState) {
+	l.past = append(l.past, timedReport{now, s})
+	l.trim(now)
+}
+
+func (l *reportLog) trim(now time.Time) {
+	for len(l.past) > 1 && now.Sub(l.past[1].at) >= l.lag {
+		l.past = l.past[1:]
+	}
+}
+
+func (l *reportLog) get(now time.Time) platform.EngineState {
+	l.trim(now)
+	if len(l.past) == 0 {
+		return platform.EngineState{}
+	}
+	return l.past[0].state
+}
+
+// prefixCache remembers the newest prompt prefixes, whole blocks only.
+type prefixCache struct {
+	limit int
+	used  int
+	seen  map[string]bool
+	order []string
+	hits  int
+	asked int
+}
+
+// prefixBlock is the unit of caching, in bytes of prompt.
+const prefixBlock = 64
+
+func newPrefixCache(limit int) *prefixCache {
+	return &prefixCache{limit: limit, seen: map[string]bool{}}
+}
+
+// hit returns the bytes of prompt that were cached and takes in the rest.
+func (c *prefixCache) hit(prompt string) (n int) {
+	c.asked += len(prompt)
+	for end := prefixBlock; end <= len(prompt); end += prefixBlock {
+		prefix := prompt[:end]
+		if c.seen[prefix] {
+			n = end
+			continue
+		}
+		c.add(prefix)
+	}
+	c.hits += n
+	return n
+}
+
+func (c *prefixCache) add(prefix string) {
+	c.seen[prefix] = true
+	c.order = append(c.order, prefix)
+	c.used += prefixBlock
+	for c.used > c.limit && len(c.order) > 0 {
+		delete(c.seen, c.order[0])
+		c.order = c.order[1:]
+		c.used -= prefixBlock
+	}
+}
