--- /dev/null
+++ b/cmd/canvaspulleyd/main.go
@@ -0,0 +1,13 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Command canvaspulleyd is the daemon: an entry or an endpoint agent,
+// by its settings.
+package main
+
+import (
+	"os"
+
+	"github.com/canvaspulley/canvaspulley/internal/daemon"
+)
+
+func main() { os.Exit(daemon.Main(os.Args[1:], os.Stderr)) }
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,219 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package agent is the endpoint role: the one small process beside an engine
+// or a plain service, and the only way in to it. It has the last word on
+// admission, on what may run once, and on draining. It chooses no endpoint and
+// serves no callers.
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/audit"
+	"github.com/canvaspulley/canvaspulley/internal/decide/admit"
+	"github.com/canvaspulley/canvaspulley/internal/decide/once"
+	"github.com/canvaspulley/canvaspulley/internal/node"
+	"github.com/canvaspulley/canvaspulley/internal/platform"
+	"github.com/canvaspulley/canvaspulley/internal/wire"
+)
+
+// Times and sizes that no operator needs to set.
+const (
+	tickEvery   = 50 * time.Millisecond
+	stateEvery  = 250 * time.Millisecond
+	idWindow    = 2 * time.Minute
+	idCapacity  = 200000
+	answerBytes = 16 << 20
+	agePerStep  = 2 * time.Second
+)
+
+// Agent serves one endpoint.
+type Agent struct {
+	node    *node.Node
+	engine  *platform.Engine  // Nil beside a plain service.
+	service *platform.Service // Nil beside an engine.
+
+	mu      sync.Mutex
+	queue   *admit.Queue
+	ids     *once.Table            // Attempts of requests, for "not run".
+	keys    *once.Table            // Idempotency keys.
+	waiting map[string]chan ticket // By attempt; exactly those in queue's waiting list.
+	step    uint64                 // Engine's step number by its last report.
+	moved   time.Time              // When step last changed, or when nothing ran.
+	stalled bool
+}
+
+// ticket is the queue's word on one waiting request.
+type ticket struct {
+	refusal *wire.Refusal // Nil when the request may start.
+}
+
+// New returns an agent beside an engine or a service; one of them is nil.
+func New(n *node.Node, engine *platform.Engine, service *platform.Service) *Agent {
+	set := n.Settings()
+	target := set.StepTarget
+	if engine == nil {
+		target = 0
+	}
+	return &Agent{
+		node:    n,
+		engine:  engine,
+		service: service,
+		queue: admit.New(admit.Config{
+			Capacity: set.Queue, MinLimit: set.MinLimit, MaxLimit: set.MaxLimit,
+			StepTarget: target, AgePerStep: agePerStep,
+		}),
+		ids: once.New(once.Config{
+			Started: n.Started(), Skew: set.ClockSkew, Window: idWindow, Capacity: idCapacity,
+			SentOnce: true,
+		}),
+		keys: once.New(once.Config{
+			Started: n.Started(), Skew: set.ClockSkew, Window: set.KeyWindow,
+			Capacity: set.Keys, AnswerBytes: answerBytes,
+		}),
+		waiting: map[string]chan ticket{},
+		moved:   n.Started(),
+	}
+}
+
+// Handler returns the peer listener's handlers.
+func (a *Agent) Handler() http.Handler {
+	mux := a.node.PeerMux()
+	mux.HandleFunc("POST "+wire.PathRun, a.serveRun)
+	mux.HandleFunc("POST "+wire.PathOutcome, a.serveOutcome)
+	return mux
+}
+
+// Run does the agent's duties until ctx ends.
+func (a *Agent) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return a.tick(ctx) })
+	if a.engine != nil {
+		g.Go(func() error { return a.observe(ctx) })
+	}
+	return g.Wait()
+}
+
+// tick gives up what can no longer start in time, and what waits when the
+// planned stop begins.
+func (a *Agent) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	left := a.node.Left()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-left:
+			left = nil
+			a.apply(func() admit.Actions { return a.queue.Leave() })
+		case <-ticker.C:
+			a.apply(func() admit.Actions { return a.queue.Tick(time.Now()) })
+		}
+	}
+}
+
+// apply takes a decision of the queue and tells those who wait.
+func (a *Agent) apply(decide func() admit.Actions) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tell(decide())
+}
+
+// tell passes actions to the waiting requests; a.mu is held.
+func (a *Agent) tell(actions admit.Actions) {
+	for _, r := range actions.Start {
+		a.answer(r.ID, ticket{})
+	}
+	for _, r := range actions.Refuse {
+		a.answer(r.Request.ID, ticket{refusal: refusalOf(r)})
+	}
+}
+
+func (a *Agent) answer(id string, t ticket) {
+	if c, ok := a.waiting[id]; ok {
+		delete(a.waiting, id)
+		c <- t // Holds one ticket; it never blocks.
+	}
+}
+
+func refusalOf(r admit.Refusal) *wire.Refusal {
+	status := http.StatusServiceUnavailable
+	if r.Reason == admit.ReasonDeadline {
+		status = http.StatusGatewayTimeout
+	}
+	return wire.Refuse(status, r.After, string(r.Reason))
+}
+
+// observe reads the engine's report and notices when its group stands still.
+func (a *Agent) observe(ctx context.Context) error {
+	ticker := time.NewTicker(stateEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		call, cancel := context.WithTimeout(ctx, time.Second)
+		s, err := a.engine.State(call)
+		cancel()
+		a.takeReport(s, err, time.Now())
+	}
+}
+
+func (a *Agent) takeReport(s platform.EngineState, err error, now time.Time) {
+	a.mu.Lock()
+	if err == nil && s.Step != a.step {
+		a.step, a.moved = s.Step, now
+		step := time.Duration(s.StepMS * float64(time.Millisecond))
+		a.tell(a.queue.Observe(step, now))
+	}
+	was := a.stalled
+	a.stalled = now.Sub(a.moved) >= a.node.Settings().StallAfter
+	changed := was != a.stalled
+	stalled := a.stalled
+	a.mu.Unlock()
+	switch {
+	case changed && stalled:
+		a.node.Trail().Add(audit.Stalled, a.node.Settings().Endpoint, "engine's step number stands still")
+	case changed:
+		a.node.Trail().Add(audit.Stalled, a.node.Settings().Endpoint, "engine goes on")
+	}
+}
+
+// Load returns what the agent knows of its endpoint.
+func (a *Agent) Load() wire.Load {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.load()
+}
+
+func (a *Agent) load() wire.Load {
+	return wire.Load{
+		Running: a.queue.Running(),
+		Queued:  a.queue.Waiting(),
+		Limit:   a.queue.Limit(),
+		StepMS:  float64(a.queue.Step()) / float64(time.Millisecond),
+		Step:    a.step,
+		Stalled: a.stalled,
+		Leaving: a.node.State() == node.Draining || a.node.State() == node.Stopped,
+	}
+}
+
+// Busy returns the number of requests that run or wait.
+func (a *Agent) Busy() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.Running() + a.queue.Waiting()
+}
+
+func (a *Agent) count(name string) {
+	metrics.GetOrRegisterCounter(name, a.node.Metrics()).Inc(1)
+}
--- /dev/null
+++ b/internal/agent/run.go
@@ -0,0 +1,437 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/canvaspulley/canvaspulley/internal/audit"
+	"github.com/canvaspulley/canvaspulley/internal/chart"
+	"github.com/canvaspulley/canvaspulley/internal/decide/admit"
+	"github.com/canvaspulley/canvaspulley/internal/decide/once"
+	"github.com/canvaspulley/canvaspulley/internal/ident"
+	"github.com/canvaspulley/canvaspulley/internal/node"
+	"github.com/canvaspulley/canvaspulley/internal/platform"
+	"github.com/canvaspulley/canvaspulley/internal/wire"
+)
+
+// Events of the chart "request".
+const (
+	eventQueue  chart.Event = "queue"
+	eventStart  chart.Event = "start"
+	eventRefuse chart.Event = "refuse"
+	eventSend   chart.Event = "send"
+	eventFinish chart.Event = "finish"
+	eventBreak  chart.Event = "break"
+)
+
+// States of the chart "request" that end a life.
+const (
+	stateNotRun  chart.State = "not-run"
+	stateDone    chart.State = "done"
+	stateUnknown chart.State = "unknown"
+)
+
+var requestChart = chart.MustLoad("request")
+
+// job is one request at the agent.
+type job struct {
+	agent *Agent
+	env   *wire.Envelope
+	body  []byte
+	life  *chart.Machine
+	name  string // Request id and attempt; the name of the mark.
+	key   string // Name of the key's mark, "" when there is none.
+	held  bool   // The job holds a place at the endpoint.
+}
+
+// attemptTime reads the time in an attempt's name: its id is a UUIDv7.
+func attemptTime(name string) (t time.Time, err error) {
+	id, _, _ := strings.Cut(name, "~")
+	u, err := uuid.Parse(id)
+	if err != nil || u.Version() != 7 {
+		return t, errors.Newf("request id %.80q is not a UUIDv7", id)
+	}
+	sec, nsec := u.Time().UnixTime()
+	return time.Unix(sec, nsec), nil
+}
+
+// serveRun takes a request from an entry to its end.
+func (a *Agent) serveRun(w http.ResponseWriter, r *http.Request) {
+	j, refusal := a.accept(w, r)
+	if refusal != nil {
+		a.refuse(w, refusal)
+		return
+	}
+	if refusal := j.admit(r.Context()); refusal != nil {
+		j.end(eventRefuse)
+		a.refuse(w, refusal)
+		return
+	}
+	defer j.release()
+	if refusal := j.lastCheck(time.Now()); refusal != nil {
+		j.end(eventRefuse)
+		a.refuse(w, refusal)
+		return
+	}
+	j.life.Apply(eventSend)
+	if a.engine != nil {
+		j.stream(w, r)
+	} else {
+		j.call(w, r)
+	}
+}
+
+func (a *Agent) refuse(w http.ResponseWriter, refusal *wire.Refusal) {
+	a.count("refused." + string(refusal.Outcome))
+	w.Header().Set(wire.HeaderLoad, wire.EncodeLoad(a.Load()))
+	refusal.Write(w)
+}
+
+// accept reads the request and marks it. Until a job is returned nothing is
+// marked that stays.
+func (a *Agent) accept(w http.ResponseWriter, r *http.Request) (j *job, refusal *wire.Refusal) {
+	if refusal := a.node.Refusal(); refusal != nil {
+		return nil, refusal
+	}
+	env, err := wire.ParseEnvelope(r.Header.Get(wire.HeaderEnvelope))
+	if err != nil {
+		return nil, wire.Refuse(http.StatusBadRequest, 0, err.Error())
+	}
+	if env.Endpoint != a.node.Settings().Endpoint {
+		return nil, wire.Refuse(http.StatusMisdirectedRequest, 0, "another endpoint is meant")
+	}
+	if (env.Kind == wire.KindStream) != (a.engine != nil) {
+		return nil, wire.Refuse(http.StatusMisdirectedRequest, 0, "the endpoint does not serve this kind")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxBody))
+	if err != nil {
+		return nil, wire.Refuse(http.StatusBadRequest, 0, "body: "+err.Error())
+	}
+	j = &job{agent: a, env: env, body: body, life: requestChart.Machine(), name: env.ID}
+	return j, j.mark(time.Now())
+}
+
+// mark enters the attempt and the key, before anything is sent on.
+func (j *job) mark(now time.Time) *wire.Refusal {
+	a := j.agent
+	at, err := attemptTime(j.name)
+	if err != nil {
+		return wire.Refuse(http.StatusBadRequest, 0, err.Error())
+	}
+	var key ident.Key
+	if j.env.Key != "" {
+		if key, err = ident.ParseKey(j.env.Key); err != nil {
+			return wire.Refuse(http.StatusBadRequest, 0, err.Error())
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.stalled {
+		return wire.Refuse(http.StatusServiceUnavailable, time.Second, "engine group stands still")
+	}
+	if v, _ := a.ids.Begin(j.name, 0, at, now); v != once.Run {
+		return refusalOfAttempt(v)
+	}
+	if j.env.Key == "" {
+		return nil
+	}
+	if key.Owner() != j.env.Endpoint {
+		a.ids.Release(j.name)
+		return wire.Refuse(http.StatusMisdirectedRequest, 0, "another endpoint owns the key")
+	}
+	name := j.env.Customer + "/" + key.String() // A customer's keys are its own.
+	v, answer := a.keys.Begin(name, j.digest(), key.Minted(), now)
+	if v != once.Run {
+		a.ids.Release(j.name)
+		return refusalOfKey(v, answer)
+	}
+	j.key = name
+	return nil
+}
+
+// digest tells whether two requests are the same.
+func (j *job) digest() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{j.env.Method, "\x00", j.env.Path, "\x00"} {
+		_, _ = d.WriteString(part) // A Digest never fails.
+	}
+	_, _ = d.Write(j.body)
+	return d.Sum64()
+}
+
+// refusalOfAttempt answers a copy of an attempt, or one too old to judge. The
+// entry sends each attempt once, so that a copy is a late or doubled message.
+func refusalOfAttempt(v once.Verdict) *wire.Refusal {
+	switch v {
+	case once.Refused:
+		return wire.Refuse(http.StatusConflict, 0, "attempt was given up before")
+	case once.Full:
+		return wire.Refuse(http.StatusServiceUnavailable, time.Second, "no room to remember the request")
+	case once.FromFuture:
+		return wire.Refuse(http.StatusBadRequest, 0, "request id is from the future")
+	default:
+		return wire.Doubt(http.StatusConflict, "attempt was seen before, or may have been")
+	}
+}
+
+// refusalOfKey answers a key that may not start. A kept answer is given again
+// as it was.
+func refusalOfKey(v once.Verdict, answer *once.Answer) *wire.Refusal {
+	switch v {
+	case once.Repeat:
+		return &wire.Refusal{Outcome: wire.Done, Status: answer.Status, Reason: "answer of the first run",
+			Repeat: &wire.Repeat{Type: answer.Type, Body: answer.Body}}
+	case once.Busy:
+		r := wire.Doubt(http.StatusConflict, "a request with this key is running")
+		r.RetryAfterMS = time.Second.Milliseconds()
+		return r
+	case once.Full:
+		return wire.Refuse(http.StatusServiceUnavailable, time.Second, "no room to remember the key")
+	case once.FromFuture:
+		return wire.Refuse(http.StatusBadRequest, 0, "idempotency key is from the future")
+	case once.Mismatch:
+		return wire.Refuse(http.StatusUnprocessableEntity, 0, "idempotency key was used for another request")
+	default:
+		return wire.Doubt(http.StatusConflict, "a request with this key may have run before")
+	}
+}
+
+// admit waits for the queue's word. It returns at once when the caller goes.
+func (j *job) admit(ctx context.Context) *wire.Refusal {
+	a := j.agent
+	req := admit.Request{
+		ID: j.name, Customer: j.env.Customer, Weight: j.env.Weight,
+		Priority: j.env.Priority, Arrived: time.Now(),
+	}
+	if d, ok := j.env.Deadline(); ok {
+		req.Deadline = d
+	}
+	c := make(chan ticket, 1)
+	a.mu.Lock()
+	a.waiting[j.name] = c
+	a.tell(a.queue.Offer(req, req.Arrived))
+	a.mu.Unlock()
+	j.life.Apply(eventQueue)
+	select {
+	case t := <-c:
+		if t.refusal == nil {
+			j.held = true
+			j.life.Apply(eventStart)
+		}
+		return t.refusal
+	case <-ctx.Done():
+		return j.abandon()
+	}
+}
+
+// abandon takes the job out of the queue after its caller has gone.
+func (j *job) abandon() *wire.Refusal {
+	a := j.agent
+	a.mu.Lock()
+	waiting := a.queue.Cancel(j.name)
+	delete(a.waiting, j.name)
+	if !waiting {
+		a.tell(a.queue.Done(j.name, time.Now())) // It was just let in.
+	}
+	a.mu.Unlock()
+	return wire.Refuse(http.StatusServiceUnavailable, 0, "caller has gone")
+}
+
+// lastCheck judges once more right before the send: the process may have been
+// paused since it read the request.
+func (j *job) lastCheck(now time.Time) *wire.Refusal {
+	j.agent.node.CheckPause(now)
+	if s := j.agent.node.State(); s == node.Doubting {
+		return wire.Refuse(http.StatusServiceUnavailable, time.Second, "process was paused")
+	}
+	if d, ok := j.env.Deadline(); ok && !now.Before(d) {
+		return wire.Refuse(http.StatusGatewayTimeout, 0, "deadline has passed")
+	}
+	return nil
+}
+
+// end applies the last event and settles the marks by where it led.
+func (j *job) end(e chart.Event) {
+	j.life.Apply(e)
+	a := j.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch j.life.State() {
+	case stateNotRun:
+		a.ids.Deny(j.name)
+		a.keys.Release(j.key)
+	case stateDone:
+		a.ids.Lose(j.name)
+		a.keys.Lose(j.key) // Unless its answer was kept.
+	case stateUnknown:
+		a.ids.Lose(j.name)
+		a.keys.Lose(j.key)
+	}
+}
+
+// release gives the place at the endpoint back.
+func (j *job) release() {
+	if !j.held {
+		return
+	}
+	a := j.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tell(a.queue.Done(j.name, time.Now()))
+}
+
+// call runs the request at a plain service. It goes on when the entry has
+// gone, so that the outcome of what cannot be repeated is known.
+func (j *job) call(w http.ResponseWriter, r *http.Request) {
+	a := j.agent
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), j.timeout())
+	defer cancel()
+	reply, err := a.service.Do(ctx, platform.Call{
+		Method: j.env.Method, Path: j.env.Path, Type: j.env.Type, Key: j.env.Key,
+		Body: j.body, Once: j.env.Once,
+	})
+	switch {
+	case platform.NotSent(err):
+		j.end(eventRefuse)
+		a.refuse(w, wire.Refuse(http.StatusServiceUnavailable, time.Second, "service cannot be reached"))
+		return
+	case err != nil:
+		j.end(eventBreak)
+		a.refuse(w, wire.Doubt(http.StatusBadGateway, "service gave no whole answer"))
+		return
+	}
+	j.finishKey(once.Answer{Status: reply.Status, Type: reply.Type, Body: reply.Body})
+	j.end(eventFinish)
+	a.count("calls.done")
+	h := w.Header()
+	h.Set(wire.HeaderOutcome, string(wire.Done))
+	h.Set(wire.HeaderRequest, j.name)
+	h.Set(wire.HeaderLoad, wire.EncodeLoad(a.Load()))
+	h.Set("Content-Type", reply.Type)
+	h.Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body) // The entry may be gone; the outcome is kept.
+}
+
+func (j *job) finishKey(answer once.Answer) {
+	a := j.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.keys.Finish(j.key, answer)
+}
+
+func (j *job) timeout() time.Duration {
+	if c, ok := j.agent.node.Config(); ok {
+		if s, ok := c.ServiceOf(j.env.Endpoint); ok {
+			return s.Timeout
+		}
+	}
+	return 30 * time.Second
+}
+
+// stream runs the request at the engine and relays its tokens under the id of
+// the request. Tokens that are not the next one are dropped and counted.
+func (j *job) stream(w http.ResponseWriter, r *http.Request) {
+	a := j.agent
+	var g platform.Generate
+	if err := json.Unmarshal(j.body, &g); err != nil {
+		j.end(eventRefuse)
+		a.refuse(w, wire.Refuse(http.StatusBadRequest, 0, "body: "+err.Error()))
+		return
+	}
+	g.ID, g.Priority, g.From = j.name, j.env.Priority, j.env.Offset
+	in, err := a.engine.Generate(r.Context(), g)
+	switch {
+	case platform.NotSent(err) || platform.Status(err) == http.StatusServiceUnavailable:
+		j.end(eventRefuse)
+		a.refuse(w, wire.Refuse(http.StatusServiceUnavailable, time.Second, "engine cannot be reached"))
+		return
+	case err != nil:
+		j.end(eventBreak)
+		a.refuse(w, wire.Doubt(http.StatusBadGateway, "engine gave no answer"))
+		return
+	}
+	defer func() { _ = in.Close() }()
+	h := w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set(wire.HeaderRequest, j.name)
+	h.Set(wire.HeaderLoad, wire.EncodeLoad(a.Load()))
+	rc := http.NewResponseController(w)
+	_ = rc.Flush()
+	if j.relay(w, rc, in) {
+		j.end(eventFinish)
+		a.count("streams.done")
+		return
+	}
+	j.end(eventBreak)
+	a.count("streams.broken")
+	panic(http.ErrAbortHandler) // The entry must see that the stream broke off.
+}
+
+// relay copies the tokens of an engine and reports whether the answer is whole.
+func (j *job) relay(w io.Writer, rc *http.ResponseController, in io.Reader) (whole bool) {
+	frames := wire.NewFrameReader(in)
+	next := j.env.Offset
+	id := wire.EventID{Request: j.name, Endpoint: j.env.Endpoint}
+	var buf []byte
+	for {
+		f, err := frames.Next()
+		if err != nil {
+			return false
+		}
+		got, err := wire.ParseEventID(f.ID)
+		if err != nil || got.Request != j.name || got.Offset != next {
+			j.agent.node.Trail().Add(audit.StrayAnswer, j.name, "engine sent "+f.ID)
+			continue
+		}
+		id.Offset = next
+		data := f.Data
+		if f.Event == wire.EventEnd {
+			data = []byte(wire.EncodeLoad(j.agent.Load()))
+		}
+		buf = wire.AppendFrame(buf[:0], id, f.Event, data)
+		if _, err := w.Write(buf); err != nil {
+			return false
+		}
+		if err := rc.Flush(); err != nil {
+			return false
+		}
+		if f.Event == wire.EventEnd {
+			return true
+		}
+		next++
+	}
+}
+
+// serveOutcome answers an entry that lost the link after a send.
+func (a *Agent) serveOutcome(w http.ResponseWriter, r *http.Request) {
+	var q wire.OutcomeRequest
+	if !node.ReadJSON(w, r, &q) {
+		return
+	}
+	at, err := attemptTime(q.ID)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	a.mu.Lock()
+	s := a.ids.Tombstone(q.ID, at, time.Now())
+	a.mu.Unlock()
+	reply := wire.OutcomeReply{Outcome: wire.Unknown}
+	if s == once.Tombstoned {
+		reply.Outcome = wire.NotRun
+	}
+	node.WriteJSON(w, reply)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,215 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package daemon puts a process together: a node, its role and its listeners,
+// from the start to the planned stop. The demonstration runs the same code.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/agent"
+	"github.com/canvaspulley/canvaspulley/internal/audit"
+	"github.com/canvaspulley/canvaspulley/internal/entry"
+	"github.com/canvaspulley/canvaspulley/internal/node"
+	"github.com/canvaspulley/canvaspulley/internal/platform"
+	"github.com/canvaspulley/canvaspulley/internal/settings"
+	"github.com/canvaspulley/canvaspulley/internal/trust"
+)
+
+// Bounds on what is read from anyone, against slow and endless senders.
+const (
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 64 << 10
+	idlePoll       = 50 * time.Millisecond
+)
+
+// Daemon is one process of the system.
+type Daemon struct {
+	set       *settings.Settings
+	log       *zap.Logger
+	node      *node.Node
+	agent     *agent.Agent // Nil in the role entry.
+	entry     *entry.Entry // Nil in the role endpoint.
+	listeners []listener
+}
+
+type listener struct {
+	l net.Listener
+	h http.Handler
+	t *tls.Config
+}
+
+// New opens the listeners, so that faults of the settings show at once. The
+// function closes what was opened, if Run is never called.
+func New(set *settings.Settings, log *zap.Logger) (d *Daemon, cleanup func(), err error) {
+	defer func() { err = errors.Wrap(err, "daemon") }()
+	d = &Daemon{set: set, log: log}
+	cleanup = d.close
+	peers, err := node.Listen(set.Peers)
+	if err != nil {
+		return nil, nil, err
+	}
+	if set.Advertise == "" {
+		set.Advertise = peers.Addr().String()
+	}
+	if d.node, err = node.New(set, log); err != nil {
+		_ = peers.Close()
+		return nil, nil, err
+	}
+	d.add(peers, d.role(), "peers", string(platform.RoleEntry), string(platform.RoleEndpoint))
+	for _, one := range []struct {
+		address string
+		handler func() http.Handler
+		name    string
+	}{
+		{set.Operators, func() http.Handler { return d.node.OperatorsMux() }, "operators"},
+		{set.Callers, func() http.Handler { return d.entry.Handler() }, "callers"},
+	} {
+		if one.address == "" {
+			continue
+		}
+		l, err := node.Listen(one.address)
+		if err != nil {
+			d.close()
+			return nil, nil, err
+		}
+		d.add(l, one.handler(), one.name, trust.RoleOperator)
+	}
+	return d, cleanup, nil
+}
+
+// role makes the entry or the agent and returns the peer listener's handlers.
+func (d *Daemon) role() http.Handler {
+	if d.set.Role == platform.RoleEntry {
+		d.entry = entry.New(d.node)
+		return d.node.PeerMux()
+	}
+	kept := &http.Client{Transport: platform.NewTransport()}
+	single := &http.Client{Transport: platform.NewSingleTransport()}
+	if d.set.Engine != "" {
+		d.agent = agent.New(d.node, platform.NewEngine(d.set.Engine, kept), nil)
+	} else {
+		d.agent = agent.New(d.node, nil, platform.NewService(d.set.Service, kept, single))
+	}
+	return d.agent.Handler()
+}
+
+func (d *Daemon) add(l net.Listener, h http.Handler, name string, roles ...string) {
+	var t *tls.Config
+	if name != "callers" {
+		t = d.node.Credentials().Server(func(err error) {
+			d.node.Trail().Add(audit.PeerRefused, name, err.Error())
+		}, roles...)
+	}
+	d.listeners = append(d.listeners, listener{l, h, t})
+}
+
+func (d *Daemon) close() {
+	for _, one := range d.listeners {
+		_ = one.l.Close()
+	}
+}
+
+// Node returns the shared part of the process.
+func (d *Daemon) Node() *node.Node { return d.node }
+
+// Addresses returns the addresses listened on: peers, operators and, at an
+// entry, callers.
+func (d *Daemon) Addresses() (list []string) {
+	for _, one := range d.listeners {
+		list = append(list, one.l.Addr().String())
+	}
+	return list
+}
+
+// busy returns the number of requests that have not ended.
+func (d *Daemon) busy() int {
+	if d.entry != nil {
+		return d.entry.Busy()
+	}
+	return d.agent.Busy()
+}
+
+// Run serves until a planned stop is complete or ctx ends, which cuts off what
+// runs. The planned stop begins with the node's Leave.
+func (d *Daemon) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrap(err, "daemon") }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return d.node.Run(ctx) })
+	if d.agent != nil {
+		g.Go(func() error { return d.agent.Run(ctx) })
+	}
+	for _, one := range d.listeners {
+		g.Go(func() error { return d.serve(ctx, one) })
+	}
+	g.Go(func() error {
+		d.drain(ctx)
+		cancel()
+		return nil
+	})
+	d.log.Info("serving", zap.Strings("addresses", d.Addresses()))
+	return g.Wait()
+}
+
+// drain waits for the planned stop and then for everything that runs.
+func (d *Daemon) drain(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-d.node.Left():
+	}
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	idle := 0
+	for idle < lingerPolls {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		idle++
+		if d.busy() > 0 {
+			idle = 0
+		}
+	}
+	d.node.Idle()
+}
+
+// lingerPolls is how often in a row nothing must run before the process ends:
+// requests on their way in that time get a refusal instead of a broken link.
+const lingerPolls = 20
+
+func (d *Daemon) serve(ctx context.Context, one listener) error {
+	srv := &http.Server{
+		Handler:           one.h,
+		TLSConfig:         one.t,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(io.Discard, "", 0), // Refusals are audited; the rest is noise of peers that went.
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	var err error
+	if one.t != nil {
+		err = srv.ServeTLS(one.l, "", "")
+	} else {
+		err = srv.Serve(one.l)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/daemon/main.go
@@ -0,0 +1,104 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/inifile"
+	"github.com/canvaspulley/canvaspulley/internal/settings"
+)
+
+// Exit codes of the daemon.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// options is the daemon's command line.
+type options struct {
+	Config string `long:"config" required:"yes" value-name:"FILE.ini" description:"settings of this process"`
+	Check  bool   `long:"check" description:"check the settings and exit"`
+}
+
+// Main runs the daemon and returns its exit code.
+func Main(args []string, stderr io.Writer) int {
+	var o options
+	if _, err := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	set, err := settings.Load(o.Config)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	if o.Check {
+		return exitOK
+	}
+	log, err := newLog(set.LogLevel)
+	if err != nil {
+		fmt.Fprintln(stderr, inifile.Problem{File: o.Config, Section: "log", Key: "level", Text: err.Error()})
+		return exitSettings
+	}
+	defer func() { _ = log.Sync() }()
+	if err := run(set, log); err != nil {
+		log.Error("stopped", zap.Error(err))
+		return exitFailed
+	}
+	return exitOK
+}
+
+func newLog(level string) (l *zap.Logger, err error) {
+	cfg := zap.NewProductionConfig()
+	if cfg.Level, err = zap.ParseAtomicLevel(level); err != nil {
+		return nil, err
+	}
+	cfg.Sampling = nil // An audit trail is not sampled.
+	return cfg.Build()
+}
+
+// run serves until a planned stop. The first SIGTERM or SIGINT begins it, the
+// second ends the process at once.
+func run(set *settings.Settings, log *zap.Logger) (err error) {
+	d, cleanup, err := New(set, log)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		for n := 0; ; n++ {
+			select {
+			case <-ctx.Done():
+				return nil
+			case s := <-signals:
+				if n > 0 {
+					return errors.Newf("second %s: what ran was cut off", s)
+				}
+				d.Node().Leave(s.String())
+			}
+		}
+	})
+	g.Go(func() error {
+		defer cancel()
+		return d.Run(ctx)
+	})
+	return g.Wait()
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,259 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package entry is the entry role: it takes callers, finds out who they are
+// and what they may, chooses an endpoint, and brings the answer back whole.
+// What may run at all is the agents' word, not the entry's.
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/canvaspulley/canvaspulley/internal/audit"
+	"github.com/canvaspulley/canvaspulley/internal/decide/limit"
+	"github.com/canvaspulley/canvaspulley/internal/decide/member"
+	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
+	"github.com/canvaspulley/canvaspulley/internal/ident"
+	"github.com/canvaspulley/canvaspulley/internal/node"
+	"github.com/canvaspulley/canvaspulley/internal/platform"
+	"github.com/canvaspulley/canvaspulley/internal/policy"
+	"github.com/canvaspulley/canvaspulley/internal/published"
+	"github.com/canvaspulley/canvaspulley/internal/wire"
+)
+
+// Sizes that no operator needs to set.
+const (
+	retryBurst  = 20 // Retries that a budget saves up.
+	maxDeadline = time.Hour
+	maxClass    = 64
+)
+
+// Entry serves callers.
+type Entry struct {
+	node    *node.Node
+	kept    *http.Client // For requests that may be repeated.
+	single  *http.Client // For those that may not.
+	tracker *tracker
+	live    atomic.Int64 // Requests of callers that have not ended.
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget // By customer, and by group after a slash.
+	buckets map[string]*limit.Bucket // By customer.
+}
+
+// New returns an entry on a node.
+func New(n *node.Node) *Entry {
+	kept, single := platform.NewTransport(), platform.NewSingleTransport()
+	kept.TLSClientConfig = n.Credentials().Client()
+	single.TLSClientConfig = n.Credentials().Client()
+	return &Entry{
+		node:    n,
+		kept:    &http.Client{Transport: kept},
+		single:  &http.Client{Transport: single},
+		tracker: newTracker(),
+		budgets: map[string]*retry.Budget{},
+		buckets: map[string]*limit.Bucket{},
+	}
+}
+
+// Busy returns the number of callers' requests that have not ended.
+func (e *Entry) Busy() int { return int(e.live.Load()) }
+
+// Handler returns the callers' listener's handlers.
+func (e *Entry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", e.serve(e.chat))
+	mux.HandleFunc("POST /v1/keys", e.serve(e.mint))
+	mux.HandleFunc("GET /v1/models", e.serve(e.models))
+	mux.HandleFunc("/", e.serve(e.forward))
+	return mux
+}
+
+// request is one caller's request, as far as all kinds share it.
+type request struct {
+	id       string
+	w        http.ResponseWriter
+	r        *http.Request
+	cfg      *published.Config
+	customer *published.Customer
+	policy   *published.Policy
+	class    string
+	deadline time.Time // Zero when there is none.
+	tries    int
+}
+
+// serve wraps a handler: everything that all requests have in common, and the
+// answer to those that are refused.
+func (e *Entry) serve(handle func(*request) *wire.Refusal) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e.live.Add(1)
+		defer e.live.Add(-1)
+		id := ident.New()
+		w.Header().Set(wire.HeaderRequest, id)
+		req, refusal := e.admit(id, w, r)
+		if refusal == nil {
+			refusal = handle(req)
+		}
+		if refusal != nil {
+			e.count("callers." + string(refusal.Outcome))
+			refusal.Write(w)
+			return
+		}
+		e.count("callers.answered")
+	}
+}
+
+// admit finds out who calls and whether the limits allow it.
+func (e *Entry) admit(id string, w http.ResponseWriter, r *http.Request) (req *request, refusal *wire.Refusal) {
+	if refusal := e.node.Refusal(); refusal != nil {
+		w.Header().Set("Connection", "close")
+		return nil, refusal
+	}
+	cfg, ok := e.node.Config()
+	if !ok {
+		return nil, wire.Refuse(http.StatusServiceUnavailable, time.Second, "no configuration yet")
+	}
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return nil, wire.Refuse(http.StatusUnauthorized, 0, "Authorization: Bearer KEY is missing")
+	}
+	sum := sha256.Sum256([]byte(token))
+	cust, ok := cfg.CustomerByHash(hex.EncodeToString(sum[:]))
+	if !ok {
+		return nil, wire.Refuse(http.StatusUnauthorized, 0, "key is not known")
+	}
+	req = &request{id: id, w: w, r: r, cfg: cfg, customer: cust, policy: cfg.Policy(cust.Policy)}
+	if refusal := req.readHeaders(time.Now()); refusal != nil {
+		return nil, refusal
+	}
+	if after, ok := e.allow(cust, time.Now()); !ok {
+		return nil, wire.Refuse(http.StatusTooManyRequests, after, "the customer's limit is reached")
+	}
+	return req, nil
+}
+
+func (req *request) readHeaders(now time.Time) *wire.Refusal {
+	req.class = req.r.Header.Get(wire.HeaderClass)
+	if len(req.class) > maxClass {
+		return wire.Refuse(http.StatusBadRequest, 0, wire.HeaderClass+" is longer than "+strconv.Itoa(maxClass)+" bytes")
+	}
+	text := req.r.Header.Get(wire.HeaderDeadline)
+	if text == "" {
+		return nil
+	}
+	ms, err := strconv.Atoi(text)
+	if err != nil || ms <= 0 || ms > int(maxDeadline.Milliseconds()) {
+		return wire.Refuse(http.StatusBadRequest, 0, wire.HeaderDeadline+" is not a number of milliseconds up to an hour")
+	}
+	req.deadline = now.Add(time.Duration(ms) * time.Millisecond)
+	return nil
+}
+
+// allow spends one request of the customer's limit at this entry.
+func (e *Entry) allow(c *published.Customer, now time.Time) (after time.Duration, ok bool) {
+	if c.Rate == 0 {
+		return 0, true
+	}
+	entries := len(e.node.Members(func(m member.Member) bool {
+		return m.Role == string(platform.RoleEntry) && m.State != member.Dead
+	}))
+	share := 1 / float64(max(1, entries))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b, found := e.buckets[c.Name]
+	if !found {
+		b = limit.NewBucket(c.Rate*share, max(1, c.Burst*share), now)
+		e.buckets[c.Name] = b
+	}
+	b.Set(c.Rate*share, max(1, c.Burst*share), now)
+	return b.Take(now)
+}
+
+// budget returns the retry budget under a name.
+func (e *Entry) budget(name string, share float64) *retry.Budget {
+	b, ok := e.budgets[name]
+	if !ok {
+		b = retry.NewBudget(share, retryBurst)
+		e.budgets[name] = b
+	}
+	b.SetShare(share)
+	return b
+}
+
+// mayRetry asks the decision, the customer's budget and the group's budget.
+func (e *Entry) mayRetry(req *request, service string, a retry.Attempt) (delay time.Duration, again bool) {
+	a.Deadline = req.deadline
+	a.Random = rand.Float64()
+	delay, again = retry.Next(a, time.Now())
+	if !again {
+		return 0, false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	share := req.policy.RetryShare
+	own, group := e.budget(req.customer.Name, share), e.budget(req.customer.Name+"/"+service, share)
+	if !own.Take() || !group.Take() {
+		e.count("retries.denied")
+		return 0, false
+	}
+	e.count("retries")
+	return delay, true
+}
+
+func (e *Entry) succeeded(req *request, service string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.budget(req.customer.Name, req.policy.RetryShare).Success()
+	e.budget(req.customer.Name+"/"+service, req.policy.RetryShare).Success()
+}
+
+// facts returns what the policy's programs see of the request.
+func (req *request) facts(service string, repeatable bool) policy.Request {
+	f := policy.Request{
+		Customer: req.customer.Name, Service: service, Class: req.class,
+		Method: req.r.Method, Path: req.r.URL.Path, Repeatable: repeatable,
+		Attempt: int64(req.tries),
+	}
+	if !req.deadline.IsZero() {
+		f.DeadlineMS = time.Until(req.deadline).Milliseconds()
+	}
+	return f
+}
+
+// priority asks the policy; a failing program is audited and its default used.
+func (e *Entry) priority(req *request, facts policy.Request) int {
+	n, err := req.policy.Programs.Priority(facts)
+	e.auditPolicy(req, err)
+	return n
+}
+
+func (e *Entry) auditPolicy(req *request, err error) {
+	if err != nil {
+		e.node.Trail().Add(audit.PolicyFailed, req.policy.Name, err.Error())
+	}
+}
+
+// envelope returns what all attempts of a request share.
+func (e *Entry) envelope(req *request, kind wire.Kind, facts policy.Request) wire.Envelope {
+	env := wire.Envelope{
+		Kind: kind, Customer: req.customer.Name, Weight: req.customer.Weight,
+		Class: req.class, Priority: e.priority(req, facts),
+	}
+	if !req.deadline.IsZero() {
+		env.DeadlineMS = req.deadline.UnixMilli()
+	}
+	return env
+}
+
+func (e *Entry) count(name string) {
+	metrics.GetOrRegisterCounter(name, e.node.Metrics()).Inc(1)
+}
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,183 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
+	"github.com/canvaspulley/canvaspulley/internal/ident"
+	"github.com/canvaspulley/canvaspulley/internal/published"
+	"github.com/canvaspulley/canvaspulley/internal/wire"
+)
+
+// mintRequest asks for an idempotency key for a service's path or a model.
+type mintRequest struct {
+	Path  string `json:"path"`
+	Model string `json:"model"`
+}
+
+// mint makes a key that an endpoint of the service owns: one that lives now,
+// in this failure domain if there is one.
+func (e *Entry) mint(req *request) *wire.Refusal {
+	var m mintRequest
+	raw, refusal := readBody(req)
+	if refusal != nil {
+		return refusal
+	}
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return wire.Refuse(http.StatusBadRequest, 0, "body: "+err.Error())
+	}
+	services := req.cfg.Groups(m.Model)
+	if s, ok := req.cfg.ServiceByPath(m.Path); ok && m.Path != "" {
+		services = []*published.Service{s}
+	}
+	if len(services) == 0 {
+		return wire.Refuse(http.StatusNotFound, 0, "no service has this path or model")
+	}
+	c, ok := choose(e.candidates(services, nil), "")
+	if !ok {
+		return wire.Refuse(http.StatusServiceUnavailable, time.Second, "no endpoint is there")
+	}
+	req.w.Header().Set(wire.HeaderOutcome, string(wire.Done))
+	minted := struct {
+		Key string `json:"key"`
+	}{ident.NewKey(c.Endpoint).String()}
+	req.w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(req.w).Encode(minted) // The caller may be gone.
+	return nil
+}
+
+func readBody(req *request) (raw []byte, refusal *wire.Refusal) {
+	raw, err := io.ReadAll(http.MaxBytesReader(req.w, req.r.Body, wire.MaxBody))
+	if err != nil {
+		return nil, wire.Refuse(http.StatusRequestEntityTooLarge, 0,
+			"body was not read whole; the limit is "+strconv.Itoa(wire.MaxBody)+" bytes")
+	}
+	return raw, nil
+}
+
+// forward takes a call to a plain service.
+func (e *Entry) forward(req *request) *wire.Refusal {
+	s, ok := req.cfg.ServiceByPath(req.r.URL.Path)
+	if !ok {
+		return wire.Refuse(http.StatusNotFound, 0, "no service has this path")
+	}
+	if !req.customer.May(s.Name) {
+		return wire.Refuse(http.StatusForbidden, 0, "the customer may not call "+s.Name)
+	}
+	body, refusal := readBody(req)
+	if refusal != nil {
+		return refusal
+	}
+	repeatable := s.Repeatable(req.r.Method)
+	env := e.envelope(req, wire.KindCall, req.facts(s.Name, repeatable))
+	env.Method = req.r.Method
+	env.Path = req.r.URL.RequestURI()
+	env.Type = req.r.Header.Get("Content-Type")
+	env.Key = req.r.Header.Get(wire.HeaderKey)
+	env.Once = !repeatable || env.Key != ""
+	return e.call(req, s, &env, body)
+}
+
+// call tries endpoints until one answers or nothing more may be tried.
+func (e *Entry) call(req *request, s *published.Service, env *wire.Envelope, body []byte) *wire.Refusal {
+	avoid := map[string]bool{}
+	for {
+		c, refusal := e.target(req, s, env, avoid)
+		if refusal == nil {
+			refusal = e.callOnce(req, c, env, body)
+		}
+		if refusal == nil {
+			e.succeeded(req, s.Name)
+			return nil
+		}
+		if !e.again(req, s.Name, env, refusal) {
+			return refusal
+		}
+		avoid[c.Endpoint] = true
+	}
+}
+
+// target is the owner of the key, if there is one, and else a chosen endpoint.
+func (e *Entry) target(req *request, s *published.Service, env *wire.Envelope, avoid map[string]bool) (c candidate, refusal *wire.Refusal) {
+	none := wire.Refuse(http.StatusServiceUnavailable, time.Second, "no endpoint is there")
+	if env.Key == "" {
+		c, ok := choose(e.candidates([]*published.Service{s}, avoid), "")
+		if !ok {
+			return c, none
+		}
+		return c, nil
+	}
+	k, err := ident.ParseKey(env.Key)
+	if err != nil {
+		return c, wire.Refuse(http.StatusBadRequest, 0, err.Error())
+	}
+	for _, one := range e.candidates([]*published.Service{s}, nil) {
+		if one.Endpoint == k.Owner() {
+			return one, nil
+		}
+	}
+	// Only the owner knows whether the key was used before: this request is
+	// not run, but an earlier one may have been.
+	none.Reason = "the key's owner " + k.Owner() + " is not there; this request was not run, an earlier one with the key may have been"
+	return c, none
+}
+
+// again says whether the next attempt may be made, and waits for it.
+func (e *Entry) again(req *request, service string, env *wire.Envelope, refusal *wire.Refusal) bool {
+	if refusal.Status < http.StatusInternalServerError || refusal.Status == http.StatusGatewayTimeout {
+		return false // The request itself is at fault, or its time is over.
+	}
+	a := retry.Attempt{Number: max(1, req.tries), NotRun: refusal.Outcome == wire.NotRun, Repeatable: !env.Once}
+	if !a.NotRun && a.Repeatable {
+		facts := req.facts(service, true)
+		facts.Reason = refusal.Reason
+		ok, err := req.policy.Programs.Retry(facts)
+		e.auditPolicy(req, err)
+		a.Allowed = ok
+	}
+	delay, ok := e.mayRetry(req, service, a)
+	return ok && wait(req.r.Context(), delay)
+}
+
+// callOnce makes one attempt and gives a whole answer to the caller.
+func (e *Entry) callOnce(req *request, c candidate, env *wire.Envelope, body []byte) *wire.Refusal {
+	req.nextAttempt(env)
+	env.Endpoint = c.Endpoint
+	ctx, cancel := req.context()
+	defer cancel()
+	defer e.tracker.begin(c.Endpoint)()
+	resp, refusal := e.send(ctx, c, env, body)
+	if refusal != nil {
+		return refusal
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.Header.Get(wire.HeaderOutcome) != string(wire.Done) {
+		return readRefusal(resp)
+	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxBody+1))
+	if err != nil || len(raw) > wire.MaxBody {
+		return wire.Doubt(http.StatusBadGateway, "answer came only in part")
+	}
+	h := req.w.Header()
+	h.Set(wire.HeaderOutcome, string(wire.Done))
+	h.Set("Content-Type", resp.Header.Get("Content-Type"))
+	h.Set("Content-Length", strconv.Itoa(len(raw)))
+	req.w.WriteHeader(resp.StatusCode)
+	_, _ = req.w.Write(raw) // The caller may be gone.
+	return nil
+}
+
+// context ends with the caller or the deadline, whichever is first.
+func (req *request) context() (ctx context.Context, cancel context.CancelFunc) {
+	if req.deadline.IsZero() {
+		return context.WithCancel(req.r.Context())
+	}
+	return context.WithDeadline(req.r.Context(), req.deadline)
+}
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,353 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/canvaspulley/canvaspulley/internal/audit"
+	"github.com/canvaspulley/canvaspulley/internal/decide/member"
+	"github.com/canvaspulley/canvaspulley/internal/decide/own"
+	"github.com/canvaspulley/canvaspulley/internal/decide/spread"
+	"github.com/canvaspulley/canvaspulley/internal/platform"
+	"github.com/canvaspulley/canvaspulley/internal/published"
+	"github.com/canvaspulley/canvaspulley/internal/wire"
+)
+
+// watchers is how many processes of a failure domain watch the configuration
+// service; the others hear from peers.
+const watchers = 2
+
+// maxWatchPause bounds the wait after a failed call to the platform.
+const maxWatchPause = 5 * time.Second
+
+// fetch takes in newer generations, one after another.
+func (n *Node) fetch(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case h := <-n.hints.Out():
+			n.mu.Lock()
+			wanted := n.spread.Heard(h.version) == spread.Fetch
+			n.mu.Unlock()
+			if !wanted {
+				continue
+			}
+			if err := n.take(ctx, h.from); err != nil {
+				n.log.Sugar().Warnw("generation not fetched", "from", h.from, "error", err)
+			}
+		}
+	}
+}
+
+// source reads the manifest and the values of one place.
+type source struct {
+	name     string
+	manifest func(ctx context.Context) (raw []byte, err error)
+	value    func(ctx context.Context, e published.Entry) (raw []byte, err error)
+}
+
+// source returns a peer as a source, or the configuration service for "".
+func (n *Node) source(address string) source {
+	if address == "" {
+		return source{
+			name:     "configuration service",
+			manifest: func(ctx context.Context) ([]byte, error) { return n.conf.Get(ctx, published.ManifestKey) },
+			value:    func(ctx context.Context, e published.Entry) ([]byte, error) { return n.conf.Get(ctx, e.Key) },
+		}
+	}
+	return source{
+		name:     address,
+		manifest: func(ctx context.Context) ([]byte, error) { return n.peerGet(ctx, address, wire.PathManifest) },
+		value: func(ctx context.Context, e published.Entry) ([]byte, error) {
+			return n.peerGet(ctx, address, wire.PathValue+e.Hash)
+		},
+	}
+}
+
+func (n *Node) peerGet(ctx context.Context, address, path string) (raw []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, n.PeerURL(address, path), nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := n.peers.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err = io.ReadAll(io.LimitReader(resp.Body, published.MaxValueBytes+1))
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = errors.Newf("%s: %s", path, resp.Status)
+	}
+	n.count("peer.bytes-in", int64(len(raw)))
+	return raw, err
+}
+
+// take fetches, judges and adopts what a place has.
+func (n *Node) take(ctx context.Context, from string) (err error) {
+	src := n.source(from)
+	raw, err := src.manifest(ctx)
+	if err != nil {
+		return err
+	}
+	return n.takeManifest(ctx, src, raw)
+}
+
+func (n *Node) takeManifest(ctx context.Context, src source, raw []byte) (err error) {
+	m, err := published.ParseManifest(raw)
+	if err != nil {
+		return err
+	}
+	v := m.Version()
+	if err := m.Verify(n.set.OperatorKey); err != nil {
+		n.trail.Add(audit.ConfigRefused, generationName(v), err.Error()+", from "+src.name)
+		return err
+	}
+	n.mu.Lock()
+	decision := n.spread.Heard(v)
+	n.spread.Seen(v)
+	_, clash := n.spread.Clash()
+	n.mu.Unlock()
+	if decision == spread.Ignore {
+		if clash {
+			n.noteClash(v)
+		}
+		return nil
+	}
+	byHash, err := n.fetchValues(ctx, src, m)
+	if err != nil {
+		return err // Not whole; a later hint tries again.
+	}
+	return n.judge(v, m, byHash, src.name)
+}
+
+func generationName(v published.Version) string {
+	return fmt.Sprintf("generation %d (%.8s)", v.Generation, v.Hash)
+}
+
+func (n *Node) noteClash(v published.Version) {
+	n.mu.Lock()
+	again := n.clash == v
+	n.clash = v
+	n.mu.Unlock()
+	if again {
+		return
+	}
+	n.trail.Add(audit.ConfigClash, generationName(v), "another manifest has the same generation; publish a higher one")
+}
+
+// fetchValues gets the values that are not held already.
+func (n *Node) fetchValues(ctx context.Context, src source, m published.Manifest) (byHash map[string][]byte, err error) {
+	byHash = map[string][]byte{}
+	n.mu.Lock()
+	for _, e := range m.Body.Entries {
+		if v, ok := n.values[e.Hash]; ok {
+			byHash[e.Hash] = v
+		}
+	}
+	n.mu.Unlock()
+	for _, e := range m.Body.Entries {
+		if _, ok := byHash[e.Hash]; ok {
+			continue
+		}
+		v, err := src.value(ctx, e)
+		if err != nil {
+			return nil, err
+		}
+		if published.HashOf(v) != e.Hash {
+			return nil, errors.Newf("value of %s from %s is not the manifest's", e.Key, src.name)
+		}
+		byHash[e.Hash] = v
+	}
+	return byHash, nil
+}
+
+// judge parses a whole generation and adopts or refuses it.
+func (n *Node) judge(v published.Version, m published.Manifest, byHash map[string][]byte, from string) (err error) {
+	byKey := make(map[string][]byte, len(byHash))
+	for _, e := range m.Body.Entries {
+		byKey[e.Key] = byHash[e.Hash]
+	}
+	c, err := published.New(v, byKey)
+	if err != nil {
+		n.mu.Lock()
+		n.spread.Refuse(v)
+		n.mu.Unlock()
+		n.trail.Add(audit.ConfigRefused, generationName(v), err.Error())
+		return err
+	}
+	n.mu.Lock()
+	old := n.spread.Current()
+	adopted := n.spread.Adopt(v)
+	_, clash := n.spread.Clash()
+	if adopted {
+		n.config.Store(c)
+		n.manifest, n.values = m, byHash
+		n.life.Apply(eventConfigured)
+	}
+	n.mu.Unlock()
+	if clash {
+		n.noteClash(v)
+	}
+	if adopted {
+		n.trail.Add(audit.ConfigAdopted, generationName(v), "from "+from+", after "+generationName(old))
+		n.pushSome()
+	}
+	return nil
+}
+
+// watch follows the configuration service while the node is one of the
+// watchers of its failure domain.
+func (n *Node) watch(ctx context.Context) error {
+	n.bootstrap(ctx)
+	pause := n.set.GossipInterval
+	seen := n.manifestHash() // Hash of what the service showed last, which may be stale.
+	for ctx.Err() == nil {
+		if !n.isWatcher() {
+			sleep(ctx, n.set.GossipInterval)
+			continue
+		}
+		raw, err := n.conf.Wait(ctx, published.ManifestKey, seen)
+		if err == nil && raw != nil {
+			err = n.takeManifest(ctx, n.source(""), raw)
+		}
+		if err != nil {
+			n.count("config.watch-failed", 1)
+			sleep(ctx, pause)
+			pause = min(maxWatchPause, 2*pause)
+			continue
+		}
+		pause = n.set.GossipInterval
+		if raw != nil {
+			seen = published.HashOf(raw)
+		}
+	}
+	return nil
+}
+
+// bootstrap asks peers for the highest generation before the service, which
+// may be stale, is trusted.
+func (n *Node) bootstrap(ctx context.Context) {
+	for _, address := range n.set.Seeds {
+		if address != n.set.Advertise {
+			_ = n.Exchange(ctx, address) // Whoever is silent now is heard later.
+		}
+	}
+	n.readListOnce(ctx)
+	n.mu.Lock()
+	some := n.table.Helpers(n.set.Name, uint64(n.start.UnixNano()))
+	n.mu.Unlock()
+	for _, m := range some {
+		_ = n.Exchange(ctx, m.Address)
+	}
+	if _, ok := n.Config(); ok {
+		return
+	}
+	if err := n.take(ctx, ""); err != nil {
+		n.log.Sugar().Warnw("configuration service not read at the start", "error", err)
+	}
+}
+
+// isWatcher reports whether the node is among the first of its failure domain
+// in rendezvous order. Wrong views cost extra reads only.
+func (n *Node) isWatcher() bool {
+	near := n.Members(func(m member.Member) bool {
+		return m.Domain == n.set.Domain && m.State != member.Dead && !m.Leaving
+	})
+	mine := own.Score("watch", n.set.Name)
+	ahead := 0
+	for _, m := range near {
+		if m.Name != n.set.Name && own.Score("watch", m.Name) > mine {
+			ahead++
+		}
+	}
+	return ahead < watchers
+}
+
+func (n *Node) manifestHash() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.spread.Current().Generation == 0 {
+		return ""
+	}
+	return published.HashOf(n.manifest.Encode())
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// readList follows the platform's list while the node is a watcher.
+func (n *Node) readList(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, n.set.GossipInterval)
+		if n.isWatcher() {
+			n.readListOnce(ctx)
+		}
+	}
+	return nil
+}
+
+func (n *Node) readListOnce(ctx context.Context) {
+	list, err := n.list.List(ctx)
+	if err != nil {
+		n.count("list.failed", 1)
+		return
+	}
+	rows := make([]member.Member, 0, len(list))
+	for _, in := range list {
+		rows = append(rows, fromInstance(in))
+	}
+	n.mu.Lock()
+	before := n.table.Self().Leaving
+	changes := n.table.Seed(rows, time.Now())
+	leaving := n.table.Self().Leaving && !before
+	n.mu.Unlock()
+	n.note(changes)
+	if leaving {
+		n.Leave("the platform's list has it as leaving")
+	}
+}
+
+func fromInstance(in platform.Instance) member.Member {
+	return member.Member{
+		Name: in.Name, Role: string(in.Role), Endpoint: in.Endpoint,
+		Domain: in.Domain, Address: in.Address, Leaving: in.Leaving,
+	}
+}
+
+func (n *Node) serveManifest(w http.ResponseWriter, _ *http.Request) {
+	n.mu.Lock()
+	m, v := n.manifest, n.spread.Current()
+	n.mu.Unlock()
+	if v.Generation == 0 {
+		http.Error(w, "no generation yet", http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(m.Encode()) // The peer may be gone.
+}
+
+func (n *Node) serveValue(w http.ResponseWriter, r *http.Request) {
+	n.mu.Lock()
+	v, ok := n.values[r.PathValue("hash")]
+	n.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such value", http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(v) // The peer may be gone.
+}
--- /dev/null
+++ b/internal/node/gossip.go
@@ -0,0 +1,286 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/audit"
+	"github.com/canvaspulley/canvaspulley/internal/decide/member"
+	"github.com/canvaspulley/canvaspulley/internal/published"
+	"github.com/canvaspulley/canvaspulley/internal/wire"
+)
+
+// message is what peers exchange: the generation in force and news of members.
+// The first row is the sender.
+type message struct {
+	Version published.Version `json:"version"`
+	Rows    []member.Member   `json:"rows"`
+}
+
+// outgoing returns the next message to any peer.
+func (n *Node) outgoing() message {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return message{Version: n.spread.Current(), Rows: n.table.Outgoing()}
+}
+
+// gossip probes one peer an interval. A late tick means that the process was
+// paused.
+func (n *Node) gossip(ctx context.Context) error {
+	ticker := time.NewTicker(n.set.GossipInterval)
+	defer ticker.Stop()
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(8)
+	for {
+		select {
+		case <-ctx.Done():
+			return g.Wait()
+		case <-ticker.C:
+		}
+		n.noticePause(time.Now())
+		n.mu.Lock()
+		p, changes, ok := n.table.Tick(time.Now(), rand.Uint64())
+		n.mu.Unlock()
+		n.note(changes)
+		if ok {
+			g.TryGo(func() error { n.probe(ctx, p.Target); return nil })
+		}
+		if !ok {
+			n.confirm() // Nobody to ask: there is no other view.
+		}
+	}
+}
+
+// noticePause takes the node out of service when its clock jumped, until a
+// peer has told it what it is believed to be.
+func (n *Node) noticePause(now time.Time) {
+	n.mu.Lock()
+	woke := n.table.Woke(now)
+	if woke {
+		n.life.Apply(eventWoke)
+	}
+	n.mu.Unlock()
+	if woke {
+		n.trail.Add(audit.Woke, n.set.Name, "clock jumped between two ticks")
+		n.pushSome()
+	}
+}
+
+// CheckPause looks for a pause right now, before something that must not be
+// done on old beliefs.
+func (n *Node) CheckPause(now time.Time) {
+	n.mu.Lock()
+	paused := n.table.Overdue(now)
+	n.mu.Unlock()
+	if paused {
+		n.noticePause(now)
+	}
+}
+
+// confirm takes note that others have heard from the node.
+func (n *Node) confirm() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.life.Apply(eventConfirmed)
+}
+
+// probe exchanges messages with the target, through helpers when it is silent.
+func (n *Node) probe(ctx context.Context, target member.Member) {
+	if n.Exchange(ctx, target.Address) == nil {
+		n.mu.Lock()
+		changes := n.table.Answered(target.Name, time.Now())
+		n.mu.Unlock()
+		n.note(changes)
+		return
+	}
+	n.mu.Lock()
+	ask := n.table.Helpers(target.Name, rand.Uint64())
+	n.mu.Unlock()
+	for _, h := range ask {
+		if n.probeThrough(ctx, h.Address, target.Address) == nil {
+			return
+		}
+	}
+	n.mu.Lock()
+	changes := n.table.Silent(target.Name, time.Now())
+	n.mu.Unlock()
+	n.note(changes)
+}
+
+// Exchange sends a message to a peer and merges its answer.
+func (n *Node) Exchange(ctx context.Context, address string) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply message
+	if err := n.Call(ctx, address, wire.PathGossip, n.outgoing(), &reply); err != nil {
+		return err
+	}
+	n.receive(reply)
+	n.confirm()
+	return nil
+}
+
+func (n *Node) probeThrough(ctx context.Context, helper, target string) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	return n.Call(ctx, helper, wire.PathProbe, probeRequest{Address: target}, nil)
+}
+
+// probeRequest asks a helper to exchange messages with a third process.
+type probeRequest struct {
+	Address string `json:"address"`
+}
+
+// Call posts a JSON message to a peer and decodes the answer into reply, if
+// that is not nil. Messages are harmless to repeat.
+func (n *Node) Call(ctx context.Context, address, path string, msg, reply any) (err error) {
+	defer func() { err = errors.Wrapf(err, "call %s%s", address, path) }()
+	raw, err := json.Marshal(msg)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, n.PeerURL(address, path), bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	n.count("peer.bytes-out", int64(len(raw)))
+	resp, err := n.peers.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, published.MaxValueBytes+1))
+	if err != nil {
+		return err
+	}
+	n.count("peer.bytes-in", int64(len(body)))
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("%s: %.200s", resp.Status, body)
+	}
+	if reply == nil {
+		return nil
+	}
+	return json.Unmarshal(body, reply)
+}
+
+func (n *Node) count(name string, by int64) {
+	metrics.GetOrRegisterCounter(name, n.reg).Inc(by)
+}
+
+// receive merges a peer's message.
+func (n *Node) receive(m message) {
+	if len(m.Rows) == 0 {
+		return
+	}
+	n.mu.Lock()
+	before := n.table.Self().Leaving
+	changes := n.table.Merge(m.Rows, time.Now())
+	leaving := n.table.Self().Leaving && !before
+	lost := n.table.Superseded(m.Rows)
+	decision := n.spread.Heard(m.Version)
+	n.mu.Unlock()
+	n.note(changes)
+	if leaving {
+		n.Leave("a peer has it as leaving")
+	}
+	if lost {
+		n.Leave("a later process has the same name")
+	}
+	if decision != 0 {
+		n.hints.Offer(hint{from: m.Rows[0].Address, version: m.Version})
+	}
+}
+
+// note puts changes of members on the audit trail.
+func (n *Node) note(changes []member.Change) {
+	for _, c := range changes {
+		text := c.Member.State.String()
+		if c.Member.Leaving {
+			text += ", leaving"
+		}
+		if c.New {
+			text += ", new"
+		}
+		n.trail.Add(audit.MemberChanged, c.Member.Name, text+": "+c.Cause)
+	}
+}
+
+// push tells peers at once what should not wait for the next probe.
+func (n *Node) push(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(8)
+	for {
+		select {
+		case <-ctx.Done():
+			return g.Wait()
+		case m := <-n.pushes.Out():
+			g.Go(func() error {
+				_ = n.Exchange(ctx, m.Address) // A silent peer is the probes' matter.
+				return nil
+			})
+		}
+	}
+}
+
+// PeerMux returns the handlers that every role has on its peer listener.
+func (n *Node) PeerMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.PathGossip, n.serveGossip)
+	mux.HandleFunc("POST "+wire.PathProbe, n.serveProbe)
+	mux.HandleFunc("GET "+wire.PathManifest, n.serveManifest)
+	mux.HandleFunc("GET "+wire.PathValue+"{hash}", n.serveValue)
+	return mux
+}
+
+func (n *Node) serveGossip(w http.ResponseWriter, r *http.Request) {
+	var m message
+	if !ReadJSON(w, r, &m) {
+		return
+	}
+	n.receive(m)
+	WriteJSON(w, n.outgoing())
+}
+
+func (n *Node) serveProbe(w http.ResponseWriter, r *http.Request) {
+	var p probeRequest
+	if !ReadJSON(w, r, &p) {
+		return
+	}
+	if err := n.Exchange(r.Context(), p.Address); err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	WriteJSON(w, struct{}{})
+}
+
+// ReadJSON decodes a bounded message from a peer; on a fault it answers and
+// reports false.
+func ReadJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, wire.MaxMessage))
+	if err == nil {
+		err = json.Unmarshal(raw, v)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// WriteJSON answers with v.
+func WriteJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // The reader may be gone.
+}
--- /dev/null
+++ b/internal/node/operators.go
@@ -0,0 +1,90 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package node
+
+import (
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/canvaspulley/canvaspulley/internal/audit"
+	"github.com/canvaspulley/canvaspulley/internal/chart"
+	"github.com/canvaspulley/canvaspulley/internal/decide/member"
+	"github.com/canvaspulley/canvaspulley/internal/published"
+)
+
+// Paths of the operators' listener.
+const (
+	PathHealth  = "/healthz"
+	PathReady   = "/readyz"
+	PathMetrics = "/metrics"
+	PathAudit   = "/audit"
+	PathStatus  = "/status"
+)
+
+// Status is what a process believes.
+type Status struct {
+	Name     string             `json:"name"`
+	Role     string             `json:"role"`
+	Domain   string             `json:"domain"`
+	Endpoint string             `json:"endpoint,omitempty"`
+	State    chart.State        `json:"state"`
+	Version  published.Version  `json:"version"`
+	Clash    *published.Version `json:"clash,omitempty"`
+	UptimeS  float64            `json:"uptime_s"`
+	Members  []member.Member    `json:"members"`
+}
+
+// AuditReport is the newest part of a trail.
+type AuditReport struct {
+	Dropped uint64         `json:"dropped"` // Older records, which are in the log only.
+	Records []audit.Record `json:"records"`
+}
+
+// Status returns what the node believes now.
+func (n *Node) Status() Status {
+	members := n.Members(func(member.Member) bool { return true })
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := Status{
+		Name: n.set.Name, Role: string(n.set.Role), Domain: n.set.Domain, Endpoint: n.set.Endpoint,
+		State: n.life.State(), Version: n.spread.Current(),
+		UptimeS: time.Since(n.start).Seconds(), Members: members,
+	}
+	if v, ok := n.spread.Clash(); ok {
+		s.Clash = &v
+	}
+	return s
+}
+
+// OperatorsMux returns the handlers of the operators' listener.
+func (n *Node) OperatorsMux() *http.ServeMux {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathHealth, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n")) // The reader may be gone.
+	})
+	mux.HandleFunc("GET "+PathReady, func(w http.ResponseWriter, _ *http.Request) {
+		if refusal := n.Refusal(); refusal != nil {
+			http.Error(w, refusal.Reason, http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n")) // The reader may be gone.
+	})
+	mux.HandleFunc("GET "+PathMetrics, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(n.reg, w)
+	})
+	mux.HandleFunc("GET "+PathAudit, func(w http.ResponseWriter, _ *http.Request) {
+		records, dropped := n.trail.Records()
+		WriteJSON(w, AuditReport{Dropped: dropped, Records: records})
+	})
+	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, n.Status()) })
+	if n.set.Pprof {
+		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+		mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	}
+	return mux
+}
