--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,107 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package cli is the command-line tool, one file a verb. Verbs hold no logic
+// beyond reading their arguments and printing.
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of the tool.
+const (
+	exitOK     = 0
+	exitFailed = 1 // The verb ran and found a fault.
+	exitUsage  = 2 // The arguments or an input file are faulty.
+)
+
+// app is what all verbs share.
+type app struct {
+	out io.Writer
+	err io.Writer
+}
+
+// failedError is a fault that a verb found, as opposed to one in its input.
+type failedError struct{ error }
+
+func (e failedError) Unwrap() error { return e.error }
+
+// failed marks err as found by the verb.
+func failed(err error) error {
+	if err == nil {
+		return nil
+	}
+	return failedError{err}
+}
+
+// verbs adds each verb to the parser.
+func (a *app) verbs(p *flags.Parser) (err error) {
+	for _, v := range []struct {
+		name  string
+		short string
+		data  any
+	}{
+		{"example", "write the files of a small site to a folder", &exampleVerb{app: a}},
+		{"standin", "run the platform's stand-ins", &standinVerb{app: a}},
+		{"check", "judge a folder of configuration as the daemon would", &checkVerb{app: a}},
+		{"pack", "sign a folder of configuration as one generation", &packVerb{app: a}},
+		{"policy", "say what a policy answers for given requests", &policyVerb{app: a}},
+		{"load", "send requests at a rate and check every answer", &loadVerb{app: a}},
+		{"status", "show what processes believe", &statusVerb{app: a}},
+		{"audit", "show what changed, merged by time", &auditVerb{app: a}},
+		{"keys", "make a site's certificates and signing key", &keysVerb{app: a}},
+	} {
+		if _, err := p.AddCommand(v.name, v.short, "", v.data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Main runs the tool and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	a := &app{out: stdout, err: stderr}
+	p := flags.NewNamedParser("canvaspulley", flags.HelpFlag|flags.PassDoubleDash)
+	if err := a.verbs(p); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	_, err := p.ParseArgs(args)
+	var fe failedError
+	var help *flags.Error
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &help) && help.Type == flags.ErrHelp:
+		fmt.Fprintln(stdout, err)
+		return exitOK
+	case errors.As(err, &fe):
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	default:
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+}
+
+// printJSON writes v, indented.
+func (a *app) printJSON(v any) error {
+	e := json.NewEncoder(a.out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// writeFile writes one file of a site; private ones are for their owner only.
+func writeFile(name string, data []byte, private bool) error {
+	mode := os.FileMode(0o644)
+	if private {
+		mode = 0o600
+	}
+	return os.WriteFile(name, data, mode)
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,124 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/canvaspulley/canvaspulley/internal/audit"
+	"github.com/canvaspulley/canvaspulley/internal/decide/member"
+	"github.com/canvaspulley/canvaspulley/internal/node"
+	"github.com/canvaspulley/canvaspulley/internal/trust"
+)
+
+// access is how operators reach a process.
+type access struct {
+	CA          string `long:"ca" description:"certificate of the site's CA; without it there is no TLS"`
+	Certificate string `long:"certificate" description:"operator's certificate"`
+	PrivateKey  string `long:"private-key" description:"operator's key"`
+	JSON        bool   `long:"json" description:"print JSON"`
+	Args        struct {
+		Addresses []string `positional-arg-name:"ADDR" required:"1"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// get reads JSON from a process's operators' listener.
+func (a *access) get(address, path string, v any) (err error) {
+	defer func() { err = errors.Wrapf(err, "%s%s", address, path) }()
+	creds, err := trust.Load(a.CA, a.Certificate, a.PrivateKey)
+	if err != nil {
+		return err
+	}
+	cfg := creds.Client()
+	c := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{TLSClientConfig: cfg}}
+	defer c.CloseIdleConnections()
+	resp, err := c.Get(creds.Scheme() + "://" + address + path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(v)
+}
+
+// statusVerb shows what processes believe.
+type statusVerb struct {
+	app *app
+	access
+}
+
+// Execute prints one line a process; it fails when one did not answer.
+func (v *statusVerb) Execute([]string) (err error) {
+	var list []node.Status
+	var faults error
+	for _, address := range v.Args.Addresses {
+		var s node.Status
+		if err := v.get(address, node.PathStatus, &s); err != nil {
+			faults = errors.Join(faults, err)
+			continue
+		}
+		list = append(list, s)
+	}
+	if v.JSON {
+		if err := v.app.printJSON(list); err != nil {
+			return err
+		}
+		return failed(faults)
+	}
+	for _, s := range list {
+		alive, suspect, dead := countStates(s.Members)
+		fmt.Fprintf(v.app.out, "%-24s %-9s %-8s %-9s generation %d (%.8s)  members %d alive, %d suspect, %d dead\n",
+			s.Name, s.Role, s.Domain, s.State, s.Version.Generation, s.Version.Hash, alive, suspect, dead)
+	}
+	return failed(faults)
+}
+
+func countStates(list []member.Member) (alive, suspect, dead int) {
+	for _, m := range list {
+		switch m.State {
+		case member.Alive:
+			alive++
+		case member.Suspect:
+			suspect++
+		case member.Dead:
+			dead++
+		}
+	}
+	return alive, suspect, dead
+}
+
+// auditVerb shows what changed.
+type auditVerb struct {
+	app *app
+	access
+}
+
+// Execute prints the records of all processes, oldest first.
+func (v *auditVerb) Execute([]string) (err error) {
+	var all []audit.Record
+	var faults error
+	for _, address := range v.Args.Addresses {
+		var rep node.AuditReport
+		if err := v.get(address, node.PathAudit, &rep); err != nil {
+			faults = errors.Join(faults, err)
+			continue
+		}
+		all = append(all, rep.Records...)
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].At.Before(all[j].At) })
+	if v.JSON {
+		if err := v.app.printJSON(all); err != nil {
+			return err
+		}
+		return failed(faults)
+	}
+	for _, r := range all {
+		fmt.Fprintf(v.app.out, "%s %-24s %-16s %s: %s\n", r.At.Format("15:04:05.000"), r.Node, r.Kind, r.Subject, r.Cause)
+	}
+	return failed(faults)
+}
