internal/e2e: the path and its failures on separate processes

A test that looked for a refused generation at the entry alone was wrong: only the watchers of a failure domain fetch a faulty one. It now looks at all.

--- /dev/null
+++ b/internal/e2e/faults_test.go
@@ -0,0 +1,418 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package e2e
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/canvaspulley/canvaspulley/internal/chart"
+	"github.com/canvaspulley/canvaspulley/internal/decide/member"
+	"github.com/canvaspulley/canvaspulley/internal/example"
+	"github.com/canvaspulley/canvaspulley/internal/node"
+	"github.com/canvaspulley/canvaspulley/internal/standin"
+	"github.com/canvaspulley/canvaspulley/internal/wire"
+)
+
+// pair is one failure domain with two entries and two ranks and services.
+var pair = example.Size{Domains: 1, EntriesADomain: 2, RanksADomain: 2, ServicesADomain: 2, Customers: 1}
+
+// openStream is a stream that is being read.
+type openStream struct {
+	resp   *http.Response
+	lines  *bufio.Scanner
+	cancel context.CancelFunc
+	text   strings.Builder
+	rank   string // Endpoint of the newest token.
+	ids    []string
+	end    wire.Refusal
+}
+
+// open starts a stream and reads its first tokens.
+func (s *site) open(entry example.Process, content string, tokens int, resume string) *openStream {
+	GinkgoHelper()
+	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
+	DeferCleanup(cancel)
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, s.Model, tokens, content)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.Callers+"/v1/chat/completions", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer "+s.Customers[0].Key)
+	if resume != "" {
+		req.Header.Set(wire.HeaderResume, resume)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(resp.StatusCode).To(Equal(http.StatusOK))
+	DeferCleanup(func() { _ = resp.Body.Close() })
+	return &openStream{resp: resp, lines: bufio.NewScanner(resp.Body), cancel: cancel}
+}
+
+// read takes in up to n tokens; it reports false at the end of the stream.
+func (o *openStream) read(n int) bool {
+	event := ""
+	for o.lines.Scan() {
+		line := o.lines.Text()
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			o.ids = append(o.ids, id)
+			o.rank = strings.Split(id, "/")[1]
+		}
+		if name, ok := strings.CutPrefix(line, "event: "); ok {
+			event = name
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok || data == "[DONE]" {
+			continue
+		}
+		if event == "outcome" {
+			_ = json.Unmarshal([]byte(data), &o.end) // Checked by those who read it.
+			event = ""
+			continue
+		}
+		var c struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		if json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) == 1 {
+			o.text.WriteString(c.Choices[0].Delta.Content)
+		}
+		if n--; n == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// expectWhole reads to the end and checks every token.
+func (o *openStream) expectWhole(content string, tokens int) {
+	GinkgoHelper()
+	for o.read(1) {
+	}
+	Expect(o.text.String()).To(Equal(standin.Answer("user: "+content+"\n", tokens)), "every token once and in order")
+	Expect(o.end.Outcome).To(Equal(wire.Done))
+}
+
+func (s *site) agentOf(endpoint string) example.Process {
+	GinkgoHelper()
+	for _, a := range s.Agents {
+		if a.Endpoint == endpoint {
+			return a
+		}
+	}
+	Fail("no agent of " + endpoint)
+	return example.Process{}
+}
+
+var _ = Describe("streams under failure", func() {
+	It("moves a stream when its agent is killed, without a gap or a repeat", func() {
+		s := startSite(example.Archive, pair)
+		o := s.open(s.Entries[0], "killed agent", 200, "")
+		Expect(o.read(20)).To(BeTrue())
+		s.kill(s.agentOf(o.rank).Name)
+		o.expectWhole("killed agent", 200)
+	})
+
+	It("moves a stream when its engine dies", func() {
+		s := startSite(example.Archive, pair)
+		o := s.open(s.Entries[0], "killed engine", 200, "")
+		Expect(o.read(20)).To(BeTrue())
+		s.fault(standin.Fault{Kind: standin.FaultKill, Target: s.agentOf(o.rank).Backend, On: true})
+		o.expectWhole("killed engine", 200)
+	})
+
+	It("moves a stream when its agent is frozen, and drops what comes late", func() {
+		s := startSite(example.Archive, pair)
+		o := s.open(s.Entries[0], "frozen agent", 300, "")
+		Expect(o.read(20)).To(BeTrue())
+		first := s.agentOf(o.rank).Name
+		s.signal(first, syscall.SIGSTOP)
+		Expect(o.read(20)).To(BeTrue())
+		s.signal(first, syscall.SIGCONT)
+		o.expectWhole("frozen agent", 300)
+	})
+
+	It("resumes through another entry after its entry was killed", func() {
+		s := startSite(example.Archive, pair)
+		o := s.open(s.Entries[0], "killed entry", 120, "")
+		Expect(o.read(30)).To(BeTrue())
+		s.kill(s.Entries[0].Name)
+		for o.read(1) { // What was on its way.
+		}
+		rest := s.open(s.Entries[1], "killed entry", 120, o.ids[len(o.ids)-1])
+		for rest.read(1) {
+		}
+		Expect(o.text.String() + rest.text.String()).To(Equal(standin.Answer("user: killed entry\n", 120)))
+	})
+
+	It("cuts nothing in a planned stop of an agent and sends it nothing new", func() {
+		s := startSite(example.Archive, pair)
+		o := s.open(s.Entries[0], "planned stop", 300, "")
+		Expect(o.read(10)).To(BeTrue())
+		leaving := s.agentOf(o.rank)
+		s.signal(leaving.Name, syscall.SIGTERM)
+		for i := range 20 {
+			other := s.open(s.Entries[i%2], fmt.Sprint("after the stop ", i), 2, "")
+			other.expectWhole(fmt.Sprint("after the stop ", i), 2)
+			Expect(other.rank).NotTo(Equal(leaving.Endpoint))
+		}
+		o.expectWhole("planned stop", 300)
+		Expect(o.ids).To(HaveEach(ContainSubstring(leaving.Endpoint)), "the stream ended where it began")
+		Expect(s.procs[leaving.Name].Wait()).To(Succeed(), "the process ended by itself")
+		delete(s.procs, leaving.Name)
+	})
+
+	It("cuts nothing in a planned stop of an entry", func() {
+		s := startSite(example.Archive, pair)
+		o := s.open(s.Entries[0], "entry stops", 200, "")
+		Expect(o.read(10)).To(BeTrue())
+		s.signal(s.Entries[0].Name, syscall.SIGTERM)
+		Eventually(func() chart.State { return s.status(s.Entries[0]).State }, patience).Should(Equal(node.Draining))
+		refused := s.mustAsk(s.Entries[0], http.MethodGet, "/v1/models", "", nil)
+		Expect(refused.outcome).To(Equal(wire.NotRun))
+		Expect(refused.header.Get("Retry-After")).NotTo(BeEmpty())
+		o.expectWhole("entry stops", 200)
+		Expect(s.procs[s.Entries[0].Name].Wait()).To(Succeed())
+		delete(s.procs, s.Entries[0].Name)
+	})
+
+	It("sends nothing to an endpoint that only the platform's list has as leaving", func() {
+		s := startSite(example.Archive, pair)
+		leaving := s.Agents[0]
+		s.fault(standin.Fault{Kind: standin.FaultLeaving, Target: leaving.Name})
+		Eventually(func() bool {
+			for _, m := range s.status(s.Entries[1]).Members {
+				if m.Name == leaving.Name {
+					return m.Leaving
+				}
+			}
+			return false
+		}, patience, "20ms").Should(BeTrue())
+		for i := range 10 {
+			o := s.open(s.Entries[1], fmt.Sprint("listed ", i), 2, "")
+			o.expectWhole(fmt.Sprint("listed ", i), 2)
+			Expect(o.rank).NotTo(Equal(leaving.Endpoint))
+		}
+	})
+})
+
+var _ = Describe("payments under failure", func() {
+	It("runs a payment once when its agent is frozen with it in the socket", func() {
+		s := startSite(example.RefundDesk, pair)
+		key := s.mint(s.Entries[0])
+		owner := s.agentOf(strings.Split(key, "@")[1])
+		s.signal(owner.Name, syscall.SIGSTOP)
+		r, err := s.ask(s.Entries[0], http.MethodPost, s.Path+"pay?id=frozen", "amount",
+			map[string]string{wire.HeaderKey: key, wire.HeaderDeadline: "400"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.outcome).To(Equal(wire.Unknown), "it left the entry, and nobody can say")
+		s.signal(owner.Name, syscall.SIGCONT)
+		var last reply
+		Eventually(func() (wire.Outcome, error) {
+			last, err = s.pay(s.Entries[1], key, "frozen")
+			return last.outcome, err
+		}, patience, "50ms").Should(Equal(wire.Done))
+		Expect(s.runs()["frozen"]).To(Equal(1))
+	})
+
+	It("never says not run of a payment that the service ran without an answer", func() {
+		s := startSite(example.RefundDesk, pair)
+		for _, a := range s.Agents {
+			if !s.IsRank(a) {
+				s.fault(standin.Fault{Kind: standin.FaultMute, Target: a.Endpoint, On: true})
+			}
+		}
+		key := s.mint(s.Entries[0])
+		for range 3 {
+			r, err := s.pay(s.Entries[0], key, "mute")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.outcome).To(Equal(wire.Unknown))
+		}
+		unkeyed := s.mustAsk(s.Entries[0], http.MethodPost, s.Path+"pay?id=unkeyed", "amount", nil)
+		Expect(unkeyed.outcome).To(Equal(wire.Unknown))
+		Expect(s.runs()).To(Equal(map[string]int{"mute": 1, "unkeyed": 1}))
+	})
+
+	It("runs a payment at most once when its agent dies with it and is replaced", func() {
+		s := startSite(example.RefundDesk, pair)
+		key := s.mint(s.Entries[0])
+		owner := s.agentOf(strings.Split(key, "@")[1])
+		s.fault(standin.Fault{Kind: standin.FaultDelay, Target: owner.Endpoint, MS: 300})
+		answer := make(chan reply, 1)
+		inBackground(func() {
+			r, _ := s.pay(s.Entries[0], key, "died") // Judged by its outcome.
+			answer <- r
+		})
+		Eventually(func() int { return s.runs()["died"] }, patience, "10ms").Should(Equal(1))
+		s.kill(owner.Name)
+		Expect((<-answer).outcome).To(Equal(wire.Unknown))
+		s.startDaemon(owner)
+		s.waitReady(owner)
+		Eventually(func() (string, error) {
+			r, err := s.pay(s.Entries[1], key, "died")
+			return string(r.outcome) + r.header.Get(wire.HeaderReason), err
+		}, patience, "50ms").Should(ContainSubstring("may have run before"))
+		Expect(s.runs()["died"]).To(Equal(1))
+	})
+
+	It("keeps a key at its owner while the published endpoints change", func() {
+		s := startSite(example.RefundDesk, pair)
+		key := s.mint(s.Entries[0])
+		owner := strings.Split(key, "@")[1]
+		s.fault(standin.Fault{Kind: standin.FaultDelay, Target: owner, MS: 300})
+		answer := make(chan reply, 1)
+		inBackground(func() {
+			r, _ := s.pay(s.Entries[0], key, "moved") // Judged by its outcome.
+			answer <- r
+		})
+		Eventually(func() int { return s.runs()["moved"] }, patience, "10ms").Should(Equal(1))
+		values := s.Published()
+		values["service/payments.ini"] = []byte("[service]\npath = /payments/\nnot-repeatable = POST\n\n[endpoint other]\ndomain = sof-a\n")
+		s.publish(2, values)
+		s.waitGeneration(2)
+		Expect((<-answer).outcome).To(Equal(wire.Done), "what was in flight ends")
+		r, err := s.pay(s.Entries[1], key, "moved")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r.outcome).To(Equal(wire.NotRun))
+		Expect(s.runs()["moved"]).To(Equal(1))
+	})
+
+	It("does not give one customer's answer to another", func() {
+		size := pair
+		size.Customers = 2
+		s := startSite(example.RefundDesk, size)
+		key := s.mint(s.Entries[0])
+		mine, err := s.pay(s.Entries[0], key, "mine")
+		Expect(err).NotTo(HaveOccurred())
+		s.Customers[0], s.Customers[1] = s.Customers[1], s.Customers[0]
+		other, err := s.pay(s.Entries[0], key, "other")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(other.body).NotTo(Equal(mine.body))
+		Expect(other.body).To(ContainSubstring(`"id":"other"`))
+	})
+})
+
+var beside sync.WaitGroup
+
+// inBackground runs f beside the test.
+func inBackground(f func()) {
+	done := make(chan struct{})
+	DeferCleanup(func() { Eventually(done, patience).Should(BeClosed()) })
+	beside.Go(func() {
+		defer GinkgoRecover()
+		defer close(done)
+		f()
+	})
+}
+
+// audited returns the audit trails of all processes.
+func (s *site) audited() string {
+	all := ""
+	for _, p := range s.all() {
+		resp, err := http.Get("http://" + p.Operators + node.PathAudit)
+		if err != nil {
+			continue
+		}
+		raw, _ := io.ReadAll(resp.Body) // A trail cut short is waited on.
+		_ = resp.Body.Close()
+		all += string(raw)
+	}
+	return all
+}
+
+// publish puts a generation in place and waits for nothing.
+func (s *site) publish(generation uint64, values map[string][]byte) {
+	GinkgoHelper()
+	Expect(s.post(standin.PathPublish, standin.Bundle{Manifest: s.Pack(generation, "", values), Values: values})).To(Succeed())
+}
+
+// waitGeneration waits until every running process has the generation.
+func (s *site) waitGeneration(generation uint64) {
+	GinkgoHelper()
+	for _, p := range s.all() {
+		if s.procs[p.Name] == nil {
+			continue
+		}
+		Eventually(func() uint64 { return s.status(p).Version.Generation }, patience, "20ms").Should(Equal(generation), p.Name)
+	}
+}
+
+var _ = Describe("configuration under failure", func() {
+	It("is adopted through peers when the platform is down, and never goes back", func() {
+		s := startSite(example.Archive, example.Size{Domains: 2, EntriesADomain: 1, RanksADomain: 1, ServicesADomain: 1, Customers: 1})
+		s.fault(standin.Fault{Kind: standin.FaultStale, Target: s.Domains[1], On: true})
+		s.publish(2, s.Published())
+		s.waitGeneration(2)
+
+		s.fault(standin.Fault{Kind: standin.FaultDown, Target: s.Domains[0], On: true})
+		restarted := s.Agents[len(s.Agents)-1]
+		s.kill(restarted.Name)
+		s.startDaemon(restarted)
+		s.waitReady(restarted)
+		s.waitGeneration(2)
+		Consistently(func() uint64 { return s.status(restarted).Version.Generation }, time.Second).Should(BeEquivalentTo(2))
+
+		s.publish(1, s.Published())
+		s.fault(standin.Fault{Kind: standin.FaultStale, Target: s.Domains[1], On: false})
+		s.fault(standin.Fault{Kind: standin.FaultDown, Target: s.Domains[0], On: false})
+		Consistently(func() uint64 { return s.status(s.Entries[0]).Version.Generation }, time.Second).Should(BeEquivalentTo(2))
+	})
+
+	It("ends on one generation when two operators publish the same number", func() {
+		s := startSite(example.Archive, example.Size{Domains: 2, EntriesADomain: 1, RanksADomain: 1, ServicesADomain: 1, Customers: 1})
+		one, two := s.Published(), s.Published()
+		one["policy/one.ini"] = []byte("[policy]\npriority = 1\n")
+		two["policy/two.ini"] = []byte("[policy]\npriority = 2\n")
+		s.publish(2, one)
+		s.publish(2, two)
+		want := s.Pack(2, "", one).Version()
+		if v := s.Pack(2, "", two).Version(); v.Newer(want) {
+			want = v
+		}
+		for _, p := range s.all() {
+			Eventually(func() any { return s.status(p).Version }, patience, "20ms").Should(Or(Equal(want)), p.Name)
+		}
+	})
+
+	It("refuses a faulty generation and keeps the last good one", func() {
+		s := startSite(example.Archive, example.Small)
+		values := s.Published()
+		values["policy/archive.ini"] = []byte("[policy]\npriority = nonsense(\n")
+		s.publish(2, values)
+		Eventually(s.audited, patience, "20ms").Should(ContainSubstring("config-refused"))
+		Expect(s.status(s.Entries[0]).Version.Generation).To(BeEquivalentTo(1))
+		s.publish(3, s.Published())
+		s.waitGeneration(3)
+	})
+})
+
+var _ = Describe("membership under failure", func() {
+	It("gives up a killed process and takes back a frozen one", func() {
+		s := startSite(example.Archive, pair)
+		state := func(name string) func() member.State {
+			return func() member.State {
+				for _, m := range s.status(s.Entries[0]).Members {
+					if m.Name == name {
+						return m.State
+					}
+				}
+				return -1
+			}
+		}
+		dead, frozen := s.Agents[0].Name, s.Agents[1].Name
+		s.kill(dead)
+		s.signal(frozen, syscall.SIGSTOP)
+		Eventually(state(dead), patience).Should(Equal(member.Dead))
+		Eventually(state(frozen), patience).Should(Equal(member.Dead))
+		s.signal(frozen, syscall.SIGCONT)
+		Eventually(state(frozen), patience).Should(Equal(member.Alive))
+	})
+})
--- /dev/null
+++ b/internal/e2e/site_test.go
@@ -0,0 +1,218 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/canvaspulley/canvaspulley/internal/example"
+	"github.com/canvaspulley/canvaspulley/internal/node"
+	"github.com/canvaspulley/canvaspulley/internal/standin"
+	"github.com/canvaspulley/canvaspulley/internal/wire"
+)
+
+func TestE2E(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "separate processes")
+}
+
+var daemonPath, toolPath string
+
+var _ = BeforeSuite(func() {
+	var err error
+	daemonPath, err = gexec.Build("github.com/canvaspulley/canvaspulley/cmd/canvaspulleyd")
+	Expect(err).NotTo(HaveOccurred())
+	toolPath, err = gexec.Build("github.com/canvaspulley/canvaspulley/cmd/canvaspulley")
+	Expect(err).NotTo(HaveOccurred())
+})
+
+var _ = AfterSuite(gexec.CleanupBuildArtifacts)
+
+// patience bounds every wait; nothing is asserted about how long things take.
+const patience = 20 * time.Second
+
+// site is one site of separate processes.
+type site struct {
+	*example.Site
+	dir   string
+	procs map[string]*exec.Cmd
+}
+
+// startSite lays out and starts a site and waits until all of it serves.
+func startSite(user example.User, size example.Size) *site {
+	GinkgoHelper()
+	layout, err := example.New(user, size, 0)
+	Expect(err).NotTo(HaveOccurred())
+	s := &site{Site: layout, dir: GinkgoT().TempDir(), procs: map[string]*exec.Cmd{}}
+	bundle, err := json.Marshal(standin.Bundle{Manifest: s.Pack(1, "", s.Published()), Values: s.Published()})
+	Expect(err).NotTo(HaveOccurred())
+	s.write("generation-1.json", bundle)
+	s.write("standin.ini", s.Standin(filepath.Join(s.dir, "generation-1.json")))
+	s.start("standin", toolPath, "standin", "--config", filepath.Join(s.dir, "standin.ini"))
+	Eventually(func() error { return s.post(standin.PathFault, standin.Fault{Kind: standin.FaultLeaving}) }, patience).Should(Succeed())
+	DeferCleanup(s.stopAll)
+	for _, p := range s.all() {
+		s.startDaemon(p)
+	}
+	for _, p := range s.all() {
+		s.waitReady(p)
+	}
+	Eventually(func() int { return len(s.status(s.Entries[0]).Members) }, patience).Should(Equal(len(s.all())))
+	return s
+}
+
+func (s *site) all() []example.Process {
+	return append(append([]example.Process(nil), s.Entries...), s.Agents...)
+}
+
+func (s *site) write(name string, data []byte) {
+	Expect(os.WriteFile(filepath.Join(s.dir, name), data, 0o600)).To(Succeed())
+}
+
+func (s *site) start(name, path string, args ...string) {
+	GinkgoHelper()
+	cmd := exec.Command(path, args...)
+	cmd.Stdout, cmd.Stderr = GinkgoWriter, GinkgoWriter
+	Expect(cmd.Start()).To(Succeed())
+	s.procs[name] = cmd
+}
+
+func (s *site) startDaemon(p example.Process) {
+	GinkgoHelper()
+	s.write(p.Name+".ini", s.Settings(p))
+	s.start(p.Name, daemonPath, "--config", filepath.Join(s.dir, p.Name+".ini"))
+}
+
+func (s *site) waitReady(p example.Process) {
+	GinkgoHelper()
+	Eventually(func() (int, error) {
+		resp, err := http.Get("http://" + p.Operators + node.PathReady)
+		if err != nil {
+			return 0, err
+		}
+		return resp.StatusCode, resp.Body.Close()
+	}, patience, "20ms").Should(Equal(http.StatusOK), p.Name)
+}
+
+// signal sends a signal to one process of the site.
+func (s *site) signal(name string, sig syscall.Signal) {
+	GinkgoHelper()
+	Expect(s.procs[name].Process.Signal(sig)).To(Succeed())
+}
+
+// kill ends a process without a last word.
+func (s *site) kill(name string) {
+	GinkgoHelper()
+	s.signal(name, syscall.SIGKILL)
+	_ = s.procs[name].Wait()
+	delete(s.procs, name)
+}
+
+func (s *site) stopAll() {
+	for name, cmd := range s.procs {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		delete(s.procs, name)
+	}
+}
+
+// post sends JSON to the stand-ins' control.
+func (s *site) post(path string, v any) error {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	resp, err := http.Post("http://"+s.Control+path, "application/json", bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+func (s *site) fault(f standin.Fault) {
+	GinkgoHelper()
+	Expect(s.post(standin.PathFault, f)).To(Succeed())
+}
+
+func (s *site) runs() (runs map[string]int) {
+	GinkgoHelper()
+	resp, err := http.Get("http://" + s.Control + standin.PathRuns)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	Expect(json.NewDecoder(resp.Body).Decode(&runs)).To(Succeed())
+	return runs
+}
+
+func (s *site) status(p example.Process) (st node.Status) {
+	resp, err := http.Get("http://" + p.Operators + node.PathStatus)
+	if err != nil {
+		return st
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_ = json.NewDecoder(resp.Body).Decode(&st) // An empty status is waited on.
+	return st
+}
+
+// reply is a caller's view of one answer.
+type reply struct {
+	status  int
+	outcome wire.Outcome
+	header  http.Header
+	body    string
+}
+
+// ask sends one request as the first customer; nil headers are fine.
+func (s *site) ask(entry example.Process, method, path, body string, headers map[string]string) (reply, error) {
+	req, err := http.NewRequest(method, "http://"+entry.Callers+path, strings.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+s.Customers[0].Key)
+	for k, v := range headers {
+		req.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, wire.Outcome(resp.Header.Get(wire.HeaderOutcome)), resp.Header, string(raw)}, err
+}
+
+func (s *site) mustAsk(entry example.Process, method, path, body string, headers map[string]string) reply {
+	GinkgoHelper()
+	r, err := s.ask(entry, method, path, body, headers)
+	Expect(err).NotTo(HaveOccurred())
+	return r
+}
+
+// mint returns a key for the site's service.
+func (s *site) mint(entry example.Process) string {
+	GinkgoHelper()
+	r := s.mustAsk(entry, http.MethodPost, "/v1/keys", `{"path":"`+s.Path+`"}`, nil)
+	Expect(r.status).To(Equal(http.StatusOK), r.body)
+	var m struct{ Key string }
+	Expect(json.Unmarshal([]byte(r.body), &m)).To(Succeed())
+	return m.Key
+}
+
+// pay calls the service under a key.
+func (s *site) pay(entry example.Process, key, id string) (reply, error) {
+	return s.ask(entry, http.MethodPost, s.Path+"pay?id="+id, "amount", map[string]string{wire.HeaderKey: key})
+}
