internal/demo: two sites in one process under load and failure

Real entries and agents, stand-ins over loopback, a relay that cuts failure domains, and a table that ends non-zero when a promise broke.

Found by it: reads gave up when their entry was killed (18 of 1200 without an outcome), since the load generator tried them once; callers behind a balancer do not. A process that waits on one that is given up now hears at once, through the membership, instead of at its own timeout.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -47,6 +47,7 @@
 		short string
 		data  any
 	}{
+		{"demo", "run two small sites in one process, break things, and check every promise", &demoVerb{app: a}},
 		{"example", "write the files of a small site to a folder", &exampleVerb{app: a}},
 		{"standin", "run the platform's stand-ins", &standinVerb{app: a}},
 		{"check", "judge a folder of configuration as the daemon would", &checkVerb{app: a}},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -94,8 +94,8 @@
 		d.entry = entry.New(d.node)
 		return d.node.PeerMux()
 	}
-	kept := &http.Client{Transport: platform.NewTransport()}
-	single := &http.Client{Transport: platform.NewSingleTransport()}
+	kept := &http.Client{Transport: platform.NewTransport(d.set.Source)}
+	single := &http.Client{Transport: platform.NewSingleTransport(d.set.Source)}
 	if d.set.Engine != "" {
 		d.agent = agent.New(d.node, platform.NewEngine(d.set.Engine, kept), nil)
 	} else {
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -245,7 +245,7 @@
 	s.env.Endpoint, s.env.Offset = c.Endpoint, s.next
 	ctx, cancel := s.req.context()
 	defer cancel()
-	defer s.entry.tracker.begin(c.Endpoint)()
+	defer s.entry.tracker.begin(c.Endpoint, cancel)()
 	resp, refusal := s.entry.send(ctx, c, &s.env, s.body)
 	if refusal != nil {
 		return refusal
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,10 +52,10 @@
 
 // New returns an entry on a node.
 func New(n *node.Node) *Entry {
-	kept, single := platform.NewTransport(), platform.NewSingleTransport()
+	kept, single := platform.NewTransport(n.Settings().Source), platform.NewSingleTransport(n.Settings().Source)
 	kept.TLSClientConfig = n.Credentials().Client()
 	single.TLSClientConfig = n.Credentials().Client()
-	return &Entry{
+	e := &Entry{
 		node:    n,
 		kept:    &http.Client{Transport: kept},
 		single:  &http.Client{Transport: single},
@@ -63,6 +63,8 @@
 		budgets: map[string]*retry.Budget{},
 		buckets: map[string]*limit.Bucket{},
 	}
+	n.OnGone(e.tracker.gone)
+	return e
 }
 
 // Busy returns the number of callers' requests that have not ended.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -16,6 +16,10 @@
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
 
+// callMargin is how much longer than a service's own timeout an entry waits
+// for the agent's word.
+const callMargin = 2 * time.Second
+
 // mintRequest asks for an idempotency key for a service's path or a model.
 type mintRequest struct {
 	Path  string `json:"path"`
@@ -91,7 +95,7 @@
 	for {
 		c, refusal := e.target(req, s, env, avoid)
 		if refusal == nil {
-			refusal = e.callOnce(req, c, env, body)
+			refusal = e.callOnce(req, s, c, env, body)
 		}
 		if refusal == nil {
 			e.succeeded(req, s.Name)
@@ -147,12 +151,14 @@
 }
 
 // callOnce makes one attempt and gives a whole answer to the caller.
-func (e *Entry) callOnce(req *request, c candidate, env *wire.Envelope, body []byte) *wire.Refusal {
+func (e *Entry) callOnce(req *request, s *published.Service, c candidate, env *wire.Envelope, body []byte) *wire.Refusal {
 	req.nextAttempt(env)
 	env.Endpoint = c.Endpoint
 	ctx, cancel := req.context()
 	defer cancel()
-	defer e.tracker.begin(c.Endpoint)()
+	timer := time.AfterFunc(s.Timeout+callMargin, cancel)
+	defer timer.Stop()
+	defer e.tracker.begin(c.Endpoint, cancel)()
 	resp, refusal := e.send(ctx, c, env, body)
 	if refusal != nil {
 		return refusal
--- a/internal/entry/tracker.go
+++ b/internal/entry/tracker.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -23,8 +24,8 @@
 	load    wire.Load
 	life    int64 // Life of the process that said it.
 	sent    int   // Own requests since that report that have not ended.
-	running int   // Own requests that have not ended.
 	blocked time.Time
+	cancels map[*context.CancelFunc]bool // Own requests that have not ended.
 }
 
 // tracker holds the last reports of endpoints and the entry's own requests.
@@ -38,29 +39,44 @@
 func (t *tracker) get(slot string) *heard {
 	h, ok := t.all[slot]
 	if !ok {
-		h = &heard{}
+		h = &heard{cancels: map[*context.CancelFunc]bool{}}
 		t.all[slot] = h
 	}
 	return h
 }
 
-// begin takes note of a request that is sent to a slot. The function returned
-// must be called once, when the request has ended.
-func (t *tracker) begin(slot string) (end func()) {
+// begin takes note of a request that is sent to a slot; cancel ends it when
+// the process behind the slot is given up. The function returned must be called
+// once, when the request has ended.
+func (t *tracker) begin(slot string, cancel context.CancelFunc) (end func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.get(slot)
 	h.sent++
-	h.running++
+	h.cancels[&cancel] = true
 	return func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
-		h.running--
-		h.sent = max(0, min(h.sent, h.running))
+		delete(h.cancels, &cancel)
+		h.sent = max(0, min(h.sent, len(h.cancels)))
 		h.load.Running = max(0, h.load.Running-1)
 	}
 }
 
+// gone ends the requests that wait on a process that was given up, so that
+// their callers hear at once.
+func (t *tracker) gone(m member.Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h, ok := t.all[m.Endpoint]
+	if !ok || h.life > m.Life {
+		return
+	}
+	for cancel := range h.cancels {
+		(*cancel)()
+	}
+}
+
 // report takes in a load from an answer. The answer's own request is counted
 // in it, so that it is no longer counted as sent since.
 func (t *tracker) report(slot string, l wire.Load) {
--- a/internal/example/example.go
+++ b/internal/example/example.go
@@ -34,6 +34,8 @@
 	Role      string
 	Domain    string
 	Endpoint  string
+	Source    string // IP number that its connections come from; one a failure domain.
+	Advertise string // Relay before the peer listener.
 	Peers     string // Addresses.
 	Operators string
 	Callers   string
@@ -50,6 +52,7 @@
 	Agents    []Process
 	Groups    map[string][]Process // By group name, in the order of ranks.
 	Directory map[string]string    // Address of the platform's services, by failure domain.
+	Sources   map[string]string    // IP number that connections come from, by failure domain.
 	Control   string               // Address of the stand-ins' control.
 	Customers []Customer
 	Public    ed25519.PublicKey
@@ -81,7 +84,7 @@
 // New lays out a site with free ports of this machine. The seed fixes the keys.
 func New(user User, size Size, seed byte) (s *Site, err error) {
 	defer func() { err = errors.Wrap(err, "lay out site") }()
-	s = &Site{User: user, Groups: map[string][]Process{}, Directory: map[string]string{}}
+	s = &Site{User: user, Groups: map[string][]Process{}, Directory: map[string]string{}, Sources: map[string]string{}}
 	city := "krk"
 	s.Model, s.Path = "plates", "/catalogue/"
 	if user == RefundDesk {
@@ -97,6 +100,7 @@
 		domain := fmt.Sprintf("%s-%c", city, 'a'+d)
 		s.Domains = append(s.Domains, domain)
 		s.Directory[domain] = p.take()
+		s.Sources[domain] = fmt.Sprintf("127.0.%d.1", d+1)
 		s.addDomain(domain, size, p)
 	}
 	for i := range size.Customers {
@@ -111,7 +115,7 @@
 	for i := range size.EntriesADomain {
 		s.Entries = append(s.Entries, Process{
 			Name: fmt.Sprintf("%s-entry-%d", domain, i+1), Role: "entry", Domain: domain,
-			Peers: p.take(), Operators: p.take(), Callers: p.take(),
+			Source: s.Sources[domain], Advertise: p.take(), Peers: p.take(), Operators: p.take(), Callers: p.take(),
 		})
 	}
 	group := "group-" + domain
@@ -127,7 +131,7 @@
 func (s *Site) addAgent(domain, endpoint string, p *ports) Process {
 	a := Process{
 		Name: endpoint + "-vm1", Role: "endpoint", Domain: domain, Endpoint: endpoint,
-		Peers: p.take(), Operators: p.take(), Backend: p.take(),
+		Source: s.Sources[domain], Advertise: p.take(), Peers: p.take(), Operators: p.take(), Backend: p.take(),
 	}
 	s.Agents = append(s.Agents, a)
 	return a
@@ -222,7 +226,8 @@
 	if p.Endpoint != "" {
 		fmt.Fprintf(&b, "endpoint = %s\n", p.Endpoint)
 	}
-	fmt.Fprintf(&b, "\n[listen]\npeers = %s\noperators = %s\n", p.Peers, p.Operators)
+	fmt.Fprintf(&b, "\n[listen]\npeers = %s\noperators = %s\nadvertise = %s\nsource = %s\n",
+		p.Peers, p.Operators, p.Advertise, p.Source)
 	if p.Callers != "" {
 		fmt.Fprintf(&b, "callers = %s\n", p.Callers)
 	}
@@ -260,7 +265,8 @@
 		}
 	}
 	for _, p := range append(append([]Process(nil), s.Entries...), s.Agents...) {
-		fmt.Fprintf(&b, "\n[instance %s]\nrole = %s\ndomain = %s\naddress = %s\n", p.Name, p.Role, p.Domain, p.Peers)
+		fmt.Fprintf(&b, "\n[instance %s]\nrole = %s\ndomain = %s\naddress = %s\n", p.Name, p.Role, p.Domain, p.Advertise)
+		fmt.Fprintf(&b, "relay-to = %s\nsource = %s\n", p.Peers, p.Source)
 		if p.Endpoint != "" {
 			fmt.Fprintf(&b, "endpoint = %s\n", p.Endpoint)
 		}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -100,7 +100,7 @@
 // the answers.
 func Run(ctx context.Context, cfg Config) (res Result, err error) {
 	cfg.Attempts = max(1, cfg.Attempts)
-	r := &runner{cfg: cfg, client: &http.Client{Transport: platform.NewTransport()}}
+	r := &runner{cfg: cfg, client: &http.Client{Transport: platform.NewTransport("")}}
 	r.res = Result{
 		Said:       map[string]wire.Outcome{},
 		FirstToken: hdrhistogram.New(lowestMicros, highestMicros, digits),
--- a/internal/load/requests.go
+++ b/internal/load/requests.go
@@ -191,12 +191,18 @@
 	return r.answer(req, id, "amount of "+id)
 }
 
+// read asks for a record; an entry that is gone is passed over, as the
+// platform's balancer does.
 func (r *runner) read(ctx context.Context, j job) wire.Outcome {
-	req, err := r.newRequest(ctx, j, 0, http.MethodGet, r.cfg.Path+"record?id=r"+j.nonce, "")
-	if err != nil {
-		return ""
+	var o wire.Outcome
+	for attempt := 0; attempt < r.cfg.Attempts && o != wire.Done && o != wrong; attempt++ {
+		req, err := r.newRequest(ctx, j, attempt, http.MethodGet, r.cfg.Path+"record?id=r"+j.nonce, "")
+		if err != nil {
+			return ""
+		}
+		o = r.answer(req, "r"+j.nonce, "")
 	}
-	return r.answer(req, "r"+j.nonce, "")
+	return o
 }
 
 // answer checks that the answer of a plain service is whole and its own.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -214,6 +214,9 @@
 			text += ", new"
 		}
 		n.trail.Add(audit.MemberChanged, c.Member.Name, text+": "+c.Cause)
+		if c.Member.State == member.Dead {
+			n.gone(c.Member)
+		}
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,6 +83,7 @@
 	hints  *ring.Queue[hint]                // Full: refused; the next message hints again.
 	pushes *ring.Queue[member.Member]       // Full: refused; gossip tells it later.
 	left   chan struct{}                    // Closed when the planned stop begins.
+	gone   func(member.Member)              // Told of each member that is given up; set before Run.
 
 	mu       sync.Mutex
 	table    *member.Table
@@ -102,9 +103,9 @@
 	if err != nil {
 		return nil, err
 	}
-	transport := platform.NewTransport()
+	transport := platform.NewTransport(set.Source)
 	transport.TLSClientConfig = creds.Client()
-	direct := &http.Client{Transport: platform.NewTransport()}
+	direct := &http.Client{Transport: platform.NewTransport(set.Source)}
 	n = &Node{
 		set:    set,
 		log:    log,
@@ -118,6 +119,7 @@
 		hints:  ring.NewQueue[hint](hintRing),
 		pushes: ring.NewQueue[member.Member](pushRing),
 		left:   make(chan struct{}),
+		gone:   func(member.Member) {},
 		spread: spread.New(),
 		values: map[string][]byte{},
 		life:   chart.MustLoad("drain").Machine(),
@@ -169,6 +171,10 @@
 // Left is closed when the planned stop begins.
 func (n *Node) Left() <-chan struct{} { return n.left }
 
+// OnGone sets the function that is told of each member that is given up. It
+// must be called before Run.
+func (n *Node) OnGone(f func(member.Member)) { n.gone = f }
+
 // Members lists the members that satisfy keep, the node itself included.
 func (n *Node) Members(keep func(member.Member) bool) []member.Member {
 	n.mu.Lock()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -60,11 +60,16 @@
 
 // NewTransport returns a transport that keeps connections to many peers. It is
 // used only for requests that are harmless to repeat: net/http sends some
-// requests again by itself when a kept connection breaks.
-func NewTransport() *http.Transport {
+// requests again by itself when a kept connection breaks. source is the IP
+// number that connections come from, "" for any.
+func NewTransport(source string) *http.Transport {
+	d := &net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}
+	if ip := net.ParseIP(source); ip != nil {
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
 	return &http.Transport{
 		Proxy:                 nil,
-		DialContext:           (&net.Dialer{Timeout: time.Second, KeepAlive: 15 * time.Second}).DialContext,
+		DialContext:           d.DialContext,
 		MaxIdleConnsPerHost:   256,
 		IdleConnTimeout:       60 * time.Second,
 		ReadBufferSize:        2 << 10,
@@ -77,8 +82,8 @@
 // NewSingleTransport returns a transport that opens a connection for each
 // request and closes it afterwards. net/http repeats a request by itself only
 // on a connection it has used before, so that one sent here is sent once.
-func NewSingleTransport() *http.Transport {
-	t := NewTransport()
+func NewSingleTransport(source string) *http.Transport {
+	t := NewTransport(source)
 	t.DisableKeepAlives = true
 	return t
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,7 @@
 	Peers     string
 	Operators string
 	Advertise string // Peer address that others use; Peers when not set.
+	Source    string // IP number that connections to others come from; "" for any.
 
 	ConfigService string
 	Instances     string
@@ -115,6 +116,10 @@
 		f.Fault(section, "callers", "is set, but the role is endpoint")
 	}
 	s.Advertise = address(f, section, "advertise", false)
+	s.Source = f.String(section, "source", "")
+	if s.Source != "" && net.ParseIP(s.Source) == nil {
+		f.Fault(section, "source", "%q is not an IP number", s.Source)
+	}
 }
 
 // address reads an IP number and port.
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -44,6 +44,7 @@
 	FaultDelay   = "delay"   // A service takes its time.
 	FaultMute    = "mute"    // A service runs and does not answer.
 	FaultLeaving = "leaving" // The list has an instance as leaving.
+	FaultCut     = "cut"     // A failure domain is cut off from the others and from the platform.
 )
 
 // Server is the stand-ins of one site behind their listeners.
@@ -53,8 +54,11 @@
 	Engines  map[string]*Engine  // By address.
 	Services map[string]*Service // By endpoint.
 
+	Net *Network
+
 	groups    []*Group
 	listeners []served
+	relays    []relay
 }
 
 type served struct {
@@ -85,6 +89,7 @@
 	s = &Server{
 		Dir: NewDirectory(), Views: map[string]*View{},
 		Engines: map[string]*Engine{}, Services: map[string]*Service{},
+		Net: NewNetwork(),
 	}
 	defer func() {
 		if err != nil {
@@ -119,12 +124,29 @@
 	case "group":
 		return s.addGroup(f, section)
 	case "instance":
-		s.Dir.SetInstance(platform.Instance{
-			Name: name, Role: platform.Role(f.Required(section, "role")),
-			Domain: f.Required(section, "domain"), Address: f.Required(section, "address"),
-			Endpoint: f.String(section, "endpoint", ""),
-		})
+		return s.addInstance(f, section, name)
+	}
+	return nil
+}
+
+// addInstance puts a row on the list and, if asked, a relay before it.
+func (s *Server) addInstance(f *inifile.File, section, name string) (err error) {
+	in := platform.Instance{
+		Name: name, Role: platform.Role(f.Required(section, "role")),
+		Domain: f.Required(section, "domain"), Address: f.Required(section, "address"),
+		Endpoint: f.String(section, "endpoint", ""),
+	}
+	s.Dir.SetInstance(in)
+	target, source := f.String(section, "relay-to", ""), f.String(section, "source", "")
+	if target == "" {
+		return nil
 	}
+	s.Net.Name(source, in.Domain)
+	l, err := net.Listen("tcp", in.Address)
+	if err != nil {
+		return errors.Wrap(err, "stand-in relay")
+	}
+	s.relays = append(s.relays, relay{l: l, target: target, domain: in.Domain})
 	return nil
 }
 
@@ -182,6 +204,9 @@
 	for _, one := range s.listeners {
 		_ = one.l.Close()
 	}
+	for _, one := range s.relays {
+		_ = one.l.Close()
+	}
 }
 
 // Run serves until ctx ends.
@@ -190,6 +215,9 @@
 	for _, group := range s.groups {
 		g.Go(func() error { return group.Run(ctx) })
 	}
+	for _, one := range s.relays {
+		g.Go(func() error { return s.Net.Relay(ctx, one.l, one.target, one.domain) })
+	}
 	for _, one := range s.listeners {
 		srv := &http.Server{Handler: one.h, ReadHeaderTimeout: 10 * time.Second}
 		g.Go(func() error {
@@ -219,10 +247,20 @@
 	case FaultLeaving:
 		s.Dir.SetLeaving(f.Target)
 		return nil
+	case FaultCut:
+		s.Net.Cut(f.Target, f.On)
+		return nil
 	}
 	return errors.New("no such kind")
 }
 
+// relay is a place for a relay on the way to a process.
+type relay struct {
+	l      net.Listener
+	target string
+	domain string
+}
+
 func (s *Server) viewFault(f Fault) error {
 	v, ok := s.Views[f.Target]
 	if !ok {
