internal/decide: decisions against their naive versions, and limits that are lent

A customer's limit is split by the published number of entries; an entry in want borrows from random peers what they do not use, under leases that end for the borrower before the lender.

--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,308 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/example"
+	"github.com/canvaspulley/canvaspulley/internal/ident"
+	"github.com/canvaspulley/canvaspulley/internal/node"
+	"github.com/canvaspulley/canvaspulley/internal/platform"
+	"github.com/canvaspulley/canvaspulley/internal/settings"
+	"github.com/canvaspulley/canvaspulley/internal/standin"
+	"github.com/canvaspulley/canvaspulley/internal/wire"
+)
+
+// bench is one agent in this process, with functions in place of its endpoint.
+type bench struct {
+	t     *testing.T
+	agent *Agent
+	url   string
+	slot  string
+}
+
+// newBench starts an agent; change may edit its settings.
+func newBench(t *testing.T, change func(*settings.Settings), engine *platform.Engine, service *platform.Service) *bench {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	layout, err := example.New(example.RefundDesk, example.Small, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	dir := standin.NewDirectory()
+	dir.Publish(standin.Bundle{Manifest: layout.Pack(1, "", layout.Published()), Values: layout.Published()})
+	directory := httptest.NewServer(standin.NewView(dir).Handler())
+	t.Cleanup(directory.Close)
+	p := layout.Agents[0]
+	if service != nil {
+		p = layout.Agents[1]
+	}
+	set, err := settings.Parse("test.ini", layout.Settings(p))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	set.ConfigService, set.Instances, set.Source = directory.URL, directory.URL, ""
+	if change != nil {
+		change(set)
+	}
+	n, err := node.New(set, zap.NewNop())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	a := New(n, engine, service)
+	srv := httptest.NewServer(a.Handler())
+	ctx, cancel := context.WithCancel(context.Background())
+	group := &errgroup.Group{}
+	group.Go(func() error { return n.Run(ctx) })
+	group.Go(func() error { return a.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		directory.CloseClientConnections()
+		srv.CloseClientConnections()
+		srv.Close()
+		_ = group.Wait()
+	})
+	g.Eventually(n.Refusal, "20s").Should(gomega.BeNil())
+	return &bench{t, a, srv.URL, p.Endpoint}
+}
+
+// answer is what an entry sees.
+type answer struct {
+	status  int
+	outcome wire.Outcome
+	body    string
+	err     error
+}
+
+func (b *bench) send(env wire.Envelope, body string) answer {
+	env.Endpoint, env.Weight = b.slot, 1
+	if env.ID == "" {
+		env.ID = ident.New() + "~1"
+	}
+	text, _ := json.Marshal(env)
+	req, _ := http.NewRequest(http.MethodPost, b.url+wire.PathRun, strings.NewReader(body))
+	req.Header.Set(wire.HeaderEnvelope, string(text))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, wire.Outcome(resp.Header.Get(wire.HeaderOutcome)), string(raw), err}
+}
+
+func call(key string) wire.Envelope {
+	return wire.Envelope{Kind: wire.KindCall, Method: http.MethodPost, Path: "/payments/pay", Key: key, Once: true, Customer: "c"}
+}
+
+// counter is a service that counts its runs and may be held.
+type counter struct {
+	mu   sync.Mutex
+	runs int
+	hold chan struct{}
+	err  error
+}
+
+func (c *counter) service() *platform.Service {
+	return &platform.Service{Do: func(context.Context, platform.Call) (platform.Reply, error) {
+		c.mu.Lock()
+		c.runs++
+		hold, err := c.hold, c.err
+		c.mu.Unlock()
+		if hold != nil {
+			<-hold
+		}
+		return platform.Reply{Status: http.StatusOK, Type: "text/plain", Body: []byte("paid")}, err
+	}}
+}
+
+func TestCopiesOfAnAttemptRunOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := &counter{hold: make(chan struct{})}
+	b := newBench(t, nil, nil, c.service())
+	env := call("")
+	env.ID = ident.New() + "~1"
+	first := make(chan answer, 1)
+	var beside sync.WaitGroup
+	beside.Go(func() { first <- b.send(env, "") })
+	g.Eventually(b.agent.Busy, "20s").Should(gomega.Equal(1))
+	g.Expect(b.send(env, "").outcome).To(gomega.Equal(wire.Unknown), "a copy while it runs")
+	close(c.hold)
+	g.Expect((<-first).outcome).To(gomega.Equal(wire.Done))
+	g.Expect(b.send(env, "").outcome).To(gomega.Equal(wire.Unknown), "a copy that comes late")
+	g.Expect(c.runs).To(gomega.Equal(1))
+	beside.Wait()
+}
+
+func TestKeyIsTheCustomersOwn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := &counter{}
+	b := newBench(t, nil, nil, c.service())
+	key := ident.NewKey(b.slot).String()
+	g.Expect(b.send(call(key), "x").outcome).To(gomega.Equal(wire.Done))
+	g.Expect(b.send(call(key), "x").body).To(gomega.Equal("paid"))
+	g.Expect(c.runs).To(gomega.Equal(1))
+	g.Expect(b.send(call(key), "another request").status).To(gomega.Equal(http.StatusUnprocessableEntity))
+	other := call(key)
+	other.Customer = "d"
+	g.Expect(b.send(other, "x").outcome).To(gomega.Equal(wire.Done))
+	g.Expect(c.runs).To(gomega.Equal(2), "another customer's request with the same key is another request")
+}
+
+func TestOutcomes(t *testing.T) {
+	check := func(name string, err error, want wire.Outcome, again wire.Outcome) {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			c := &counter{err: err}
+			b := newBench(t, nil, nil, c.service())
+			env := call(ident.NewKey(b.slot).String())
+			g.Expect(b.send(env, "").outcome).To(gomega.Equal(want))
+			g.Expect(b.send(env, "").outcome).To(gomega.Equal(again))
+		})
+	}
+	check("service answers", nil, wire.Done, wire.Done)
+	check("service breaks off", errors.New("broken"), wire.Unknown, wire.Unknown)
+}
+
+func TestNotRunIsNeverSaidAfterTheSend(t *testing.T) {
+	g := gomega.NewWithT(t)
+	gone := platform.NewService("http://"+closedPort(t), http.DefaultClient, &http.Client{Transport: platform.NewSingleTransport("")})
+	b := newBench(t, nil, nil, gone)
+	env := call(ident.NewKey(b.slot).String())
+	g.Expect(b.send(env, "").outcome).To(gomega.Equal(wire.NotRun), "nobody listens: nothing was sent")
+	g.Expect(b.send(env, "").outcome).To(gomega.Equal(wire.NotRun), "and the key is free again")
+
+	once := &counter{}
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		once.mu.Lock()
+		once.runs++
+		once.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(srv.Close)
+	b = newBench(t, nil, nil, platform.NewService(srv.URL, http.DefaultClient, &http.Client{Transport: platform.NewSingleTransport("")}))
+	g.Expect(b.send(call(""), "").outcome).To(gomega.Equal(wire.Unknown))
+	g.Expect(once.runs).To(gomega.Equal(1))
+}
+
+func closedPort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func TestFullQueuesRefuseAsNotRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := &counter{hold: make(chan struct{})}
+	b := newBench(t, func(s *settings.Settings) { s.Queue, s.MinLimit, s.MaxLimit, s.Keys = 1, 1, 1, 2 }, nil, c.service())
+	var beside sync.WaitGroup
+	answers := make(chan answer, 2)
+	for i := range 2 {
+		beside.Go(func() { answers <- b.send(call(ident.NewKey(b.slot).String()), fmt.Sprint(i)) })
+	}
+	g.Eventually(b.agent.Busy, "20s").Should(gomega.Equal(2))
+	refused := b.send(call(""), "")
+	g.Expect(refused.outcome).To(gomega.Equal(wire.NotRun))
+	g.Expect(refused.body).To(gomega.ContainSubstring("queue full"))
+	g.Expect(refused.body).To(gomega.ContainSubstring("retry_after_ms"))
+	keyed := b.send(call(ident.NewKey(b.slot).String()), "")
+	g.Expect(keyed.outcome).To(gomega.Equal(wire.NotRun))
+	g.Expect(keyed.body).To(gomega.ContainSubstring("no room to remember the key"))
+	close(c.hold)
+	beside.Wait()
+	for range 2 {
+		g.Expect((<-answers).outcome).To(gomega.Equal(wire.Done))
+	}
+	g.Expect(c.runs).To(gomega.Equal(2))
+}
+
+func TestTombstoneForbidsALateAttempt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := &counter{}
+	b := newBench(t, nil, nil, c.service())
+	env := call("")
+	env.ID = ident.New() + "~1"
+	raw, _ := json.Marshal(wire.OutcomeRequest{ID: env.ID})
+	resp, err := http.Post(b.url+wire.PathOutcome, "application/json", bytes.NewReader(raw))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var reply wire.OutcomeReply
+	g.Expect(json.NewDecoder(resp.Body).Decode(&reply)).To(gomega.Succeed())
+	_ = resp.Body.Close()
+	g.Expect(reply.Outcome).To(gomega.Equal(wire.NotRun))
+	g.Expect(b.send(env, "").outcome).To(gomega.Equal(wire.NotRun), "the attempt comes after all")
+	g.Expect(c.runs).To(gomega.BeZero())
+}
+
+func TestLeavingRefusesWhatWaitsAndEndsWhatRuns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := &counter{hold: make(chan struct{})}
+	b := newBench(t, func(s *settings.Settings) { s.MinLimit, s.MaxLimit = 1, 1 }, nil, c.service())
+	var beside sync.WaitGroup
+	runs, waits := make(chan answer, 1), make(chan answer, 1)
+	beside.Go(func() { runs <- b.send(call(""), "") })
+	g.Eventually(b.agent.Busy, "20s").Should(gomega.Equal(1))
+	beside.Go(func() { waits <- b.send(call(""), "") })
+	g.Eventually(b.agent.Busy, "20s").Should(gomega.Equal(2))
+	b.agent.node.Leave("test")
+	g.Expect((<-waits).outcome).To(gomega.Equal(wire.NotRun), "what waits hears at once")
+	g.Expect(b.send(call(""), "").outcome).To(gomega.Equal(wire.NotRun))
+	close(c.hold)
+	g.Expect((<-runs).outcome).To(gomega.Equal(wire.Done))
+	beside.Wait()
+}
+
+// engineOf is an engine whose stream is the given text.
+func engineOf(stream func(g platform.Generate) string) *platform.Engine {
+	return &platform.Engine{
+		Generate: func(_ context.Context, g platform.Generate) (io.ReadCloser, error) {
+			return io.NopCloser(strings.NewReader(stream(g))), nil
+		},
+		State: func(context.Context) (platform.EngineState, error) {
+			return platform.EngineState{Step: uint64(time.Now().UnixNano())}, nil
+		},
+	}
+}
+
+func frame(id string, offset int, event, data string) string {
+	return string(wire.AppendFrame(nil, wire.EventID{Request: id, Endpoint: "engine", Offset: offset}, event, []byte(data)))
+}
+
+func TestForeignLateAndDoubledTokensAreDropped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBench(t, nil, engineOf(func(q platform.Generate) string {
+		return frame(q.ID, 0, "", `"a"`) + frame("another~1", 1, "", `"x"`) + frame(q.ID, 0, "", `"a"`) +
+			frame(q.ID, 2, "", `"c"`) + frame(q.ID, 1, "", `"b"`) + frame(q.ID, 2, wire.EventEnd, "{}")
+	}), nil)
+	got := b.send(wire.Envelope{Kind: wire.KindStream, Customer: "c"}, `{"prompt":"p","max_tokens":2}`)
+	g.Expect(got.err).NotTo(gomega.HaveOccurred())
+	g.Expect(strings.Count(got.body, "data: ")).To(gomega.Equal(3), "two tokens and the end")
+	g.Expect(got.body).NotTo(gomega.ContainSubstring(`"x"`))
+	records, _ := b.agent.node.Trail().Records()
+	stray := 0
+	for _, r := range records {
+		if r.Kind == "stray-answer" {
+			stray++
+		}
+	}
+	g.Expect(stray).To(gomega.Equal(3), "each is on the audit trail")
+}
+
+func TestStreamWithoutItsEndBreaksOff(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBench(t, nil, engineOf(func(q platform.Generate) string { return frame(q.ID, 0, "", `"a"`) }), nil)
+	got := b.send(wire.Envelope{Kind: wire.KindStream, Customer: "c"}, `{"prompt":"p","max_tokens":2}`)
+	g.Expect(got.err).To(gomega.HaveOccurred(), "a short answer must not look whole")
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -54,6 +54,7 @@
 		{"pack", "sign a folder of configuration as one generation", &packVerb{app: a}},
 		{"policy", "say what a policy answers for given requests", &policyVerb{app: a}},
 		{"load", "send requests at a rate and check every answer", &loadVerb{app: a}},
+		{"experiment", "measure the decisions against their naive versions", newExperimentVerb(a)},
 		{"status", "show what processes believe", &statusVerb{app: a}},
 		{"audit", "show what changed, merged by time", &auditVerb{app: a}},
 		{"keys", "make a site's certificates and signing key", &keysVerb{app: a}},
--- /dev/null
+++ b/internal/cli/experiment.go
@@ -0,0 +1,52 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package cli
+
+import (
+	"fmt"
+
+	"github.com/canvaspulley/canvaspulley/internal/experiment"
+)
+
+// experimentVerb has one sub-verb for each experiment.
+type experimentVerb struct {
+	Ownership tableVerb `command:"ownership" description:"rendezvous hashing against modulo"`
+	Admission tableVerb `command:"admission" description:"the queue against first come, first served"`
+	Retries   tableVerb `command:"retries" description:"the retry budget against three retries"`
+	Limits    tableVerb `command:"limits" description:"borrowing against an even split and a central counter"`
+	Routing   tableVerb `command:"routing" description:"the choice of rank against naive ones"`
+}
+
+// newExperimentVerb wires each sub-verb to its experiment.
+func newExperimentVerb(a *app) *experimentVerb {
+	return &experimentVerb{
+		Ownership: tableVerb{app: a, run: func(uint64) experiment.Table { return experiment.Ownership(15, 200000) }},
+		Admission: tableVerb{app: a, run: func(seed uint64) experiment.Table { return experiment.Admission(60, seed) }},
+		Retries:   tableVerb{app: a, run: func(seed uint64) experiment.Table { return experiment.Retries(300000, seed) }},
+		Limits:    tableVerb{app: a, run: func(seed uint64) experiment.Table { return experiment.Limits(6, 60, 600, seed) }},
+		Routing: tableVerb{app: a, run: func(seed uint64) experiment.Table {
+			cfg := experiment.DefaultRouting
+			cfg.Seed = seed
+			return experiment.Routing(cfg)
+		}},
+	}
+}
+
+// tableVerb prints the table of one experiment.
+type tableVerb struct {
+	app  *app
+	run  func(seed uint64) experiment.Table
+	Seed uint64 `long:"seed" default:"1" description:"source of chance"`
+	JSON bool   `long:"json" description:"print JSON"`
+}
+
+// Execute runs the experiment.
+func (v *tableVerb) Execute([]string) error {
+	t := v.run(v.Seed)
+	if v.JSON {
+		return v.app.printJSON(t)
+	}
+	t.Print(v.app.out)
+	fmt.Fprintln(v.app.out)
+	return nil
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -92,7 +92,7 @@
 func (d *Daemon) role() http.Handler {
 	if d.set.Role == platform.RoleEntry {
 		d.entry = entry.New(d.node)
-		return d.node.PeerMux()
+		return d.entry.PeerHandler()
 	}
 	kept := &http.Client{Transport: platform.NewTransport(d.set.Source)}
 	single := &http.Client{Transport: platform.NewSingleTransport(d.set.Source)}
@@ -150,6 +150,8 @@
 	g.Go(func() error { return d.node.Run(ctx) })
 	if d.agent != nil {
 		g.Go(func() error { return d.agent.Run(ctx) })
+	} else {
+		g.Go(func() error { return d.entry.Run(ctx) })
 	}
 	for _, one := range d.listeners {
 		g.Go(func() error { return d.serve(ctx, one) })
--- a/internal/decide/route/route.go
+++ b/internal/decide/route/route.go
@@ -8,6 +8,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/own"
 )
@@ -33,10 +34,11 @@
 
 // Costs, in units of one request that waits.
 const (
-	remoteCost  = 0.5 // A hop to another failure domain.
-	missCost    = 1.0 // Prompt work not cached there.
-	unheardLoad = 1.0 // Load assumed of an endpoint that has not reported.
-	boundFactor = 1.25
+	remoteCost  = 0.5  // A hop to another failure domain.
+	unheardLoad = 1.0  // Load assumed of an endpoint that has not reported.
+	boundFactor = 1.25 // Load of a preferred endpoint, at most, to the mean.
+	boundSlack  = 0.1
+	holders     = 3 // Endpoints that hold one prefix.
 )
 
 // load is the endpoint's predicted wait, in requests by its limit.
@@ -78,29 +80,38 @@
 	return first
 }
 
-// preferred returns the endpoint that holds the prefix, unless its load is out
-// of proportion; then the next one in rendezvous order, so that a popular
-// prefix spreads over a few endpoints and no more.
+// preferred returns the least loaded of the few endpoints that come first for
+// the prefix in rendezvous order, so that a popular prefix is held by a few
+// endpoints and no more. When even that one is far above the mean, there is
+// none.
 func preferred(list []Candidate, usable []int, prefix string, mean float64) int {
-	const tries = 2
-	skip := -1
-	for range tries {
-		best, top := -1, uint64(0)
-		for _, i := range usable {
-			s := own.Score(prefix, list[i].Endpoint)
-			if i != skip && (best < 0 || s > top) {
-				best, top = i, s
-			}
+	first := make([]int, 0, holders)
+	scores := make([]uint64, 0, holders)
+	for _, i := range usable {
+		s := own.Score(prefix, list[i].Endpoint)
+		at := len(first)
+		for at > 0 && scores[at-1] < s {
+			at--
 		}
-		if best < 0 {
-			return -1
+		if at == holders {
+			continue
 		}
-		if list[best].load() <= boundFactor*mean+missCost/2 {
-			return best
+		if len(first) == holders {
+			first, scores = first[:holders-1], scores[:holders-1]
 		}
-		skip = best
+		first = slices.Insert(first, at, i)
+		scores = slices.Insert(scores, at, s)
 	}
-	return -1
+	best := first[0]
+	for _, i := range first[1:] {
+		if list[i].load() < list[best].load() {
+			best = i
+		}
+	}
+	if list[best].load() > boundFactor*mean+boundSlack {
+		return -1
+	}
+	return best
 }
 
 // cost is the predicted wait and the prompt work not cached there.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 package entry
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"math/rand/v2"
@@ -19,8 +20,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/canvaspulley/canvaspulley/internal/audit"
-	"github.com/canvaspulley/canvaspulley/internal/decide/limit"
-	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
 	"github.com/canvaspulley/canvaspulley/internal/ident"
 	"github.com/canvaspulley/canvaspulley/internal/node"
@@ -43,11 +42,11 @@
 	kept    *http.Client // For requests that may be repeated.
 	single  *http.Client // For those that may not.
 	tracker *tracker
+	limits  *limits
 	live    atomic.Int64 // Requests of callers that have not ended.
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget // By customer, and by group after a slash.
-	buckets map[string]*limit.Bucket // By customer.
 }
 
 // New returns an entry on a node.
@@ -61,12 +60,22 @@
 		single:  &http.Client{Transport: single},
 		tracker: newTracker(),
 		budgets: map[string]*retry.Budget{},
-		buckets: map[string]*limit.Bucket{},
+		limits:  &limits{node: n, all: map[string]*held{}},
 	}
 	n.OnGone(e.tracker.gone)
 	return e
 }
 
+// PeerHandler returns the peer listener's handlers.
+func (e *Entry) PeerHandler() http.Handler {
+	mux := e.node.PeerMux()
+	mux.HandleFunc("POST "+wire.PathBorrow, e.limits.serveBorrow)
+	return mux
+}
+
+// Run does the entry's duties until ctx ends.
+func (e *Entry) Run(ctx context.Context) error { return e.limits.run(ctx) }
+
 // Busy returns the number of callers' requests that have not ended.
 func (e *Entry) Busy() int { return int(e.live.Load()) }
 
@@ -137,7 +146,7 @@
 	if refusal := req.readHeaders(time.Now()); refusal != nil {
 		return nil, refusal
 	}
-	if after, ok := e.allow(cust, time.Now()); !ok {
+	if after, ok := e.limits.allow(cfg, cust, time.Now()); !ok {
 		return nil, wire.Refuse(http.StatusTooManyRequests, after, "the customer's limit is reached")
 	}
 	return req, nil
@@ -160,26 +169,6 @@
 	return nil
 }
 
-// allow spends one request of the customer's limit at this entry.
-func (e *Entry) allow(c *published.Customer, now time.Time) (after time.Duration, ok bool) {
-	if c.Rate == 0 {
-		return 0, true
-	}
-	entries := len(e.node.Members(func(m member.Member) bool {
-		return m.Role == string(platform.RoleEntry) && m.State != member.Dead
-	}))
-	share := 1 / float64(max(1, entries))
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	b, found := e.buckets[c.Name]
-	if !found {
-		b = limit.NewBucket(c.Rate*share, max(1, c.Burst*share), now)
-		e.buckets[c.Name] = b
-	}
-	b.Set(c.Rate*share, max(1, c.Burst*share), now)
-	return b.Take(now)
-}
-
 // budget returns the retry budget under a name.
 func (e *Entry) budget(name string, share float64) *retry.Budget {
 	b, ok := e.budgets[name]
--- a/internal/example/example.go
+++ b/internal/example/example.go
@@ -204,6 +204,7 @@
 		}
 		values["group/"+name+".ini"] = text
 	}
+	values["site/site.ini"] = fmt.Appendf(nil, "[site]\nentries = %d\n", len(s.Entries))
 	text := fmt.Appendf(nil, "[service]\npath = %s\nnot-repeatable = POST\ntimeout = 5s\n", s.Path)
 	for _, a := range s.Agents {
 		if !s.IsRank(a) {
--- /dev/null
+++ b/internal/experiment/admission.go
@@ -0,0 +1,172 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/admit"
+)
+
+// origin is the start of scripted time.
+var origin = time.Unix(1_800_000_000, 0)
+
+// admissionRun is one endpoint under overload by one large customer, with
+// kiosks that have deadlines and a small customer without.
+type admissionRun struct {
+	offer func(admit.Request, time.Time) admit.Actions
+	done  func(string, time.Time) admit.Actions
+	tick  func(time.Time) admit.Actions
+
+	ends    map[string]time.Time // By id of what runs.
+	asked   map[string]admit.Request
+	small   []float64 // Waits of the small customer, in milliseconds.
+	served  int
+	late    int // Served after their deadline, and so in vain.
+	refused int
+	inTime  int // Kiosk requests served in time.
+	kiosks  int
+	delays  []float64 // From arrival to refusal, in milliseconds.
+}
+
+// fifo is the naive version: first come, first served, at a fixed limit, with
+// the same bound on the queue and no look at deadlines.
+type fifo struct {
+	limit, capacity int
+	running         int
+	waiting         []admit.Request
+}
+
+func (f *fifo) fill(a *admit.Actions) {
+	for len(f.waiting) > 0 && f.running < f.limit {
+		a.Start = append(a.Start, f.waiting[0])
+		f.waiting = f.waiting[1:]
+		f.running++
+	}
+}
+
+func (f *fifo) offer(r admit.Request, _ time.Time) (a admit.Actions) {
+	if len(f.waiting) >= f.capacity {
+		a.Refuse = append(a.Refuse, admit.Refusal{Request: r, Reason: admit.ReasonFull})
+		return a
+	}
+	f.waiting = append(f.waiting, r)
+	f.fill(&a)
+	return a
+}
+
+func (f *fifo) done(string, time.Time) (a admit.Actions) {
+	f.running--
+	f.fill(&a)
+	return a
+}
+
+func (f *fifo) tick(time.Time) admit.Actions { return admit.Actions{} }
+
+// Sizes of the admission experiment.
+const (
+	admissionLimit    = 16
+	admissionCapacity = 128
+	admissionHold     = 100 * time.Millisecond
+	kioskDeadline     = 400 * time.Millisecond
+	admissionTick     = 5 * time.Millisecond
+)
+
+// Admission compares the queue with first come, first served, at 1.5 times the
+// endpoint's capacity, over so many seconds.
+func Admission(seconds int, seed uint64) Table {
+	t := Table{Title: fmt.Sprintf("Admission: one endpoint, %d places of %v, offered 1.5 times its capacity for %d s; 80 in 100 from one large customer",
+		admissionLimit, admissionHold, seconds)}
+	f := &fifo{limit: admissionLimit, capacity: admissionCapacity}
+	q := admit.New(admit.Config{Capacity: admissionCapacity, MinLimit: admissionLimit, MaxLimit: admissionLimit, AgePerStep: 2 * time.Second})
+	for _, m := range []struct {
+		name string
+		run  *admissionRun
+	}{
+		{"first come, first served", &admissionRun{offer: f.offer, done: f.done, tick: f.tick}},
+		{"canvaspulley", &admissionRun{offer: q.Offer, done: q.Done, tick: q.Tick}},
+	} {
+		m.run.drive(seconds, seed)
+		t.Rows = append(t.Rows, m.run.row(m.name))
+	}
+	return t
+}
+
+func (r *admissionRun) drive(seconds int, seed uint64) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	r.ends, r.asked = map[string]time.Time{}, map[string]admit.Request{}
+	perTick := 1.5 * admissionLimit * float64(admissionTick) / float64(admissionHold)
+	n := 0
+	for now := origin; now.Before(origin.Add(time.Duration(seconds) * time.Second)); now = now.Add(admissionTick) {
+		for _, id := range sortedEnds(r.ends, now) {
+			delete(r.ends, id)
+			r.apply(r.done(id, now), now)
+		}
+		r.apply(r.tick(now), now)
+		for range poisson(rnd, perTick) {
+			n++
+			r.apply(r.offer(r.arrival(n, rnd, now), now), now)
+		}
+	}
+}
+
+func (r *admissionRun) arrival(n int, rnd *rand.Rand, now time.Time) admit.Request {
+	req := admit.Request{ID: fmt.Sprint(n), Weight: 1, Arrived: now}
+	switch k := rnd.IntN(100); {
+	case k < 80:
+		req.Customer = "large"
+	case k < 90:
+		req.Customer, req.Priority, req.Deadline = "kiosk", 9, now.Add(kioskDeadline)
+		r.kiosks++
+	default:
+		req.Customer = "small"
+	}
+	r.asked[req.ID] = req
+	return req
+}
+
+func (r *admissionRun) apply(a admit.Actions, now time.Time) {
+	for _, s := range a.Start {
+		r.ends[s.ID] = now.Add(admissionHold)
+		r.served++
+		wait := float64(now.Sub(s.Arrived)) / float64(time.Millisecond)
+		if s.Customer == "small" {
+			r.small = append(r.small, wait)
+		}
+		switch {
+		case s.Deadline.IsZero():
+		case now.Add(admissionHold).After(s.Deadline):
+			r.late++
+		default:
+			r.inTime++
+		}
+	}
+	for _, one := range a.Refuse {
+		r.refused++
+		r.delays = append(r.delays, float64(now.Sub(one.Request.Arrived))/float64(time.Millisecond))
+	}
+}
+
+func (r *admissionRun) row(name string) Row {
+	return Row{name, []Cell{
+		{"small customer's wait p99", "ms", quantile(r.small, 0.99)},
+		{"kiosks served in time", "share", float64(r.inTime) / float64(r.kiosks)},
+		{"served after the deadline", "", float64(r.late)},
+		{"served", "", float64(r.served)},
+		{"refused", "", float64(r.refused)},
+		{"refusal after arrival p99", "ms", quantile(r.delays, 0.99)},
+	}}
+}
+
+// sortedEnds lists what has ended by now, in a fixed order.
+func sortedEnds(ends map[string]time.Time, now time.Time) (ids []string) {
+	for id, at := range ends {
+		if !at.After(now) {
+			ids = append(ids, id)
+		}
+	}
+	sortStrings(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/experiment/retries.go
@@ -0,0 +1,54 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package experiment
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
+)
+
+// Retries compares the budget with three retries for each failure, while a
+// group fails so large a share of what is sent to it.
+func Retries(requests int, seed uint64) Table {
+	t := Table{Title: fmt.Sprintf("Retries: %d requests, one in 200 fails; for the middle third, nine in ten do", requests)}
+	budget := retry.NewBudget(0.1, 20)
+	for _, m := range []struct {
+		name    string
+		allow   func(attempt int) bool
+		success func()
+	}{
+		{"no retry", func(int) bool { return false }, func() {}},
+		{"three retries", func(attempt int) bool { return attempt <= 3 }, func() {}},
+		{"canvaspulley", func(attempt int) bool { return attempt < retry.MaxAttempts && budget.Take() }, budget.Success},
+	} {
+		rnd := rand.New(rand.NewPCG(seed, 2))
+		var sent, good [3]int
+		for i := range requests {
+			phase := i * 3 / requests
+			for attempt := 1; ; attempt++ {
+				sent[phase]++
+				fail := 0.005
+				if phase == 1 {
+					fail = 0.9
+				}
+				if rnd.Float64() >= fail {
+					good[phase]++
+					m.success()
+					break
+				}
+				if !m.allow(attempt) {
+					break
+				}
+			}
+		}
+		third := float64(requests) / 3
+		t.Rows = append(t.Rows, Row{m.name, []Cell{
+			{"sent to the failing group", "times the requests", float64(sent[1]) / third},
+			{"answered while it fails", "share", float64(good[1]) / third},
+			{"answered otherwise", "share", float64(good[0]+good[2]) / (2 * third)},
+		}})
+	}
+	return t
+}
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -22,6 +22,7 @@
 	kindPolicy   = "policy"
 	kindGroup    = "group"
 	kindService  = "service"
+	kindSite     = "site"
 )
 
 // Customer is one caller of the operator's services.
@@ -94,11 +95,17 @@
 type Config struct {
 	version   Version
 	customers map[string]*Customer // By bearer key hash.
+	byName    map[string]*Customer
 	policies  map[string]*Policy
 	services  []*Service // Ordered by name.
 	endpoints map[string]*Service
+	entries   int // Most entry instances at a time; 0 when not published.
 }
 
+// Entries returns the most entry instances that run at a time; limits are split
+// by it. It is 0 when the operators did not say.
+func (c *Config) Entries() int { return c.entries }
+
 // Version returns the generation that c is.
 func (c *Config) Version() Version { return c.version }
 
@@ -108,14 +115,16 @@
 	return cust, ok
 }
 
+// Customer returns the named customer.
+func (c *Config) Customer(name string) (cust *Customer, ok bool) {
+	cust, ok = c.byName[name]
+	return cust, ok
+}
+
 // Customers lists every customer once, ordered by name.
 func (c *Config) Customers() []*Customer {
-	seen := map[string]*Customer{}
-	for _, cust := range c.customers {
-		seen[cust.Name] = cust
-	}
-	list := make([]*Customer, 0, len(seen))
-	for _, cust := range seen {
+	list := make([]*Customer, 0, len(c.byName))
+	for _, cust := range c.byName {
 		list = append(list, cust)
 	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
@@ -167,6 +176,7 @@
 	c = &Config{
 		version:   v,
 		customers: map[string]*Customer{},
+		byName:    map[string]*Customer{},
 		policies:  map[string]*Policy{},
 		endpoints: map[string]*Service{},
 	}
@@ -209,6 +219,8 @@
 		c.readPolicy(name, f)
 	case kindGroup, kindService:
 		c.readService(kind, name, f)
+	case kindSite:
+		c.entries = f.Int(kindSite, "entries", 0, 1, 100000)
 	default:
 		f.Fault("", "", "unknown kind %q", kind)
 	}
@@ -223,6 +235,7 @@
 		Weight:   f.Float(kindCustomer, "weight", 1, 0.01, 1000),
 		Services: f.Words(kindCustomer, "services"),
 	}
+	c.byName[name] = cust
 	cust.Burst = f.Float(kindCustomer, "burst", max(1, cust.Rate), 1, 1e6)
 	if len(cust.Hashes) == 0 {
 		f.Fault(kindCustomer, "key-hash", "must be set")
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -36,6 +36,7 @@
 	PathManifest = "/peer/v1/config/manifest"
 	PathValue    = "/peer/v1/config/value/"
 	PathSwitch   = "/peer/v1/switch"
+	PathBorrow   = "/peer/v1/borrow"
 )
 
 // Limits of what is read from callers and peers, in bytes.
@@ -173,6 +174,17 @@
 	_ = json.NewEncoder(w).Encode(r) // The caller may be gone.
 }
 
+// BorrowRequest asks a peer entry for a part of a customer's limit.
+type BorrowRequest struct {
+	Customer string  `json:"customer"`
+	Rate     float64 `json:"rate"` // Requests a second wanted.
+}
+
+// BorrowReply says how much the peer lends for a lease of the package limit.
+type BorrowReply struct {
+	Rate float64 `json:"rate"`
+}
+
 // Load is what an agent knows of its endpoint, sent with every answer.
 type Load struct {
 	Running int     `json:"run"`            // Requests at the endpoint.
