internal/agent: drive switches of the expert map over the agents

The lowest living rank plans from its engine's reports and drives prepare, arm and commit over the agents; engines keep the rank's state and the stand-in checks each step.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -87,6 +87,9 @@
 	mux := a.node.PeerMux()
 	mux.HandleFunc("POST "+wire.PathRun, a.serveRun)
 	mux.HandleFunc("POST "+wire.PathOutcome, a.serveOutcome)
+	if a.engine != nil {
+		mux.HandleFunc("POST "+wire.PathSwitch, a.serveSwitch)
+	}
 	return mux
 }
 
@@ -96,6 +99,7 @@
 	g.Go(func() error { return a.tick(ctx) })
 	if a.engine != nil {
 		g.Go(func() error { return a.observe(ctx) })
+		g.Go(func() error { return newMapper(a).run(ctx) })
 	}
 	return g.Wait()
 }
--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -53,10 +53,13 @@
 }
 
 // startSite lays out and starts a site and waits until all of it serves.
-func startSite(user example.User, size example.Size) *site {
+func startSite(user example.User, size example.Size, change ...func(*example.Site)) *site {
 	GinkgoHelper()
 	layout, err := example.New(user, size, 0)
 	Expect(err).NotTo(HaveOccurred())
+	for _, f := range change {
+		f(layout)
+	}
 	s := &site{Site: layout, dir: GinkgoT().TempDir(), procs: map[string]*exec.Cmd{}}
 	bundle, err := json.Marshal(standin.Bundle{Manifest: s.Pack(1, "", s.Published()), Values: s.Published()})
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/example/example.go
+++ b/internal/example/example.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -55,6 +56,7 @@
 	Sources   map[string]string    // IP number that connections come from, by failure domain.
 	Control   string               // Address of the stand-ins' control.
 	Customers []Customer
+	Rebalance time.Duration // Of the groups, as published.
 	Public    ed25519.PublicKey
 	Private   ed25519.PrivateKey
 }
@@ -198,7 +200,8 @@
 			hex.EncodeToString(sum[:]), policy, c.Rate, c.Rate)
 	}
 	for name, ranks := range s.Groups {
-		text := fmt.Appendf(nil, "[group]\nmodel = %s\nexperts = 64\nslots = 20\n", s.Model)
+		text := fmt.Appendf(nil, "[group]\nmodel = %s\nexperts = 64\nslots = %d\npolicy = %s\nrebalance-every = %v\n",
+			s.Model, min(64, 64/len(ranks)+4), policy, s.Rebalance)
 		for i, r := range ranks {
 			text = fmt.Appendf(text, "\n[endpoint %s]\ndomain = %s\nrank = %d\n", r.Endpoint, r.Domain, i)
 		}
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -10,6 +10,8 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/mapswitch"
 )
 
 // Generate is a request to a model engine.
@@ -21,33 +23,24 @@
 	From      int    `json:"from"` // First token wanted; earlier ones are recomputed or imported.
 }
 
-// Fence orders the givers of orders: an engine obeys none that is lower than
-// the highest it has seen.
-type Fence struct {
-	Generation  uint64 `json:"generation"`
-	Incarnation uint64 `json:"incarnation"`
-	Ballot      uint64 `json:"ballot"`
-}
-
-// Less reports whether f is lower than g.
-func (f Fence) Less(g Fence) bool {
-	if f.Generation != g.Generation {
-		return f.Generation < g.Generation
-	}
-	if f.Incarnation != g.Incarnation {
-		return f.Incarnation < g.Incarnation
-	}
-	return f.Ballot < g.Ballot
-}
-
 // EngineState is an engine's report about itself; it lags.
 type EngineState struct {
 	Step    uint64  `json:"step"`
 	StepMS  float64 `json:"step_ms"`
 	Running int     `json:"running"`
-	KV      int     `json:"kv_tokens"`
-	Map     uint64  `json:"map"` // Version of the expert map in force.
-	Fence   Fence   `json:"fence"`
+}
+
+// MapOrder is a fenced order about the expert map. Experts comes with Prepare
+// and says what the new map is, by layer and expert the ranks that hold it.
+type MapOrder struct {
+	mapswitch.Order
+	Experts [][][]int `json:"experts,omitempty"`
+}
+
+// ExpertLoad is the tokens that each expert of each layer got in one sample.
+type ExpertLoad struct {
+	Sample int         `json:"sample"`
+	Tokens [][]float64 `json:"tokens"`
 }
 
 // Engine is the adapter to one model engine.
@@ -57,6 +50,11 @@
 	Generate func(ctx context.Context, g Generate) (stream io.ReadCloser, err error)
 	// State reads the engine's report.
 	State func(ctx context.Context) (s EngineState, err error)
+	// Order gives a fenced order about the expert map to the engine's rank.
+	Order func(ctx context.Context, o MapOrder) (r mapswitch.Reply, err error)
+	// Experts reads the newest report on the load of experts; it lags and has
+	// gaps. Every rank reports for its whole group.
+	Experts func(ctx context.Context) (l ExpertLoad, err error)
 }
 
 // NewEngine returns the adapter to the engine at the base URL.
@@ -69,7 +67,40 @@
 			err = getJSON(ctx, c, base+"/v1/state", &s)
 			return s, errors.Wrap(err, "engine state")
 		},
+		Order: func(ctx context.Context, o MapOrder) (r mapswitch.Reply, err error) {
+			err = postJSON(ctx, c, base+"/v1/order", o, &r)
+			return r, errors.Wrap(err, "engine order")
+		},
+		Experts: func(ctx context.Context) (l ExpertLoad, err error) {
+			err = getJSON(ctx, c, base+"/v1/experts", &l)
+			return l, errors.Wrap(err, "engine experts")
+		},
+	}
+}
+
+// postJSON posts a message that is harmless to repeat and decodes the answer.
+func postJSON(ctx context.Context, c *http.Client, url string, v, reply any) (err error) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return classify(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return &statusError{resp.StatusCode, string(body[:min(len(body), 200)])}
 	}
+	return json.Unmarshal(body, reply)
 }
 
 func postStream(ctx context.Context, c *http.Client, url string, v any) (stream io.ReadCloser, err error) {
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/canvaspulley/canvaspulley/internal/decide/mapswitch"
 	"github.com/canvaspulley/canvaspulley/internal/inifile"
 	"github.com/canvaspulley/canvaspulley/internal/policy"
 )
@@ -74,8 +75,12 @@
 	NotRepeatable []string
 	Timeout       time.Duration
 	Endpoints     []Endpoint // Ordered by name.
-	Experts       int
-	Slots         int
+	Experts       int        // A layer.
+	Slots         int        // Experts that a rank holds, a layer.
+	Layers        int
+	ExpertBytes   float64
+	Rebalance     time.Duration // Time of a sample of expert load; 0 leaves the map alone.
+	Policy        string        // Whose prices weigh skew against moves.
 }
 
 // IsGroup reports whether s is a group of model ranks.
@@ -278,6 +283,10 @@
 		s.Model = f.Required(kind, "model")
 		s.Experts = f.Int(kind, "experts", 64, 1, 4096)
 		s.Slots = f.Int(kind, "slots", s.Experts, 1, 4096)
+		s.Layers = f.Int(kind, "layers", 1, 1, 1024)
+		s.ExpertBytes = f.Float(kind, "expert-bytes", 50e6, 1, 1e12)
+		s.Rebalance = f.Duration(kind, "rebalance-every", 0)
+		s.Policy = f.String(kind, "policy", "")
 	} else {
 		s.Path = f.Required(kind, "path")
 		s.NotRepeatable = f.Words(kind, "not-repeatable")
@@ -295,6 +304,17 @@
 	if len(s.Endpoints) == 0 {
 		f.Fault(kind, "", "has no [endpoint NAME] section")
 	}
+	for _, e := range s.Endpoints {
+		if s.IsGroup() && e.Rank >= len(s.Endpoints) {
+			f.Fault("endpoint "+e.Name, "rank", "%d of %d ranks; they are numbered from 0", e.Rank, len(s.Endpoints))
+		}
+	}
+	if len(s.Endpoints) > mapswitch.MaxRanks && s.IsGroup() {
+		f.Fault(kind, "", "%d ranks are more than %d", len(s.Endpoints), mapswitch.MaxRanks)
+	}
+	if s.IsGroup() && s.Slots*len(s.Endpoints) < s.Experts {
+		f.Fault(kind, "slots", "%d slots of %d ranks do not hold %d experts", s.Slots, len(s.Endpoints), s.Experts)
+	}
 	sort.Slice(s.Endpoints, func(i, j int) bool { return s.Endpoints[i].Name < s.Endpoints[j].Name })
 	c.services = append(c.services, s)
 	sort.Slice(c.services, func(i, j int) bool { return c.services[i].Name < c.services[j].Name })
@@ -325,6 +345,10 @@
 	for _, s := range c.services {
 		known[s.Name] = true
 		known[s.Model] = true
+		if _, ok := c.policies[s.Policy]; !ok && s.Policy != "" {
+			faults = append(faults, inifile.Problem{File: kindGroup + "/" + s.Name + ".ini", Section: kindGroup, Key: "policy",
+				Text: "no policy " + s.Policy + " is published"})
+		}
 		if s.Path == "" {
 			continue
 		}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/canvaspulley/canvaspulley/internal/decide/mapswitch"
 	"github.com/canvaspulley/canvaspulley/internal/platform"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
@@ -21,6 +22,7 @@
 	PrefillStep int           // Prompt bytes that one step takes in.
 	CacheBytes  int           // Prompt prefixes kept by a rank, in bytes.
 	ReportLag   time.Duration // Age of what State reports.
+	LoadTime    time.Duration // From an order to load weights until they are there.
 }
 
 // Group is ranks that advance in lock-step: the slowest one paces all.
@@ -28,9 +30,12 @@
 	cfg   GroupConfig
 	ranks []*Engine
 
-	mu    sync.Mutex
-	step  uint64
-	lastS time.Duration // Time of the last step.
+	mu         sync.Mutex
+	step       uint64
+	violations int         // Steps that ran on two maps.
+	held       int         // Times the group waited for a decision.
+	demand     [][]float64 // Tokens by layer and expert, as reported.
+	sample     int
 }
 
 // sequence is one request at a rank.
@@ -49,6 +54,8 @@
 
 	mu     sync.Mutex
 	active map[*sequence]bool
+	maps   mapswitch.Rank // What the engine must not forget about its map.
+	loaded time.Time      // When the weights of maps.Prepared are there.
 	runs   map[string]int // Starts by request id.
 	cache  *prefixCache
 	down   bool
@@ -88,12 +95,65 @@
 			return nil
 		case <-timer.C:
 		}
-		if ok {
+		if ok && g.begin() {
 			g.advance(d)
 		}
 	}
 }
 
+// begin begins the next step on all ranks, if none holds, and checks that all
+// run on one map.
+func (g *Group) begin() bool {
+	for _, e := range g.ranks {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+	}
+	for _, e := range g.ranks {
+		if !e.maps.MayBegin() {
+			g.count(&g.held)
+			return false
+		}
+	}
+	for _, e := range g.ranks {
+		e.maps = e.maps.Begin()
+		if e.maps.Map != g.ranks[0].maps.Map {
+			g.count(&g.violations)
+		}
+	}
+	return true
+}
+
+func (g *Group) count(n *int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	*n++
+}
+
+// MapReport is what a group saw of its maps.
+type MapReport struct {
+	Map        uint64 `json:"map"` // In force.
+	Step       uint64 `json:"step"`
+	Violations int    `json:"violations"` // Steps that ran on two maps.
+	Held       int    `json:"held"`       // Times that the group waited for a decision.
+}
+
+// Maps returns what the group saw of its maps.
+func (g *Group) Maps() MapReport {
+	g.ranks[0].mu.Lock()
+	m := g.ranks[0].maps
+	g.ranks[0].mu.Unlock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return MapReport{Map: m.Map, Step: m.Begun, Violations: g.violations, Held: g.held}
+}
+
+// Demand sets the tokens that the engines report, by layer and expert.
+func (g *Group) Demand(tokens [][]float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.demand = tokens
+}
+
 // stepTime is the time of the next step, set by the slowest rank; ok is false
 // while a rank stalls, and then no rank advances.
 func (g *Group) stepTime() (d time.Duration, ok bool) {
@@ -114,7 +174,6 @@
 func (g *Group) advance(d time.Duration) {
 	g.mu.Lock()
 	g.step++
-	g.lastS = d
 	n := g.step
 	g.mu.Unlock()
 	for _, e := range g.ranks {
@@ -220,6 +279,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/generate", e.generate)
 	mux.HandleFunc("GET /v1/state", e.state)
+	mux.HandleFunc("POST /v1/order", e.order)
+	mux.HandleFunc("GET /v1/experts", e.experts)
 	return mux
 }
 
@@ -283,6 +344,42 @@
 	writeJSON(w, s)
 }
 
+// order obeys or refuses a fenced order. A Prepare is confirmed only when the
+// weights have had the time to come from the store.
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o platform.MapOrder
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		http.Error(w, "engine is down", http.StatusServiceUnavailable)
+		return
+	}
+	before := e.maps.Prepared
+	var reply mapswitch.Reply
+	e.maps, reply = e.maps.Handle(o.Order)
+	if e.maps.Prepared != before {
+		e.loaded = time.Now().Add(e.group.cfg.LoadTime)
+	}
+	if o.Kind == mapswitch.Prepare && time.Now().Before(e.loaded) {
+		reply.OK = false
+	}
+	writeJSON(w, reply)
+}
+
+// experts reports the load of experts, a new sample at each call.
+func (e *Engine) experts(w http.ResponseWriter, _ *http.Request) {
+	g := e.group
+	g.mu.Lock()
+	g.sample++
+	l := platform.ExpertLoad{Sample: g.sample, Tokens: g.demand}
+	g.mu.Unlock()
+	writeJSON(w, l)
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v) // The reader may be gone.
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -24,6 +24,8 @@
 	PathInstance = "/instance"
 	PathFault    = "/fault"
 	PathRuns     = "/runs"
+	PathMaps     = "/maps"
+	PathDemand   = "/demand"
 )
 
 // Fault switches one fault on or off.
@@ -34,6 +36,12 @@
 	MS     int    `json:"ms,omitempty"` // Time, for slow and delay.
 }
 
+// Demand sets what the engines of a group report on the load of experts.
+type Demand struct {
+	Group  string      `json:"group"`
+	Tokens [][]float64 `json:"tokens"` // By layer and expert.
+}
+
 // Kinds of faults.
 const (
 	FaultDown    = "down"    // A view answers nothing.
@@ -53,6 +61,7 @@
 	Views    map[string]*View    // By failure domain.
 	Engines  map[string]*Engine  // By address.
 	Services map[string]*Service // By endpoint.
+	Groups   map[string]*Group   // By name.
 
 	Net *Network
 
@@ -89,7 +98,7 @@
 	s = &Server{
 		Dir: NewDirectory(), Views: map[string]*View{},
 		Engines: map[string]*Engine{}, Services: map[string]*Service{},
-		Net: NewNetwork(),
+		Groups: map[string]*Group{}, Net: NewNetwork(),
 	}
 	defer func() {
 		if err != nil {
@@ -163,8 +172,10 @@
 		PrefillStep: f.Int(section, "prefill-bytes", 4096, 1, 1<<20),
 		CacheBytes:  f.Int(section, "cache-bytes", 1<<20, 0, 1<<30),
 		ReportLag:   f.Duration(section, "report-lag", 100*time.Millisecond),
+		LoadTime:    f.Duration(section, "load-time", 50*time.Millisecond),
 	})
 	s.groups = append(s.groups, g)
+	s.Groups[strings.TrimPrefix(section, "group ")] = g
 	for i, address := range ranks {
 		s.Engines[address] = g.Rank(i)
 		if err := s.listen(address, g.Rank(i).Handler()); err != nil {
@@ -327,6 +338,21 @@
 		return nil
 	}))
 	mux.HandleFunc("POST "+PathFault, decoded(s.Apply))
+	mux.HandleFunc("GET "+PathMaps, func(w http.ResponseWriter, _ *http.Request) {
+		reports := map[string]MapReport{}
+		for name, g := range s.Groups {
+			reports[name] = g.Maps()
+		}
+		writeJSON(w, reports)
+	})
+	mux.HandleFunc("POST "+PathDemand, decoded(func(d Demand) error {
+		g, ok := s.Groups[d.Group]
+		if !ok {
+			return errors.Newf("no group %q", d.Group)
+		}
+		g.Demand(d.Tokens)
+		return nil
+	}))
 	mux.HandleFunc("GET "+PathRuns, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Runs()) })
 	return mux
 }
