internal/node: peers first at the start, and a list that is read by its length

Cause: on paper at 2,980 processes, a restart of all would read every value from the configuration service (about 1,700 values each), and watchers would read a 450 KB list each second. Only the two watchers of a failure domain now read the service at the start, the others ask peers for five rounds first; reads of the list are spaced to 4 KB a second. The slots by endpoint are kept until a member changes, instead of being made anew for each request.

--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -16,6 +16,8 @@
 	Limits    tableVerb     `command:"limits" description:"borrowing against an even split and a central counter"`
 	Routing   routingVerb   `command:"routing" description:"the choice of rank against naive ones"`
 	Rebalance rebalanceVerb `command:"rebalance" description:"moving experts against a static map and full re-packs"`
+	Members   gossipVerb    `command:"members" description:"how fast a dead process is given up, and what that costs"`
+	Spread    gossipVerb    `command:"spread" description:"how fast a generation is in force everywhere"`
 	Trace     traceVerb     `command:"trace" description:"make a trace of expert load"`
 }
 
@@ -29,6 +31,8 @@
 		Routing:   routingVerb{app: a},
 		Rebalance: rebalanceVerb{app: a},
 		Trace:     traceVerb{app: a},
+		Members:   gossipVerb{app: a, run: experiment.Members},
+		Spread:    gossipVerb{app: a, run: experiment.Spread},
 	}
 }
 
--- a/internal/decide/member/member.go
+++ b/internal/decide/member/member.go
@@ -107,8 +107,13 @@
 	order  []string // Names still to be probed in this round.
 	deadAt int      // Place in the round of probes of dead members.
 	ticked time.Time
+	stamp  uint64 // Raised whenever a member changes.
 }
 
+// Stamp returns a number that is another one after each change of a member, so
+// that what was derived from the view can be kept until then.
+func (t *Table) Stamp() uint64 { return t.stamp }
+
 // New returns a view that holds only the process itself.
 func New(cfg Config, self Member) *Table {
 	t := &Table{cfg: cfg, self: self, all: map[string]*entry{}}
@@ -173,6 +178,7 @@
 }
 
 func (t *Table) setSelf() {
+	t.stamp++
 	t.all[t.self.Name] = &entry{m: t.self, sends: t.spread()}
 }
 
@@ -191,6 +197,7 @@
 			changes = append(changes, t.set(e, Dead, now, "suspicion not denied"))
 		case e.m.State == Dead && now.Sub(e.since) >= t.cfg.ForgetAfter:
 			delete(t.all, name)
+			t.stamp++
 		}
 	}
 	sortChanges(changes)
@@ -280,6 +287,7 @@
 }
 
 func (t *Table) set(e *entry, s State, now time.Time, cause string) Change {
+	t.stamp++
 	c := Change{Member: e.m, Was: e.m.State, Cause: cause}
 	e.m.State = s
 	e.since = now
@@ -359,12 +367,14 @@
 	if !ok {
 		e = &entry{m: m, since: now, sends: t.spread()}
 		t.all[m.Name] = e
+		t.stamp++
 		return Change{Member: m, Was: Dead, New: true, Cause: "news"}, true
 	}
 	merged := merge(e.m, m)
 	if merged == e.m {
 		return c, false
 	}
+	t.stamp++
 	c = Change{Member: merged, Was: e.m.State, Cause: "news"}
 	if merged.State != e.m.State || merged.Life != e.m.Life {
 		e.since = now
@@ -397,6 +407,9 @@
 		if c, changed := t.mergeOne(m, now); changed {
 			c.Cause = "platform's list"
 			changes = append(changes, c)
+			if !ok {
+				t.all[m.Name].sends = 0 // Others read the same list.
+			}
 		}
 	}
 	return changes
--- /dev/null
+++ b/internal/e2e/fleet_test.go
@@ -0,0 +1,120 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/canvaspulley/canvaspulley/internal/example"
+	"github.com/canvaspulley/canvaspulley/internal/node"
+	"github.com/canvaspulley/canvaspulley/internal/standin"
+)
+
+// BenchmarkFleet starts so many real daemons at once and reports, for each, what
+// they cost while they idle, how fast a generation is in force, and how many
+// calls the configuration service gets.
+func BenchmarkFleet(b *testing.B) {
+	for _, entries := range []int{2, 4, 8, 16} { // Of each failure domain; four agents go with two entries.
+		size := example.Size{Domains: 4, EntriesADomain: entries, RanksADomain: 1, ServicesADomain: 2*entries - 1, Customers: 10}
+		n := size.Domains * (size.EntriesADomain + size.RanksADomain + size.ServicesADomain)
+		b.Run(fmt.Sprint("processes=", n), func(b *testing.B) { fleet(b, size) })
+	}
+}
+
+// watched is how long the idle fleet is watched.
+const watched = 10 * time.Second
+
+func fleet(b *testing.B, size example.Size) {
+	gomega.RegisterTestingT(b)
+	g := gomega.NewWithT(b)
+	buildOnce(g)
+	layout, err := example.New(example.Archive, size, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	layout.Gossip = time.Second
+	s := &site{Site: layout, dir: b.TempDir(), procs: map[string]*exec.Cmd{}}
+	b.Cleanup(s.stopAll)
+	start := time.Now()
+	s.boot()
+	started, startCalls := time.Since(start), s.count(standin.PathCalls)
+	all := s.all()
+	for b.Loop() {
+		calls := s.count(standin.PathCalls)
+		cpu, bytes := map[string]time.Duration{}, map[string]float64{}
+		for _, p := range all {
+			cpu[p.Name], bytes[p.Name] = processor(s.procs[p.Name].Process.Pid), s.peerBytes(p)
+		}
+		time.Sleep(watched)
+		memory, used, sent := 0, time.Duration(0), 0.0
+		for _, p := range all {
+			memory = max(memory, resident(s.procs[p.Name].Process.Pid))
+			used += processor(s.procs[p.Name].Process.Pid) - cpu[p.Name]
+			sent += s.peerBytes(p) - bytes[p.Name]
+		}
+		per := watched.Seconds() * float64(len(all))
+		b.ReportMetric(float64(memory)/1024, "MB-largest")
+		b.ReportMetric(100*used.Seconds()/per, "%core/process")
+		b.ReportMetric(sent/per, "payload-B/s/process")
+		b.ReportMetric(float64(s.count(standin.PathCalls)-calls)/watched.Seconds(), "service-calls/s")
+		b.ReportMetric(started.Seconds(), "start-s")
+		b.ReportMetric(float64(startCalls), "start-calls")
+		s.inForce(b, g, all)
+	}
+}
+
+// inForce publishes a generation and reports when the processes adopted it, by
+// their own audit trails.
+func (s *site) inForce(b *testing.B, g *gomega.WithT, all []example.Process) {
+	at := time.Now()
+	s.publish(2, s.Published())
+	var times []time.Duration
+	for _, p := range all {
+		g.Eventually(func() uint64 { return s.status(p).Version.Generation }, patience, "10ms").Should(gomega.BeEquivalentTo(2))
+		var rep node.AuditReport
+		g.Expect(getJSON(p, node.PathAudit, &rep)).To(gomega.Succeed())
+		for _, r := range rep.Records {
+			if r.Kind == "config-adopted" && r.At.After(at) {
+				times = append(times, r.At.Sub(at))
+			}
+		}
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(len(times)), "adopted")
+	b.ReportMetric(float64(quantile(times, 0.5).Microseconds())/1000, "in-force-p50-ms")
+	b.ReportMetric(float64(quantile(times, 0.99).Microseconds())/1000, "in-force-p99-ms")
+	b.ReportMetric(float64(quantile(times, 1).Microseconds())/1000, "in-force-all-ms")
+}
+
+func getJSON(p example.Process, path string, v any) error {
+	resp, err := http.Get("http://" + p.Operators + path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(v)
+}
+
+// count reads a number from the stand-ins' control.
+func (s *site) count(path string) (n int) {
+	resp, err := http.Get("http://" + s.Control + path)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_ = json.NewDecoder(resp.Body).Decode(&n) // Zero is reported.
+	return n
+}
+
+// peerBytes is the payload that a process sent to and got from peers it called.
+func (s *site) peerBytes(p example.Process) float64 {
+	var m map[string]struct{ Count float64 }
+	_ = getJSON(p, node.PathMetrics, &m) // Zero is reported.
+	return m["peer.bytes-out"].Count + m["peer.bytes-in"].Count
+}
--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -61,13 +61,20 @@
 		f(layout)
 	}
 	s := &site{Site: layout, dir: GinkgoT().TempDir(), procs: map[string]*exec.Cmd{}}
+	DeferCleanup(s.stopAll)
+	s.boot()
+	return s
+}
+
+// boot writes the files, starts all processes and waits until they serve.
+func (s *site) boot() {
+	GinkgoHelper()
 	bundle, err := json.Marshal(standin.Bundle{Manifest: s.Pack(1, "", s.Published()), Values: s.Published()})
 	Expect(err).NotTo(HaveOccurred())
 	s.write("generation-1.json", bundle)
 	s.write("standin.ini", s.Standin(filepath.Join(s.dir, "generation-1.json")))
 	s.start("standin", toolPath, "standin", "--config", filepath.Join(s.dir, "standin.ini"))
 	Eventually(func() error { return s.post(standin.PathFault, standin.Fault{Kind: standin.FaultLeaving}) }, patience).Should(Succeed())
-	DeferCleanup(s.stopAll)
 	for _, p := range s.all() {
 		s.startDaemon(p)
 	}
@@ -75,7 +82,6 @@
 		s.waitReady(p)
 	}
 	Eventually(func() int { return len(s.status(s.Entries[0]).Members) }, patience).Should(Equal(len(s.all())))
-	return s
 }
 
 func (s *site) all() []example.Process {
--- a/internal/example/example.go
+++ b/internal/example/example.go
@@ -57,6 +57,8 @@
 	Control   string               // Address of the stand-ins' control.
 	Customers []Customer
 	Rebalance time.Duration // Of the groups, as published.
+	Places    int           // Requests an agent lets in at once; 0 for the daemon's default.
+	Gossip    time.Duration // Between two probes; 0 for a fifth of a second.
 	Public    ed25519.PublicKey
 	Private   ed25519.PrivateKey
 }
@@ -244,8 +246,15 @@
 			kind = "engine"
 		}
 		fmt.Fprintf(&b, "\n[endpoint]\n%s = http://%s\n", kind, p.Backend)
+		if s.Places > 0 {
+			fmt.Fprintf(&b, "max-concurrency = %d\nstep-target = 0s\n", s.Places)
+		}
+	}
+	gossip := s.Gossip
+	if gossip == 0 {
+		gossip = 200 * time.Millisecond
 	}
-	b.WriteString("\n[timing]\ngossip-interval = 200ms\nsuspect-after = 1s\nclock-skew = 100ms\n")
+	fmt.Fprintf(&b, "\n[timing]\ngossip-interval = %v\nsuspect-after = %v\nclock-skew = 100ms\n", gossip, max(time.Second, 3*gossip))
 	return []byte(b.String())
 }
 
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -243,11 +244,12 @@
 		}
 	}
 	n.readListOnce(ctx)
-	n.mu.Lock()
-	some := n.table.Helpers(n.set.Name, uint64(n.start.UnixNano()))
-	n.mu.Unlock()
-	for _, m := range some {
-		_ = n.Exchange(ctx, m.Address)
+	for range bootstrapRounds {
+		n.askSome(ctx)
+		if _, ok := n.Config(); ok || n.isWatcher() {
+			break
+		}
+		sleep(ctx, n.set.GossipInterval)
 	}
 	if _, ok := n.Config(); ok {
 		return
@@ -257,6 +259,35 @@
 	}
 }
 
+// bootstrapRounds is how often a process that is no watcher asks peers before
+// it reads the configuration service by itself: when all restart at once, the
+// watchers alone read it.
+const bootstrapRounds = 5
+
+// askSome exchanges messages with a few random peers and gives what they have
+// the time to be fetched.
+func (n *Node) askSome(ctx context.Context) {
+	n.mu.Lock()
+	some := n.table.Helpers(n.set.Name, rand.Uint64())
+	n.mu.Unlock()
+	for _, m := range some {
+		if n.Exchange(ctx, m.Address) == nil && n.awaitConfig(ctx) {
+			return
+		}
+	}
+}
+
+// awaitConfig waits for a generation that a peer has named, for a moment.
+func (n *Node) awaitConfig(ctx context.Context) bool {
+	for range 10 {
+		if _, ok := n.Config(); ok || n.hints.Len() == 0 {
+			return ok
+		}
+		sleep(ctx, n.set.GossipInterval/20)
+	}
+	return false
+}
+
 // isWatcher reports whether the node is among the first of its failure domain
 // in rendezvous order. Wrong views cost extra reads only.
 func (n *Node) isWatcher() bool {
@@ -293,20 +324,26 @@
 
 // readList follows the platform's list while the node is a watcher.
 func (n *Node) readList(ctx context.Context) error {
+	rows := 0
 	for ctx.Err() == nil {
-		sleep(ctx, n.set.GossipInterval)
+		sleep(ctx, max(n.set.GossipInterval, time.Duration(rows)*listPerRow))
 		if n.isWatcher() {
-			n.readListOnce(ctx)
+			rows = n.readListOnce(ctx)
 		}
 	}
 	return nil
 }
 
-func (n *Node) readListOnce(ctx context.Context) {
+// listPerRow spaces reads of the list by its length: at some 150 bytes a row it
+// keeps them to 4 KB a second.
+const listPerRow = 40 * time.Millisecond
+
+// readListOnce takes the list in and returns its length.
+func (n *Node) readListOnce(ctx context.Context) (length int) {
 	list, err := n.list.List(ctx)
 	if err != nil {
 		n.count("list.failed", 1)
-		return
+		return 0
 	}
 	rows := make([]member.Member, 0, len(list))
 	for _, in := range list {
@@ -321,6 +358,7 @@
 	if leaving {
 		n.Leave("the platform's list has it as leaving")
 	}
+	return len(list)
 }
 
 func fromInstance(in platform.Instance) member.Member {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,6 +92,9 @@
 	values   map[string][]byte // By hash; exactly those of manifest.
 	life     *chart.Machine
 	clash    published.Version // Newest clash on the trail.
+
+	slots      map[string]member.Member // What ByEndpoint returned at slotsStamp.
+	slotsStamp uint64
 }
 
 // New returns a node that is started by Run. The name, role and addresses come
@@ -183,14 +186,20 @@
 }
 
 // ByEndpoint finds the living members that fill slots, by slot. When two claim
-// one slot, the later life has it.
+// one slot, the later life has it. The map is shared and must not be changed.
 func (n *Node) ByEndpoint() map[string]member.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.slots != nil && n.slotsStamp == n.table.Stamp() {
+		return n.slots
+	}
 	found := map[string]member.Member{}
-	for _, m := range n.Members(func(m member.Member) bool { return m.Endpoint != "" && m.State != member.Dead }) {
+	for _, m := range n.table.Members(func(m member.Member) bool { return m.Endpoint != "" && m.State != member.Dead }) {
 		if old, dup := found[m.Endpoint]; !dup || m.Life > old.Life {
 			found[m.Endpoint] = m
 		}
 	}
+	n.slots, n.slotsStamp = found, n.table.Stamp()
 	return found
 }
 
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -61,3 +61,6 @@
 
 // Out is where the values come out, in order.
 func (q *Queue[T]) Out() <-chan T { return q.c }
+
+// Len returns the number of values that wait.
+func (q *Queue[T]) Len() int { return len(q.c) }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -25,6 +25,7 @@
 	PathFault    = "/fault"
 	PathRuns     = "/runs"
 	PathMaps     = "/maps"
+	PathCalls    = "/calls"
 	PathDemand   = "/demand"
 )
 
@@ -338,6 +339,13 @@
 		return nil
 	}))
 	mux.HandleFunc("POST "+PathFault, decoded(s.Apply))
+	mux.HandleFunc("GET "+PathCalls, func(w http.ResponseWriter, _ *http.Request) {
+		calls := 0
+		for _, v := range s.Views {
+			calls += v.Calls()
+		}
+		writeJSON(w, calls)
+	})
 	mux.HandleFunc("GET "+PathMaps, func(w http.ResponseWriter, _ *http.Request) {
 		reports := map[string]MapReport{}
 		for name, g := range s.Groups {
