--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -55,6 +55,7 @@
 		{"policy", "say what a policy answers for given requests", &policyVerb{app: a}},
 		{"load", "send requests at a rate and check every answer", &loadVerb{app: a}},
 		{"experiment", "measure the decisions against their naive versions", newExperimentVerb(a)},
+		{"capacity", "work out what a site of a given size costs", &capacityVerb{app: a}},
 		{"status", "show what processes believe", &statusVerb{app: a}},
 		{"audit", "show what changed, merged by time", &auditVerb{app: a}},
 		{"keys", "make a site's certificates and signing key", &keysVerb{app: a}},
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -51,7 +51,7 @@
 // source reads the manifest and the values of one place.
 type source struct {
 	name     string
-	manifest func(ctx context.Context) (raw []byte, err error)
+	manifest func(ctx context.Context) (m published.Manifest, err error)
 	value    func(ctx context.Context, e published.Entry) (raw []byte, err error)
 }
 
@@ -60,19 +60,39 @@
 	if address == "" {
 		return source{
 			name:     "configuration service",
-			manifest: func(ctx context.Context) ([]byte, error) { return n.conf.Get(ctx, published.ManifestKey) },
+			manifest: n.manifestOfService,
 			value:    func(ctx context.Context, e published.Entry) ([]byte, error) { return n.conf.Get(ctx, e.Key) },
 		}
 	}
 	return source{
 		name:     address,
-		manifest: func(ctx context.Context) ([]byte, error) { return n.peerGet(ctx, address, wire.PathManifest) },
+		manifest: func(ctx context.Context) (published.Manifest, error) { return n.manifestOfPeer(ctx, address) },
 		value: func(ctx context.Context, e published.Entry) ([]byte, error) {
 			return n.peerGet(ctx, address, wire.PathValue+e.Hash)
 		},
 	}
 }
 
+func (n *Node) manifestOfService(ctx context.Context) (m published.Manifest, err error) {
+	raw, err := n.conf.Get(ctx, published.ManifestKey)
+	if err != nil {
+		return m, err
+	}
+	return published.ParseManifest(raw)
+}
+
+// manifestOfPeer asks for the difference from what the node has.
+func (n *Node) manifestOfPeer(ctx context.Context, address string) (m published.Manifest, err error) {
+	n.mu.Lock()
+	own, version := n.manifest, n.spread.Current()
+	n.mu.Unlock()
+	raw, err := n.peerGet(ctx, address, wire.PathManifest+"?have="+version.Hash)
+	if err != nil {
+		return m, err
+	}
+	return published.ParseTold(raw, own)
+}
+
 func (n *Node) peerGet(ctx context.Context, address, path string) (raw []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -96,18 +116,15 @@
 // take fetches, judges and adopts what a place has.
 func (n *Node) take(ctx context.Context, from string) (err error) {
 	src := n.source(from)
-	raw, err := src.manifest(ctx)
+	m, err := src.manifest(ctx)
 	if err != nil {
 		return err
 	}
-	return n.takeManifest(ctx, src, raw)
+	return n.takeManifest(ctx, src, m)
 }
 
-func (n *Node) takeManifest(ctx context.Context, src source, raw []byte) (err error) {
-	m, err := published.ParseManifest(raw)
-	if err != nil {
-		return err
-	}
+// takeManifest judges a manifest and adopts its generation if that is newer.
+func (n *Node) takeManifest(ctx context.Context, src source, m published.Manifest) (err error) {
 	v := m.Version()
 	if err := m.Verify(n.set.OperatorKey); err != nil {
 		n.trail.Add(audit.ConfigRefused, generationName(v), err.Error()+", from "+src.name)
@@ -192,6 +209,7 @@
 	_, clash := n.spread.Clash()
 	if adopted {
 		n.config.Store(c)
+		n.older = append([]olderManifest{{old.Hash, n.manifest}}, n.older[:min(len(n.older), olderManifests-1)]...)
 		n.manifest, n.values = m, byHash
 		n.life.Apply(eventConfigured)
 	}
@@ -219,7 +237,7 @@
 		}
 		raw, err := n.conf.Wait(ctx, published.ManifestKey, seen)
 		if err == nil && raw != nil {
-			err = n.takeManifest(ctx, n.source(""), raw)
+			err = n.takeWatched(ctx, raw)
 		}
 		if err != nil {
 			n.count("config.watch-failed", 1)
@@ -235,6 +253,15 @@
 	return nil
 }
 
+// takeWatched takes in what a watch of the configuration service showed.
+func (n *Node) takeWatched(ctx context.Context, raw []byte) (err error) {
+	m, err := published.ParseManifest(raw)
+	if err != nil {
+		return err
+	}
+	return n.takeManifest(ctx, n.source(""), m)
+}
+
 // bootstrap asks peers for the highest generation before the service, which
 // may be stale, is trusted.
 func (n *Node) bootstrap(ctx context.Context) {
@@ -368,15 +395,34 @@
 	}
 }
 
-func (n *Node) serveManifest(w http.ResponseWriter, _ *http.Request) {
+// olderManifests is how many manifests are kept to tell differences from.
+const olderManifests = 4
+
+// olderManifest is a manifest that was in force, under its hash.
+type olderManifest struct {
+	hash     string
+	manifest published.Manifest
+}
+
+// serveManifest tells a peer the manifest, as a difference if what the peer has
+// is still known here.
+func (n *Node) serveManifest(w http.ResponseWriter, r *http.Request) {
 	n.mu.Lock()
-	m, v := n.manifest, n.spread.Current()
+	m, v, older := n.manifest, n.spread.Current(), n.older
 	n.mu.Unlock()
 	if v.Generation == 0 {
 		http.Error(w, "no generation yet", http.StatusNotFound)
 		return
 	}
-	_, _ = w.Write(m.Encode()) // The peer may be gone.
+	have := r.URL.Query().Get("have")
+	for _, old := range older {
+		if have != "" && old.hash == have {
+			d := m.DeltaFrom(old.manifest)
+			WriteJSON(w, published.Told{Delta: &d})
+			return
+		}
+	}
+	WriteJSON(w, published.Told{Whole: &m})
 }
 
 func (n *Node) serveValue(w http.ResponseWriter, r *http.Request) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,6 +89,7 @@
 	table    *member.Table
 	spread   *spread.State
 	manifest published.Manifest
+	older    []olderManifest   // The ones before manifest, newest first.
 	values   map[string][]byte // By hash; exactly those of manifest.
 	life     *chart.Machine
 	clash    published.Version // Newest clash on the trail.
--- a/internal/published/published_test.go
+++ b/internal/published/published_test.go
@@ -4,6 +4,9 @@
 
 import (
 	"crypto/ed25519"
+	"encoding/json"
+	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -41,6 +44,83 @@
 	g.Expect(Pack(3, "", values, key("a")).Version()).To(gomega.Equal(m.Version()), "and is the same each time")
 }
 
+func TestDeltaMakesTheWholeAgain(t *testing.T) {
+	values := func(names ...string) map[string][]byte {
+		m := map[string][]byte{}
+		for _, n := range names {
+			m["policy/"+n] = []byte(n)
+		}
+		return m
+	}
+	changed := values("a", "b", "c")
+	changed["policy/b"] = []byte("other")
+	for name, pair := range map[string][2]map[string][]byte{
+		"changed":        {values("a", "b", "c"), changed},
+		"added in front": {values("b"), values("a", "b")},
+		"added behind":   {values("a"), values("a", "b", "c")},
+		"dropped":        {values("a", "b", "c"), values("b")},
+		"all new":        {values("a", "b"), values("c", "d")},
+		"the same":       {values("a"), values("a")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			old, m := Pack(1, "", pair[0], key("a")), Pack(2, "", pair[1], key("a"))
+			again, err := m.DeltaFrom(old).Apply(old)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(again.Version()).To(gomega.Equal(m.Version()))
+			g.Expect(again.Verify(key("a").Public().(ed25519.PublicKey))).To(gomega.Succeed())
+			_, err = m.DeltaFrom(old).Apply(m)
+			g.Expect(err).To(gomega.HaveOccurred(), "from another manifest")
+		})
+	}
+}
+
+// design is a generation of the design size: 1,600 customers, 21 policies, 21
+// groups of 124 endpoints.
+func design() map[string][]byte {
+	values := map[string][]byte{}
+	for i := range 1600 {
+		values[fmt.Sprintf("customer/customer-%04d.ini", i)] = fmt.Appendf(nil,
+			"[customer]\nkey-hash = %064x\npolicy = policy-%02d\nrate = 100\nburst = 200\n", i, i%21)
+	}
+	for i := range 21 {
+		values[fmt.Sprintf("policy/policy-%02d.ini", i)] = []byte(
+			"[policy]\npriority = class == \"kiosk\" ? 9 : (class == \"till\" ? 6 : 1)\nretry = attempt < 3\nmove = tokens < 2000\n")
+		text := fmt.Appendf(nil, "[group]\nmodel = model-%02d\n", i)
+		for e := range 124 {
+			text = fmt.Appendf(text, "\n[endpoint m%02d-r%03d]\ndomain = domain-%02d\nrank = %d\n", i, e, e%21, e)
+		}
+		values[fmt.Sprintf("group/group-%02d.ini", i)] = text
+	}
+	return values
+}
+
+// BenchmarkDesign measures what a generation of the design size costs to judge
+// and to hold, and what is told of a change of one value.
+func BenchmarkDesign(b *testing.B) {
+	values := design()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var c *Config
+	for b.Loop() {
+		var err error
+		if c, err = New(Version{}, values); err != nil {
+			b.Fatal(err)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	old := Pack(1, "", values, key("a"))
+	values["customer/customer-0007.ini"] = []byte("[customer]\n")
+	m := Pack(2, old.Version().Hash, values, key("a"))
+	delta, _ := json.Marshal(m.DeltaFrom(old))
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1024, "KB-held")
+	b.ReportMetric(float64(len(m.Encode())), "manifest-B")
+	b.ReportMetric(float64(len(delta)), "delta-B")
+	runtime.KeepAlive(c)
+}
+
 func FuzzManifest(f *testing.F) {
 	m := Pack(1, "", map[string][]byte{"policy/a.ini": nil}, key("a"))
 	f.Add(m.Encode())
