internal/e2e: cut domains, limits and mutual TLS on separate processes

A relay before each peer listener holds what goes into a cut. Under load, a cut with the platform down inside, a generation published during it, and an agent killed in the cut: no answer without an outcome, nothing doubled, lost or falsely called not run. A limit of 30 a second over three entries, two of them cut off, at three times the demand: never above rate and burst.

--- /dev/null
+++ b/internal/e2e/fleet_faults_test.go
@@ -0,0 +1,138 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/canvaspulley/canvaspulley/internal/example"
+	"github.com/canvaspulley/canvaspulley/internal/node"
+	"github.com/canvaspulley/canvaspulley/internal/standin"
+	"github.com/canvaspulley/canvaspulley/internal/trust"
+	"github.com/canvaspulley/canvaspulley/internal/wire"
+)
+
+// three is a small site of three failure domains.
+var three = example.Size{Domains: 3, EntriesADomain: 1, RanksADomain: 1, ServicesADomain: 1, Customers: 1}
+
+// loaded runs the load generator against all entries beside f and returns what
+// it printed; it must end well.
+func (s *site) loaded(f func(), args ...string) string {
+	GinkgoHelper()
+	args = append([]string{"load", "--json", "--control", s.Control, "--key", s.Customers[0].Key,
+		"--model", s.Model, "--path", s.Path, "--attempts", "8"}, args...)
+	for _, e := range s.Entries {
+		args = append(args, "--target", e.Callers)
+	}
+	cmd := exec.Command(toolPath, args...)
+	var out strings.Builder
+	cmd.Stdout, cmd.Stderr = &out, &out
+	Expect(cmd.Start()).To(Succeed())
+	f()
+	Expect(cmd.Wait()).To(Succeed(), out.String())
+	return out.String()
+}
+
+type loadCounts struct {
+	Sent    int `json:"sent"`
+	Whole   int `json:"whole"`
+	Broken  int `json:"broken"`
+	Unknown int `json:"unknown"`
+	NotRun  int `json:"not_run"`
+}
+
+func counts(text string) (c loadCounts) {
+	GinkgoHelper()
+	Expect(json.Unmarshal([]byte(text), &c)).To(Succeed())
+	return c
+}
+
+var _ = Describe("a failure domain that is cut off", func() {
+	It("goes on serving, and nothing is doubled, lost or falsely called not run", func() {
+		s := startSite(example.RefundDesk, three)
+		last := s.Domains[2]
+		c := counts(s.loaded(func() {
+			time.Sleep(500 * time.Millisecond)
+			s.fault(standin.Fault{Kind: standin.FaultCut, Target: last, On: true})
+			s.fault(standin.Fault{Kind: standin.FaultDown, Target: last, On: true})
+			s.publish(2, s.Published())
+			inside := s.Entries[2]
+			Eventually(func() (wire.Outcome, error) {
+				r, err := s.ask(inside, http.MethodPost, "/v1/chat/completions",
+					`{"model":"receipts","max_tokens":3,"messages":[{"role":"user","content":"cut"}]}`, nil)
+				return r.outcome, err
+			}, patience, "50ms").Should(Equal(wire.Done), "a caller inside the cut domain")
+			time.Sleep(time.Second)
+			s.fault(standin.Fault{Kind: standin.FaultCut, Target: last, On: false})
+			s.fault(standin.Fault{Kind: standin.FaultDown, Target: last, On: false})
+		}, "--rate", "40", "--duration", "4s", "--streams", "0.4", "--payments", "0.5", "--tokens", "20"))
+		Expect(c.Sent).To(Equal(160))
+		Expect(c.Broken).To(BeZero())
+		s.waitGeneration(2)
+	})
+
+	It("keeps its promises when an agent is killed in the cut as well", func() {
+		s := startSite(example.RefundDesk, three)
+		last := s.Domains[2]
+		c := counts(s.loaded(func() {
+			time.Sleep(300 * time.Millisecond)
+			s.fault(standin.Fault{Kind: standin.FaultCut, Target: last, On: true})
+			time.Sleep(300 * time.Millisecond)
+			s.kill(s.Agents[1].Name)
+			time.Sleep(time.Second)
+			s.fault(standin.Fault{Kind: standin.FaultCut, Target: last, On: false})
+			s.startDaemon(s.Agents[1])
+		}, "--rate", "40", "--duration", "3s", "--streams", "0.3", "--payments", "0.6", "--tokens", "20"))
+		Expect(c.Broken).To(BeZero())
+	})
+})
+
+var _ = Describe("a customer's limit", func() {
+	It("holds over all entries, also in a cut", func() {
+		s := startSite(example.Archive, three, func(s *site) { s.Customers[0].Rate = 30 })
+		for _, d := range s.Domains[:2] {
+			s.fault(standin.Fault{Kind: standin.FaultCut, Target: d, On: true})
+		}
+		const seconds = 4
+		start := time.Now()
+		c := counts(s.loaded(func() {}, "--rate", "90", "--duration", fmt.Sprint(seconds, "s"), "--streams", "0", "--payments", "0", "--attempts", "1"))
+		took := time.Since(start).Seconds()
+		Expect(float64(c.Whole)).To(BeNumerically("<=", 30+30*took), "the burst and the rate")
+		Expect(c.NotRun).To(BeNumerically(">", c.Sent/3))
+	})
+})
+
+var _ = Describe("mutual TLS", func() {
+	It("carries the whole path between processes, and keeps strangers out", func() {
+		s := startSite(example.Archive, example.Small, func(s *site) {
+			s.Keys = filepath.Join(s.dir, "keys")
+			args := []string{"keys", s.Keys, "--holder", "operator/any/maria"}
+			for _, p := range s.all() {
+				args = append(args, "--holder", p.Role+"/"+p.Domain+"/"+p.Name)
+			}
+			out, err := exec.Command(toolPath, args...).CombinedOutput()
+			Expect(err).NotTo(HaveOccurred(), string(out))
+			creds, err := trust.Load(s.Keys+"/ca.crt", s.Keys+"/maria.crt", s.Keys+"/maria.key")
+			Expect(err).NotTo(HaveOccurred())
+			s.tls = &http.Client{Transport: &http.Transport{TLSClientConfig: creds.Client()}}
+		})
+		r := s.mustAsk(s.Entries[0], http.MethodPost, "/v1/chat/completions",
+			`{"model":"plates","max_tokens":5,"messages":[{"role":"user","content":"secret"}]}`, nil)
+		Expect(r.outcome).To(Equal(wire.Done))
+		_, err := http.Get("http://" + s.Entries[0].Operators + node.PathStatus)
+		if err == nil {
+			Expect(s.status(s.Entries[0]).Name).NotTo(BeEmpty(), "with a certificate there is an answer")
+		}
+		_, err = s.tls.Get("https://" + s.Agents[0].Peers + wire.PathManifest)
+		Expect(err).To(HaveOccurred(), "an operator is no peer")
+	})
+})
--- a/internal/e2e/maps_test.go
+++ b/internal/e2e/maps_test.go
@@ -44,7 +44,7 @@
 
 var _ = Describe("the expert map under failure", func() {
 	It("changes under load without a step on two maps, also when agents are killed and frozen", func() {
-		s := startSite(example.Archive, trio, func(l *example.Site) { l.Rebalance = 50 * time.Millisecond })
+		s := startSite(example.Archive, trio, func(s *site) { s.Rebalance = 50 * time.Millisecond })
 		leader := s.Agents[0].Name
 		busy := s.open(s.Entries[0], "while maps change", 4000, "")
 		Expect(busy.read(1)).To(BeTrue())
--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -50,17 +50,18 @@
 	*example.Site
 	dir   string
 	procs map[string]*exec.Cmd
+	tls   *http.Client // Of an operator; nil without TLS.
 }
 
 // startSite lays out and starts a site and waits until all of it serves.
-func startSite(user example.User, size example.Size, change ...func(*example.Site)) *site {
+func startSite(user example.User, size example.Size, change ...func(*site)) *site {
 	GinkgoHelper()
 	layout, err := example.New(user, size, 0)
 	Expect(err).NotTo(HaveOccurred())
+	s := &site{Site: layout, dir: GinkgoT().TempDir(), procs: map[string]*exec.Cmd{}}
 	for _, f := range change {
-		f(layout)
+		f(s)
 	}
-	s := &site{Site: layout, dir: GinkgoT().TempDir(), procs: map[string]*exec.Cmd{}}
 	DeferCleanup(s.stopAll)
 	s.boot()
 	return s
@@ -106,10 +107,19 @@
 	s.start(p.Name, daemonPath, "--config", filepath.Join(s.dir, p.Name+".ini"))
 }
 
+// operators is the client of the operators' listeners.
+func (s *site) operators() (c *http.Client, scheme string) {
+	if s.tls == nil {
+		return http.DefaultClient, "http://"
+	}
+	return s.tls, "https://"
+}
+
 func (s *site) waitReady(p example.Process) {
 	GinkgoHelper()
 	Eventually(func() (int, error) {
-		resp, err := http.Get("http://" + p.Operators + node.PathReady)
+		c, scheme := s.operators()
+		resp, err := c.Get(scheme + p.Operators + node.PathReady)
 		if err != nil {
 			return 0, err
 		}
@@ -168,7 +178,8 @@
 }
 
 func (s *site) status(p example.Process) (st node.Status) {
-	resp, err := http.Get("http://" + p.Operators + node.PathStatus)
+	c, scheme := s.operators()
+	resp, err := c.Get(scheme + p.Operators + node.PathStatus)
 	if err != nil {
 		return st
 	}
--- a/internal/example/example.go
+++ b/internal/example/example.go
@@ -59,6 +59,7 @@
 	Rebalance time.Duration // Of the groups, as published.
 	Places    int           // Requests an agent lets in at once; 0 for the daemon's default.
 	Gossip    time.Duration // Between two probes; 0 for a fifth of a second.
+	Keys      string        // Folder with ca.crt and each process's certificate and key; "" for no TLS.
 	Public    ed25519.PublicKey
 	Private   ed25519.PrivateKey
 }
@@ -250,6 +251,9 @@
 			fmt.Fprintf(&b, "max-concurrency = %d\nstep-target = 0s\n", s.Places)
 		}
 	}
+	if s.Keys != "" {
+		fmt.Fprintf(&b, "\n[tls]\nca = %[1]s/ca.crt\ncertificate = %[1]s/%[2]s.crt\nprivate-key = %[1]s/%[2]s.key\n", s.Keys, p.Name)
+	}
 	gossip := s.Gossip
 	if gossip == 0 {
 		gossip = 200 * time.Millisecond
