--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -39,6 +39,10 @@
 	engine  *platform.Engine  // Nil beside a plain service.
 	service *platform.Service // Nil beside an engine.
 
+	orders     sync.Mutex // Held while an order about the expert map is passed on.
+	fence      uint64     // Highest ballot passed on.
+	fenceKnown bool       // The engine's own fence has been read.
+
 	mu      sync.Mutex
 	queue   *admit.Queue
 	ids     *once.Table            // Attempts of requests, for "not run".
--- a/internal/agent/mapper.go
+++ b/internal/agent/mapper.go
@@ -253,10 +253,33 @@
 		http.Error(w, "process was paused", http.StatusServiceUnavailable)
 		return
 	}
-	reply, err := a.engine.Order(r.Context(), o)
+	reply, err := a.order(r.Context(), o)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
 	}
 	node.WriteJSON(w, reply)
 }
+
+// order passes an order on unless its ballot is below one that was passed on
+// before. Not every engine checks fences; an agent that starts anew reads the
+// highest one back before its first order. Orders go one at a time, so that
+// none overtakes the check.
+func (a *Agent) order(ctx context.Context, o platform.MapOrder) (r mapswitch.Reply, err error) {
+	a.orders.Lock()
+	defer a.orders.Unlock()
+	if !a.fenceKnown {
+		own, err := a.engine.Order(ctx, platform.MapOrder{Order: mapswitch.Order{Kind: mapswitch.Ask}})
+		if err != nil {
+			return r, err
+		}
+		a.fence, a.fenceKnown = own.State.Fence, true
+	}
+	if o.Ballot < a.fence {
+		refused := mapswitch.Reply{Kind: o.Kind, Ballot: o.Ballot, Rank: o.Rank, Plan: o.Plan}
+		refused.State.Fence = a.fence
+		return refused, nil
+	}
+	a.fence = o.Ballot
+	return a.engine.Order(ctx, o)
+}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -18,6 +18,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/published"
+	"github.com/canvaspulley/canvaspulley/internal/trust"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
 
@@ -28,6 +29,14 @@
 	Rows    []member.Member   `json:"rows"`
 }
 
+// sender returns who a message says that it is from.
+func (m message) sender() (h trust.Holder) {
+	if len(m.Rows) > 0 {
+		h = trust.Holder{Role: m.Rows[0].Role, Domain: m.Rows[0].Domain, Name: m.Rows[0].Name}
+	}
+	return h
+}
+
 // outgoing returns the next message to a peer; the name may be "" when it is
 // not known.
 func (n *Node) outgoing(name string) message {
@@ -261,6 +270,11 @@
 	if !ReadJSON(w, r, &m) {
 		return
 	}
+	if err := n.creds.Claims(r.TLS, m.sender()); err != nil {
+		n.trail.Add(audit.PeerRefused, r.RemoteAddr, err.Error())
+		http.Error(w, err.Error(), http.StatusForbidden)
+		return
+	}
 	n.receive(m)
 	from := ""
 	if len(m.Rows) > 0 {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -23,6 +23,7 @@
 	CacheBytes  int           // Prompt prefixes kept by a rank, in bytes.
 	ReportLag   time.Duration // Age of what State reports.
 	LoadTime    time.Duration // From an order to load weights until they are there.
+	NoFences    bool          // The engines obey any ballot.
 }
 
 // Group is ranks that advance in lock-step: the slowest one paces all.
@@ -359,8 +360,14 @@
 		return
 	}
 	before := e.maps.Prepared
+	fence := e.maps.Fence
+	if e.group.cfg.NoFences {
+		e.maps.Fence = 0
+	}
 	var reply mapswitch.Reply
 	e.maps, reply = e.maps.Handle(o.Order)
+	e.maps.Fence = max(e.maps.Fence, fence)
+	reply.State.Fence = e.maps.Fence
 	if e.maps.Prepared != before {
 		e.loaded = time.Now().Add(e.group.cfg.LoadTime)
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -174,6 +174,7 @@
 		CacheBytes:  f.Int(section, "cache-bytes", 1<<20, 0, 1<<30),
 		ReportLag:   f.Duration(section, "report-lag", 100*time.Millisecond),
 		LoadTime:    f.Duration(section, "load-time", 50*time.Millisecond),
+		NoFences:    !f.Bool(section, "fences", true),
 	})
 	s.groups = append(s.groups, g)
 	s.Groups[strings.TrimPrefix(section, "group ")] = g
--- a/internal/trust/trust.go
+++ b/internal/trust/trust.go
@@ -50,6 +50,26 @@
 	return h, errors.New("certificate names no holder")
 }
 
+// Claims checks that the other side of a connection is who its message says: a
+// process speaks for itself only, in its own role and failure domain. Without
+// TLS there is nothing to check.
+func (c *Credentials) Claims(s *tls.ConnectionState, claimed Holder) (err error) {
+	if !c.On() {
+		return nil
+	}
+	if s == nil || len(s.PeerCertificates) == 0 {
+		return errors.New("no certificate")
+	}
+	h, err := HolderOf(s.PeerCertificates[0])
+	if err != nil {
+		return err
+	}
+	if h != claimed {
+		return errors.Newf("certificate of %s speaks as %s", h.URI(), claimed.URI())
+	}
+	return nil
+}
+
 // recheck is how long a read of the files is good for.
 const recheck = time.Second
 
--- a/internal/trust/trust_test.go
+++ b/internal/trust/trust_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/tls"
+	"crypto/x509"
 	"io"
 	"log"
 	"net/http"
@@ -99,6 +100,20 @@
 	}
 }
 
+func TestAProcessSpeaksForItselfOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ca, pem := newAuthority(t)
+	mine := Holder{"entry", "krk-a", "entry"}
+	c := issue(t, t.TempDir(), ca, pem, mine, time.Now(), time.Hour)
+	pair, _ := c.current()
+	s := &tls.ConnectionState{PeerCertificates: []*x509.Certificate{pair.Leaf}}
+	g.Expect(c.Claims(s, mine)).To(gomega.Succeed())
+	for _, other := range []Holder{{"entry", "krk-b", "entry"}, {"endpoint", "krk-a", "entry"}, {"entry", "krk-a", "other"}, {}} {
+		g.Expect(c.Claims(s, other)).NotTo(gomega.Succeed())
+	}
+	g.Expect(c.Claims(nil, mine)).NotTo(gomega.Succeed())
+}
+
 func TestClientRefusesAWrongServer(t *testing.T) {
 	ca, pem := newAuthority(t)
 	foreign, foreignPEM := newAuthority(t)
