--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -161,19 +161,12 @@
 
 // observe reads the engine's report and notices when its group stands still.
 func (a *Agent) observe(ctx context.Context) error {
-	ticker := time.NewTicker(stateEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return node.Every(ctx, stateEvery, func() {
 		call, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
 		s, err := a.engine.State(call)
-		cancel()
 		a.takeReport(s, err, time.Now())
-	}
+	})
 }
 
 func (a *Agent) takeReport(s platform.EngineState, err error, now time.Time) {
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -59,7 +59,7 @@
 	corePlan     = Slope{"processor of one plan", 0.0380 / 60, "core s a layer (256 ranks, 64 experts, 2 slots)", "go test ./internal/decide/rebalance -run xxx -bench Plan -cpu 1"}
 	coreEntry    = Slope{"processor of the entry a token", 37e-6, "core s", "go test ./internal/e2e -run xxx -bench Relay -benchtime 2x"}
 	coreAgent    = Slope{"processor of the agent a token", 33.5e-6, "core s", "the same"}
-	gossipBytes  = Slope{"bytes sent a process", 939, "B/s", "canvaspulley experiment members --nodes 2980 --domains 21 --seconds 22"}
+	gossipBytes  = Slope{"bytes sent a process", 965, "B/s", "canvaspulley experiment members --nodes 2980 --domains 21 --seconds 25"}
 	gossipSent   = Slope{"messages sent a process", 2.37, "1/s", "canvaspulley experiment spread --nodes 2980 --domains 21 --seconds 16"}
 	deltaBytes   = Slope{"bytes told of one change", 400, "B", "go test ./internal/published -run xxx -bench Design -cpu 1"}
 	pushes       = Slope{"exchanges at one change", 4, "messages", "fan-out of the daemon and the fetch"}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -46,6 +46,20 @@
 	return json.NewDecoder(resp.Body).Decode(v)
 }
 
+// collect asks every process the same and keeps what came; the faults of those
+// that did not answer are joined.
+func collect[T any](a *access, path string) (list []T, faults error) {
+	for _, address := range a.Args.Addresses {
+		var v T
+		if err := a.get(address, path, &v); err != nil {
+			faults = errors.Join(faults, err)
+			continue
+		}
+		list = append(list, v)
+	}
+	return list, faults
+}
+
 // statusVerb shows what processes believe.
 type statusVerb struct {
 	app *app
@@ -54,16 +68,7 @@
 
 // Execute prints one line a process; it fails when one did not answer.
 func (v *statusVerb) Execute([]string) (err error) {
-	var list []node.Status
-	var faults error
-	for _, address := range v.Args.Addresses {
-		var s node.Status
-		if err := v.get(address, node.PathStatus, &s); err != nil {
-			faults = errors.Join(faults, err)
-			continue
-		}
-		list = append(list, s)
-	}
+	list, faults := collect[node.Status](&v.access, node.PathStatus)
 	if v.JSON {
 		if err := v.app.printJSON(list); err != nil {
 			return err
@@ -100,14 +105,9 @@
 
 // Execute prints the records of all processes, oldest first.
 func (v *auditVerb) Execute([]string) (err error) {
+	reports, faults := collect[node.AuditReport](&v.access, node.PathAudit)
 	var all []audit.Record
-	var faults error
-	for _, address := range v.Args.Addresses {
-		var rep node.AuditReport
-		if err := v.get(address, node.PathAudit, &rep); err != nil {
-			faults = errors.Join(faults, err)
-			continue
-		}
+	for _, rep := range reports {
 		all = append(all, rep.Records...)
 	}
 	sort.SliceStable(all, func(i, j int) bool { return all[i].At.Before(all[j].At) })
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -86,16 +86,7 @@
 
 // run borrows for the customers whose demand is above their share.
 func (l *limits) run(ctx context.Context) error {
-	ticker := time.NewTicker(borrowEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			l.round(ctx)
-		}
-	}
+	return node.Every(ctx, borrowEvery, func() { l.round(ctx) })
 }
 
 // round asks one random peer for each customer in want.
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -48,28 +48,21 @@
 // gossip probes one peer an interval. A late tick means that the process was
 // paused.
 func (n *Node) gossip(ctx context.Context) error {
-	ticker := time.NewTicker(n.set.GossipInterval)
-	defer ticker.Stop()
-	g, ctx := errgroup.WithContext(ctx)
+	g := &errgroup.Group{}
 	g.SetLimit(8)
-	for {
-		select {
-		case <-ctx.Done():
-			return g.Wait()
-		case <-ticker.C:
-		}
+	defer func() { _ = g.Wait() }() // Probes return no errors.
+	return Every(ctx, n.set.GossipInterval, func() {
 		n.noticePause(time.Now())
 		n.mu.Lock()
 		p, changes, ok := n.table.Tick(time.Now(), rand.Uint64())
 		n.mu.Unlock()
 		n.note(changes)
-		if ok {
-			g.TryGo(func() error { n.probe(ctx, p.Target); return nil })
-		}
 		if !ok {
 			n.confirm() // Nobody to ask: there is no other view.
+			return
 		}
-	}
+		g.TryGo(func() error { n.probe(ctx, p.Target); return nil })
+	})
 }
 
 // noticePause takes the node out of service when its clock jumped, until a
