internal/agent: the KV cache moves with a stream off a leaving endpoint

A leaving agent tells its streams; the entry asks the policy, and the new agent fetches the cache from the old one and gives it to its engine. A spec stops an agent as planned under the Refund Desk's policy: the stream goes on elsewhere, whole, with one import.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -93,6 +93,7 @@
 	mux.HandleFunc("POST "+wire.PathOutcome, a.serveOutcome)
 	if a.engine != nil {
 		mux.HandleFunc("POST "+wire.PathSwitch, a.serveSwitch)
+		mux.HandleFunc("GET "+wire.PathCache+"{id}", a.serveCache)
 	}
 	return mux
 }
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -170,6 +170,17 @@
 		delete(s.procs, leaving.Name)
 	})
 
+	It("moves a stream off a leaving agent with its KV cache when the policy says so", func() {
+		s := startSite(example.RefundDesk, pair)
+		o := s.open(s.Entries[0], "moves off", 400, "")
+		Expect(o.read(10)).To(BeTrue())
+		first := o.rank
+		s.signal(s.agentOf(first).Name, syscall.SIGTERM)
+		o.expectWhole("moves off", 400)
+		Expect(o.rank).NotTo(Equal(first))
+		Expect(s.count(standin.PathImports)).To(Equal(1))
+	})
+
 	It("cuts nothing in a planned stop of an entry", func() {
 		s := startSite(example.Archive, pair)
 		o := s.open(s.Entries[0], "entry stops", 200, "")
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -224,11 +224,7 @@
 	if !begun || s.env.Once {
 		return s.entry.again(s.req, s.chat.Model, &s.env, refusal)
 	}
-	facts := s.req.facts(s.chat.Model, true)
-	facts.Reason, facts.Tokens = refusal.Reason, int64(s.next)
-	ok, err := s.req.policy.Programs.Move(facts)
-	s.entry.auditPolicy(s.req, err)
-	if !ok || s.req.tries >= maxMoves || s.req.r.Context().Err() != nil {
+	if !s.mayMove(refusal.Reason) || s.req.tries >= maxMoves || s.req.r.Context().Err() != nil {
 		return false
 	}
 	s.entry.node.Trail().Add(audit.StreamMoved, s.req.id, "from "+c.Endpoint+" at token "+strconv.Itoa(s.next)+": "+refusal.Reason)
@@ -276,6 +272,12 @@
 			s.entry.count("answers.stray")
 			continue
 		}
+		if f.Event == wire.EventLeaving {
+			if s.movesOff(c) {
+				return wire.Doubt(http.StatusBadGateway, reasonLeaving)
+			}
+			continue
+		}
 		if f.Event == wire.EventEnd {
 			if l, ok := wire.ParseLoad(string(f.Data)); ok {
 				s.entry.tracker.report(c.Endpoint, l)
@@ -289,6 +291,29 @@
 	}
 }
 
+// reasonLeaving is what policies see when work may move off a leaving endpoint.
+const reasonLeaving = "endpoint is leaving"
+
+// movesOff reports whether the stream goes on elsewhere while its endpoint's
+// planned stop waits for it, and if so where its KV cache is to be had.
+func (s *stream) movesOff(c candidate) bool {
+	others := s.entry.candidates(s.groups, map[string]bool{c.Endpoint: true})
+	if s.next == 0 || s.env.Once || len(others) == 0 || !s.mayMove(reasonLeaving) {
+		return false
+	}
+	s.env.CacheAt, s.env.CacheID = c.member.Address, s.env.ID
+	return true
+}
+
+// mayMove asks the policy whether the running stream may go on elsewhere.
+func (s *stream) mayMove(reason string) bool {
+	facts := s.req.facts(s.chat.Model, true)
+	facts.Reason, facts.Tokens = reason, int64(s.next)
+	ok, err := s.req.policy.Programs.Move(facts)
+	s.entry.auditPolicy(s.req, err)
+	return ok
+}
+
 // broken says why an attempt ended without its last event.
 func (s *stream) broken() *wire.Refusal {
 	switch {
--- a/internal/example/example.go
+++ b/internal/example/example.go
@@ -175,7 +175,7 @@
 [policy]
 priority = class == "script" ? 1 : (class == "batch" ? 0 : 5)
 retry = attempt < 3
-move = reason != "caller has gone"
+move = reason != "endpoint is leaving"
 retry-share = 0.1
 skew-price = 10
 move-price = 1
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -68,7 +68,7 @@
 		name:     address,
 		manifest: func(ctx context.Context) (published.Manifest, error) { return n.manifestOfPeer(ctx, address) },
 		value: func(ctx context.Context, e published.Entry) ([]byte, error) {
-			return n.peerGet(ctx, address, wire.PathValue+e.Hash)
+			return n.PeerGet(ctx, address, wire.PathValue+e.Hash)
 		},
 	}
 }
@@ -86,14 +86,15 @@
 	n.mu.Lock()
 	own, version := n.manifest, n.spread.Current()
 	n.mu.Unlock()
-	raw, err := n.peerGet(ctx, address, wire.PathManifest+"?have="+version.Hash)
+	raw, err := n.PeerGet(ctx, address, wire.PathManifest+"?have="+version.Hash)
 	if err != nil {
 		return m, err
 	}
 	return published.ParseTold(raw, own)
 }
 
-func (n *Node) peerGet(ctx context.Context, address, path string) (raw []byte, err error) {
+// PeerGet reads a path of a peer's listener, for at most a second.
+func (n *Node) PeerGet(ctx context.Context, address, path string) (raw []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, n.PeerURL(address, path), nil)
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 
 	"github.com/cockroachdb/errors"
 
@@ -50,6 +51,10 @@
 	Generate func(ctx context.Context, g Generate) (stream io.ReadCloser, err error)
 	// State reads the engine's report.
 	State func(ctx context.Context) (s EngineState, err error)
+	// Export reads the KV cache of a request.
+	Export func(ctx context.Context, id string) (cache []byte, err error)
+	// Import gives the engine a KV cache for a request that follows.
+	Import func(ctx context.Context, id string, cache []byte) (err error)
 	// Order gives a fenced order about the expert map to the engine's rank.
 	Order func(ctx context.Context, o MapOrder) (r mapswitch.Reply, err error)
 	// Experts reads the newest report on the load of experts; it lags and has
@@ -67,6 +72,15 @@
 			err = getJSON(ctx, c, base+"/v1/state", &s)
 			return s, errors.Wrap(err, "engine state")
 		},
+		Export: func(ctx context.Context, id string) (cache []byte, err error) {
+			cache, err = get(ctx, c, base+"/v1/kv/"+url.PathEscape(id))
+			return cache, errors.Wrap(err, "engine export")
+		},
+		Import: func(ctx context.Context, id string, cache []byte) (err error) {
+			var done struct{}
+			err = postJSON(ctx, c, base+"/v1/kv/"+url.PathEscape(id), json.RawMessage(cache), &done)
+			return errors.Wrap(err, "engine import")
+		},
 		Order: func(ctx context.Context, o MapOrder) (r mapswitch.Reply, err error) {
 			err = postJSON(ctx, c, base+"/v1/order", o, &r)
 			return r, errors.Wrap(err, "engine order")
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -53,16 +53,19 @@
 	group *Group
 	rank  int
 
-	mu     sync.Mutex
-	active map[*sequence]bool
-	maps   mapswitch.Rank // What the engine must not forget about its map.
-	loaded time.Time      // When the weights of maps.Prepared are there.
-	runs   map[string]int // Starts by request id.
-	cache  *prefixCache
-	down   bool
-	stall  bool
-	slow   time.Duration
-	report reportLog
+	mu      sync.Mutex
+	active  map[*sequence]bool
+	maps    mapswitch.Rank    // What the engine must not forget about its map.
+	loaded  time.Time         // When the weights of maps.Prepared are there.
+	runs    map[string]int    // Starts by request id.
+	held    map[string]string // Prompts whose KV cache can be exported, by request id.
+	taken   map[string]string // Prompts whose KV cache was imported, by request id.
+	cache   *prefixCache
+	imports int
+	down    bool
+	stall   bool
+	slow    time.Duration
+	report  reportLog
 }
 
 // NewGroup returns a group whose steps are made by Run.
@@ -74,6 +77,8 @@
 			rank:   i,
 			active: map[*sequence]bool{},
 			runs:   map[string]int{},
+			held:   map[string]string{},
+			taken:  map[string]string{},
 			cache:  newPrefixCache(cfg.CacheBytes),
 			report: reportLog{lag: cfg.ReportLag},
 		})
@@ -220,6 +225,14 @@
 	}
 	e.runs[req.ID]++
 	cached := e.cache.hit(req.Prompt)
+	if e.taken[req.ID] == req.Prompt {
+		cached = len(req.Prompt)
+	}
+	delete(e.taken, req.ID)
+	if len(e.held) >= maxHeld {
+		clear(e.held)
+	}
+	e.held[req.ID] = req.Prompt
 	s = &sequence{
 		req: req, next: req.From, fill: len(req.Prompt) - cached,
 		tokens: make(chan int, 64), gone: gone,
@@ -282,6 +295,8 @@
 	mux.HandleFunc("GET /v1/state", e.state)
 	mux.HandleFunc("POST /v1/order", e.order)
 	mux.HandleFunc("GET /v1/experts", e.experts)
+	mux.HandleFunc("GET /v1/kv/{id}", e.exportCache)
+	mux.HandleFunc("POST /v1/kv/{id}", e.importCache)
 	return mux
 }
 
@@ -422,6 +437,46 @@
 	return l.past[0].state
 }
 
+// maxHeld bounds the KV caches that can be exported.
+const maxHeld = 4096
+
+// kvCache is what one engine hands to another.
+type kvCache struct {
+	Prompt string `json:"prompt"`
+}
+
+func (e *Engine) exportCache(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	prompt, ok := e.held[r.PathValue("id")]
+	ok = ok && !e.down
+	e.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such cache", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, kvCache{prompt})
+}
+
+func (e *Engine) importCache(w http.ResponseWriter, r *http.Request) {
+	var c kvCache
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	e.taken[r.PathValue("id")] = c.Prompt
+	e.imports++
+	e.mu.Unlock()
+	writeJSON(w, struct{}{})
+}
+
+// Imports returns how many KV caches were given to this engine.
+func (e *Engine) Imports() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.imports
+}
+
 // prefixCache remembers the newest prompt prefixes, whole blocks only.
 type prefixCache struct {
 	limit int
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -26,6 +26,7 @@
 	PathRuns     = "/runs"
 	PathMaps     = "/maps"
 	PathCalls    = "/calls"
+	PathImports  = "/imports"
 	PathDemand   = "/demand"
 )
 
@@ -340,6 +341,13 @@
 		return nil
 	}))
 	mux.HandleFunc("POST "+PathFault, decoded(s.Apply))
+	mux.HandleFunc("GET "+PathImports, func(w http.ResponseWriter, _ *http.Request) {
+		imports := 0
+		for _, e := range s.Engines {
+			imports += e.Imports()
+		}
+		writeJSON(w, imports)
+	})
 	mux.HandleFunc("GET "+PathCalls, func(w http.ResponseWriter, _ *http.Request) {
 		calls := 0
 		for _, v := range s.Views {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -12,8 +12,11 @@
 	"github.com/cockroachdb/errors"
 )
 
-// EventEnd is the name of the last frame of a stream that ended whole.
-const EventEnd = "end"
+// Names of frames that are no tokens.
+const (
+	EventEnd     = "end"     // The last one of a stream that ended whole.
+	EventLeaving = "leaving" // The endpoint is leaving; the stream goes on, or may move.
+)
 
 // MaxFrame is the largest server-sent event that is read, in bytes.
 const MaxFrame = 64 << 10
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -37,6 +37,7 @@
 	PathValue    = "/peer/v1/config/value/"
 	PathSwitch   = "/peer/v1/switch"
 	PathBorrow   = "/peer/v1/borrow"
+	PathCache    = "/peer/v1/kv/"
 )
 
 // Limits of what is read from callers and peers, in bytes.
@@ -79,8 +80,10 @@
 	Offset     int     `json:"offset,omitempty"`   // First token wanted; the engine resumes there.
 	Method     string  `json:"method,omitempty"`
 	Path       string  `json:"path,omitempty"`
-	Type       string  `json:"type,omitempty"` // Content type of the body.
-	Once       bool    `json:"once,omitempty"` // The request may not be repeated.
+	Type       string  `json:"type,omitempty"`     // Content type of the body.
+	Once       bool    `json:"once,omitempty"`     // The request may not be repeated.
+	CacheAt    string  `json:"cache_at,omitempty"` // Peer address of an agent whose engine holds the KV cache.
+	CacheID    string  `json:"cache_id,omitempty"` // Attempt under which it holds it.
 }
 
 // Deadline returns the caller's deadline; ok is false when there is none.
