internal/agent: tell slow from silent, and cut nobody off who waits

Found in reading: an entry moved a stream after two seconds without a token, also when the engine was only slow, up to eight times, and then gave it up; a write deadline set each 64 tokens would have cut off a caller whose 64 tokens took more than 30 s, and stayed on the connection for the next request; a request without any endpoint spent the retry budget in vain. Now the agent tells that its engine's steps go on; the deadline moves with time and is taken back at the end; nobody left to ask is the final answer at once. Specs: a group that stands still loses its stream, one with steps of 2.5 s keeps it. Slow tokens in fake time: the deadline is always at least 15 s away.

--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync"
 	"time"
 
 	"github.com/canvaspulley/canvaspulley/internal/audit"
@@ -55,20 +56,90 @@
 	panic(http.ErrAbortHandler) // The entry must see that the stream broke off.
 }
 
+// frameWriter writes frames to the entry. Two goroutines use it: the relay, and
+// a timer that tells that the engine is alive when no token came for a while.
+type frameWriter struct {
+	mu   sync.Mutex
+	w    io.Writer
+	rc   *http.ResponseController
+	id   wire.EventID
+	buf  []byte
+	last time.Time
+	done bool // The handler has returned: w must not be used any more.
+}
+
+// write sends one frame; offset is the place of the token that is due.
+func (f *frameWriter) write(offset int, event string, data []byte) (err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.writeLocked(offset, event, data, time.Now())
+}
+
+func (f *frameWriter) writeLocked(offset int, event string, data []byte, now time.Time) (err error) {
+	f.id.Offset, f.last = offset, now
+	f.buf = wire.AppendFrame(f.buf[:0], f.id, event, data)
+	if _, err := f.w.Write(f.buf); err != nil {
+		return err
+	}
+	return f.rc.Flush()
+}
+
+// alive writes a frame without a token if nothing was written for the time d.
+func (f *frameWriter) alive(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now := time.Now(); !f.done && now.Sub(f.last) >= d {
+		_ = f.writeLocked(f.id.Offset, wire.EventAlive, nil, now) // A lost link shows at the next token.
+	}
+}
+
+// close ends the use of the handler's writer.
+func (f *frameWriter) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.done = true
+}
+
+// keepAlive tells the entry that the engine is at work while its step number
+// advances. The function returned ends it.
+func (j *job) keepAlive(f *frameWriter) (stop func()) {
+	every := j.agent.node.Settings().StallAfter / 4
+	var timer *time.Timer
+	var mu sync.Mutex
+	stopped := false
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(every, func() {
+		if !j.agent.Load().Stalled {
+			f.alive(every)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if !stopped {
+			timer.Reset(every)
+		}
+	})
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		stopped = true
+		timer.Stop()
+		f.close()
+	}
+}
+
 // relay copies the tokens of an engine and reports whether the answer is whole.
 func (j *job) relay(w io.Writer, rc *http.ResponseController, in io.Reader) (whole bool) {
 	frames := wire.NewFrameReader(in)
 	next := j.env.Offset
-	id := wire.EventID{Request: j.name, Endpoint: j.env.Endpoint}
-	var buf []byte
+	out := &frameWriter{w: w, rc: rc, id: wire.EventID{Request: j.name, Endpoint: j.env.Endpoint, Offset: next}, last: time.Now()}
+	defer j.keepAlive(out)()
 	left := j.agent.node.Left()
 	for {
 		select {
 		case <-left:
 			left = nil
-			id.Offset = next
-			buf = wire.AppendFrame(buf[:0], id, wire.EventLeaving, nil)
-			_, _ = w.Write(buf) // A link that is lost shows at the next token.
+			_ = out.write(next, wire.EventLeaving, nil) // A lost link shows at the next token.
 		default:
 		}
 		f, err := frames.Next()
@@ -80,16 +151,11 @@
 			j.agent.node.Trail().Add(audit.StrayAnswer, j.name, "engine sent "+f.ID)
 			continue
 		}
-		id.Offset = next
 		data := f.Data
 		if f.Event == wire.EventEnd {
 			data = []byte(wire.EncodeLoad(j.agent.Load()))
 		}
-		buf = wire.AppendFrame(buf[:0], id, f.Event, data)
-		if _, err := w.Write(buf); err != nil {
-			return false
-		}
-		if err := rc.Flush(); err != nil {
+		if err := out.write(next, f.Event, data); err != nil {
 			return false
 		}
 		if f.Event == wire.EventEnd {
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -170,6 +170,26 @@
 		delete(s.procs, leaving.Name)
 	})
 
+	It("moves a stream when its group stands still, and waits for one that is slow", func() {
+		s := startSite(example.Archive, example.Size{Domains: 2, EntriesADomain: 1, RanksADomain: 1, ServicesADomain: 1, Customers: 1})
+		o := s.open(s.Entries[0], "stalled group", 300, "")
+		Expect(o.read(10)).To(BeTrue())
+		first := s.agentOf(o.rank)
+		s.fault(standin.Fault{Kind: standin.FaultStall, Target: first.Backend, On: true})
+		o.expectWhole("stalled group", 300)
+		Expect(o.rank).NotTo(Equal(first.Endpoint))
+		fresh := s.open(s.Entries[0], "after the stall", 5, "")
+		fresh.expectWhole("after the stall", 5)
+		Expect(fresh.rank).NotTo(Equal(first.Endpoint), "nothing new goes to a group that stands still")
+
+		second := s.agentOf(fresh.rank)
+		slow := s.open(s.Entries[1], "slow group", 12, "")
+		Expect(slow.read(10)).To(BeTrue())
+		s.fault(standin.Fault{Kind: standin.FaultSlow, Target: second.Backend, MS: 2500})
+		slow.expectWhole("slow group", 12)
+		Expect(slow.ids).To(HaveEach(ContainSubstring(second.Endpoint)), "a slow step is no stall")
+	})
+
 	It("moves a stream off a leaving agent with its KV cache when the policy says so", func() {
 		s := startSite(example.RefundDesk, pair)
 		o := s.open(s.Entries[0], "moves off", 400, "")
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -171,9 +171,10 @@
 	avoid := map[string]bool{}
 	for {
 		c, refusal := s.target(avoid)
-		if refusal == nil {
-			refusal = s.attempt(c)
+		if refusal != nil {
+			return s.giveUp(refusal) // Nobody is left to ask.
 		}
+		refusal = s.attempt(c)
 		if refusal == nil {
 			s.entry.succeeded(s.req, s.chat.Model)
 			s.out.end()
@@ -181,15 +182,19 @@
 		}
 		avoid[c.Endpoint] = true
 		if !s.goOn(c, refusal) {
-			if s.next > 0 && refusal.Outcome == wire.NotRun {
-				// Tokens were given: the request as a whole did run.
-				refusal.Outcome = wire.Unknown
-			}
-			return s.out.fail(refusal)
+			return s.giveUp(refusal)
 		}
 	}
 }
 
+// giveUp gives the caller the final answer, at once.
+func (s *stream) giveUp(refusal *wire.Refusal) *wire.Refusal {
+	if s.next > 0 && refusal.Outcome == wire.NotRun {
+		refusal.Outcome = wire.Unknown // Tokens were given: the request as a whole did run.
+	}
+	return s.out.fail(refusal)
+}
+
 // target chooses the endpoint for the next attempt. When all others were
 // tried, those that only refused may be tried again.
 func (s *stream) target(avoid map[string]bool) (c candidate, refusal *wire.Refusal) {
@@ -266,6 +271,9 @@
 			return s.broken()
 		}
 		dog.Reset(silence)
+		if f.Event == wire.EventAlive {
+			continue
+		}
 		id, err := wire.ParseEventID(f.ID)
 		if err != nil || id.Request != s.env.ID || id.Offset != s.next {
 			s.entry.node.Trail().Add(audit.StrayAnswer, s.env.ID, c.Endpoint+" sent "+f.ID)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -104,6 +105,32 @@
 	check("too many tokens", `{"model":"m","messages":[{}],"max_tokens":1000000000}`, "max_tokens")
 }
 
+// deadlines is a response writer that remembers its write deadline.
+type deadlines struct {
+	*httptest.ResponseRecorder
+	at time.Time
+}
+
+func (d *deadlines) SetWriteDeadline(at time.Time) error {
+	d.at = at
+	return nil
+}
+
+func TestSlowTokensDoNotCutTheCallerOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		w := &deadlines{ResponseRecorder: httptest.NewRecorder()}
+		s := newSSEWriter(&request{id: "mine", w: w}, "m")
+		for n := range 5 {
+			g.Expect(s.token(wire.EventID{Request: "mine", Endpoint: "r0", Offset: n}, []byte(`"x"`))).To(gomega.Succeed())
+			g.Expect(w.at.Sub(time.Now())).To(gomega.BeNumerically(">=", writeTimeout/2), "at token %d", n)
+			time.Sleep(2 * writeTimeout)
+		}
+		s.end()
+		g.Expect(w.at.IsZero()).To(gomega.BeTrue(), "the next request on the connection has no deadline left over")
+	})
+}
+
 func FuzzChat(f *testing.F) {
 	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":5}`))
 	f.Add([]byte(`{"model":"m","messages":[null],"max_tokens":-5}`))
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -92,17 +93,19 @@
 // call tries endpoints until one answers or nothing more may be tried.
 func (e *Entry) call(req *request, s *published.Service, env *wire.Envelope, body []byte) *wire.Refusal {
 	avoid := map[string]bool{}
+	var last *wire.Refusal // Of the endpoint tried before.
 	for {
 		c, refusal := e.target(req, s, env, avoid)
-		if refusal == nil {
-			refusal = e.callOnce(req, s, c, env, body)
+		if refusal != nil {
+			return cmp.Or(last, refusal) // Nobody is left to ask: the final answer, at once.
 		}
-		if refusal == nil {
+		last = e.callOnce(req, s, c, env, body)
+		if last == nil {
 			e.succeeded(req, s.Name)
 			return nil
 		}
-		if !e.again(req, s.Name, env, refusal) {
-			return refusal
+		if !e.again(req, s.Name, env, last) {
+			return last
 		}
 		avoid[c.Endpoint] = true
 	}
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -35,7 +35,7 @@
 	rc     *http.ResponseController
 	buf    []byte
 	begun  bool
-	writes int
+	dueSet time.Time // When the write deadline was last moved.
 }
 
 func newSSEWriter(req *request, model string) *sseWriter {
@@ -72,10 +72,7 @@
 func (s *sseWriter) token(id wire.EventID, data []byte) (err error) {
 	defer func() { err = errors.Wrap(err, "write to caller") }()
 	s.begin()
-	if s.writes%64 == 0 {
-		_ = s.rc.SetWriteDeadline(time.Now().Add(writeTimeout)) // Not every connection has deadlines.
-	}
-	s.writes++
+	s.extend(time.Now())
 	s.buf = append(s.buf[:0], "id: "...)
 	s.buf = append(s.buf, id.String()...)
 	s.buf = append(s.buf, "\ndata: "...)
@@ -89,6 +86,16 @@
 	return s.rc.Flush()
 }
 
+// extend moves the write deadline when a part of it is over, so that a caller
+// who does not read is cut off, and one who waits long for a token is not.
+func (s *sseWriter) extend(now time.Time) {
+	if now.Sub(s.dueSet) < writeTimeout/4 {
+		return
+	}
+	s.dueSet = now
+	_ = s.rc.SetWriteDeadline(now.Add(writeTimeout)) // Not every connection has deadlines.
+}
+
 func (s *sseWriter) end() {
 	s.begin()
 	s.finish(wire.Done, nil)
@@ -97,6 +104,9 @@
 
 // finish writes the outcome as an event and as the trailer.
 func (s *sseWriter) finish(o wire.Outcome, r *wire.Refusal) {
+	s.dueSet = time.Time{}
+	s.extend(time.Now())
+	defer func() { _ = s.rc.SetWriteDeadline(time.Time{}) }() // The connection may be used again.
 	s.req.w.Header().Set(wire.HeaderOutcome, string(o))
 	last := wire.Refusal{Outcome: o}
 	if r != nil {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -16,6 +16,7 @@
 const (
 	EventEnd     = "end"     // The last one of a stream that ended whole.
 	EventLeaving = "leaving" // The endpoint is leaving; the stream goes on, or may move.
+	EventAlive   = "alive"   // No token yet, but the engine's steps go on.
 )
 
 // MaxFrame is the largest server-sent event that is read, in bytes.
