--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -52,13 +52,13 @@
 	memoryBase   = Slope{"memory of an idle process", 22.3, "MB", "go test ./internal/e2e -run xxx -bench Fleet -benchtime 1x (24 processes)"}
 	memoryMember = Slope{"memory a member", 0.0046, "MB", "the same, 24 to 192 processes"}
 	memoryConfig = Slope{"memory a published value", 1.672 / 1642, "MB", "go test ./internal/published -run xxx -bench Design -cpu 1"}
-	memoryStream = Slope{"memory a live stream", 0.0077, "MB", "go test ./internal/e2e -run xxx -bench Relay -benchtime 2x (1,000 streams)"}
+	memoryStream = Slope{"memory a live stream", 0.0077, "MB", "go test ./internal/e2e -run xxx -bench Relay -benchtime 2x (1,000 streams, the highest seen)"}
 	coreBase     = Slope{"processor of an idle process", 0.0058, "core", "go test ./internal/e2e -run xxx -bench Fleet -benchtime 1x (the highest of 24 to 192 processes)"}
 	coreMember   = Slope{"processor of decisions a member", 1022e-6 / 2980, "core", "canvaspulley experiment spread --nodes 2980 --domains 21 --seconds 16"}
 	coreChange   = Slope{"processor of one change of configuration", 0.00496 / 1642, "core s a value", "go test ./internal/published -run xxx -bench Design -cpu 1"}
 	corePlan     = Slope{"processor of one plan", 0.0380 / 60, "core s a layer (256 ranks, 64 experts, 2 slots)", "go test ./internal/decide/rebalance -run xxx -bench Plan -cpu 1"}
-	coreEntry    = Slope{"processor of the entry a token", 37e-6, "core s", "go test ./internal/e2e -run xxx -bench Relay -benchtime 2x"}
-	coreAgent    = Slope{"processor of the agent a token", 33.5e-6, "core s", "the same"}
+	coreEntry    = Slope{"processor of the entry a token", 39.8e-6, "core s", "go test ./internal/e2e -run xxx -bench Relay -benchtime 3x (200 streams)"}
+	coreAgent    = Slope{"processor of the agent a token", 37.5e-6, "core s", "the same"}
 	gossipBytes  = Slope{"bytes sent a process", 965, "B/s", "canvaspulley experiment members --nodes 2980 --domains 21 --seconds 25"}
 	gossipSent   = Slope{"messages sent a process", 2.37, "1/s", "canvaspulley experiment spread --nodes 2980 --domains 21 --seconds 16"}
 	deltaBytes   = Slope{"bytes told of one change", 400, "B", "go test ./internal/published -run xxx -bench Design -cpu 1"}
