--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -123,7 +123,7 @@
 		s := newSSEWriter(&request{id: "mine", w: w}, "m")
 		for n := range 5 {
 			g.Expect(s.token(wire.EventID{Request: "mine", Endpoint: "r0", Offset: n}, []byte(`"x"`))).To(gomega.Succeed())
-			g.Expect(w.at.Sub(time.Now())).To(gomega.BeNumerically(">=", writeTimeout/2), "at token %d", n)
+			g.Expect(time.Until(w.at)).To(gomega.BeNumerically(">=", writeTimeout/2), "at token %d", n)
 			time.Sleep(2 * writeTimeout)
 		}
 		s.end()
--- /dev/null
+++ b/internal/standin/cache.go
@@ -0,0 +1,124 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/canvaspulley/canvaspulley/internal/platform"
+)
+
+// reportLog gives back a report that is at least lag old.
+type reportLog struct {
+	lag  time.Duration
+	past []timedReport
+}
+
+type timedReport struct {
+	at    time.Time
+	state platform.EngineState
+}
+
+func (l *reportLog) add(now time.Time, s platform.EngineState) {
+	l.past = append(l.past, timedReport{now, s})
+	l.trim(now)
+}
+
+func (l *reportLog) trim(now time.Time) {
+	for len(l.past) > 1 && now.Sub(l.past[1].at) >= l.lag {
+		l.past = l.past[1:]
+	}
+}
+
+func (l *reportLog) get(now time.Time) platform.EngineState {
+	l.trim(now)
+	if len(l.past) == 0 {
+		return platform.EngineState{}
+	}
+	return l.past[0].state
+}
+
+// maxHeld bounds the KV caches that can be exported.
+const maxHeld = 4096
+
+// kvCache is what one engine hands to another.
+type kvCache struct {
+	Prompt string `json:"prompt"`
+}
+
+func (e *Engine) exportCache(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	prompt, ok := e.held[r.PathValue("id")]
+	ok = ok && !e.down
+	e.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such cache", http.StatusNotFound)
+		return
+	}
+	writeJSON(w, kvCache{prompt})
+}
+
+func (e *Engine) importCache(w http.ResponseWriter, r *http.Request) {
+	var c kvCache
+	if err := json.NewDecoder(r.Body).Decode(&c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	e.taken[r.PathValue("id")] = c.Prompt
+	e.imports++
+	e.mu.Unlock()
+	writeJSON(w, struct{}{})
+}
+
+// Imports returns how many KV caches were given to this engine.
+func (e *Engine) Imports() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.imports
+}
+
+// prefixCache remembers the newest prompt prefixes, whole blocks only.
+type prefixCache struct {
+	limit int
+	used  int
+	seen  map[string]bool
+	order []string
+	hits  int
+	asked int
+}
+
+// prefixBlock is the unit of caching, in bytes of prompt.
+const prefixBlock = 64
+
+func newPrefixCache(limit int) *prefixCache {
+	return &prefixCache{limit: limit, seen: map[string]bool{}}
+}
+
+// hit returns the bytes of prompt that were cached and takes in the rest.
+func (c *prefixCache) hit(prompt string) (n int) {
+	c.asked += len(prompt)
+	for end := prefixBlock; end <= len(prompt); end += prefixBlock {
+		prefix := prompt[:end]
+		if c.seen[prefix] {
+			n = end
+			continue
+		}
+		c.add(prefix)
+	}
+	c.hits += n
+	return n
+}
+
+func (c *prefixCache) add(prefix string) {
+	c.seen[prefix] = true
+	c.order = append(c.order, prefix)
+	c.used += prefixBlock
+	for c.used > c.limit && len(c.order) > 0 {
+		delete(c.seen, c.order[0])
+		c.order = c.order[1:]
+		c.used -= prefixBlock
+	}
+}
