internal/agent: a lease for orders to engines without fences

An agent whose engine checks no fences gives orders only while it has spoken with a peer within three gossip intervals and no later process lives in its slot; a new one waits as long. A later process in the slot now supersedes as one of the same name does. Planning weighs what is left of the gain once the store has given the weights, and the group publishes the store's rate and an hourly budget.

Also: a spec failed once in a run whose shell had ended: a frozen process was never suspected. Cause: the process group of the tests was orphaned at that second (13:09:16, the freeze at :15), and the kernel then wakes stopped processes. Ruled out: the probes (six runs at once under load pass). Processes of the specs now have groups of their own.

--- a/internal/agent/mapper.go
+++ b/internal/agent/mapper.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/canvaspulley/canvaspulley/internal/audit"
@@ -131,6 +132,7 @@
 	m.maps = map[uint64]rebalance.Map{0: rebalance.Even(shape, s.Layers)}
 	m.planner = rebalance.New(rebalance.Config{
 		Shape: shape, Layers: s.Layers, ExpertBytes: s.ExpertBytes,
+		StoreRate: s.StoreRate, HourlyBytes: s.HourlyBytes,
 		Prices:     rebalance.Prices{Skew: p.SkewPrice, Move: p.MovePrice},
 		SampleTime: s.Rebalance.Seconds(), MaxAge: 5,
 	})
@@ -261,6 +263,15 @@
 	node.WriteJSON(w, reply)
 }
 
+// mayOrder is the guard of an engine that checks no fences: orders go only while
+// this process holds the lease on its slot.
+func (a *Agent) mayOrder(now time.Time) bool {
+	return a.node.Settings().Fences || a.node.Holds(now)
+}
+
+// errNoLease refuses an order for want of the lease on the slot.
+var errNoLease = errors.New("no lease on the slot: the engine checks no fences")
+
 // order passes an order on unless its ballot is below one that was passed on
 // before. Not every engine checks fences; an agent that starts anew reads the
 // highest one back before its first order. Orders go one at a time, so that
@@ -268,6 +279,9 @@
 func (a *Agent) order(ctx context.Context, o platform.MapOrder) (r mapswitch.Reply, err error) {
 	a.orders.Lock()
 	defer a.orders.Unlock()
+	if !a.mayOrder(time.Now()) {
+		return r, errNoLease
+	}
 	if !a.fenceKnown {
 		own, err := a.engine.Order(ctx, platform.MapOrder{Order: mapswitch.Order{Kind: mapswitch.Ask}})
 		if err != nil {
--- a/internal/decide/member/member.go
+++ b/internal/decide/member/member.go
@@ -381,10 +381,12 @@
 	t.setSelf()
 }
 
-// Superseded reports whether a later life of the same name is in the news.
+// Superseded reports whether the news tell of a later life of the same name, or
+// of a later process that lives in the same slot.
 func (t *Table) Superseded(news []Member) bool {
 	for _, m := range news {
-		if m.Name == t.self.Name && m.Life > t.self.Life {
+		heir := m.Name == t.self.Name || m.Endpoint != "" && m.Endpoint == t.self.Endpoint && m.State == Alive
+		if heir && m.Life > t.self.Life {
 			return true
 		}
 	}
--- a/internal/decide/member/member_test.go
+++ b/internal/decide/member/member_test.go
@@ -90,6 +90,17 @@
 	later.Life = 9
 	g.Expect(self.Superseded([]Member{later})).To(gomega.BeTrue())
 	g.Expect(self.Superseded([]Member{row("self")})).To(gomega.BeFalse())
+
+	mine := row("old-vm")
+	mine.Endpoint = "rank-0"
+	old := New(times, mine)
+	heir := row("new-vm")
+	heir.Endpoint, heir.Life = "rank-0", 5
+	g.Expect(old.Superseded([]Member{heir})).To(gomega.BeTrue(), "another instance fills the slot")
+	heir.State = Dead
+	g.Expect(old.Superseded([]Member{heir})).To(gomega.BeFalse(), "one that has died does not")
+	heir.State, heir.Life = Alive, 0
+	g.Expect(old.Superseded([]Member{heir})).To(gomega.BeFalse(), "nor one that only the list names")
 }
 
 func TestPauseIsNoticed(t *testing.T) {
--- a/internal/decide/rebalance/planner.go
+++ b/internal/decide/rebalance/planner.go
@@ -42,6 +42,7 @@
 	drift  float64 // Share of the tokens that change experts, a sample.
 	budget float64 // Bytes that may be moved now.
 	at     int     // Sample up to which budget is reckoned.
+	span   float64 // Hours for which the gain of the present decision is reckoned.
 }
 
 // New returns a planner that has heard nothing.
@@ -117,7 +118,8 @@
 	if mean <= 0 || slowest <= mean {
 		return plan, false
 	}
-	value := p.worth(slowest/mean - 1) // Of one percent of step time, for as long as it lasts.
+	p.span = p.horizon(slowest/mean - 1)
+	value := p.cfg.Prices.Skew * p.span // Of one percent of step time, for as long as it lasts.
 	next, copies := p.improve(current, slowest, value)
 	if copies < 0 {
 		return plan, false
@@ -135,18 +137,22 @@
 // minGain is the least share of the step time for which a switch is made.
 const minGain = 0.005
 
-// worth is the value of one percent of step time over the horizon.
-func (p *Planner) worth(skew float64) float64 {
-	return p.cfg.Prices.Skew * p.horizon(skew)
-}
-
 // pays weighs the whole plan. The weights must be there before the gain is
 // gone.
 func (p *Planner) pays(plan Plan, value float64) bool {
 	if p.cfg.HourlyBytes > 0 && plan.Bytes > p.budget {
 		return false
 	}
-	return value*100*plan.Gain > p.cfg.Prices.Move*plan.Bytes/gigabyte
+	return value*100*plan.Gain*p.lasting(plan) > p.cfg.Prices.Move*plan.Bytes/gigabyte
+}
+
+// lasting is the share of the horizon that is left once the store has given
+// the weights.
+func (p *Planner) lasting(plan Plan) float64 {
+	if p.cfg.StoreRate <= 0 {
+		return 1
+	}
+	return max(0, 1-plan.Bytes/p.cfg.StoreRate/3600/p.span)
 }
 
 func (p *Planner) refill(sample int) {
@@ -181,11 +187,3 @@
 	}
 	return next, copies
 }
-
-// TransferSamples is how many samples the store needs for a plan.
-func (p *Planner) TransferSamples(plan Plan) int {
-	if p.cfg.StoreRate <= 0 {
-		return 0
-	}
-	return int(math.Ceil(plan.Bytes / p.cfg.StoreRate / p.cfg.SampleTime))
-}
--- a/internal/decide/rebalance/rebalance_test.go
+++ b/internal/decide/rebalance/rebalance_test.go
@@ -165,6 +165,22 @@
 	g.Expect(ok).To(gomega.BeFalse())
 }
 
+func TestASlowStoreIsNotWorthIt(t *testing.T) {
+	decide := func(rate float64) bool {
+		p := New(Config{Shape: small, Layers: 1, Prices: Prices{Skew: 10, Move: 1}, ExpertBytes: 50e6,
+			StoreRate: rate, SampleTime: 60, MaxAge: 5})
+		tokens := [][]float64{heavy(rand.New(rand.NewPCG(3, 3)), small.Experts)}
+		for i := range 30 {
+			p.Observe(i, tokens)
+		}
+		_, ok := p.Decide(30, Even(small, 1))
+		return ok
+	}
+	g := gomega.NewWithT(t)
+	g.Expect(decide(1e9)).To(gomega.BeTrue())
+	g.Expect(decide(1e3)).To(gomega.BeFalse(), "the gain is over before the weights are there")
+}
+
 func TestSlowRankIsGivenLess(t *testing.T) {
 	g := gomega.NewWithT(t)
 	tokens := heavy(rand.New(rand.NewPCG(4, 4)), small.Experts)
--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -97,6 +97,9 @@
 	GinkgoHelper()
 	cmd := exec.Command(path, args...)
 	cmd.Stdout, cmd.Stderr = GinkgoWriter, GinkgoWriter
+	// A process group of its own: when the group of the test is orphaned, as by a
+	// shell that ends, the kernel wakes all stopped processes in it.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	Expect(cmd.Start()).To(Succeed())
 	s.procs[name] = cmd
 }
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -3,6 +3,8 @@
 package experiment
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -129,3 +131,47 @@
 		g.Expect(row.Value("in force p99")).To(gomega.BeNumerically("<", 3), "scripted seconds")
 	}
 }
+
+// TestEditsAgainstRepackOnRandomLayers lets the planner, at the archive's
+// prices, and the full re-pack answer the same drifts of load: the planner
+// comes close to its balance and moves less.
+func TestEditsAgainstRepackOnRandomLayers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	rnd := rand.New(rand.NewPCG(7, 7))
+	shape := rebalance.Shape{Ranks: 4, Experts: 32, Slots: 10}
+	var edits, packs, movedByEdits, movedByPacks float64
+	draw := func() [][]float64 {
+		tokens := make([]float64, shape.Experts)
+		for i := range tokens {
+			tokens[i] = 1000 / math.Pow(1+rnd.Float64()*float64(shape.Experts), 0.8)
+		}
+		return [][]float64{tokens}
+	}
+	const layers = 60
+	for range layers {
+		tokens := draw()
+		current := rebalance.Map{repackLayer(shape, tokens[0])} // Fits an earlier load.
+		for e := range tokens[0] {
+			tokens[0][e] *= math.Exp(0.3 * rnd.NormFloat64())
+		}
+		p := rebalance.New(rebalance.Config{Shape: shape, Layers: 1, Prices: archive,
+			ExpertBytes: 50e6, SampleTime: 60, MaxAge: 5})
+		for sample := range 20 {
+			p.Observe(sample, tokens)
+		}
+		next := current
+		if plan, ok := p.Decide(20, current); ok {
+			next = plan.Map
+		}
+		packed := rebalance.Map{repackLayer(shape, tokens[0])}
+		mine, mean := next.StepTime(tokens, shape.Ranks, nil)
+		theirs, _ := packed.StepTime(tokens, shape.Ranks, nil)
+		edits, packs = edits+mine/mean, packs+theirs/mean
+		movedByEdits += float64(rebalance.Transfers(current, next))
+		movedByPacks += float64(rebalance.Transfers(current, packed))
+	}
+	t.Logf("skew %.4f by edits, %.4f by re-packing; copies moved %.1f and %.1f a layer",
+		edits/layers, packs/layers, movedByEdits/layers, movedByPacks/layers)
+	g.Expect(edits).To(gomega.BeNumerically("<=", 1.03*packs))
+	g.Expect(movedByEdits).To(gomega.BeNumerically("<=", 0.6*movedByPacks))
+}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -96,6 +96,21 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.life.Apply(eventConfirmed)
+	n.heard = time.Now()
+}
+
+// Lease is how long after its last word with a peer a process may still act as
+// the one that fills its slot; one that starts anew waits as long.
+func (n *Node) Lease() time.Duration { return 3 * n.set.GossipInterval }
+
+// Holds reports whether the process may give orders in the name of its slot: it
+// has spoken with a peer, or found itself alone, within the lease, is not
+// superseded, and an earlier process in its slot has lost its own lease.
+func (n *Node) Holds(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sound := !n.heir && n.life.State() != Doubting && n.life.State() != Stopped
+	return sound && now.Sub(n.heard) < n.Lease() && now.Sub(n.start) >= n.Lease()
 }
 
 // probe exchanges messages with the target, through helpers when it is silent.
@@ -197,6 +212,7 @@
 	leaving := n.table.Self().Leaving && !before.Leaving
 	denied := n.table.Self().Incarnation != before.Incarnation
 	lost := n.table.Superseded(m.Rows)
+	n.heir = n.heir || lost
 	decision := n.spread.Heard(m.Version)
 	n.mu.Unlock()
 	n.note(changes)
@@ -207,7 +223,7 @@
 		n.Leave("a peer has it as leaving")
 	}
 	if lost {
-		n.Leave("a later process has the same name")
+		n.Leave("a later process has the same name or slot")
 	}
 	if decision != 0 {
 		n.hints.Offer(hint{from: m.Rows[0].Address, version: m.Version})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,6 +93,8 @@
 	values   map[string][]byte // By hash; exactly those of manifest.
 	life     *chart.Machine
 	clash    published.Version // Newest clash on the trail.
+	heard    time.Time         // Last word with a peer, or of being alone.
+	heir     bool              // A later process has the name or the slot.
 
 	slots      map[string]member.Member // What ByEndpoint returned at slotsStamp.
 	slotsStamp uint64
--- a/internal/published/parse.go
+++ b/internal/published/parse.go
@@ -109,6 +109,8 @@
 		s.Slots = f.Int(kind, "slots", s.Experts, 1, 4096)
 		s.Layers = f.Int(kind, "layers", 1, 1, 1024)
 		s.ExpertBytes = f.Float(kind, "expert-bytes", 50e6, 1, 1e12)
+		s.StoreRate = f.Float(kind, "store-rate", 0, 0, 1e15)
+		s.HourlyBytes = f.Float(kind, "hourly-bytes", 0, 0, 1e18)
 		s.Rebalance = f.Duration(kind, "rebalance-every", 0)
 		s.Policy = f.String(kind, "policy", "")
 	} else {
--- a/internal/published/published.go
+++ b/internal/published/published.go
@@ -76,6 +76,8 @@
 	Slots         int        // Experts that a rank holds, a layer.
 	Layers        int
 	ExpertBytes   float64
+	StoreRate     float64       // Bytes a second that the weight store gives the group; 0 when not published.
+	HourlyBytes   float64       // Byte budget of moves an hour; 0 for none.
 	Rebalance     time.Duration // Time of a sample of expert load; 0 leaves the map alone.
 	Policy        string        // Whose prices weigh skew against moves.
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,7 @@
 	MinLimit   int
 	MaxLimit   int
 	StepTarget time.Duration
+	Fences     bool          // The engine checks the ballots of orders by itself.
 	KeyWindow  time.Duration // How long idempotency keys are remembered.
 	Keys       int           // Idempotency keys remembered at most.
 
@@ -192,6 +193,7 @@
 		f.Fault(section, "min-concurrency", "is above max-concurrency")
 	}
 	s.StepTarget = f.Duration(section, "step-target", 44*time.Millisecond)
+	s.Fences = f.Bool(section, "fences", true)
 	s.KeyWindow = f.Duration(section, "key-window", 10*time.Minute)
 	s.Keys = f.Int(section, "keys", 100000, 1, 10000000)
 }
