internal/standin: a weight store with a rate, and a list that lags

Engines load the experts that they lack of a map from one store, one after the other, instead of a fixed time; a view can show the list as it was a while ago.

--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -5,41 +5,8 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
-
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 )
 
-// reportLog gives back a report that is at least lag old.
-type reportLog struct {
-	lag  time.Duration
-	past []timedReport
-}
-
-type timedReport struct {
-	at    time.Time
-	state platform.EngineState
-}
-
-func (l *reportLog) add(now time.Time, s platform.EngineState) {
-	l.past = append(l.past, timedReport{now, s})
-	l.trim(now)
-}
-
-func (l *reportLog) trim(now time.Time) {
-	for len(l.past) > 1 && now.Sub(l.past[1].at) >= l.lag {
-		l.past = l.past[1:]
-	}
-}
-
-func (l *reportLog) get(now time.Time) platform.EngineState {
-	l.trim(now)
-	if len(l.past) == 0 {
-		return platform.EngineState{}
-	}
-	return l.past[0].state
-}
-
 // maxHeld bounds the KV caches that can be exported.
 const maxHeld = 4096
 
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -88,6 +88,7 @@
 	down  bool
 	stale map[string][]byte // Values as of the moment the view went stale.
 	list  []platform.Instance
+	late  late[[]platform.Instance]
 	calls int
 }
 
@@ -112,6 +113,14 @@
 	}
 }
 
+// ListLag makes the list lag: each read is kept, and the newest one that is old
+// enough is shown.
+func (v *View) ListLag(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.late.lag = d
+}
+
 // Calls returns the number of calls so far.
 func (v *View) Calls() int {
 	v.mu.Lock()
@@ -207,6 +216,11 @@
 	}
 	if list == nil {
 		_, list = v.dir.snapshot()
+		now := time.Now()
+		v.mu.Lock()
+		v.late.add(now, list)
+		list = v.late.get(now)
+		v.mu.Unlock()
 	}
 	writeJSON(w, list)
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,7 +23,8 @@
 	PrefillStep int           // Prompt bytes that one step takes in.
 	CacheBytes  int           // Prompt prefixes kept by a rank, in bytes.
 	ReportLag   time.Duration // Age of what State reports.
-	LoadTime    time.Duration // From an order to load weights until they are there.
+	Store       *Store        // Where weights come from; nil for a store without bounds.
+	ExpertBytes float64       // Of one expert of one layer.
 	NoFences    bool          // The engines obey any ballot.
 }
 
@@ -65,7 +67,8 @@
 	down    bool
 	stall   bool
 	slow    time.Duration
-	report  reportLog
+	report  late[platform.EngineState]
+	content [][][]int // Ranks by layer and expert of the newest map prepared.
 }
 
 // NewGroup returns a group whose steps are made by Run.
@@ -80,7 +83,7 @@
 			held:   map[string]string{},
 			taken:  map[string]string{},
 			cache:  newPrefixCache(cfg.CacheBytes),
-			report: reportLog{lag: cfg.ReportLag},
+			report: late[platform.EngineState]{lag: cfg.ReportLag},
 		})
 	}
 	return g
@@ -384,7 +387,7 @@
 	e.maps.Fence = max(e.maps.Fence, fence)
 	reply.State.Fence = e.maps.Fence
 	if e.maps.Prepared != before {
-		e.loaded = time.Now().Add(e.group.cfg.LoadTime)
+		e.loaded = e.load(o.Experts, time.Now())
 	}
 	if o.Kind == mapswitch.Prepare && time.Now().Before(e.loaded) {
 		reply.OK = false
@@ -392,6 +395,24 @@
 	writeJSON(w, reply)
 }
 
+// load asks the store for the experts that this rank lacks of a map, and returns
+// when they will be there; e.mu is held.
+func (e *Engine) load(next [][][]int, now time.Time) time.Time {
+	lacking := 0
+	for l, layer := range next {
+		for x, ranks := range layer {
+			if slices.Contains(ranks, e.rank) && (e.content == nil || !slices.Contains(e.content[l][x], e.rank)) {
+				lacking++
+			}
+		}
+	}
+	e.content = next
+	if e.group.cfg.Store == nil {
+		return now
+	}
+	return e.group.cfg.Store.Load(float64(lacking)*e.group.cfg.ExpertBytes, now)
+}
+
 // experts reports the load of experts, a new sample at each call.
 func (e *Engine) experts(w http.ResponseWriter, _ *http.Request) {
 	g := e.group
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -35,7 +35,7 @@
 	Kind   string `json:"kind"`   // One of the kinds below.
 	Target string `json:"target"` // View, service, instance, or address of an engine.
 	On     bool   `json:"on"`
-	MS     int    `json:"ms,omitempty"` // Time, for slow and delay.
+	MS     int    `json:"ms,omitempty"` // Time, for slow, delay and listlag.
 }
 
 // Demand sets what the engines of a group report on the load of experts.
@@ -48,6 +48,7 @@
 const (
 	FaultDown    = "down"    // A view answers nothing.
 	FaultStale   = "stale"   // A view stays as it is.
+	FaultListLag = "listlag" // A view shows the list as it was so many milliseconds ago.
 	FaultStall   = "stall"   // An engine stops its group.
 	FaultKill    = "kill"    // An engine dies.
 	FaultSlow    = "slow"    // An engine adds time to each step.
@@ -65,7 +66,8 @@
 	Services map[string]*Service // By endpoint.
 	Groups   map[string]*Group   // By name.
 
-	Net *Network
+	Net   *Network
+	Store *Store // Weight store of all engines.
 
 	groups    []*Group
 	listeners []served
@@ -110,6 +112,7 @@
 	if err := s.publishFile(f.String("standin", "bundle", "")); err != nil {
 		f.Fault("standin", "bundle", "%v", err)
 	}
+	s.Store = NewStore(f.Float("standin", "store-rate", 100e9, 1, 1e15))
 	if err := s.listen(f.Required("standin", "control"), s.control()); err != nil {
 		return s, err
 	}
@@ -174,7 +177,8 @@
 		PrefillStep: f.Int(section, "prefill-bytes", 4096, 1, 1<<20),
 		CacheBytes:  f.Int(section, "cache-bytes", 1<<20, 0, 1<<30),
 		ReportLag:   f.Duration(section, "report-lag", 100*time.Millisecond),
-		LoadTime:    f.Duration(section, "load-time", 50*time.Millisecond),
+		Store:       s.Store,
+		ExpertBytes: f.Float(section, "expert-bytes", 50e6, 1, 1e12),
 		NoFences:    !f.Bool(section, "fences", true),
 	})
 	s.groups = append(s.groups, g)
@@ -252,7 +256,7 @@
 func (s *Server) Apply(f Fault) (err error) {
 	defer func() { err = errors.Wrapf(err, "fault %s of %q", f.Kind, f.Target) }()
 	switch f.Kind {
-	case FaultDown, FaultStale:
+	case FaultDown, FaultStale, FaultListLag:
 		return s.viewFault(f)
 	case FaultStall, FaultKill, FaultSlow:
 		return s.engineFault(f)
@@ -280,10 +284,13 @@
 	if !ok {
 		return errors.New("no such view")
 	}
-	if f.Kind == FaultDown {
+	switch f.Kind {
+	case FaultDown:
 		v.Down(f.On)
-	} else {
+	case FaultStale:
 		v.Stale(f.On)
+	case FaultListLag:
+		v.ListLag(time.Duration(f.MS) * time.Millisecond)
 	}
 	return nil
 }
