internal/agent: a new coordinator reads the map in force back

Cause, found in reading: a coordinator that had not made the map in force planned from the even map, and so reckoned transfers of experts that were there and moved others that need not have been. It now reads the content from its engine.

--- a/internal/agent/mapper.go
+++ b/internal/agent/mapper.go
@@ -101,11 +101,9 @@
 	if !ok {
 		return
 	}
-	current, known := m.maps[state.Map]
-	if !known {
-		// Another coordinator made the map in force. Its content is not known
-		// here, so that a plan starts from the even map, and pays for it.
-		current = rebalance.Even(m.shape, s.Layers)
+	current, ok := m.inForce(ctx, state.Map)
+	if !ok {
+		return
 	}
 	plan, ok := m.planner.Decide(load.Sample, current)
 	if !ok {
@@ -120,6 +118,28 @@
 	}
 }
 
+// inForce returns the content of the map in force. One that another coordinator
+// made is read back from the engine, so that a plan starts from what is loaded.
+func (m *mapper) inForce(ctx context.Context, version uint64) (current rebalance.Map, ok bool) {
+	if current, ok = m.maps[version]; ok {
+		return current, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	c, err := m.agent.engine.Map(ctx)
+	if err != nil || c.Version != version {
+		return nil, false // It has just changed; the next sample asks again.
+	}
+	for _, layer := range c.Experts {
+		current = append(current, layer)
+	}
+	if !current.Valid(m.shape) || len(current) == 0 {
+		return nil, false
+	}
+	m.maps[version] = current
+	return current, true
+}
+
 // prepare makes a planner when the group is seen first or has changed shape.
 func (m *mapper) prepare(s *published.Service) {
 	shape := rebalance.Shape{Ranks: len(s.Endpoints), Experts: s.Experts, Slots: s.Slots}
--- a/internal/platform/engine.go
+++ b/internal/platform/engine.go
@@ -38,6 +38,12 @@
 	Experts [][][]int `json:"experts,omitempty"`
 }
 
+// MapContent is an expert map as an engine knows it.
+type MapContent struct {
+	Version uint64    `json:"version"`
+	Experts [][][]int `json:"experts,omitempty"`
+}
+
 // ExpertLoad is the tokens that each expert of each layer got in one sample.
 type ExpertLoad struct {
 	Sample int         `json:"sample"`
@@ -57,6 +63,9 @@
 	Import func(ctx context.Context, id string, cache []byte) (err error)
 	// Order gives a fenced order about the expert map to the engine's rank.
 	Order func(ctx context.Context, o MapOrder) (r mapswitch.Reply, err error)
+	// Map reads the content of the map in force: its version, and by layer and
+	// expert the ranks that hold it. Before the first switch there is none.
+	Map func(ctx context.Context) (m MapContent, err error)
 	// Experts reads the newest report on the load of experts; it lags and has
 	// gaps. Every rank reports for its whole group.
 	Experts func(ctx context.Context) (l ExpertLoad, err error)
@@ -85,6 +94,10 @@
 			err = postJSON(ctx, c, base+"/v1/order", o, &r)
 			return r, errors.Wrap(err, "engine order")
 		},
+		Map: func(ctx context.Context) (m MapContent, err error) {
+			err = getJSON(ctx, c, base+"/v1/map", &m)
+			return m, errors.Wrap(err, "engine map")
+		},
 		Experts: func(ctx context.Context) (l ExpertLoad, err error) {
 			err = getJSON(ctx, c, base+"/v1/experts", &l)
 			return l, errors.Wrap(err, "engine experts")
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -68,7 +68,7 @@
 	stall   bool
 	slow    time.Duration
 	report  late[platform.EngineState]
-	content [][][]int // Ranks by layer and expert of the newest map prepared.
+	content map[uint64][][][]int // Ranks by layer and expert: the map in force and the newest one prepared.
 }
 
 // NewGroup returns a group whose steps are made by Run.
@@ -298,6 +298,7 @@
 	mux.HandleFunc("GET /v1/state", e.state)
 	mux.HandleFunc("POST /v1/order", e.order)
 	mux.HandleFunc("GET /v1/experts", e.experts)
+	mux.HandleFunc("GET /v1/map", e.mapContent)
 	mux.HandleFunc("GET /v1/kv/{id}", e.exportCache)
 	mux.HandleFunc("POST /v1/kv/{id}", e.importCache)
 	return mux
@@ -387,7 +388,7 @@
 	e.maps.Fence = max(e.maps.Fence, fence)
 	reply.State.Fence = e.maps.Fence
 	if e.maps.Prepared != before {
-		e.loaded = e.load(o.Experts, time.Now())
+		e.loaded = e.load(o.Plan.Version, o.Experts, time.Now())
 	}
 	if o.Kind == mapswitch.Prepare && time.Now().Before(e.loaded) {
 		reply.OK = false
@@ -397,22 +398,31 @@
 
 // load asks the store for the experts that this rank lacks of a map, and returns
 // when they will be there; e.mu is held.
-func (e *Engine) load(next [][][]int, now time.Time) time.Time {
+func (e *Engine) load(version uint64, next [][][]int, now time.Time) time.Time {
 	lacking := 0
+	has := e.content[e.maps.Map]
 	for l, layer := range next {
 		for x, ranks := range layer {
-			if slices.Contains(ranks, e.rank) && (e.content == nil || !slices.Contains(e.content[l][x], e.rank)) {
+			if slices.Contains(ranks, e.rank) && (has == nil || !slices.Contains(has[l][x], e.rank)) {
 				lacking++
 			}
 		}
 	}
-	e.content = next
+	e.content = map[uint64][][][]int{e.maps.Map: has, version: next}
 	if e.group.cfg.Store == nil {
 		return now
 	}
 	return e.group.cfg.Store.Load(float64(lacking)*e.group.cfg.ExpertBytes, now)
 }
 
+// mapContent shows the map in force.
+func (e *Engine) mapContent(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	m := platform.MapContent{Version: e.maps.Map, Experts: e.content[e.maps.Map]}
+	e.mu.Unlock()
+	writeJSON(w, m)
+}
+
 // experts reports the load of experts, a new sample at each call.
 func (e *Engine) experts(w http.ResponseWriter, _ *http.Request) {
 	g := e.group
