internal/decide/mapswitch: give up a switch that cannot be decided

Found in reading: a rank that was armed when another's agent died held its group until the next ballot had heard from all; nobody ever sent the Abort that ranks understand. A coordinator that has heard from every rank and has not decided now gives up after ten seconds and frees them.

--- a/internal/agent/mapper.go
+++ b/internal/agent/mapper.go
@@ -23,11 +23,12 @@
 
 // Times of a switch.
 const (
-	idleCheck   = time.Second            // Between two looks whether the group is to be rebalanced.
-	resendEvery = 100 * time.Millisecond // Orders that were not confirmed are sent again.
-	switchLimit = time.Minute            // After which a coordinator gives up; another ballot may follow.
-	firstMargin = 16                     // Engine steps from the newest one heard of to the switch.
-	maxMargin   = 4096
+	idleCheck      = time.Second            // Between two looks whether the group is to be rebalanced.
+	resendEvery    = 100 * time.Millisecond // Orders that were not confirmed are sent again.
+	switchLimit    = time.Minute            // After which a coordinator gives up; another ballot may follow.
+	undecidedLimit = 10 * time.Second       // After which a switch that is not decided is given up.
+	firstMargin    = 16                     // Engine steps from the newest one heard of to the switch.
+	maxMargin      = 4096
 )
 
 // mapper decides on and drives switches of its group's expert map, while its
@@ -195,6 +196,9 @@
 			m.margin = min(maxMargin, 2*m.margin)
 		case mapswitch.Beaten:
 			return 0, false
+		case mapswitch.GivenUp:
+			m.agent.node.Trail().Add(audit.MapSwitch, s.Name, "switch given up: a rank does not answer")
+			return 0, false
 		}
 	}
 	m.agent.node.Trail().Add(audit.MapSwitch, s.Name, "switch not completed: a rank does not answer")
@@ -203,7 +207,14 @@
 
 // complete sends a coordinator's orders until it is over or ctx ends.
 func (m *mapper) complete(ctx context.Context, s *published.Service, c mapswitch.Coordinator, next rebalance.Map) mapswitch.Coordinator {
+	started := time.Now()
 	for !c.Over() && ctx.Err() == nil {
+		if time.Since(started) > undecidedLimit {
+			if next, aborts, ok := c.GiveUp(); ok {
+				m.send(ctx, s, aborts, nil) // A rank that misses it is freed by the next ballot.
+				return next
+			}
+		}
 		orders := c.Resend()
 		phase := c.Phase
 		for _, r := range m.send(ctx, s, orders, next) {
--- a/internal/decide/mapswitch/coordinator.go
+++ b/internal/decide/mapswitch/coordinator.go
@@ -15,11 +15,12 @@
 	Done                       // Every rank has confirmed the decision.
 	Beaten                     // A rank has promised a higher ballot.
 	TooLate                    // A rank had begun Plan.At; a higher ballot must ask for a later step.
+	GivenUp                    // Nothing was decided and nothing will be under this ballot.
 )
 
 // String returns the name of p.
 func (p Phase) String() string {
-	return [...]string{"none", "asking", "finishing", "preparing", "arming", "deciding", "done", "beaten", "too late"}[p]
+	return [...]string{"none", "asking", "finishing", "preparing", "arming", "deciding", "done", "beaten", "too late", "given up"}[p]
 }
 
 // Coordinator drives one switch. Lost orders are sent again by Resend. A
@@ -61,7 +62,22 @@
 
 // Over reports whether the coordinator has ended, well or not.
 func (c Coordinator) Over() bool {
-	return c.Phase == Done || c.Phase == Beaten || c.Phase == TooLate
+	return c.Phase == Done || c.Phase == Beaten || c.Phase == TooLate || c.Phase == GivenUp
+}
+
+// GiveUp ends a switch that is not decided and returns the orders that free the
+// ranks that hold for it. Only a coordinator that has heard from every rank
+// knows that there is no earlier decision that an Abort could undo; before that,
+// and once it has decided, it cannot give up and ok is false.
+func (c Coordinator) GiveUp() (next Coordinator, orders []Order, ok bool) {
+	if c.Phase != Preparing && c.Phase != Arming {
+		return c, nil, false
+	}
+	c.Phase = GivenUp
+	for r := range c.Ranks {
+		orders = append(orders, Order{Kind: Abort, Ballot: c.Ballot, Rank: r})
+	}
+	return c, orders, true
 }
 
 // enter begins a phase and returns its orders.
--- a/internal/decide/mapswitch/search_test.go
+++ b/internal/decide/mapswitch/search_test.go
@@ -41,6 +41,7 @@
 	handle func(Rank, Order) (Rank, Reply)
 	reply  func(Coordinator, Reply) (Coordinator, []Order)
 	low    bool // Ranks obey ballots below their fence.
+	early  bool // Coordinators give up before they have heard from every rank.
 }
 
 var faultless = mutation{
@@ -66,7 +67,7 @@
 	switch {
 	case r.Kind == Arm && r.Late:
 		return bitLate
-	case !r.OK:
+	case !r.OK || r.Kind == Abort:
 		return -1
 	case r.Kind == Ask && r.State.Decided != Plan{}:
 		return bitAsk + 1
@@ -118,7 +119,7 @@
 // rowLen and keyLen are the sizes of a rank's part of a key and of a key.
 const (
 	rowLen = 8 + 3*ballots
-	keyLen = ranks*rowLen + 10*ballots
+	keyLen = ranks*rowLen + 11*ballots
 )
 
 type key [keyLen]byte
@@ -143,9 +144,9 @@
 		copy(k[i*rowLen:], rows[i][:])
 	}
 	for b, c := range w.coords {
-		copy(k[ranks*rowLen+10*b:], []byte{byte(c.Phase), byte(c.Plan.Version), byte(c.Plan.At),
+		copy(k[ranks*rowLen+11*b:], []byte{byte(c.Phase), byte(c.Plan.Version), byte(c.Plan.At),
 			byte(c.Newest.Version), byte(c.Newest.At), flag(c.Spread), byte(c.Step),
-			flag(w.has[b][Prepare]), flag(w.has[b][Commit]), byte(w.sent[b][Arm].At)})
+			flag(w.has[b][Prepare]), flag(w.has[b][Commit]), byte(w.sent[b][Arm].At), flag(w.has[b][Abort])})
 	}
 	return k
 }
@@ -167,8 +168,8 @@
 // open is which replies a coordinator still wants, by phase; own is those of
 // the phase itself, which count once a rank.
 var (
-	open = [TooLate + 1]uint16{Asking: 0x3ff, Finishing: 0x3fc, Preparing: 0x2fc, Arming: 0x2c0, Deciding: 0x200}
-	own  = [TooLate + 1]uint16{Asking: 0x3, Finishing: 0x100, Preparing: 0x3c, Arming: 0xc0, Deciding: 0x200}
+	open = [GivenUp + 1]uint16{Asking: 0x3ff, Finishing: 0x3fc, Preparing: 0x2fc, Arming: 0x2c0, Deciding: 0x200}
+	own  = [GivenUp + 1]uint16{Asking: 0x3, Finishing: 0x100, Preparing: 0x3c, Arming: 0xc0, Deciding: 0x200}
 )
 
 // prune drops replies that their coordinator has gone past.
@@ -242,6 +243,17 @@
 				n.send(n.coords[b].Resend())
 			})
 		}
+		if next, orders, ok := c.GiveUp(); ok {
+			add(func(n *world) {
+				n.coords[b] = next
+				n.send(orders)
+			})
+		} else if m.early && c.Phase == Asking {
+			add(func(n *world) {
+				n.coords[b].Phase = GivenUp
+				n.has[b][Abort] = true
+			})
+		}
 		for kind := Ask; kind < allKinds; kind++ {
 			for r := range ranks {
 				if w.has[b][kind] && (m.low || w.ranks[r].Fence <= uint64(b+1)) {
@@ -390,6 +402,12 @@
 			return c.Handle(r)
 		},
 	},
+	{
+		name:   "give up before every rank was heard",
+		handle: Rank.Handle,
+		reply:  Coordinator.Handle,
+		early:  true,
+	},
 	{
 		name: "arm a step that has begun",
 		handle: func(r Rank, o Order) (Rank, Reply) {
