internal: one judgement of a failed dial, and what nothing called

Read over: the entry judged a failed dial by itself beside the platform package, which now does it for both. Removed what nothing calls: counts and accessors of the stand-ins, a rank's Holding, a type of the policy package. Three comments named their functions in the wrong case. Behaviour and tests are as they were.

--- a/internal/decide/mapswitch/mapswitch.go
+++ b/internal/decide/mapswitch/mapswitch.go
@@ -163,6 +163,3 @@
 	}
 	return r
 }
-
-// Holding reports whether the rank waits at its arming for a decision.
-func (r Rank) Holding() bool { return !r.MayBegin() }
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -39,7 +39,7 @@
 	Content string `json:"content"`
 }
 
-// Prompt returns the text that the engine gets.
+// prompt returns the text that the engine gets.
 func prompt(messages []chatMessage) string {
 	var b strings.Builder
 	for _, m := range messages {
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -8,14 +8,12 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/canvaspulley/canvaspulley/internal/decide/route"
+	"github.com/canvaspulley/canvaspulley/internal/platform"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
 
@@ -72,8 +70,7 @@
 // lost judges an attempt that got no answer. What was never sent was not run;
 // of the rest the agent is asked, and forbidden to run it later.
 func (e *Entry) lost(c candidate, env *wire.Envelope, cause error) *wire.Refusal {
-	var op *net.OpError
-	if errors.As(cause, &op) && op.Op == "dial" {
+	if platform.FailedDial(cause) {
 		e.tracker.block(c.Endpoint, blockUnreachable)
 		return wire.Refuse(http.StatusServiceUnavailable, time.Second, "endpoint cannot be reached")
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -49,10 +49,16 @@
 	return errors.As(err, &ns)
 }
 
-// sent classifies a transport error: a failed dial proves that nothing left.
-func classify(err error) error {
+// FailedDial reports whether a transport error proves that nothing was sent:
+// there was no connection.
+func FailedDial(err error) bool {
 	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// classify marks a transport error that proves that nothing was sent.
+func classify(err error) error {
+	if FailedDial(err) {
 		return notSentError{err}
 	}
 	return err
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -41,12 +41,6 @@
 	Tokens     int64  // Tokens already sent to the caller.
 }
 
-// Program is the text of one kind of program.
-type Program struct {
-	Name string // Key in the published file.
-	Text string
-}
-
 // Set is the compiled programs of one policy. A Set is immutable.
 type Set struct {
 	priority cel.Program
@@ -69,7 +63,7 @@
 	)
 })
 
-// Compile type-checks one program; an empty text gives a nil program, which
+// compile type-checks one program; an empty text gives a nil program, which
 // stands for the default.
 func compile(text string, want *cel.Type) (p cel.Program, err error) {
 	if text == "" {
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -53,8 +53,6 @@
 	used  int
 	seen  map[string]bool
 	order []string
-	hits  int
-	asked int
 }
 
 // prefixBlock is the unit of caching, in bytes of prompt.
@@ -66,7 +64,6 @@
 
 // hit returns the bytes of prompt that were cached and takes in the rest.
 func (c *prefixCache) hit(prompt string) (n int) {
-	c.asked += len(prompt)
 	for end := prefixBlock; end <= len(prompt); end += prefixBlock {
 		prefix := prompt[:end]
 		if c.seen[prefix] {
@@ -75,7 +72,6 @@
 		}
 		c.add(prefix)
 	}
-	c.hits += n
 	return n
 }
 
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -62,13 +62,6 @@
 	d.instances[in.Name] = in
 }
 
-// RemoveInstance takes a row off the list.
-func (d *Directory) RemoveInstance(name string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.instances, name)
-}
-
 // SetLeaving names an instance as leaving.
 func (d *Directory) SetLeaving(name string) {
 	d.mu.Lock()
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -59,7 +59,6 @@
 	active  map[*sequence]bool
 	maps    mapswitch.Rank    // What the engine must not forget about its map.
 	loaded  time.Time         // When the weights of maps.Prepared are there.
-	runs    map[string]int    // Starts by request id.
 	held    map[string]string // Prompts whose KV cache can be exported, by request id.
 	taken   map[string]string // Prompts whose KV cache was imported, by request id.
 	cache   *prefixCache
@@ -79,7 +78,6 @@
 			group:  g,
 			rank:   i,
 			active: map[*sequence]bool{},
-			runs:   map[string]int{},
 			held:   map[string]string{},
 			taken:  map[string]string{},
 			cache:  newPrefixCache(cfg.CacheBytes),
@@ -226,7 +224,6 @@
 	if e.down {
 		return nil, false
 	}
-	e.runs[req.ID]++
 	cached := e.cache.hit(req.Prompt)
 	if e.taken[req.ID] == req.Prompt {
 		cached = len(req.Prompt)
@@ -244,20 +241,6 @@
 	return s, true
 }
 
-// Runs returns how often a request was started at this rank.
-func (e *Engine) Runs(id string) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.runs[id]
-}
-
-// Hits returns the prompt bytes that were found in the cache and all of them.
-func (e *Engine) Hits() (hit, all int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.cache.hits, e.cache.asked
-}
-
 // Stall stops or resumes the whole group through this rank.
 func (e *Engine) Stall(on bool) {
 	e.mu.Lock()
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -29,13 +29,6 @@
 	Echo string `json:"echo"`
 }
 
-// Runs returns how often the id has run.
-func (s *Service) Runs(id string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.runs[id]
-}
-
 // AllRuns returns a copy of all counts.
 func (s *Service) AllRuns() map[string]int {
 	s.mu.Lock()
