--- a/internal/platform/platform.go
+++ b/internal/adapter/adapter.go
@@ -1,11 +1,11 @@
 // Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
 
-// Package platform holds the narrow adapters to what the system runs on: the
+// Package adapter holds the narrow adapters to what the system runs on: the
 // model engine, the plain service, the configuration service, the list of
 // instances and the weight store. Each adapter is a struct of functions, so
 // that a test or a bench can put its own in place; the constructors here speak
 // the HTTP protocols. Nothing in this package decides anything.
-package platform
+package adapter
 
 import (
 	"context"
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,11 +15,11 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/admit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/once"
 	"github.com/canvaspulley/canvaspulley/internal/node"
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
 
@@ -36,8 +36,8 @@
 // Agent serves one endpoint.
 type Agent struct {
 	node    *node.Node
-	engine  *platform.Engine  // Nil beside a plain service.
-	service *platform.Service // Nil beside an engine.
+	engine  *adapter.Engine  // Nil beside a plain service.
+	service *adapter.Service // Nil beside an engine.
 
 	orders     sync.Mutex // Held while an order about the expert map is passed on.
 	fence      uint64     // Highest ballot passed on.
@@ -59,7 +59,7 @@
 }
 
 // New returns an agent beside an engine or a service; one of them is nil.
-func New(n *node.Node, engine *platform.Engine, service *platform.Service) *Agent {
+func New(n *node.Node, engine *adapter.Engine, service *adapter.Service) *Agent {
 	set := n.Settings()
 	target := set.StepTarget
 	if engine == nil {
@@ -170,7 +170,7 @@
 	})
 }
 
-func (a *Agent) takeReport(s platform.EngineState, err error, now time.Time) {
+func (a *Agent) takeReport(s adapter.EngineState, err error, now time.Time) {
 	a.mu.Lock()
 	if err == nil && s.Step != a.step {
 		a.step, a.moved = s.Step, now
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -21,10 +21,10 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/example"
 	"github.com/canvaspulley/canvaspulley/internal/ident"
 	"github.com/canvaspulley/canvaspulley/internal/node"
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 	"github.com/canvaspulley/canvaspulley/internal/settings"
 	"github.com/canvaspulley/canvaspulley/internal/standin"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
@@ -39,7 +39,7 @@
 }
 
 // newBench starts an agent; change may edit its settings.
-func newBench(t *testing.T, change func(*settings.Settings), engine *platform.Engine, service *platform.Service) *bench {
+func newBench(t *testing.T, change func(*settings.Settings), engine *adapter.Engine, service *adapter.Service) *bench {
 	t.Helper()
 	g := gomega.NewWithT(t)
 	layout, err := example.New(example.RefundDesk, example.Small, 0)
@@ -121,8 +121,8 @@
 	return c.runs
 }
 
-func (c *counter) service() *platform.Service {
-	return &platform.Service{Do: func(context.Context, platform.Call) (platform.Reply, error) {
+func (c *counter) service() *adapter.Service {
+	return &adapter.Service{Do: func(context.Context, adapter.Call) (adapter.Reply, error) {
 		c.mu.Lock()
 		c.runs++
 		hold, err := c.hold, c.err
@@ -130,7 +130,7 @@
 		if hold != nil {
 			<-hold
 		}
-		return platform.Reply{Status: http.StatusOK, Type: "text/plain", Body: []byte("paid")}, err
+		return adapter.Reply{Status: http.StatusOK, Type: "text/plain", Body: []byte("paid")}, err
 	}}
 }
 
@@ -184,7 +184,7 @@
 
 func TestNotRunIsNeverSaidAfterTheSend(t *testing.T) {
 	g := gomega.NewWithT(t)
-	gone := platform.NewService("http://"+closedPort(t), http.DefaultClient, &http.Client{Transport: platform.NewSingleTransport("")})
+	gone := adapter.NewService("http://"+closedPort(t), http.DefaultClient, &http.Client{Transport: adapter.NewSingleTransport("")})
 	b := newBench(t, nil, nil, gone)
 	env := call(ident.NewKey(b.slot).String())
 	g.Expect(b.send(env, "").outcome).To(gomega.Equal(wire.NotRun), "nobody listens: nothing was sent")
@@ -198,7 +198,7 @@
 		panic(http.ErrAbortHandler)
 	}))
 	t.Cleanup(srv.Close)
-	b = newBench(t, nil, nil, platform.NewService(srv.URL, http.DefaultClient, &http.Client{Transport: platform.NewSingleTransport("")}))
+	b = newBench(t, nil, nil, adapter.NewService(srv.URL, http.DefaultClient, &http.Client{Transport: adapter.NewSingleTransport("")}))
 	g.Expect(b.send(call(""), "").outcome).To(gomega.Equal(wire.Unknown))
 	g.Expect(once.count()).To(gomega.Equal(1))
 }
@@ -272,13 +272,13 @@
 }
 
 // engineOf is an engine whose stream is the given text.
-func engineOf(stream func(g platform.Generate) string) *platform.Engine {
-	return &platform.Engine{
-		Generate: func(_ context.Context, g platform.Generate) (io.ReadCloser, error) {
+func engineOf(stream func(g adapter.Generate) string) *adapter.Engine {
+	return &adapter.Engine{
+		Generate: func(_ context.Context, g adapter.Generate) (io.ReadCloser, error) {
 			return io.NopCloser(strings.NewReader(stream(g))), nil
 		},
-		State: func(context.Context) (platform.EngineState, error) {
-			return platform.EngineState{Step: uint64(time.Now().UnixNano())}, nil
+		State: func(context.Context) (adapter.EngineState, error) {
+			return adapter.EngineState{Step: uint64(time.Now().UnixNano())}, nil
 		},
 	}
 }
@@ -289,7 +289,7 @@
 
 func TestForeignLateAndDoubledTokensAreDropped(t *testing.T) {
 	g := gomega.NewWithT(t)
-	b := newBench(t, nil, engineOf(func(q platform.Generate) string {
+	b := newBench(t, nil, engineOf(func(q adapter.Generate) string {
 		return frame(q.ID, 0, "", `"a"`) + frame("another~1", 1, "", `"x"`) + frame(q.ID, 0, "", `"a"`) +
 			frame(q.ID, 2, "", `"c"`) + frame(q.ID, 1, "", `"b"`) + frame(q.ID, 2, wire.EventEnd, "{}")
 	}), nil)
@@ -309,7 +309,7 @@
 
 func TestStreamWithoutItsEndBreaksOff(t *testing.T) {
 	g := gomega.NewWithT(t)
-	b := newBench(t, nil, engineOf(func(q platform.Generate) string { return frame(q.ID, 0, "", `"a"`) }), nil)
+	b := newBench(t, nil, engineOf(func(q adapter.Generate) string { return frame(q.ID, 0, "", `"a"`) }), nil)
 	got := b.send(wire.Envelope{Kind: wire.KindStream, Customer: "c"}, `{"prompt":"p","max_tokens":2}`)
 	g.Expect(got.err).To(gomega.HaveOccurred(), "a short answer must not look whole")
 }
--- a/internal/agent/mapper.go
+++ b/internal/agent/mapper.go
@@ -11,12 +11,12 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/mapswitch"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/decide/rebalance"
 	"github.com/canvaspulley/canvaspulley/internal/node"
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 	"github.com/canvaspulley/canvaspulley/internal/published"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
@@ -161,7 +161,7 @@
 
 // askOwn reads the state of the agent's own rank, without a new promise.
 func (m *mapper) askOwn(ctx context.Context) (r mapswitch.Rank, ok bool) {
-	reply, err := m.agent.engine.Order(ctx, platform.MapOrder{Order: mapswitch.Order{Kind: mapswitch.Ask}})
+	reply, err := m.agent.engine.Order(ctx, adapter.MapOrder{Order: mapswitch.Order{Kind: mapswitch.Ask}})
 	if err != nil {
 		return r, false
 	}
@@ -240,7 +240,7 @@
 	got := make([]*mapswitch.Reply, len(orders))
 	g := &errgroup.Group{}
 	for i, o := range orders {
-		msg := platform.MapOrder{Order: o}
+		msg := adapter.MapOrder{Order: o}
 		if o.Kind == mapswitch.Prepare {
 			for _, layer := range next {
 				msg.Experts = append(msg.Experts, layer)
@@ -277,7 +277,7 @@
 // serveSwitch takes an order from the coordinator of the group. A process that
 // was paused passes nothing on before it knows that it has not been replaced.
 func (a *Agent) serveSwitch(w http.ResponseWriter, r *http.Request) {
-	var o platform.MapOrder
+	var o adapter.MapOrder
 	if !node.ReadJSON(w, r, &o) {
 		return
 	}
@@ -307,14 +307,14 @@
 // before. Not every engine checks fences; an agent that starts anew reads the
 // highest one back before its first order. Orders go one at a time, so that
 // none overtakes the check.
-func (a *Agent) order(ctx context.Context, o platform.MapOrder) (r mapswitch.Reply, err error) {
+func (a *Agent) order(ctx context.Context, o adapter.MapOrder) (r mapswitch.Reply, err error) {
 	a.orders.Lock()
 	defer a.orders.Unlock()
 	if !a.mayOrder(time.Now()) {
 		return r, errNoLease
 	}
 	if !a.fenceKnown {
-		own, err := a.engine.Order(ctx, platform.MapOrder{Order: mapswitch.Order{Kind: mapswitch.Ask}})
+		own, err := a.engine.Order(ctx, adapter.MapOrder{Order: mapswitch.Order{Kind: mapswitch.Ask}})
 		if err != nil {
 			return r, err
 		}
--- a/internal/agent/mapper_test.go
+++ b/internal/agent/mapper_test.go
@@ -14,9 +14,9 @@
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/decide/mapswitch"
 	"github.com/canvaspulley/canvaspulley/internal/node"
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 	"github.com/canvaspulley/canvaspulley/internal/settings"
 	"github.com/canvaspulley/canvaspulley/internal/standin"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
@@ -24,7 +24,7 @@
 
 // guarded is an agent that takes no part in anything but orders. Its engine is
 // said to check fences, so that no lease is asked for.
-func guarded(t *testing.T, engine *platform.Engine) *Agent {
+func guarded(t *testing.T, engine *adapter.Engine) *Agent {
 	t.Helper()
 	n, err := node.New(&settings.Settings{Name: "a", GossipInterval: time.Second, Fences: true}, zap.NewNop())
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
@@ -42,7 +42,7 @@
 	b := newBench(t, func(s *settings.Settings) {
 		s.Fences = false
 		s.GossipInterval = 100 * time.Millisecond
-	}, platform.NewEngine(srv.URL, srv.Client()), nil)
+	}, adapter.NewEngine(srv.URL, srv.Client()), nil)
 	started := b.agent.node.Started()
 	g.Expect(b.agent.mayOrder(started.Add(b.agent.node.Lease()/2))).To(gomega.BeFalse(), "an earlier process may still hold the slot")
 	g.Eventually(func() bool { return b.agent.mayOrder(time.Now()) }, "20s").Should(gomega.BeTrue())
@@ -53,7 +53,7 @@
 	resp, err := http.Post(b.url+wire.PathGossip, "application/json", strings.NewReader(heir))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	_ = resp.Body.Close()
-	_, err = b.agent.order(context.Background(), platform.MapOrder{Order: mapswitch.Order{Kind: mapswitch.Ask, Ballot: 9}})
+	_, err = b.agent.order(context.Background(), adapter.MapOrder{Order: mapswitch.Order{Kind: mapswitch.Ask, Ballot: 9}})
 	g.Expect(err).To(gomega.MatchError(errNoLease), "superseded")
 }
 
@@ -61,15 +61,15 @@
 // orders of a late coordinator: straight to it they are obeyed, through the
 // agent they are not, nor through one that has just started.
 func TestAgentGuardsAnEngineWithoutFences(t *testing.T) {
-	newer := platform.MapOrder{Order: mapswitch.Order{Kind: mapswitch.Ask, Ballot: 9}}
-	late := platform.MapOrder{Order: mapswitch.Order{Kind: mapswitch.Prepare, Ballot: 3, Plan: mapswitch.Plan{Version: 3}}}
+	newer := adapter.MapOrder{Order: mapswitch.Order{Kind: mapswitch.Ask, Ballot: 9}}
+	late := adapter.MapOrder{Order: mapswitch.Order{Kind: mapswitch.Prepare, Ballot: 3, Plan: mapswitch.Plan{Version: 3}}}
 	check := func(name string, restart bool, through bool, obeyed bool) {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			group := standin.NewGroup(standin.GroupConfig{Ranks: 1, NoFences: true})
 			srv := httptest.NewServer(group.Rank(0).Handler())
 			t.Cleanup(srv.Close)
-			engine := platform.NewEngine(srv.URL, srv.Client())
+			engine := adapter.NewEngine(srv.URL, srv.Client())
 			a := guarded(t, engine)
 			_, err := a.order(context.Background(), newer)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -14,12 +14,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/chart"
 	"github.com/canvaspulley/canvaspulley/internal/decide/admit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/once"
 	"github.com/canvaspulley/canvaspulley/internal/ident"
 	"github.com/canvaspulley/canvaspulley/internal/node"
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
 
@@ -296,12 +296,12 @@
 	a := j.agent
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), j.timeout())
 	defer cancel()
-	reply, err := a.service.Do(ctx, platform.Call{
+	reply, err := a.service.Do(ctx, adapter.Call{
 		Method: j.env.Method, Path: j.env.Path, Type: j.env.Type, Key: j.env.Key,
 		Body: j.body, Once: j.env.Once,
 	})
 	switch {
-	case platform.NotSent(err):
+	case adapter.NotSent(err):
 		j.end(eventRefuse)
 		a.refuse(w, wire.Refuse(http.StatusServiceUnavailable, time.Second, "service cannot be reached"))
 		return
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -11,8 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
 
@@ -20,7 +20,7 @@
 // the request. Tokens that are not the next one are dropped and counted.
 func (j *job) stream(w http.ResponseWriter, r *http.Request) {
 	a := j.agent
-	var g platform.Generate
+	var g adapter.Generate
 	if err := json.Unmarshal(j.body, &g); err != nil {
 		j.end(eventRefuse)
 		a.refuse(w, wire.Refuse(http.StatusBadRequest, 0, "body: "+err.Error()))
@@ -30,7 +30,7 @@
 	j.bringCache(r.Context())
 	in, err := a.engine.Generate(r.Context(), g)
 	switch {
-	case platform.NotSent(err) || platform.Status(err) == http.StatusServiceUnavailable:
+	case adapter.NotSent(err) || adapter.Status(err) == http.StatusServiceUnavailable:
 		j.end(eventRefuse)
 		a.refuse(w, wire.Refuse(http.StatusServiceUnavailable, time.Second, "engine cannot be reached"))
 		return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,11 +17,11 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/agent"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/entry"
 	"github.com/canvaspulley/canvaspulley/internal/node"
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 	"github.com/canvaspulley/canvaspulley/internal/settings"
 	"github.com/canvaspulley/canvaspulley/internal/trust"
 )
@@ -66,7 +66,7 @@
 		_ = peers.Close()
 		return nil, nil, err
 	}
-	d.add(peers, d.role(), "peers", string(platform.RoleEntry), string(platform.RoleEndpoint))
+	d.add(peers, d.role(), "peers", string(adapter.RoleEntry), string(adapter.RoleEndpoint))
 	for _, one := range []struct {
 		address string
 		handler func() http.Handler
@@ -90,16 +90,16 @@
 
 // role makes the entry or the agent and returns the peer listener's handlers.
 func (d *Daemon) role() http.Handler {
-	if d.set.Role == platform.RoleEntry {
+	if d.set.Role == adapter.RoleEntry {
 		d.entry = entry.New(d.node)
 		return d.entry.PeerHandler()
 	}
-	kept := &http.Client{Transport: platform.NewTransport(d.set.Source)}
-	single := &http.Client{Transport: platform.NewSingleTransport(d.set.Source)}
+	kept := &http.Client{Transport: adapter.NewTransport(d.set.Source)}
+	single := &http.Client{Transport: adapter.NewSingleTransport(d.set.Source)}
 	if d.set.Engine != "" {
-		d.agent = agent.New(d.node, platform.NewEngine(d.set.Engine, kept), nil)
+		d.agent = agent.New(d.node, adapter.NewEngine(d.set.Engine, kept), nil)
 	} else {
-		d.agent = agent.New(d.node, nil, platform.NewService(d.set.Service, kept, single))
+		d.agent = agent.New(d.node, nil, adapter.NewService(d.set.Service, kept, single))
 	}
 	return d.agent.Handler()
 }
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -12,9 +12,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/ident"
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 	"github.com/canvaspulley/canvaspulley/internal/published"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
@@ -153,7 +153,7 @@
 	s.env.Once = key != ""
 	text := prompt(s.chat.Messages)
 	s.prefix = strconv.FormatUint(xxhash.Sum64String(text[:min(len(text), prefixBytes)]), 36)
-	body, err := json.Marshal(platform.Generate{Prompt: text, MaxTokens: s.chat.MaxTokens})
+	body, err := json.Marshal(adapter.Generate{Prompt: text, MaxTokens: s.chat.MaxTokens})
 	if err != nil {
 		return wire.Refuse(http.StatusBadRequest, 0, err.Error())
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,11 +19,11 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
 	"github.com/canvaspulley/canvaspulley/internal/ident"
 	"github.com/canvaspulley/canvaspulley/internal/node"
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 	"github.com/canvaspulley/canvaspulley/internal/policy"
 	"github.com/canvaspulley/canvaspulley/internal/published"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
@@ -51,7 +51,7 @@
 
 // New returns an entry on a node.
 func New(n *node.Node) *Entry {
-	kept, single := platform.NewTransport(n.Settings().Source), platform.NewSingleTransport(n.Settings().Source)
+	kept, single := adapter.NewTransport(n.Settings().Source), adapter.NewSingleTransport(n.Settings().Source)
 	kept.TLSClientConfig = n.Credentials().Client()
 	single.TLSClientConfig = n.Credentials().Client()
 	e := &Entry{
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -10,11 +10,11 @@
 	"sync"
 	"time"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/limit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/node"
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 	"github.com/canvaspulley/canvaspulley/internal/published"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
@@ -80,7 +80,7 @@
 func (l *limits) peers() []member.Member {
 	self := l.node.Settings().Name
 	return l.node.Members(func(m member.Member) bool {
-		return m.Role == string(platform.RoleEntry) && m.State == member.Alive && m.Name != self
+		return m.Role == string(adapter.RoleEntry) && m.State == member.Alive && m.Name != self
 	})
 }
 
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -12,8 +12,8 @@
 	"strconv"
 	"time"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/decide/route"
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
 
@@ -70,7 +70,7 @@
 // lost judges an attempt that got no answer. What was never sent was not run;
 // of the rest the agent is asked, and forbidden to run it later.
 func (e *Entry) lost(c candidate, env *wire.Envelope, cause error) *wire.Refusal {
-	if platform.FailedDial(cause) {
+	if adapter.FailedDial(cause) {
 		e.tracker.block(c.Endpoint, blockUnreachable)
 		return wire.Refuse(http.StatusServiceUnavailable, time.Second, "endpoint cannot be reached")
 	}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -15,7 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/canvaspulley/canvaspulley/internal/platform"
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
 
@@ -100,7 +100,7 @@
 // the answers.
 func Run(ctx context.Context, cfg Config) (res Result, err error) {
 	cfg.Attempts = max(1, cfg.Attempts)
-	r := &runner{cfg: cfg, client: &http.Client{Transport: platform.NewTransport("")}}
+	r := &runner{cfg: cfg, client: &http.Client{Transport: adapter.NewTransport("")}}
 	r.res = Result{
 		Said:       map[string]wire.Outcome{},
 		FirstToken: hdrhistogram.New(lowestMicros, highestMicros, digits),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,11 +20,11 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/chart"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/decide/spread"
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 	"github.com/canvaspulley/canvaspulley/internal/published"
 	"github.com/canvaspulley/canvaspulley/internal/ring"
 	"github.com/canvaspulley/canvaspulley/internal/settings"
@@ -75,8 +75,8 @@
 	trail *audit.Trail
 	creds *trust.Credentials
 	peers *http.Client
-	conf  *platform.ConfigService
-	list  *platform.Instances
+	conf  *adapter.ConfigService
+	list  *adapter.Instances
 	start time.Time
 
 	config atomic.Pointer[published.Config] // Nil until the first generation is adopted.
@@ -109,9 +109,9 @@
 	if err != nil {
 		return nil, err
 	}
-	transport := platform.NewTransport(set.Source)
+	transport := adapter.NewTransport(set.Source)
 	transport.TLSClientConfig = creds.Client()
-	direct := &http.Client{Transport: platform.NewTransport(set.Source)}
+	direct := &http.Client{Transport: adapter.NewTransport(set.Source)}
 	n = &Node{
 		set:    set,
 		log:    log,
@@ -119,8 +119,8 @@
 		trail:  audit.New(set.Name, log, reg),
 		creds:  creds,
 		peers:  &http.Client{Transport: transport},
-		conf:   platform.NewConfigService(set.ConfigService, direct),
-		list:   platform.NewInstances(set.Instances, direct),
+		conf:   adapter.NewConfigService(set.ConfigService, direct),
+		list:   adapter.NewInstances(set.Instances, direct),
 		start:  time.Now(),
 		hints:  ring.NewQueue[hint](hintRing),
 		pushes: ring.NewQueue[member.Member](pushRing),
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -7,9 +7,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/decide/own"
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 	"github.com/canvaspulley/canvaspulley/internal/published"
 )
 
@@ -188,7 +188,7 @@
 	return len(list)
 }
 
-func fromInstance(in platform.Instance) member.Member {
+func fromInstance(in adapter.Instance) member.Member {
 	return member.Member{
 		Name: in.Name, Role: string(in.Role), Endpoint: in.Endpoint,
 		Domain: in.Domain, Address: in.Address, Leaving: in.Leaving,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,14 +15,14 @@
 	"strings"
 	"time"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/inifile"
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 )
 
 // Settings is one checked settings file.
 type Settings struct {
 	Name     string
-	Role     platform.Role
+	Role     adapter.Role
 	Domain   string
 	Endpoint string // Slot that an agent fills; "" for entries.
 
@@ -91,14 +91,14 @@
 	const section = "instance"
 	s.Name = f.Required(section, "name")
 	s.Domain = f.Required(section, "domain")
-	s.Role = platform.Role(f.Required(section, "role"))
+	s.Role = adapter.Role(f.Required(section, "role"))
 	s.Endpoint = f.String(section, "endpoint", "")
 	switch s.Role {
-	case platform.RoleEntry:
+	case adapter.RoleEntry:
 		if s.Endpoint != "" {
 			f.Fault(section, "endpoint", "is set, but the role is entry")
 		}
-	case platform.RoleEndpoint:
+	case adapter.RoleEndpoint:
 		if s.Endpoint == "" {
 			f.Fault(section, "endpoint", "must be set for the role endpoint")
 		}
@@ -112,8 +112,8 @@
 	const section = "listen"
 	s.Peers = address(f, section, "peers", true)
 	s.Operators = address(f, section, "operators", true)
-	s.Callers = address(f, section, "callers", s.Role == platform.RoleEntry)
-	if s.Callers != "" && s.Role == platform.RoleEndpoint {
+	s.Callers = address(f, section, "callers", s.Role == adapter.RoleEntry)
+	if s.Callers != "" && s.Role == adapter.RoleEndpoint {
 		f.Fault(section, "callers", "is set, but the role is endpoint")
 	}
 	s.Advertise = address(f, section, "advertise", false)
@@ -179,7 +179,7 @@
 	const section = "endpoint"
 	s.Engine = baseURL(f, section, "engine", false)
 	s.Service = baseURL(f, section, "service", false)
-	agent := s.Role == platform.RoleEndpoint
+	agent := s.Role == adapter.RoleEndpoint
 	if agent && (s.Engine == "") == (s.Service == "") {
 		f.Fault(section, "", "exactly one of engine and service must be set")
 	}
--- a/internal/standin/directory.go
+++ b/internal/standin/directory.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/canvaspulley/canvaspulley/internal/platform"
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/published"
 )
 
@@ -22,7 +22,7 @@
 type Directory struct {
 	mu        sync.Mutex
 	values    map[string][]byte
-	instances map[string]platform.Instance
+	instances map[string]adapter.Instance
 	changed   chan struct{} // Closed and replaced at each change.
 }
 
@@ -33,7 +33,7 @@
 func NewDirectory() *Directory {
 	return &Directory{
 		values:    map[string][]byte{},
-		instances: map[string]platform.Instance{},
+		instances: map[string]adapter.Instance{},
 		changed:   make(chan struct{}),
 	}
 }
@@ -56,7 +56,7 @@
 }
 
 // SetInstance adds or changes a row of the list.
-func (d *Directory) SetInstance(in platform.Instance) {
+func (d *Directory) SetInstance(in adapter.Instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.instances[in.Name] = in
@@ -80,8 +80,8 @@
 	mu    sync.Mutex
 	down  bool
 	stale map[string][]byte // Values as of the moment the view went stale.
-	list  []platform.Instance
-	late  late[[]platform.Instance]
+	list  []adapter.Instance
+	late  late[[]adapter.Instance]
 	calls int
 }
 
@@ -121,7 +121,7 @@
 	return v.calls
 }
 
-func (d *Directory) snapshot() (values map[string][]byte, list []platform.Instance) {
+func (d *Directory) snapshot() (values map[string][]byte, list []adapter.Instance) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	values = make(map[string][]byte, len(d.values))
@@ -135,7 +135,7 @@
 }
 
 // enter counts a call; ok is false when the view is down.
-func (v *View) enter() (stale map[string][]byte, list []platform.Instance, ok bool) {
+func (v *View) enter() (stale map[string][]byte, list []adapter.Instance, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.calls++
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -10,8 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/decide/mapswitch"
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
 
@@ -43,7 +43,7 @@
 
 // sequence is one request at a rank.
 type sequence struct {
-	req    platform.Generate
+	req    adapter.Generate
 	next   int // Next token to make.
 	fill   int // Prompt bytes not yet taken in.
 	tokens chan int
@@ -66,7 +66,7 @@
 	down    bool
 	stall   bool
 	slow    time.Duration
-	report  late[platform.EngineState]
+	report  late[adapter.EngineState]
 	content map[uint64][][][]int // Ranks by layer and expert: the map in force and the newest one prepared.
 }
 
@@ -81,7 +81,7 @@
 			held:   map[string]string{},
 			taken:  map[string]string{},
 			cache:  newPrefixCache(cfg.CacheBytes),
-			report: late[platform.EngineState]{lag: cfg.ReportLag},
+			report: late[adapter.EngineState]{lag: cfg.ReportLag},
 		})
 	}
 	return g
@@ -212,13 +212,13 @@
 			close(s.tokens)
 		}
 	}
-	e.report.add(time.Now(), platform.EngineState{
+	e.report.add(time.Now(), adapter.EngineState{
 		Step: step, StepMS: float64(d) / float64(time.Millisecond), Running: len(e.active),
 	})
 }
 
 // start adds a sequence; ok is false while the engine is down.
-func (e *Engine) start(req platform.Generate, gone <-chan struct{}) (s *sequence, ok bool) {
+func (e *Engine) start(req adapter.Generate, gone <-chan struct{}) (s *sequence, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.down {
@@ -288,7 +288,7 @@
 }
 
 func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
-	var req platform.Generate
+	var req adapter.Generate
 	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -350,7 +350,7 @@
 // order obeys or refuses a fenced order. A Prepare is confirmed only when the
 // weights have had the time to come from the store.
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	var o platform.MapOrder
+	var o adapter.MapOrder
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -401,7 +401,7 @@
 // mapContent shows the map in force.
 func (e *Engine) mapContent(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
-	m := platform.MapContent{Version: e.maps.Map, Experts: e.content[e.maps.Map]}
+	m := adapter.MapContent{Version: e.maps.Map, Experts: e.content[e.maps.Map]}
 	e.mu.Unlock()
 	writeJSON(w, m)
 }
@@ -411,7 +411,7 @@
 	g := e.group
 	g.mu.Lock()
 	g.sample++
-	l := platform.ExpertLoad{Sample: g.sample, Tokens: g.demand}
+	l := adapter.ExpertLoad{Sample: g.sample, Tokens: g.demand}
 	g.mu.Unlock()
 	writeJSON(w, l)
 }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -14,8 +14,8 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/inifile"
-	"github.com/canvaspulley/canvaspulley/internal/platform"
 )
 
 // Paths of the control listener, which plays the operators and the faults.
@@ -145,8 +145,8 @@
 
 // addInstance puts a row on the list and, if asked, a relay before it.
 func (s *Server) addInstance(f *inifile.File, section, name string) (err error) {
-	in := platform.Instance{
-		Name: name, Role: platform.Role(f.Required(section, "role")),
+	in := adapter.Instance{
+		Name: name, Role: adapter.Role(f.Required(section, "role")),
 		Domain: f.Required(section, "domain"), Address: f.Required(section, "address"),
 		Endpoint: f.String(section, "endpoint", ""),
 	}
@@ -343,7 +343,7 @@
 		s.Dir.Publish(b)
 		return nil
 	}))
-	mux.HandleFunc("POST "+PathInstance, decoded(func(in platform.Instance) error {
+	mux.HandleFunc("POST "+PathInstance, decoded(func(in adapter.Instance) error {
 		s.Dir.SetInstance(in)
 		return nil
 	}))
