--- /dev/null
+++ b/internal/daemon/fleet.go
@@ -0,0 +1,262 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package daemon
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/follow"
+	"github.com/canvaspulley/canvaspulley/internal/gateway"
+	"github.com/canvaspulley/canvaspulley/internal/oplog"
+	"github.com/canvaspulley/canvaspulley/internal/settings"
+	"github.com/canvaspulley/canvaspulley/platform"
+)
+
+// Times of a planned stop.
+const (
+	// stopLinger is how long new connections may still come after the signal:
+	// the platform asks for readiness each second and stops after two misses.
+	stopLinger = 3500 * time.Millisecond
+	// stopMargin is kept from the end of the grace period.
+	stopMargin = 700 * time.Millisecond
+)
+
+// keyMargin is kept from the time after which a key that was taken away must
+// not count: it covers the way of a request to its endpoint.
+const keyMargin = 900 * time.Millisecond
+
+// callersHeaderTime bounds the arrival of a caller's header. The published
+// bound may change; this one is above what is published.
+const callersHeaderTime = 15 * time.Second
+
+// memoryShare is the part of an instance's memory that the heap may reach
+// before it is collected harder.
+const memoryShare = 0.6
+
+// fleetProcess is a gateway or a sidecar.
+type fleetProcess struct {
+	set  *settings.Fleet
+	file string
+	log  *zap.Logger
+	reg  metrics.Registry
+}
+
+// runFleet serves until a planned stop is complete.
+func runFleet(file string, set *settings.Fleet, out io.Writer) (err error) {
+	logger, lines, err := oplog.New(out, set.LogLevel, set.LogPerSec)
+	if err != nil {
+		return errors.Wrap(err, "log level")
+	}
+	if set.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryLimit) * (1 << 20)))
+	}
+	p := &fleetProcess{set: set, file: file, log: logger, reg: metrics.NewRegistry()}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	logging, stopLog := context.WithCancel(context.Background())
+	var logGroup errgroup.Group
+	logGroup.Go(func() error { return lines.Run(logging) })
+	defer func() {
+		stopLog()
+		_ = logGroup.Wait()
+	}()
+	logger.Info("start", zap.String("name", set.Name), zap.String("role", string(set.Role)), zap.String("domain", set.Domain), zap.Int("pid", os.Getpid()))
+	if set.Role == settings.Gateway {
+		err = p.gateway(ctx)
+	} else {
+		err = p.sidecar(ctx)
+	}
+	logger.Info("stop", zap.Bool("failed", err != nil), zap.Int64("lines-left-out", lines.Dropped()))
+	return err
+}
+
+// listen opens a listener whose address may still be held for a moment by a
+// process that has just ended.
+func listenTCP(address string) (l net.Listener, err error) {
+	return net.Listen("tcp4", address)
+}
+
+// httpServer returns a server of the process.
+func httpServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: callersHeaderTime,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(io.Discard, "", 0), // Callers that break off are told in the request's own line.
+	}
+}
+
+// serveOn serves until ctx ends.
+func serveOn(ctx context.Context, srv *http.Server, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// signals calls stop at the first signal to stop and reload at each SIGHUP. A
+// second signal to stop ends the process at once.
+func (p *fleetProcess) signals(ctx context.Context, stop, end func()) error {
+	c := make(chan os.Signal, 4)
+	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(c)
+	stopped := false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-c:
+			switch {
+			case s == syscall.SIGHUP:
+				p.reload()
+			case stopped:
+				p.log.Warn("stopping at once", zap.String("signal", s.String()))
+				end()
+			default:
+				stopped = true
+				p.log.Info("stopping", zap.String("signal", s.String()))
+				stop()
+			}
+		}
+	}
+}
+
+// reload reads the settings again. Addresses cannot change within a life; the
+// rest is taken at the next start, and what differs is logged.
+func (p *fleetProcess) reload() {
+	next, err := settings.LoadFleet(p.file)
+	if err != nil {
+		p.log.Warn("settings not taken", zap.String("error", err.Error()))
+		return
+	}
+	p.log.Info("settings read again", zap.Bool("store-moved", next.Store != p.set.Store))
+}
+
+// gateway runs a gateway.
+func (p *fleetProcess) gateway(ctx context.Context) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	store, closeStore := platform.NewStore(p.set.Store, p.set.Source)
+	defer closeStore()
+	view := follow.NewView()
+	g, closeGateway := gateway.New(gateway.Config{
+		Domain:      p.set.Domain,
+		Source:      p.set.Source,
+		KeyAge:      p.set.Revocation - keyMargin,
+		RetryShare:  p.set.RetryShare,
+		RetryWindow: p.set.RetryWindow,
+		RetrySpare:  float64(p.set.RetrySpare),
+		Grace:       p.set.Grace,
+	}, platformCodec(), view, p.log, p.reg)
+	defer closeGateway()
+
+	callers, err := listenTCP(p.set.Callers)
+	if err != nil {
+		return err
+	}
+	readiness, err := listenTCP(p.set.Readiness)
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	stop := make(chan struct{})
+	group.Go(func() error {
+		return p.signals(ctx, func() { g.Stop(); close(stop) }, cancel)
+	})
+	follower := follow.NewFollower(view, store.Source(), p.log)
+	group.Go(func() error { return follower.Run(ctx, g.Changed) })
+	group.Go(func() error { return g.Run(ctx) })
+	srv := httpServer(g.Handler())
+	srv.ConnState = g.ConnState()
+	group.Go(func() error { return serveOn(ctx, srv, callers) })
+	group.Go(func() error { return serveOn(ctx, httpServer(g.ReadinessHandler()), readiness) })
+	p.serveMetrics(ctx, group)
+	group.Go(func() error {
+		defer cancel()
+		p.drain(ctx, stop, g.Busy)
+		return nil
+	})
+	return group.Wait()
+}
+
+// drain waits for the signal to stop and then for what runs.
+func (p *fleetProcess) drain(ctx context.Context, stop <-chan struct{}, busy func() int) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-stop:
+	}
+	began := time.Now()
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			after := now.Sub(began)
+			if after > p.set.Grace-stopMargin {
+				p.log.Warn("stopped with requests at work", zap.Int("requests", busy()))
+				return
+			}
+			if after > stopLinger && busy() == 0 {
+				return
+			}
+		}
+	}
+}
+
+// sidecar runs a sidecar.
+func (p *fleetProcess) sidecar(ctx context.Context) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return p.signals(ctx, cancel, cancel) })
+	p.serveMetrics(ctx, group)
+	return group.Wait()
+}
+
+func platformCodec() gateway.Codec {
+	return gateway.Codec{
+		ReadCall:       platform.ReadCall,
+		EndpointHeader: platform.EndpointHeader,
+		CallerHeader:   platform.CallerHeader,
+		ReadAnswer:     platform.ReadAnswer,
+		MarkAnswer:     platform.MarkAnswer,
+	}
+}
+
+// serveMetrics serves the process's figures as text. Without them the process
+// still serves, so a fault is logged only.
+func (p *fleetProcess) serveMetrics(ctx context.Context, group *errgroup.Group) {
+	if p.set.Metrics == "" {
+		return
+	}
+	l, err := listenTCP(p.set.Metrics)
+	if err != nil {
+		p.log.Error("no metrics", zap.String("error", err.Error()))
+		return
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		metrics.WriteOnce(p.reg, w)
+	})
+	group.Go(func() error { return serveOn(ctx, httpServer(mux), l) })
+}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -39,6 +39,14 @@
 		fmt.Fprintln(stderr, err)
 		return exitSettings
 	}
+	role, err := settings.RoleOf(o.Config)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	if role == string(settings.Gateway) || role == string(settings.Sidecar) {
+		return mainFleet(o, stderr)
+	}
 	set, err := settings.Load(o.Config)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -60,6 +68,23 @@
 	return exitOK
 }
 
+// mainFleet runs a gateway or a sidecar and returns the exit code.
+func mainFleet(o options, stderr io.Writer) int {
+	set, err := settings.LoadFleet(o.Config)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitSettings
+	}
+	if o.Check {
+		return exitOK
+	}
+	if err := runFleet(o.Config, set, os.Stdout); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	return exitOK
+}
+
 func newLog(level string) (l *zap.Logger, err error) {
 	cfg := zap.NewProductionConfig()
 	if cfg.Level, err = zap.ParseAtomicLevel(level); err != nil {
--- /dev/null
+++ b/internal/decide/balance/balance.go
@@ -0,0 +1,243 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package balance chooses the endpoint of a request among those of its service,
+// from what the endpoints report and from what callers got of them. It is a
+// pure state machine: time and chance come in as arguments, and the caller
+// serialises access.
+package balance
+
+import (
+	"time"
+)
+
+// Load is what an endpoint's report says.
+type Load struct {
+	Running int // Requests at work.
+	Waiting int // Requests in its queue.
+	Slots   int
+	Closed  bool      // It serves nothing now, as when its group is broken.
+	Pace    float64   // Above 1 when it is slow; 0 when not told.
+	At      time.Time // When the report was made, by this process's clock.
+}
+
+// Times and limits of judgement.
+const (
+	// reportAge is how long a report counts: reports come several times a
+	// second, and older ones mislead more than they tell.
+	reportAge = 1500 * time.Millisecond
+	// failLimit is how many failures in a row, with none between them that went
+	// well, take an endpoint out.
+	failLimit = 3
+	// badShare and badLeast take an endpoint out when so large a share of at
+	// least so many weighted outcomes failed.
+	badShare = 0.3
+	badLeast = 4.0
+	// outcomeAge halves the weight of outcomes.
+	outcomeAge = 3 * time.Second
+	// firstOut and longestOut bound the time that an endpoint is out; each time
+	// in a row doubles it.
+	firstOut   = 1 * time.Second
+	longestOut = 6 * time.Second
+	// outShare is the part of a service's endpoints that may be out at once.
+	outShare = 0.4
+)
+
+// endpoint is what is known of one endpoint.
+type endpoint struct {
+	own      int // Requests of this process at work there.
+	load     Load
+	ownThen  int     // own when load was told.
+	good     float64 // Weighted outcomes.
+	bad      float64
+	weighed  time.Time
+	inRow    int // Failures since the last success.
+	outs     int // Times out in a row.
+	outUntil time.Time
+	trial    bool // It is back on trial: one request at a time.
+}
+
+// Table holds what is known of all endpoints.
+type Table struct {
+	by map[string]*endpoint
+}
+
+// New returns an empty table.
+func New() *Table { return &Table{by: map[string]*endpoint{}} }
+
+func (t *Table) of(id string) *endpoint {
+	e, ok := t.by[id]
+	if !ok {
+		e = &endpoint{}
+		t.by[id] = e
+	}
+	return e
+}
+
+// Report takes in an endpoint's report.
+func (t *Table) Report(id string, l Load) {
+	e := t.of(id)
+	if l.At.Before(e.load.At) {
+		return
+	}
+	e.load, e.ownThen = l, e.own
+}
+
+// Start notes that a request of this process goes to an endpoint.
+func (t *Table) Start(id string) { t.of(id).own++ }
+
+// End notes that it has ended there.
+func (t *Table) End(id string) {
+	e := t.of(id)
+	e.own--
+	if e.own < e.ownThen {
+		// What ended was in the report.
+		e.ownThen--
+		e.load.Running--
+	}
+}
+
+// Own returns the requests of this process at an endpoint.
+func (t *Table) Own(id string) int { return t.of(id).own }
+
+// busy estimates the requests at an endpoint.
+func (e *endpoint) busy(now time.Time) int {
+	if now.Sub(e.load.At) > reportAge {
+		return e.own
+	}
+	return max(e.load.Running+e.load.Waiting+e.own-e.ownThen, e.own)
+}
+
+// Busy estimates the requests at an endpoint.
+func (t *Table) Busy(id string, now time.Time) int { return t.of(id).busy(now) }
+
+// Closed reports whether an endpoint's fresh report says that it serves
+// nothing.
+func (t *Table) Closed(id string, now time.Time) bool {
+	e := t.of(id)
+	return e.load.Closed && now.Sub(e.load.At) <= reportAge
+}
+
+func (e *endpoint) age(now time.Time) {
+	if d := now.Sub(e.weighed); d > 0 && !e.weighed.IsZero() {
+		keep := 1 / (1 + d.Seconds()/outcomeAge.Seconds())
+		e.good *= keep
+		e.bad *= keep
+	}
+	e.weighed = now
+}
+
+// Good notes an outcome that an endpoint is not to blame for.
+func (t *Table) Good(id string, now time.Time) {
+	e := t.of(id)
+	e.age(now)
+	e.good++
+	e.inRow = 0
+	e.trial = false
+	if now.After(e.outUntil.Add(longestOut)) {
+		e.outs = 0
+	}
+}
+
+// Bad notes a failure that an endpoint is to blame for. Weight is 1 for a plain
+// failure. It reports whether the endpoint is taken out, and for how long.
+func (t *Table) Bad(id string, weight float64, now time.Time) (out time.Duration, ok bool) {
+	e := t.of(id)
+	e.age(now)
+	e.bad += weight
+	e.inRow++
+	if now.Before(e.outUntil) {
+		return 0, false
+	}
+	judged := e.trial || e.inRow >= failLimit || e.good+e.bad >= badLeast && e.bad/(e.good+e.bad) >= badShare
+	if !judged {
+		return 0, false
+	}
+	out = min(firstOut<<min(e.outs, 4), longestOut)
+	e.outs++
+	e.outUntil = now.Add(out)
+	e.trial = true
+	e.good, e.bad, e.inRow = 0, 0, 0
+	return out, true
+}
+
+// Forget drops what is known of endpoints that are no longer listed.
+func (t *Table) Forget(listed func(id string) bool) {
+	for id, e := range t.by {
+		if e.own == 0 && !listed(id) {
+			delete(t.by, id)
+		}
+	}
+}
+
+// Candidate is an endpoint that may be chosen.
+type Candidate struct {
+	ID   string
+	Near bool // In the failure domain of the process.
+	Slow bool // Still cold after its start.
+}
+
+// Pick returns the index of the least busy candidate that is not out, ok false
+// when there is none. Endpoints that were taken out count again when too many
+// are out. Ties go to the own failure domain and then to chance.
+func (t *Table) Pick(list []Candidate, random func(n int) int, now time.Time) (index int, ok bool) {
+	limit := int(outShare * float64(len(list)))
+	out := 0
+	for _, c := range list {
+		if now.Before(t.of(c.ID).outUntil) {
+			out++
+		}
+	}
+	index, ok = t.least(list, random, now, out <= limit)
+	if !ok {
+		index, ok = t.least(list, random, now, false)
+	}
+	return index, ok
+}
+
+func (t *Table) least(list []Candidate, random func(n int) int, now time.Time, judge bool) (index int, ok bool) {
+	best, ties := 0, 0
+	for i, c := range list {
+		e := t.of(c.ID)
+		if judge && (now.Before(e.outUntil) || e.trial && e.own > 0) {
+			continue
+		}
+		score := t.score(e, c, now)
+		switch {
+		case !ok || score < best:
+			index, ok, best, ties = i, true, score, 1
+		case score == best:
+			ties++
+			if random(ties) == 0 {
+				index = i
+			}
+		}
+	}
+	return index, ok
+}
+
+// Parts of a score, in requests times scoreUnit.
+const (
+	scoreUnit    = 4
+	farScore     = 1             // Less than one request: it only breaks ties.
+	coldScore    = 2 * scoreUnit // Of an endpoint that is still slow.
+	closedScore  = 1 << 20       // Of an endpoint whose group is broken.
+	slowestScore = 8             // Pace above which an endpoint is judged alike.
+)
+
+func (t *Table) score(e *endpoint, c Candidate, now time.Time) int {
+	s := e.busy(now) * scoreUnit
+	fresh := now.Sub(e.load.At) <= reportAge
+	if fresh && e.load.Pace > 1 {
+		s = int(float64(s+scoreUnit) * min(e.load.Pace, slowestScore))
+	}
+	if fresh && e.load.Closed {
+		s += closedScore
+	}
+	if !c.Near {
+		s += farScore
+	}
+	if c.Slow {
+		s += coldScore
+	}
+	return s
+}
--- /dev/null
+++ b/internal/fleet/call.go
@@ -0,0 +1,47 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package fleet
+
+import "time"
+
+// Call is what a caller's request says about itself, besides its method, path
+// and body.
+type Call struct {
+	ID           string // Of this try of the caller; "" when it sent none.
+	Key          string // Customer's key; "" when it sent none.
+	Patience     time.Duration
+	HasPatience  bool // Patience was sent.
+	LastEvent    string
+	PromptTokens int
+	AnswerTokens int    // The most that it wants.
+	GuessTokens  int    // Caller's guess of the answer's length; 0 when none.
+	Topic        string // First part of its prompt, which many requests share.
+}
+
+// Size returns the tokens of prompt and expected answer.
+func (c *Call) Size() int {
+	if c.GuessTokens > 0 {
+		return c.PromptTokens + c.GuessTokens
+	}
+	return c.PromptTokens + c.AnswerTokens
+}
+
+// Stamp is what a gateway adds to a request for one endpoint.
+type Stamp struct {
+	EndpointID string // The only endpoint that may run it.
+	Customer   string // "" when the route is public.
+	Left       time.Duration
+	Priority   int // 0 is the most urgent; -1 for none.
+	LastEvent  string
+}
+
+// Answer is what an endpoint's answer says about itself, besides its status
+// and body.
+type Answer struct {
+	ID       string // Of the call that it answers.
+	Signed   bool   // It carries the endpoint's signature.
+	NotRun   bool   // The endpoint did not run the request and never will.
+	Endpoint string // Of the endpoint that answered, when told.
+	AtFault  string // Endpoint that a group's refusal is blamed on, when told.
+	Encoded  bool   // The body is not in the form that callers expect.
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,183 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package fleet holds the published configuration and the list of endpoints as
+// a gateway sees them: routes, services, customers and what can be called. Its
+// values are made by an adapter and are not changed afterwards. The package
+// does no I/O and decides nothing but which route and customer a request has.
+package fleet
+
+import (
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated of a route's requests.
+type Kind int
+
+// The kinds of routes.
+const (
+	Once       Kind = iota // At most one endpoint may run it.
+	Repeatable             // May run more than once.
+	Streaming              // Answers with a series of events.
+)
+
+// String returns the name of k.
+func (k Kind) String() string { return [...]string{"once", "repeatable", "streaming"}[k] }
+
+// Share is the part of a route's traffic that goes to one service.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Route tells how requests of one host and path prefix are served.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string // Begins and ends with a slash.
+	Kind       Kind
+	Timeout    time.Duration // Longest time that a request is held.
+	Target     time.Duration // Time to the answer, or its first event, that earns full credit.
+	PauseLimit time.Duration // Longest pause between events that is in time; 0 when none is given.
+	Priority   int           // 0 is the most urgent.
+	Attempts   int           // Endpoints that one request may be sent to, at least 1.
+	Public     bool          // Needs no key.
+	Resumable  bool          // A stream may go on at another endpoint.
+	Split      []Share       // At least one.
+}
+
+// MayRepeat reports whether a request of the route may be run a second time.
+func (r *Route) MayRepeat() bool {
+	return r.Kind == Repeatable || r.Kind == Streaming && r.Resumable
+}
+
+// Engine is the published shape and speed of a service's model engines.
+type Engine struct {
+	Slots         int           // Requests that run at once on one endpoint.
+	CacheTokens   int           // Tokens that an endpoint's memory holds.
+	Sets          int           // Sets of layers that are balanced on their own.
+	Experts       int           // A set.
+	Places        int           // Experts that a rank can hold, a set.
+	Spare         int           // Experts that a rank can take on in one change, a set.
+	ExpertBytes   float64       // Of one copy.
+	LinkRate      float64       // Bytes a second between endpoints.
+	ExpertShare   float64       // Part of a token's work that experts do.
+	StepTime      time.Duration // Of a token step without requests.
+	WriterTime    time.Duration // That each writing request adds to a step.
+	ContextTime   time.Duration // That 1,000 tokens of context add to a step.
+	ReadRate      float64       // Prompt tokens a second.
+	PairTime      time.Duration // A million pairs of a prompt token and one before it.
+	ChunkTokens   int           // Prompt tokens read in one step at most.
+	StepsInPass   int           // Steps that a pass makes while requests write.
+	FormTime      time.Duration // From the return of all ranks until the group is open.
+	UsualPrompt   float64       // Mean tokens.
+	UsualAnswer   float64       // Mean tokens.
+	ReportDelayed time.Duration // Age of a report that is asked from another machine.
+}
+
+// Service is a set of endpoints that are alike.
+type Service struct {
+	Name        string
+	HealthPath  string
+	Connections int     // That one endpoint accepts from all callers together.
+	Engine      *Engine // Nil for a plain service.
+}
+
+// Customer is who a key belongs to.
+type Customer struct {
+	Name        string
+	Keys        []string
+	Priority    int
+	HasPriority bool // Priority goes before the route's.
+}
+
+// Limits bounds what a caller may send and how long it may take.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the published configuration.
+type Config struct {
+	version   uint64
+	limits    Limits
+	services  map[string]*Service
+	byHost    map[string][]*Route // Invariant: longest prefix first.
+	byKey     map[string]*Customer
+	customers int
+}
+
+// NewConfig indexes one version. It takes its arguments over.
+func NewConfig(version uint64, routes []Route, services []Service, customers []Customer, limits Limits) *Config {
+	c := &Config{
+		version:   version,
+		limits:    limits,
+		services:  make(map[string]*Service, len(services)),
+		byHost:    map[string][]*Route{},
+		byKey:     map[string]*Customer{},
+		customers: len(customers),
+	}
+	for i := range services {
+		c.services[services[i].Name] = &services[i]
+	}
+	for i := range routes {
+		c.addRoute(&routes[i])
+	}
+	for i := range customers {
+		for _, key := range customers[i].Keys {
+			c.byKey[key] = &customers[i]
+		}
+	}
+	return c
+}
+
+func (c *Config) addRoute(r *Route) {
+	list := append(c.byHost[r.Host], r)
+	for i := len(list) - 1; i > 0 && len(list[i].PathPrefix) > len(list[i-1].PathPrefix); i-- {
+		list[i], list[i-1] = list[i-1], list[i]
+	}
+	c.byHost[r.Host] = list
+}
+
+// Version returns the number of the version; a higher one is newer.
+func (c *Config) Version() uint64 { return c.version }
+
+// Limits returns the limits on callers.
+func (c *Config) Limits() Limits { return c.limits }
+
+// Service returns a service by its name, or nil.
+func (c *Config) Service(name string) *Service { return c.services[name] }
+
+// Services returns all services by name; callers must not change the map.
+func (c *Config) Services() map[string]*Service { return c.services }
+
+// Route returns the route of a request: that of its host with the longest
+// prefix of the path, or nil.
+func (c *Config) Route(host, path string) *Route {
+	for _, r := range c.byHost[host] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// NeedsKey reports whether requests of r must carry a key.
+func (c *Config) NeedsKey(r *Route) bool { return !r.Public && c.customers > 0 }
+
+// Customer returns the holder of a key, or nil.
+func (c *Config) Customer(key string) *Customer { return c.byKey[key] }
+
+// Endpoint is one life of a back end, as the platform lists it.
+type Endpoint struct {
+	ID       string // Of this life only.
+	Service  string
+	Address  string // IP:PORT.
+	Domain   string
+	Slots    int
+	Leaving  bool          // It ends soon and gets nothing new.
+	ColdLeft time.Duration // How much longer it is slow after its start.
+	Revision uint64        // Of the list entry that told this.
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,201 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// Source reads the published state. Both functions return an error for what
+// was refused, lost or late.
+type Source struct {
+	Snapshot func(ctx context.Context, stale bool) (Snapshot, error)
+	Changes  func(ctx context.Context, after uint64, wait time.Duration) (Changes, error)
+}
+
+// Times of following.
+const (
+	// waitTime is how long one call waits for changes. It adds to the age that
+	// the configuration has at most, so it stays well under the shortest bound
+	// on that age; a shorter one costs calls.
+	waitTime = 1 * time.Second
+	// answerTime is how long an answer may take beyond the waiting: the source
+	// answers in milliseconds, and in about 0.3 s when it is slow.
+	answerTime = 700 * time.Millisecond
+	// slowAnswerTime is for calls after a failed one, so that a source that is
+	// slower than usual is still read.
+	slowAnswerTime = 1500 * time.Millisecond
+	// firstPause and longestPause lie between calls to a source that fails.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+	// lapseTime is how long after an outage an entry may take to be back; the
+	// platform promises about two seconds.
+	lapseTime = 2 * time.Second
+	// outageTime is how long a source must have been silent for entries to have
+	// lapsed: three heartbeats of 1.2 s are longer than this.
+	outageTime = 2 * time.Second
+)
+
+// Follower keeps a view up to date.
+type Follower struct {
+	view   *View
+	source Source
+	log    *zap.Logger
+	now    func() time.Time
+	lost   bool      // The last call failed.
+	failed int       // Failed calls in a row.
+	heard  time.Time // Last answer.
+	back   time.Time // End of the last outage.
+}
+
+// NewFollower returns a follower of source into view.
+func NewFollower(view *View, source Source, log *zap.Logger) *Follower {
+	return &Follower{view: view, source: source, log: log, now: time.Now}
+}
+
+// Run follows until ctx ends. Cleared, when not nil, is called after each
+// change of the view.
+func (f *Follower) Run(ctx context.Context, changed func()) error {
+	f.heard = f.now()
+	whole := true // The next call must read everything.
+	for ctx.Err() == nil {
+		var err error
+		if whole {
+			err = f.snapshot(ctx)
+		} else {
+			err = f.changes(ctx)
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err == nil {
+			f.regain()
+			whole = f.view.State().Config == nil
+			changed()
+			if whole {
+				sleep(ctx, longestPause/2)
+			}
+			continue
+		}
+		if errors.Is(err, ErrForgotten) {
+			f.log.Info("history forgotten", zap.Uint64("after", f.view.revision()))
+			whole = true
+			continue
+		}
+		f.lose(err)
+		sleep(ctx, min(firstPause<<min(f.failed, 8), longestPause))
+	}
+	return nil
+}
+
+func (f *Follower) snapshot(ctx context.Context) error {
+	asked := f.now()
+	ctx, cancel := context.WithTimeout(ctx, f.patience())
+	defer cancel()
+	snap, err := f.source.Snapshot(ctx, false)
+	if err != nil {
+		return err
+	}
+	f.report(snap.Bad)
+	f.noteOutage()
+	f.view.Replace(snap, asked, f.holding())
+	s := f.view.State()
+	f.log.Info("view replaced", zap.Uint64("version", versionOf(s)), zap.Uint64("revision", snap.At), zap.Int("endpoints", len(s.Endpoints)))
+	return nil
+}
+
+func (f *Follower) changes(ctx context.Context) error {
+	asked := f.now()
+	ctx, cancel := context.WithTimeout(ctx, waitTime+f.patience())
+	defer cancel()
+	before := f.view.State()
+	ch, err := f.source.Changes(ctx, f.view.revision(), waitTime)
+	if err != nil {
+		return err
+	}
+	f.report(ch.Bad)
+	f.noteOutage()
+	removed := f.view.Apply(ch, asked, f.holding())
+	if !f.holding() {
+		removed = append(removed, f.view.Drop(f.now().Add(-lapseTime))...)
+	}
+	f.logChanges(before, ch, removed)
+	return nil
+}
+
+func (f *Follower) logChanges(before *State, ch Changes, removed []string) {
+	after := f.view.State()
+	if versionOf(before) != versionOf(after) {
+		f.log.Info("configuration taken", zap.Uint64("version", versionOf(after)), zap.Uint64("from", versionOf(before)), zap.Uint64("revision", after.ConfigRevision))
+	}
+	for _, e := range ch.Endpoints {
+		f.log.Info("endpoint listed", zap.String("endpoint", e.ID), zap.String("address", e.Address), zap.Bool("leaving", e.Leaving), zap.Uint64("revision", e.Revision))
+	}
+	for _, id := range removed {
+		f.log.Info("endpoint removed", zap.String("endpoint", id), zap.Uint64("revision", ch.At))
+	}
+}
+
+func versionOf(s *State) uint64 {
+	if s.Config == nil {
+		return 0
+	}
+	return s.Config.Version()
+}
+
+func (f *Follower) report(bad []error) {
+	for _, err := range bad {
+		f.log.Warn("published entry left out", zap.String("error", err.Error()))
+	}
+}
+
+// patience is how long an answer may take.
+func (f *Follower) patience() time.Duration {
+	if f.failed > 0 {
+		return slowAnswerTime
+	}
+	return answerTime
+}
+
+// noteOutage is called with an answer in hand.
+func (f *Follower) noteOutage() {
+	now := f.now()
+	if now.Sub(f.heard) > waitTime+outageTime {
+		f.back = now
+	}
+	f.heard = now
+}
+
+// holding reports whether an entry that is missing may only have lapsed.
+func (f *Follower) holding() bool {
+	return !f.back.IsZero() && f.now().Sub(f.back) < lapseTime
+}
+
+func (f *Follower) lose(err error) {
+	f.failed++
+	if !f.lost {
+		f.lost = true
+		f.log.Warn("store lost", zap.String("error", err.Error()), zap.Duration("age", f.view.Age(f.now())))
+	}
+}
+
+func (f *Follower) regain() {
+	f.failed = 0
+	if f.lost {
+		f.lost = false
+		f.log.Info("store regained", zap.Duration("age", f.view.Age(f.now())))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,110 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// netConn names net.Conn in the hook's type.
+type netConn = net.Conn
+
+// Times after which a caller that was refused should come back.
+const (
+	startRetry = 400 * time.Millisecond // A start takes some hundred milliseconds.
+	staleRetry = 1 * time.Second        // Another gateway may be asked by then.
+	emptyRetry = 700 * time.Millisecond // No endpoint: one may be listed by then.
+	fullRetry  = 300 * time.Millisecond
+)
+
+// refuse answers that the request has not run and never will.
+func (q *request) refuse(cause string, after time.Duration) {
+	q.note(cause)
+	q.outcome, q.retryIn = refused, after
+	q.w.Header().Set("Retry-After", strconv.FormatFloat(math.Ceil(after.Seconds()*100)/100, 'f', -1, 64))
+	q.answer(http.StatusServiceUnavailable)
+}
+
+// reject answers that the request is not one that may be served.
+func (q *request) reject(status int, cause string) {
+	q.note(cause)
+	q.outcome = rejected
+	q.answer(status)
+}
+
+// fail answers that it is not known whether the request ran.
+func (q *request) fail(status int, cause string) {
+	q.note(cause)
+	q.outcome = failed
+	if status == http.StatusGatewayTimeout {
+		q.outcome = timedOut
+	}
+	q.answer(status)
+}
+
+// answer sends an answer of the gateway's own.
+func (q *request) answer(status int) {
+	q.status = status
+	h := q.w.Header()
+	q.g.codec.MarkAnswer(h, q.call.ID)
+	h.Set("Content-Length", "0")
+	q.w.WriteHeader(status)
+}
+
+// maxNotes bounds what is kept of a request for the log.
+const maxNotes = 8
+
+// note keeps what became of a try.
+func (q *request) note(text string) {
+	if len(q.notes) < maxNotes {
+		q.notes = append(q.notes, text)
+	}
+}
+
+// finish logs and counts the request.
+func (q *request) finish() {
+	now := time.Now()
+	q.g.figures.outcome(q.outcome)
+	if !q.firstAt.IsZero() {
+		q.g.figures.firstByte(q.firstAt.Sub(q.arrived))
+	}
+	fields := make([]zap.Field, 0, 16)
+	fields = append(fields,
+		zap.String("id", q.call.ID), zap.String("outcome", string(q.outcome)), zap.Int("status", q.status),
+		zap.Int64("ms", now.Sub(q.arrived).Milliseconds()), zap.Int64("age-ms", q.g.view.Age(q.arrived).Milliseconds()))
+	if q.config != nil {
+		fields = append(fields, zap.Uint64("version", q.config.Version()))
+	}
+	if q.route != nil {
+		fields = append(fields, zap.String("route", q.route.Name), zap.String("service", q.service))
+	}
+	if q.customer != nil {
+		fields = append(fields, zap.String("customer", q.customer.Name))
+	}
+	if q.endpoint != "" {
+		fields = append(fields, zap.String("endpoint", q.endpoint))
+	}
+	if !q.firstAt.IsZero() {
+		fields = append(fields, zap.Int64("first-ms", q.firstAt.Sub(q.arrived).Milliseconds()))
+	}
+	if q.events > 0 {
+		fields = append(fields, zap.Int("events", q.events))
+	}
+	if q.retryIn > 0 {
+		fields = append(fields, zap.Duration("retry-after", q.retryIn))
+	}
+	if len(q.notes) > 0 {
+		fields = append(fields, zap.Strings("tries", q.notes))
+	}
+	if q.outcome == served && len(q.notes) == 0 {
+		q.g.log.Info("request", fields...)
+		return
+	}
+	q.g.log.Warn("request", fields...)
+}
--- /dev/null
+++ b/internal/gateway/figures.go
@@ -0,0 +1,38 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// figures are the counters and histograms of a gateway.
+type figures struct {
+	reg     metrics.Registry
+	dialed  metrics.Counter   // New connections to endpoints.
+	repeats metrics.Counter   // Requests sent to a further endpoint.
+	resumed metrics.Counter   // Streams that went on at another endpoint.
+	first   metrics.Histogram // Milliseconds to the answer or its first event.
+}
+
+// histogramSize is how many samples a histogram keeps.
+const histogramSize = 512
+
+func newFigures(reg metrics.Registry) *figures {
+	return &figures{
+		reg:     reg,
+		dialed:  metrics.GetOrRegisterCounter("gateway.connections", reg),
+		repeats: metrics.GetOrRegisterCounter("gateway.repeats", reg),
+		resumed: metrics.GetOrRegisterCounter("gateway.resumed", reg),
+		first:   metrics.GetOrRegisterHistogram("gateway.first-ms", reg, metrics.NewUniformSample(histogramSize)),
+	}
+}
+
+// outcome counts how a request ended.
+func (f *figures) outcome(o outcome) {
+	metrics.GetOrRegisterCounter("gateway.outcome."+string(o), f.reg).Inc(1)
+}
+
+func (f *figures) firstByte(d time.Duration) { f.first.Update(d.Milliseconds()) }
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,191 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package gateway takes callers' requests by plain HTTP, chooses an endpoint
+// for each by the published configuration and relays its answer. It is not for
+// reading what is published (package follow), for connections (upstream) or for
+// the names on the wire, which a Codec hides.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
+	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/follow"
+	"github.com/canvaspulley/canvaspulley/internal/upstream"
+)
+
+// Codec reads and writes what requests and answers say about themselves.
+type Codec struct {
+	ReadCall       func(h http.Header) fleet.Call
+	EndpointHeader func(in http.Header, s fleet.Stamp) http.Header
+	CallerHeader   func(in http.Header) http.Header
+	ReadAnswer     func(status int, h http.Header) fleet.Answer
+	MarkAnswer     func(h http.Header, callID string)
+}
+
+// Config is the setting of a Gateway.
+type Config struct {
+	Domain      string
+	Source      string        // IP number that connections come from; "" for any.
+	KeyAge      time.Duration // Greatest age of the configuration at which a key still counts.
+	RetryShare  float64       // Repeats by requests of a service, in RetryWindow.
+	RetryWindow time.Duration
+	RetrySpare  float64 // Repeats of all gateways together that need no request.
+	Grace       time.Duration
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	cfg     Config
+	codec   Codec
+	view    *follow.View
+	log     *zap.Logger
+	pool    *upstream.Pool
+	conns   *connections
+	figures *figures
+
+	mu      sync.Mutex // Guards what follows.
+	table   *balance.Table
+	windows map[string]*retry.Window // By service.
+	others  int                      // Gateways that are known besides this one.
+
+	busy     atomic.Int64
+	stopping atomic.Bool
+}
+
+// New returns a gateway that serves what view holds. The function closes its
+// connections to endpoints.
+func New(cfg Config, codec Codec, view *follow.View, log *zap.Logger, reg metrics.Registry) (g *Gateway, cleanup func()) {
+	g = &Gateway{
+		cfg:     cfg,
+		codec:   codec,
+		view:    view,
+		log:     log,
+		figures: newFigures(reg),
+		conns:   newConnections(),
+		table:   balance.New(),
+		windows: map[string]*retry.Window{},
+	}
+	g.pool, cleanup = upstream.NewPool(cfg.Source, func() { g.figures.dialed.Inc(1) })
+	return g, cleanup
+}
+
+// sweepEvery is how often idle connections and endpoints that have gone are
+// looked at.
+const sweepEvery = time.Second
+
+// Run does the housekeeping until ctx ends.
+func (g *Gateway) Run(ctx context.Context) error {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			g.sweep()
+		}
+	}
+}
+
+func (g *Gateway) sweep() {
+	s := g.view.State()
+	listed := func(id string) bool {
+		e, ok := s.Endpoints[id]
+		return ok && !e.Leaving
+	}
+	g.pool.Forget(listed)
+	g.mu.Lock()
+	g.table.Forget(func(id string) bool { _, ok := s.Endpoints[id]; return ok })
+	g.mu.Unlock()
+	if s.Config != nil {
+		g.conns.closeIdle(s.Config.Limits().IdleTimeout)
+	}
+}
+
+// Changed is called after each change of the view.
+func (g *Gateway) Changed() {}
+
+// Report takes in an endpoint's load by its address, since an agent knows no
+// more of the endpoint beside it.
+func (g *Gateway) Report(address string, l balance.Load) {
+	for id, e := range g.view.State().Endpoints {
+		if e.Address != address {
+			continue
+		}
+		g.mu.Lock()
+		g.table.Report(id, l)
+		g.mu.Unlock()
+	}
+}
+
+// SetOthers tells how many other gateways there are.
+func (g *Gateway) SetOthers(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.others = n
+	for _, w := range g.windows {
+		w.SetSpare(g.spare())
+	}
+}
+
+// Parts of the published spare of repeats: half of it is never used, since
+// gateways may not know of each other, and the rest is split among at least so
+// many gateways.
+const (
+	spareUsed     = 0.5
+	leastGateways = 8
+)
+
+func (g *Gateway) spare() float64 {
+	return spareUsed * g.cfg.RetrySpare / float64(max(g.others+1, leastGateways))
+}
+
+// window returns the budget of a service. The caller holds mu.
+func (g *Gateway) window(service string) *retry.Window {
+	w, ok := g.windows[service]
+	if !ok {
+		w = retry.NewWindow(g.cfg.RetryWindow, g.cfg.RetryShare, g.spare())
+		g.windows[service] = w
+	}
+	return w
+}
+
+// Busy returns the number of requests that have not ended.
+func (g *Gateway) Busy() int { return int(g.busy.Load()) }
+
+// Stop begins the planned stop: everything that comes is still served, but
+// callers are told to use other connections.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// readyAge is the age of the configuration above which the process asks for no
+// new callers: it could not serve their keys for much longer.
+const readyAge = 3200 * time.Millisecond
+
+// Ready reports whether new callers should come here.
+func (g *Gateway) Ready(now time.Time) bool {
+	return !g.stopping.Load() && g.view.Age(now) < readyAge
+}
+
+// ReadinessHandler answers the platform's question for readiness.
+func (g *Gateway) ReadinessHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready(time.Now()) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+func random(n int) int { return rand.IntN(n) }
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,239 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+)
+
+// request is one caller's request on its way.
+type request struct {
+	g        *Gateway
+	ctx      context.Context // Ends when the caller leaves.
+	w        http.ResponseWriter
+	r        *http.Request
+	call     fleet.Call
+	config   *fleet.Config // The version that decided.
+	route    *fleet.Route
+	service  string
+	customer *fleet.Customer // Nil when no key is needed.
+	body     []byte
+	arrived  time.Time
+	final    time.Time // When it must have its final answer.
+
+	tried    []string // Endpoints that it was sent to.
+	unsent   []string // Endpoints that could not be reached.
+	notes    []string // What became of each try, for the log.
+	mayRun   bool     // Some endpoint may have run it.
+	begun    bool     // The head of an answer has gone to the caller.
+	lastID   int64    // Id of the last event that went to the caller.
+	hasID    bool
+	firstAt  time.Time // When the answer or its first event went out.
+	events   int
+	outcome  outcome
+	status   int
+	retryIn  time.Duration
+	endpoint string // That served it.
+}
+
+// outcome says how a request ended.
+type outcome string
+
+// The outcomes.
+const (
+	served    outcome = "served"     // An endpoint's answer went out whole.
+	refused   outcome = "refused"    // Not run, and never will be.
+	rejected  outcome = "rejected"   // The request is not one that may be served.
+	failed    outcome = "failed"     // It may have run; there is no answer.
+	timedOut  outcome = "timed-out"  // Its time was over.
+	cutStream outcome = "cut-stream" // The stream could not be gone on with.
+	left      outcome = "left"       // The caller left.
+)
+
+// defaultPatience holds for callers that do not tell how long they wait.
+const defaultPatience = 30 * time.Second
+
+// fallbackBody bounds bodies when nothing is published.
+const fallbackBody = 4 << 20
+
+// Handler returns the handler for callers.
+func (g *Gateway) Handler() http.Handler { return http.HandlerFunc(g.serve) }
+
+// ConnState is the hook of the callers' server.
+func (g *Gateway) ConnState() func(c netConn, s http.ConnState) { return g.conns.note }
+
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	g.busy.Add(1)
+	defer g.busy.Add(-1)
+	q := &request{g: g, ctx: r.Context(), w: w, r: r, arrived: time.Now(), call: g.codec.ReadCall(r.Header)}
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if q.admit() && q.readBody() {
+		q.run()
+	}
+	q.finish()
+	if q.begun && q.outcome != served {
+		panic(http.ErrAbortHandler) // The connection ends, so that the answer does not look whole.
+	}
+}
+
+// admit finds the route and the customer; it reports false when the request
+// has its final answer.
+func (q *request) admit() bool {
+	s := q.g.view.State()
+	if s.Config == nil {
+		q.refuse("no configuration yet", startRetry)
+		return false
+	}
+	q.config = s.Config
+	if q.headerBytes() > max(s.Config.Limits().HeaderBytes, leastHeader) {
+		q.reject(http.StatusRequestHeaderFieldsTooLarge, "header too large")
+		return false
+	}
+	if q.call.ID == "" {
+		q.reject(http.StatusBadRequest, "no id")
+		return false
+	}
+	age := q.g.view.Age(q.arrived)
+	q.route = s.Config.Route(q.r.Host, q.r.URL.EscapedPath())
+	if q.route == nil {
+		q.rejectIfKnown(age, http.StatusNotFound, "no route")
+		return false
+	}
+	if s.Config.NeedsKey(q.route) {
+		if q.customer = s.Config.Customer(q.call.Key); q.customer == nil {
+			q.rejectIfKnown(age, http.StatusUnauthorized, "key not known")
+			return false
+		}
+	}
+	q.service = q.pickService()
+	patience := defaultPatience
+	if q.call.HasPatience {
+		patience = q.call.Patience
+	}
+	q.final = q.arrived.Add(min(patience, q.route.Timeout))
+	return true
+}
+
+// leastHeader is the size of headers that is always taken.
+const leastHeader = 4 << 10
+
+func (q *request) headerBytes() (n int) {
+	n = len(q.r.RequestURI)
+	for name, values := range q.r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + 4
+		}
+	}
+	return n
+}
+
+// certainAge is the age of the configuration up to which it is taken as the
+// newest when a request is turned away by it: one long wait for changes.
+const certainAge = 1900 * time.Millisecond
+
+// rejectIfKnown turns a request away for good only if the configuration that
+// says so is surely the newest.
+func (q *request) rejectIfKnown(age time.Duration, status int, cause string) {
+	if age > certainAge {
+		q.refuse(cause+" in a configuration that may be old", staleRetry)
+		return
+	}
+	q.reject(status, cause)
+}
+
+// keyFresh reports whether the configuration is young enough for the request's
+// key; a key may have been taken away since.
+func (q *request) keyFresh() bool {
+	return q.customer == nil || q.g.view.Age(time.Now()) < q.g.cfg.KeyAge
+}
+
+// recheck looks whether the newest configuration still allows the request,
+// which may have waited, or the process may have been stopped in between.
+func (q *request) recheck() (cause string, ok bool) {
+	c := q.g.view.State().Config
+	if c == q.config {
+		return "", true
+	}
+	route := c.Route(q.r.Host, q.r.URL.EscapedPath())
+	if route == nil {
+		return "route dropped", false
+	}
+	if c.NeedsKey(route) {
+		if q.customer = c.Customer(q.call.Key); q.customer == nil {
+			return "key taken away", false
+		}
+	}
+	q.config, q.route = c, route
+	if !slices.ContainsFunc(route.Split, func(s fleet.Share) bool { return s.Service == q.service && s.Weight > 0 }) {
+		if q.begun {
+			return "route moved", false
+		}
+		q.service = q.pickService()
+	}
+	return "", true
+}
+
+// pickService draws a service by the route's weights.
+func (q *request) pickService() string {
+	total := 0
+	for _, s := range q.route.Split {
+		total += max(s.Weight, 0)
+	}
+	if total == 0 {
+		return q.route.Split[0].Service
+	}
+	n := random(total)
+	for _, s := range q.route.Split {
+		if n -= max(s.Weight, 0); n < 0 {
+			return s.Service
+		}
+	}
+	return q.route.Split[0].Service
+}
+
+// readBody reads the whole body, so that it can be sent more than once and
+// nothing is sent of a request that is not whole.
+func (q *request) readBody() bool {
+	limit := q.config.Limits().BodyBytes
+	if limit <= 0 {
+		limit = fallbackBody
+	}
+	if q.r.ContentLength > limit {
+		q.w.Header().Set("Connection", "close")
+		q.reject(http.StatusRequestEntityTooLarge, "body too large")
+		return false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	if err == nil {
+		q.body = body
+		return true
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		q.reject(http.StatusRequestEntityTooLarge, "body too large")
+		return false
+	}
+	q.note("body: " + err.Error())
+	q.outcome = left
+	q.w.Header().Set("Connection", "close")
+	q.answer(http.StatusBadRequest)
+	return false
+}
+
+// priority returns the request's rank, 0 being the most urgent.
+func (q *request) priority() int {
+	if q.customer != nil && q.customer.HasPriority {
+		return q.customer.Priority
+	}
+	return q.route.Priority
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,373 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/upstream"
+)
+
+// result says what became of one try.
+type result int
+
+// The results.
+const (
+	over      result = iota // The request has its final answer.
+	unreached               // The endpoint could not be reached: nothing was sent.
+	notRun                  // The endpoint did not run it and never will.
+	unknown                 // It may have run.
+)
+
+// maxUnreached bounds the endpoints that are tried in vain before anything is
+// sent.
+const maxUnreached = 3
+
+// run tries endpoints until the request has its final answer.
+func (q *request) run() {
+	last := unreached
+	for {
+		now := time.Now()
+		if q.ctx.Err() != nil {
+			q.outcome = left
+			return
+		}
+		if !now.Before(q.final) {
+			q.giveUp(last, true)
+			return
+		}
+		if cause, ok := q.recheck(); !ok {
+			q.note(cause)
+			q.giveUp(last, false)
+			return
+		}
+		if !q.keyFresh() {
+			q.note("configuration too old for keys")
+			q.giveUp(last, false)
+			return
+		}
+		e, ok := q.choose(now)
+		if !ok {
+			q.giveUp(last, false)
+			return
+		}
+		if len(q.tried) > 0 && !q.takeRepeat(now) {
+			q.note("repeats used up")
+			q.giveUp(last, false)
+			return
+		}
+		if last = q.try(e); last == over {
+			return
+		}
+		if last == unknown {
+			q.mayRun = true
+			if !q.route.MayRepeat() {
+				q.giveUp(last, false)
+				return
+			}
+		}
+	}
+}
+
+// giveUp gives the final answer of a request that nothing more is tried for.
+func (q *request) giveUp(last result, late bool) {
+	switch {
+	case q.ctx.Err() != nil:
+		q.outcome = left
+	case q.begun:
+		q.outcome = cutStream
+	case q.mayRun || last == unknown:
+		if late {
+			q.fail(http.StatusGatewayTimeout, "time over")
+			return
+		}
+		q.fail(http.StatusBadGateway, "no answer that can be passed on")
+	case late:
+		q.refuse("time over before anything ran", fullRetry)
+	default:
+		q.refuse("not run", q.comeBack())
+	}
+}
+
+// comeBack says when a request that has not run should be tried again.
+func (q *request) comeBack() time.Duration {
+	if len(q.tried) > 0 {
+		return fullRetry
+	}
+	return emptyRetry
+}
+
+// choose picks the next endpoint.
+func (q *request) choose(now time.Time) (e fleet.Endpoint, ok bool) {
+	if len(q.tried) >= q.route.Attempts || len(q.unsent) > maxUnreached {
+		return e, false
+	}
+	s := q.g.view.State()
+	candidates := make([]fleet.Endpoint, 0, len(s.ByService[q.service]))
+	for _, e := range s.ByService[q.service] {
+		if e.Leaving || slices.Contains(q.tried, e.ID) || slices.Contains(q.unsent, e.ID) {
+			continue
+		}
+		if _, missing := s.Missing[e.ID]; missing {
+			continue
+		}
+		candidates = append(candidates, e)
+	}
+	list := make([]balance.Candidate, len(candidates))
+	for i, e := range candidates {
+		list[i] = balance.Candidate{ID: e.ID, Near: e.Domain == q.g.cfg.Domain, Slow: e.ColdLeft > 0}
+	}
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	i, ok := q.g.table.Pick(list, random, now)
+	if !ok {
+		return e, false
+	}
+	return candidates[i], true
+}
+
+// takeRepeat spends one repeat of the service's budget.
+func (q *request) takeRepeat(now time.Time) bool {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	if !q.g.window(q.service).Take(now) {
+		return false
+	}
+	q.g.figures.repeats.Inc(1)
+	return true
+}
+
+// onceIdle and repeatIdle are how long a connection may have been idle for a
+// request. One that may not run twice gets a new one, since what a kept
+// connection swallowed may have run.
+const (
+	onceIdle   = 0
+	repeatIdle = 30 * time.Second
+)
+
+func (q *request) maxIdle() time.Duration {
+	if q.route.MayRepeat() {
+		return repeatIdle
+	}
+	return onceIdle
+}
+
+// try sends the request to one endpoint and relays its answer.
+func (q *request) try(e fleet.Endpoint) result {
+	g := q.g
+	first := len(q.tried) == 0
+	g.mu.Lock()
+	g.table.Start(e.ID)
+	g.mu.Unlock()
+	defer func() {
+		g.mu.Lock()
+		g.table.End(e.ID)
+		g.mu.Unlock()
+	}()
+	conn, err := g.pool.Get(q.ctx, e.ID, e.Address, q.maxIdle())
+	if err != nil {
+		if q.ctx.Err() == nil {
+			q.bad(e, 1, "unreached: "+err.Error())
+		}
+		q.unsent = append(q.unsent, e.ID)
+		return unreached
+	}
+	stop := context.AfterFunc(q.ctx, conn.Close)
+	defer stop()
+	if !q.mayStillSend(e) {
+		conn.Close()
+		q.unsent = append(q.unsent, e.ID)
+		return unreached
+	}
+	if first {
+		g.mu.Lock()
+		g.window(q.service).Request(time.Now())
+		g.mu.Unlock()
+	}
+	return q.exchange(e, conn)
+}
+
+// mayStillSend looks once more, right before the send, whether the endpoint
+// takes anything new and the configuration still counts: the process may have
+// been stopped since.
+func (q *request) mayStillSend(e fleet.Endpoint) bool {
+	now, ok := q.g.view.State().Endpoints[e.ID]
+	if !ok || now.Leaving || now.Address != e.Address {
+		q.note(e.ID + " leaves")
+		return false
+	}
+	if _, ok := q.recheck(); !ok || !q.keyFresh() {
+		return false // The loop looks again and says why.
+	}
+	return time.Now().Before(q.final)
+}
+
+// exchange sends the request on a connection and relays the answer.
+func (q *request) exchange(e fleet.Endpoint, conn *upstream.Conn) result {
+	sentAt := time.Now()
+	q.tried = append(q.tried, e.ID)
+	out := &upstream.Request{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Body: q.body}
+	out.Header = q.g.codec.EndpointHeader(q.r.Header, q.stamp(e, sentAt))
+	x, err := conn.Send(out, q.final)
+	if err != nil {
+		conn.Close()
+		return q.broken(e, x, err)
+	}
+	var answer fleet.Answer
+	resp, err := x.Head(out, func(status int, h http.Header) bool {
+		answer = q.g.codec.ReadAnswer(status, h)
+		return answer.ID == q.call.ID || answer.ID == "" && answer.NotRun
+	})
+	if err != nil {
+		conn.Close()
+		return q.broken(e, x, err)
+	}
+	if answer.NotRun {
+		q.turnedAway(e, resp.StatusCode, answer)
+		x.Abort()
+		return notRun
+	}
+	if !answer.Signed || answer.Encoded {
+		x.Abort()
+		q.bad(e, 1, fmt.Sprintf("status %d without signature", resp.StatusCode))
+		return unknown
+	}
+	if q.route.Kind == fleet.Streaming && resp.StatusCode == http.StatusOK {
+		return q.relayStream(e, x, resp)
+	}
+	return q.relayWhole(e, x, resp, sentAt)
+}
+
+// stamp is what the endpoint is told besides the caller's headers.
+func (q *request) stamp(e fleet.Endpoint, now time.Time) fleet.Stamp {
+	s := fleet.Stamp{EndpointID: e.ID, Left: q.final.Sub(now), Priority: q.priority()}
+	if q.customer != nil {
+		s.Customer = q.customer.Name
+	}
+	if q.hasID {
+		s.LastEvent = fmt.Sprint(q.lastID)
+	}
+	return s
+}
+
+// broken judges a connection that failed before the head of an answer.
+func (q *request) broken(e fleet.Endpoint, x *upstream.Exchange, err error) result {
+	if q.ctx.Err() != nil {
+		q.outcome = left
+		return over
+	}
+	if x.Progress() == upstream.Unsent {
+		q.tried = q.tried[:len(q.tried)-1]
+		q.unsent = append(q.unsent, e.ID)
+		q.bad(e, 1, "unsent: "+err.Error())
+		return unreached
+	}
+	weight := 1.0
+	if x.Conn().Reused() {
+		weight = 0.5 // It may just have closed an idle connection.
+	}
+	q.bad(e, weight, err.Error())
+	return unknown
+}
+
+// turnedAway notes an answer that says that the request was not run.
+func (q *request) turnedAway(e fleet.Endpoint, status int, a fleet.Answer) {
+	weight := 0.0 // Being full is no fault.
+	if status == http.StatusMisdirectedRequest {
+		weight = 1
+	}
+	q.bad(e, weight, fmt.Sprintf("turned away: %d %s", status, a.AtFault))
+}
+
+// bad notes a failure of an endpoint.
+func (q *request) bad(e fleet.Endpoint, weight float64, text string) {
+	q.note(e.ID + ": " + text)
+	if weight == 0 {
+		return
+	}
+	q.g.mu.Lock()
+	out, ok := q.g.table.Bad(e.ID, weight, time.Now())
+	q.g.mu.Unlock()
+	if ok {
+		q.g.log.Warn("endpoint taken out", zap.String("endpoint", e.ID), zap.String("cause", text), zap.Duration("for", out))
+	}
+}
+
+func (q *request) good(e fleet.Endpoint) {
+	q.g.mu.Lock()
+	q.g.table.Good(e.ID, time.Now())
+	q.g.mu.Unlock()
+}
+
+// maxAnswer bounds an answer that is not a stream.
+const maxAnswer = 16 << 20
+
+// relayWhole reads an answer to its end and only then passes it on, so that
+// nothing goes out of one that is not whole.
+func (q *request) relayWhole(e fleet.Endpoint, x *upstream.Exchange, resp *http.Response, sentAt time.Time) result {
+	body, err := x.ReadWhole(maxAnswer)
+	if err != nil {
+		x.Abort()
+		if q.ctx.Err() != nil {
+			q.outcome = left
+			return over
+		}
+		q.bad(e, 1, err.Error())
+		return unknown
+	}
+	x.Done(q.g.pool)
+	if resp.StatusCode >= 500 {
+		q.bad(e, 1, fmt.Sprintf("status %d", resp.StatusCode))
+		if q.mayAskAnother() {
+			return unknown
+		}
+	} else {
+		q.good(e)
+	}
+	q.passOn(e, resp, body)
+	return over
+}
+
+// mayAskAnother reports whether the request could be sent to a further
+// endpoint.
+func (q *request) mayAskAnother() bool {
+	if !q.route.MayRepeat() || len(q.tried) >= q.route.Attempts {
+		return false
+	}
+	now := time.Now()
+	if _, ok := q.choose(now); !ok {
+		return false
+	}
+	return now.Before(q.final)
+}
+
+// passOn sends a whole answer to the caller.
+func (q *request) passOn(e fleet.Endpoint, resp *http.Response, body []byte) {
+	q.endpoint, q.status, q.outcome, q.begun = e.ID, resp.StatusCode, served, true
+	q.firstAt = time.Now()
+	q.copyHead(resp)
+	q.w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	q.w.WriteHeader(resp.StatusCode)
+	if _, err := q.w.Write(body); err != nil {
+		q.note("caller: " + err.Error())
+		q.outcome = left
+	}
+}
+
+func (q *request) copyHead(resp *http.Response) {
+	h := q.w.Header()
+	for name, values := range q.g.codec.CallerHeader(resp.Header) {
+		h[name] = values
+	}
+	if q.g.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+}
--- /dev/null
+++ b/internal/oplog/oplog.go
@@ -0,0 +1,143 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package oplog is the process's log: structured lines on one stream, bounded
+// in volume, that never hold up who writes them. When lines come faster than
+// they may be written, those on what went well are left out first; what was
+// left out is counted.
+package oplog
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/canvaspulley/canvaspulley/internal/ring"
+)
+
+const (
+	// queued is how many lines may wait to be written.
+	queued = 2048
+	// kept is the part of the queue that is left to warnings and errors.
+	kept = queued / 2
+	// worstPerSecond bounds warnings and errors.
+	worstPerSecond = 400
+	// flushEvery is how long lines are gathered into one write.
+	flushEvery = 50 * time.Millisecond
+	// batch bounds one write.
+	batch = 64 << 10
+)
+
+// Log writes lines in the background.
+type Log struct {
+	out     io.Writer
+	lines   *ring.Queue[[]byte]
+	dropped atomic.Int64
+}
+
+// New returns a logger and what writes its lines to out. Of lines at the level
+// info at most perSecond are written a second.
+func New(out io.Writer, level string, perSecond int) (log *zap.Logger, l *Log, err error) {
+	at, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, nil, err
+	}
+	l = &Log{out: out, lines: ring.NewQueue[[]byte](queued)}
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.TimeEncoder(func(t time.Time, e zapcore.PrimitiveArrayEncoder) {
+		e.AppendInt64(t.UnixMilli())
+	})
+	cfg.EncodeDuration = zapcore.StringDurationEncoder
+	encoder := zapcore.NewJSONEncoder(cfg)
+	good := zapcore.NewCore(encoder, &sink{l: l, room: queued - kept, perSecond: int64(perSecond)}, zap.LevelEnablerFunc(func(v zapcore.Level) bool {
+		return v >= at && v < zapcore.WarnLevel
+	}))
+	bad := zapcore.NewCore(encoder, &sink{l: l, room: queued, perSecond: worstPerSecond}, zap.LevelEnablerFunc(func(v zapcore.Level) bool {
+		return v >= at && v >= zapcore.WarnLevel
+	}))
+	return zap.New(zapcore.NewTee(good, bad)), l, nil
+}
+
+// sink takes the lines of one kind.
+type sink struct {
+	l         *Log
+	room      int // Lines that may wait before this kind is left out.
+	perSecond int64
+	second    atomic.Int64
+	inSecond  atomic.Int64
+}
+
+// Write takes one line or leaves it out; it never fails and never waits.
+func (s *sink) Write(line []byte) (int, error) {
+	now := time.Now().Unix()
+	if s.second.Swap(now) != now {
+		s.inSecond.Store(0)
+	}
+	if s.inSecond.Add(1) > s.perSecond || s.l.lines.Len() >= s.room {
+		s.l.dropped.Add(1)
+		return len(line), nil
+	}
+	if !s.l.lines.Offer(append([]byte(nil), line...)) {
+		s.l.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Sync does nothing: Run writes.
+func (s *sink) Sync() error { return nil }
+
+// Dropped returns how many lines were left out.
+func (l *Log) Dropped() int64 { return l.dropped.Load() }
+
+// Run writes lines until ctx ends and then those that still wait.
+func (l *Log) Run(ctx context.Context) error {
+	var buf []byte
+	for {
+		select {
+		case <-ctx.Done():
+			l.write(l.gather(buf[:0]))
+			return nil
+		case line := <-l.lines.Out():
+			buf = append(buf[:0], line...)
+			sleep(ctx, flushEvery)
+			buf = l.gather(buf)
+			l.write(buf)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// gather appends the lines that wait.
+func (l *Log) gather(buf []byte) []byte {
+	for len(buf) < batch {
+		select {
+		case line := <-l.lines.Out():
+			buf = append(buf, line...)
+		default:
+			return buf
+		}
+	}
+	return buf
+}
+
+// write has nobody to tell when the stream is closed; the lines count as left
+// out.
+func (l *Log) write(buf []byte) {
+	if len(buf) == 0 {
+		return
+	}
+	if _, err := l.out.Write(buf); err != nil {
+		l.dropped.Add(1)
+	}
+}
--- /dev/null
+++ b/internal/settings/fleet.go
@@ -0,0 +1,150 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package settings
+
+import (
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/canvaspulley/canvaspulley/internal/inifile"
+)
+
+// FleetRole is what a process does on a platform that publishes everything in
+// one store.
+type FleetRole string
+
+// The roles.
+const (
+	Gateway FleetRole = "gateway" // Takes callers.
+	Sidecar FleetRole = "sidecar" // Stands beside a model engine.
+)
+
+// Fleet is the checked settings file of a gateway or a sidecar.
+type Fleet struct {
+	Name   string
+	Role   FleetRole
+	Domain string
+
+	Callers   string // Gateway only.
+	Readiness string // Gateway only.
+	Peers     string // Datagrams and calls of other processes.
+	Metrics   string // "" for none.
+	Source    string // IP number that connections come from; "" for any.
+
+	Store     string   // IP:PORT of the platform's store.
+	Seeds     []string // Peer addresses of gateways, which may be down.
+	Engine    string   // IP:PORT of the engine beside a sidecar.
+	PeersPort int      // Port on which sidecars listen, alike everywhere.
+
+	Revocation  time.Duration // After which a key that was taken away must not count anywhere.
+	DrainBound  time.Duration // After which a leaving endpoint must get nothing new.
+	Grace       time.Duration // From the signal to stop until the process is killed.
+	RetryShare  float64       // Repeats by requests, in RetryWindow.
+	RetryWindow time.Duration
+	RetrySpare  int // Repeats of all gateways together that need no request, in RetryWindow.
+	Fences      bool
+
+	SkewPrice   float64 // Worth of one second's whole group time, in the unit of the other prices.
+	CopyPrice   float64 // Of a gigabyte of copied experts.
+	OrderPrice  float64 // Of one order.
+	LogLevel    string
+	LogPerSec   int // Lines on requests that went well, a second.
+	MemoryLimit int // Megabytes that the process may hold; 0 for no bound.
+}
+
+// RoleOf returns the role that a settings file names, "" when it names none.
+func RoleOf(name string) (role string, err error) {
+	raw, err := os.ReadFile(name)
+	if err != nil {
+		return "", inifile.Problems{{File: name, Text: err.Error()}}
+	}
+	f, err := inifile.Parse(name, raw)
+	if err != nil {
+		return "", err
+	}
+	return f.String("instance", "role", ""), nil
+}
+
+// LoadFleet reads the file and returns every fault in it together.
+func LoadFleet(name string) (s *Fleet, err error) {
+	raw, err := os.ReadFile(name)
+	if err != nil {
+		return nil, inifile.Problems{{File: name, Text: err.Error()}}
+	}
+	return ParseFleet(name, raw)
+}
+
+// ParseFleet checks the text of a settings file.
+func ParseFleet(name string, raw []byte) (s *Fleet, err error) {
+	f, err := inifile.Parse(name, raw)
+	if err != nil {
+		return nil, err
+	}
+	s = &Fleet{}
+	s.Name = f.Required("instance", "name")
+	s.Domain = f.Required("instance", "domain")
+	s.Role = FleetRole(f.Required("instance", "role"))
+	s.MemoryLimit = f.Int("instance", "memory-mb", 0, 0, 1<<20)
+	if s.Role != "" && s.Role != Gateway && s.Role != Sidecar {
+		f.Fault("instance", "role", "%q is neither gateway nor sidecar", s.Role)
+	}
+	s.readListen(f)
+	s.readStore(f)
+	s.readBounds(f)
+	s.SkewPrice = f.Float("prices", "group-second", 60, 0, 1e9)
+	s.CopyPrice = f.Float("prices", "copied-gb", 0.085, 0, 1e9)
+	s.OrderPrice = f.Float("prices", "order", 0.08, 0, 1e9)
+	s.LogLevel = f.String("log", "level", "info")
+	s.LogPerSec = f.Int("log", "served-per-second", 50, 0, 100000)
+	return s, f.Problems().Err()
+}
+
+func (s *Fleet) readListen(f *inifile.File) {
+	const section = "listen"
+	gateway := s.Role == Gateway
+	s.Callers = address(f, section, "callers", gateway)
+	s.Readiness = address(f, section, "readiness", gateway)
+	s.Peers = address(f, section, "peers", true)
+	s.Metrics = address(f, section, "metrics", false)
+	s.Source = f.String(section, "source", "")
+	if s.Source != "" && net.ParseIP(s.Source) == nil {
+		f.Fault(section, "source", "%q is not an IP number", s.Source)
+	}
+	s.PeersPort = f.Int(section, "sidecars-port", 0, 1, 65535)
+	if s.PeersPort == 0 {
+		f.Fault(section, "sidecars-port", "must be set")
+	}
+}
+
+func (s *Fleet) readStore(f *inifile.File) {
+	const section = "platform"
+	s.Store = address(f, section, "store", true)
+	s.Engine = address(f, section, "engine", s.Role == Sidecar)
+	for _, seed := range f.Words(section, "seeds") {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			f.Fault(section, "seeds", "%q is not IP:PORT", seed)
+		}
+		s.Seeds = append(s.Seeds, seed)
+	}
+}
+
+func (s *Fleet) readBounds(f *inifile.File) {
+	const section = "bounds"
+	s.Revocation = f.Duration(section, "revocation", 5*time.Second)
+	s.DrainBound = f.Duration(section, "drain", 2*time.Second)
+	s.Grace = f.Duration(section, "grace", 8*time.Second)
+	s.RetryShare = f.Float(section, "retry-share", 0.2, 0, 10)
+	s.RetryWindow = f.Duration(section, "retry-window", 10*time.Second)
+	s.RetrySpare = f.Int(section, "retry-spare", 0, 0, 1000000)
+	s.Fences = f.Bool(section, "fences", true)
+	for _, one := range []struct {
+		key   string
+		value time.Duration
+	}{{"revocation", s.Revocation}, {"grace", s.Grace}, {"retry-window", s.RetryWindow}} {
+		if one.value <= 0 {
+			f.Fault(section, one.key, "must be above 0")
+		}
+	}
+}
