internal/sidecar: expert maps follow the load

Cause: under map 0 the most loaded rank had 3.53 times the mean, and demand shifts every four seconds.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -22,7 +22,10 @@
 	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/gateway"
 	"github.com/canvaspulley/canvaspulley/internal/oplog"
+	"github.com/canvaspulley/canvaspulley/internal/peers"
+	"github.com/canvaspulley/canvaspulley/internal/rank"
 	"github.com/canvaspulley/canvaspulley/internal/settings"
+	"github.com/canvaspulley/canvaspulley/internal/sidecar"
 	"github.com/canvaspulley/canvaspulley/platform"
 )
 
@@ -226,12 +229,43 @@
 func (p *fleetProcess) sidecar(ctx context.Context) (err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	store, closeStore := platform.NewStore(p.set.Store, p.set.Source)
+	defer closeStore()
+	engine, closeEngine := platform.NewEngine(p.set.Engine, p.set.Source)
+	defer closeEngine()
+	socket, closeSocket, err := peers.Listen(p.set.Peers, p.log)
+	if err != nil {
+		return err
+	}
+	defer closeSocket()
+	calls, err := listenTCP(p.set.Peers)
+	if err != nil {
+		return err
+	}
+	s, closeSidecar := sidecar.New(sidecar.Config{
+		Address:    p.set.Engine,
+		PeersPort:  p.set.PeersPort,
+		SkewPrice:  p.set.SkewPrice,
+		CopyPrice:  p.set.CopyPrice,
+		OrderPrice: p.set.OrderPrice,
+		Fences:     p.set.Fences,
+	}, engine, p.otherEngine, store.Source(), socket, p.log, p.reg)
+	defer closeSidecar()
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return p.signals(ctx, cancel, cancel) })
+	group.Go(func() error { return s.Run(ctx) })
+	group.Go(func() error { return serveOn(ctx, httpServer(s.Handler()), calls) })
 	p.serveMetrics(ctx, group)
 	return group.Wait()
 }
 
+// otherEngine makes a client of another rank's engine. It is used now and then
+// only, so its connections are not kept.
+func (p *fleetProcess) otherEngine(address string) rank.Engine {
+	e, _ := platform.NewEngine(address, p.set.Source)
+	return e
+}
+
 func platformCodec() gateway.Codec {
 	return gateway.Codec{
 		ReadCall:       platform.ReadCall,
--- /dev/null
+++ b/internal/decide/cutover/cutover.go
@@ -0,0 +1,316 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package cutover brings a new expert map into force on all ranks of a group
+// as one pass begins, over engines that take orders one by one, may lose the
+// answer of any of them and may carry any of them out much later. It is a pure
+// state machine: it returns the orders to be sent and takes in what became of
+// each.
+//
+// What makes it safe:
+//
+//   - A hold at one rank keeps the pass from beginning. It is let go only when
+//     every rank is known to be armed for that pass, or every rank is known not
+//     to be.
+//   - The first orders of a leader raise the fence at every rank, so that no
+//     order of an earlier leader can be carried out any more, however late.
+//   - To give up, the fence is raised again before anything else: an arming
+//     whose answer was lost can no longer happen behind the leader's back.
+//   - Versions and passes are never used twice.
+package cutover
+
+import "github.com/canvaspulley/canvaspulley/internal/rank"
+
+// Phase is how far a Machine has come.
+type Phase int
+
+// The phases.
+const (
+	Fencing   Phase = iota // Raises the fence at every rank.
+	Settling               // Waits for reports of all ranks that fit together.
+	Clearing               // Takes back what an earlier leader armed.
+	Releasing              // Lets go of holds that were left behind.
+	Ready                  // Nothing is under way.
+	Preparing              // Has the experts copied.
+	Holding                // Stops the group before the pass.
+	Arming                 // Has every rank take the map at that pass.
+	Going                  // Lets the group go on, with the new map.
+	Undoing                // Takes back every arming, under a higher fence.
+	Freeing                // Lets the group go on, with the old map.
+	Deposed                // A rank has seen a higher fence.
+)
+
+// String returns the name of p.
+func (p Phase) String() string {
+	return [...]string{"fencing", "settling", "clearing", "releasing", "ready", "preparing",
+		"holding", "arming", "going", "undoing", "freeing", "deposed"}[p]
+}
+
+// Machine drives the map of one group in one epoch. The zero value is of no
+// use; New makes one.
+type Machine struct {
+	Ranks   int
+	Self    int // Rank at which passes are held.
+	Epoch   uint64
+	Fence   uint64
+	Phase   Phase
+	Version uint64 // Of the switch under way.
+	Step    uint64 // Pass at which it comes into force.
+	Newest  uint64 // Highest version heard of.
+	done    []bool // Ranks that have confirmed the phase.
+	clear   rank.Arming
+	held    []uint64 // By rank, what is to be let go.
+	layout  [][][]int
+	Gained  int // Switches that came into force.
+	GaveUp  int
+}
+
+// New returns a machine that begins by raising the fence.
+func New(ranks, self int, epoch, fence uint64) *Machine {
+	m := &Machine{Ranks: ranks, Self: self, Epoch: epoch, Fence: fence, held: make([]uint64, ranks)}
+	m.enter(Fencing)
+	return m
+}
+
+func (m *Machine) enter(p Phase) {
+	m.Phase = p
+	m.done = make([]bool, m.Ranks)
+}
+
+func (m *Machine) all() bool {
+	for _, d := range m.done {
+		if !d {
+			return false
+		}
+	}
+	return true
+}
+
+// Next returns the orders that are to be sent now, by rank; those without an
+// order have an Op of "".
+func (m *Machine) Next() []rank.Order {
+	orders := make([]rank.Order, m.Ranks)
+	for r := range orders {
+		if !m.done[r] {
+			orders[r] = m.order(r)
+		}
+	}
+	return orders
+}
+
+func (m *Machine) order(r int) rank.Order {
+	o := rank.Order{Fence: m.Fence, Epoch: m.Epoch}
+	switch m.Phase {
+	case Fencing: // Takes nothing back: the version is one that was never armed.
+		o.Op, o.Version = rank.Disarm, unusedVersion
+	case Clearing:
+		o.Op, o.Version = rank.Disarm, m.clear.Version
+	case Releasing:
+		o.Op, o.Step = rank.Go, m.held[r]
+	case Preparing:
+		o.Op, o.Version, o.Map = rank.Prepare, m.Version, m.layout
+	case Holding:
+		o.Op, o.Step = rank.Hold, m.Step
+	case Arming:
+		o.Op, o.Version, o.Step = rank.Arm, m.Version, m.Step
+	case Undoing:
+		o.Op, o.Version = rank.Disarm, m.Version
+	case Going, Freeing:
+		o.Op, o.Step = rank.Go, m.Step
+	}
+	return o
+}
+
+// unusedVersion is never given to a map.
+const unusedVersion = 1 << 50
+
+// Handle takes in what became of an order of the present phase.
+func (m *Machine) Handle(r int, result rank.Result) {
+	if m.Phase == Deposed || m.done[r] {
+		return
+	}
+	switch result {
+	case rank.Done:
+		m.done[r] = true
+	case rank.Fenced:
+		m.Phase = Deposed
+		return
+	case rank.Conflict:
+		m.conflict(r)
+	case rank.Lost: // It is sent again.
+	}
+	if m.all() {
+		m.advance()
+	}
+}
+
+// conflict takes in that an order did not fit a rank's state.
+func (m *Machine) conflict(r int) {
+	switch m.Phase {
+	case Fencing, Clearing, Releasing, Going, Freeing:
+		// Disarm: the version is in force already. Go: the pass has begun.
+		m.done[r] = true
+	case Preparing:
+		// An order whose answer was lost may have been carried out before; the
+		// reports show whether the copies are there.
+		m.done[r] = true
+	case Holding:
+		m.Step += holdMargin // The pass had begun; a later one is held.
+	case Arming:
+		m.giveUp()
+	case Undoing:
+		m.done[r] = true // The rank never armed it.
+	}
+}
+
+// holdMargin is how many passes later a hold is tried again.
+const holdMargin = 3
+
+func (m *Machine) advance() {
+	switch m.Phase {
+	case Fencing:
+		m.enter(Settling)
+	case Clearing:
+		m.release()
+	case Releasing:
+		m.enter(Settling)
+	case Preparing:
+		m.enter(Settling) // Until the reports show that the copies are there.
+	case Holding:
+		m.enter(Arming)
+	case Arming:
+		m.enter(Going)
+		m.onlySelf()
+	case Going:
+		m.Gained++
+		m.enter(Settling)
+	case Undoing:
+		m.enter(Freeing)
+		m.onlySelf()
+	case Freeing:
+		m.enter(Settling)
+	}
+}
+
+// onlySelf leaves the own rank as the only one that is asked.
+func (m *Machine) onlySelf() {
+	for r := range m.done {
+		m.done[r] = r != m.Self
+	}
+}
+
+// release lets go of every hold that was found.
+func (m *Machine) release() {
+	m.enter(Releasing)
+	for r, step := range m.held {
+		m.done[r] = step == 0
+	}
+	if m.all() {
+		m.enter(Settling)
+	}
+}
+
+// Observe takes in reports of all ranks, by rank. It returns false when they
+// are not of this machine's epoch, or the group is not open.
+func (m *Machine) Observe(reports []rank.Report) bool {
+	for _, r := range reports {
+		if r.Epoch != m.Epoch || !r.Open {
+			return false
+		}
+		m.Newest = max(m.Newest, r.Map, r.Prepared, r.Armed.Version)
+	}
+	if m.Phase == Settling || m.Phase == Ready {
+		m.settle(reports)
+	}
+	return true
+}
+
+// settle decides what reports that fit together ask for.
+func (m *Machine) settle(reports []rank.Report) {
+	m.Phase = Settling
+	armed, held := 0, 0
+	m.clear = rank.Arming{}
+	for r, rep := range reports {
+		m.held[r] = rep.Held
+		if rep.Held != 0 {
+			held++
+		}
+		if rep.Armed.Version != 0 {
+			armed++
+			m.clear = rep.Armed
+		}
+	}
+	switch {
+	case armed > 0 && armed < m.Ranks && held > 0:
+		m.enter(Clearing)
+	case armed == m.Ranks && held > 0:
+		m.release() // All take the map as the pass begins.
+	case armed > 0:
+		return // The pass is about to begin; later reports show it.
+	case held > 0:
+		m.release()
+	case !m.alike(reports):
+		return
+	default:
+		m.enter(Ready)
+	}
+}
+
+// alike reports whether all ranks tell the same map.
+func (m *Machine) alike(reports []rank.Report) bool {
+	for _, r := range reports {
+		if r.Map != reports[0].Map {
+			return false
+		}
+	}
+	return true
+}
+
+// Copied reports whether every rank has the prepared map's experts.
+func (m *Machine) Copied(reports []rank.Report) bool {
+	for _, r := range reports {
+		if r.Prepared != m.Version || m.Version == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Begin prepares a map, given by set and rank, from Ready.
+func (m *Machine) Begin(version uint64, layout [][][]int) {
+	if m.Phase != Ready || version <= m.Newest {
+		return
+	}
+	m.Version, m.layout, m.Newest = version, layout, version
+	m.enter(Preparing)
+}
+
+// Switch brings the prepared map into force at a pass, from Ready.
+func (m *Machine) Switch(step uint64) {
+	if m.Phase != Ready {
+		return
+	}
+	m.Step = max(step, m.Step+1)
+	m.enter(Holding)
+	m.onlySelf()
+}
+
+// GiveUp takes an arming that does not come to an end back.
+func (m *Machine) GiveUp() {
+	switch m.Phase {
+	case Preparing:
+		m.GaveUp++
+		m.enter(Settling)
+	case Holding: // A hold whose answer was lost may stand: it is let go.
+		m.GaveUp++
+		m.enter(Freeing)
+		m.onlySelf()
+	case Arming:
+		m.giveUp()
+	}
+}
+
+func (m *Machine) giveUp() {
+	m.GaveUp++
+	m.Fence++ // Armings that are still on their way are refused from here on.
+	m.enter(Undoing)
+}
--- /dev/null
+++ b/internal/decide/rebalance/improve_test.go
@@ -0,0 +1,109 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package rebalance
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// skewed returns loads of experts that fall with their rank in a drawn order.
+func skewed(r *rand.Rand, experts int) []float64 {
+	tokens := make([]float64, experts)
+	for i, x := range r.Perm(experts) {
+		tokens[x] = 1000 / math.Pow(float64(i+1), 1.1)
+	}
+	return tokens
+}
+
+// dealt returns the layer in which experts are dealt out in turn.
+func dealt(s Shape) Layer {
+	l := make(Layer, s.Experts)
+	for x := range l {
+		l[x] = []int{x % s.Ranks}
+	}
+	return l
+}
+
+func TestImproveKeepsToSpare(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		shape Shape
+		spare int
+		most  float64 // Skew after three improvements in a row.
+	}{
+		{"twelve ranks", Shape{Ranks: 12, Experts: 72, Slots: 8}, 3, 1.15},
+		{"63 ranks", Shape{Ranks: 63, Experts: 252, Slots: 5}, 3, 1.65},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			r := rand.New(rand.NewPCG(1, 2))
+			tokens := skewed(r, tc.shape.Experts)
+			layer := dealt(tc.shape)
+			after := 0.0
+			for range 3 {
+				i := Improve(tc.shape, layer, tokens, nil, Bounds{Spare: tc.spare})
+				assertFresh(g, layer, i.Layer, tc.shape, tc.spare)
+				g.Expect(Map{i.Layer}.Valid(tc.shape)).To(BeTrue())
+				g.Expect(i.After).To(BeNumerically("<=", i.Before))
+				t.Logf("skew %.3f to %.3f with %d copies", i.Before, i.After, i.Copies)
+				layer, after = i.Layer, i.After
+			}
+			g.Expect(after).To(BeNumerically("<", tc.most))
+		})
+	}
+}
+
+// assertFresh checks that no rank takes on more than spare experts.
+func assertFresh(g *WithT, from, to Layer, s Shape, spare int) {
+	for r, row := range to.Rows(s.Ranks) {
+		fresh := 0
+		for _, x := range row {
+			if !contains(from[x], r) {
+				fresh++
+			}
+		}
+		g.Expect(fresh).To(BeNumerically("<=", spare))
+	}
+}
+
+func contains(ranks []int, r int) bool {
+	for _, v := range ranks {
+		if v == r {
+			return true
+		}
+	}
+	return false
+}
+
+func TestRowsAndBack(t *testing.T) {
+	g := NewWithT(t)
+	s := Shape{Ranks: 12, Experts: 72, Slots: 8}
+	l := Even(s, 1)[0]
+	back, ok := FromRows(l.Rows(s.Ranks), s.Experts)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(back).To(Equal(l))
+	_, ok = FromRows([][]int{{0}, {2}}, 3)
+	g.Expect(ok).To(BeFalse(), "expert 1 is nowhere")
+}
+
+func BenchmarkImprove(b *testing.B) {
+	for _, tc := range []struct {
+		name  string
+		shape Shape
+	}{
+		{"12x72", Shape{Ranks: 12, Experts: 72, Slots: 8}},
+		{"63x252", Shape{Ranks: 63, Experts: 252, Slots: 5}},
+	} {
+		b.Run(tc.name, func(b *testing.B) {
+			tokens := skewed(rand.New(rand.NewPCG(1, 2)), tc.shape.Experts)
+			layer := dealt(tc.shape)
+			for b.Loop() {
+				Improve(tc.shape, layer, tokens, nil, Bounds{Spare: 3})
+			}
+		})
+	}
+}
--- a/internal/decide/rebalance/layer.go
+++ b/internal/decide/rebalance/layer.go
@@ -26,11 +26,16 @@
 	trial  []float64 // Loads after the change that is being tried.
 	tried  []bool    // Which of trial count.
 	marked []int     // The ranks of tried.
+	first  Layer     // As it was given.
+	spare  int       // Experts that a rank may take on that it had not; 0 for no bound.
+	fresh  []int     // Those it has taken on, by rank.
 }
 
 func newEditor(s Shape, l Layer, tokens, speed []float64) *editor {
 	e := &editor{shape: s, layer: l, tokens: tokens, speed: speed, trial: make([]float64, s.Ranks), tried: make([]bool, s.Ranks)}
 	e.loads = l.Loads(tokens, s.Ranks, speed)
+	e.first = slices.Clone(l) // Rows are replaced, never changed.
+	e.fresh = make([]int, s.Ranks)
 	e.rows = make([][]int, s.Ranks)
 	for x, ranks := range l {
 		for _, r := range ranks {
@@ -105,12 +110,35 @@
 }
 
 func (e *editor) fits(c change) bool {
+	if e.spare > 0 && (!e.room(c.add, c.to) || !e.room(c.back, c.from)) {
+		return false
+	}
 	if c.add < 0 || c.back >= 0 || c.drop >= 0 && c.from == c.to {
 		return true
 	}
 	return len(e.rows[c.to]) < e.shape.Slots
 }
 
+// isNew reports whether rank r would have to load expert x.
+func (e *editor) isNew(x, r int) bool { return !slices.Contains(e.first[x], r) }
+
+// room reports whether rank r may still take on expert x, if it is one.
+func (e *editor) room(x, r int) bool {
+	return x < 0 || !e.isNew(x, r) || e.fresh[r] < e.spare
+}
+
+// countFresh counts what each rank has taken on.
+func (e *editor) countFresh() {
+	for r, row := range e.rows {
+		e.fresh[r] = 0
+		for _, x := range row {
+			if e.isNew(x, r) {
+				e.fresh[r]++
+			}
+		}
+	}
+}
+
 // bump adds work to a rank's trial load.
 func (e *editor) bump(r int, work float64) {
 	if !e.tried[r] {
@@ -207,6 +235,9 @@
 			e.rows[r] = append(e.rows[r], x)
 		}
 	}
+	if e.spare > 0 {
+		e.countFresh()
+	}
 	e.loads = e.layer.Loads(e.tokens, e.shape.Ranks, e.speed)
 	e.sort()
 }
--- /dev/null
+++ b/internal/sidecar/change.go
@@ -0,0 +1,245 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/cutover"
+	"github.com/canvaspulley/canvaspulley/internal/decide/rebalance"
+)
+
+// planner follows the demand for experts and makes maps for it.
+type planner struct {
+	load    [][]float64 // Smoothed counts by set and expert.
+	taken   []uint64    // Window taken in, by rank.
+	current rebalance.Map
+	version uint64 // Of current; meaningful only when current is set.
+	known   bool
+	changed time.Time // Last switch.
+	noisy   int       // Windows since the last switch.
+}
+
+// Weights of planning.
+const (
+	// loadWeight is the weight of the newest windows in the smoothed counts: a
+	// change of demand shows within three looks.
+	loadWeight = 0.4
+	// horizon is how long a gain is reckoned to last: demand shifts every few
+	// seconds.
+	horizon = 2500 * time.Millisecond
+	// leastBetween lies between two switches.
+	leastBetween = 400 * time.Millisecond
+	// expertWork is the part of a pass that experts make when none is told.
+	expertWork = 0.85
+	gigabyte   = 1e9
+	// versionsPerRank spreads the versions of different leaders.
+	versionsPerRank = 1024
+)
+
+// learn takes in the windows that are new.
+func (l *leader) learn() {
+	p := &l.planner
+	if l.shape == nil || l.shape.Sets == 0 {
+		return
+	}
+	if p.taken == nil {
+		p.taken = make([]uint64, len(l.byRank))
+	}
+	sum := make([]float64, l.shape.Sets*l.shape.Experts)
+	heard := false
+	for r, m := range l.byRank {
+		if m.state.Window == p.taken[r] || len(m.state.Work) == 0 {
+			continue
+		}
+		p.taken[r] = m.state.Window
+		flat, err := unpack(m.state.Work)
+		if err != nil || len(flat) != len(sum) {
+			l.s.log.Warn("counts left out", zap.Int("rank", r), zap.Int("numbers", len(flat)))
+			continue
+		}
+		heard = true
+		for i, n := range flat {
+			sum[i] += float64(n)
+		}
+	}
+	if !heard {
+		return
+	}
+	p.noisy++
+	if p.load == nil {
+		p.load = make([][]float64, l.shape.Sets)
+		for k := range p.load {
+			p.load[k] = make([]float64, l.shape.Experts)
+		}
+	}
+	for k := range p.load {
+		for x := range p.load[k] {
+			p.load[k][x] += loadWeight * (sum[k*l.shape.Experts+x] - p.load[k][x])
+		}
+	}
+}
+
+// change makes a new map and brings it into force, if that pays.
+func (l *leader) change(ctx context.Context) {
+	p := &l.planner
+	if p.load == nil || l.shape == nil || time.Since(p.changed) < leastBetween {
+		return
+	}
+	if !l.readMap(ctx) {
+		return
+	}
+	next, copies, gain := l.plan()
+	value := l.s.cfg.SkewPrice * horizon.Seconds() * gain
+	cost := float64(copies)*l.shape.ExpertBytes/gigabyte*l.s.cfg.CopyPrice + float64(2*len(l.byRank)+2)*l.s.cfg.OrderPrice
+	if gain <= 0 || value <= cost {
+		return
+	}
+	version := (l.machine.Newest/versionsPerRank+1)*versionsPerRank + uint64(l.machine.Self)
+	layout := make([][][]int, len(next))
+	for k, layer := range next {
+		layout[k] = layer.Rows(len(l.byRank))
+	}
+	began := time.Now()
+	l.machine.Begin(version, layout)
+	l.drive(ctx, prepareLimit)
+	if !l.copied(ctx, began) {
+		l.machine.GiveUp()
+		l.s.figures.gaveUp.Inc(1)
+		l.s.log.Warn("map not copied", zap.Uint64("version", version), zap.Duration("after", time.Since(began)))
+		return
+	}
+	copied := time.Now()
+	before := l.machine.Gained
+	l.machine.Switch(l.nextStep())
+	l.drive(ctx, armLimit)
+	l.machine.GiveUp()
+	l.drive(ctx, recoverLimit)
+	p.changed = time.Now()
+	done := l.machine != nil && l.machine.Gained > before
+	if done {
+		p.current, p.version = next, version
+		p.noisy = 0
+		l.s.figures.switches.Inc(1)
+		l.s.figures.copies.Inc(int64(copies))
+	} else {
+		l.s.figures.gaveUp.Inc(1)
+	}
+	l.s.log.Info("map changed", zap.Bool("in-force", done), zap.Uint64("version", version), zap.Int("copies", copies), zap.Float64("gain", gain),
+		zap.Float64("value", value), zap.Float64("cost", cost), zap.Duration("copying", copied.Sub(began)), zap.Duration("switching", p.changed.Sub(copied)))
+}
+
+// passesAhead is how many passes lie between the newest one and the switch, so
+// that most ranks are armed before the group reaches it.
+const passesAhead = 2
+
+func (l *leader) nextStep() uint64 {
+	step := uint64(0)
+	for _, m := range l.byRank {
+		step = max(step, m.state.Report.Step)
+	}
+	return step + passesAhead
+}
+
+// copied waits until every rank has the prepared experts and the machine may
+// go on.
+func (l *leader) copied(ctx context.Context, began time.Time) bool {
+	own, _ := l.s.Report()
+	for ctx.Err() == nil && l.machine != nil && time.Since(began) < prepareLimit {
+		sleep(ctx, copiedEvery)
+		if !l.ask(ctx, own) || !l.machine.Observe(l.reports()) {
+			continue
+		}
+		if l.machine.Phase == cutover.Ready && l.machine.Copied(l.reports()) {
+			return true
+		}
+	}
+	return false
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// readMap makes sure that the map in force is known. Map 0 is made by rule;
+// any other was made here, or is read from the ranks' engines.
+func (l *leader) readMap(ctx context.Context) bool {
+	p := &l.planner
+	version := l.byRank[0].state.Report.Map
+	if p.known && p.version == version {
+		return true
+	}
+	ranks := len(l.byRank)
+	if version == 0 {
+		p.current = make(rebalance.Map, l.shape.Sets)
+		for k := range p.current {
+			p.current[k] = make(rebalance.Layer, l.shape.Experts)
+			for x := range p.current[k] {
+				p.current[k][x] = []int{x % ranks}
+			}
+		}
+		p.version, p.known = 0, true
+		return true
+	}
+	rows := make([][][]int, ranks)
+	for r, m := range l.byRank {
+		call, cancel := context.WithTimeout(ctx, engineTimeout)
+		h, err := l.s.dial(m.endpoint.Address).Held(call)
+		cancel()
+		if err != nil || h.Version != version || len(h.Sets) != l.shape.Sets {
+			return false // It has just changed, or the next look asks again.
+		}
+		rows[r] = h.Sets
+	}
+	current := make(rebalance.Map, l.shape.Sets)
+	for k := range current {
+		bySet := make([][]int, ranks)
+		for r := range rows {
+			bySet[r] = rows[r][k]
+		}
+		layer, ok := rebalance.FromRows(bySet, l.shape.Experts)
+		if !ok {
+			l.s.log.Warn("map in force does not fit its shape", zap.Uint64("version", version), zap.Int("set", k))
+			return false
+		}
+		current[k] = layer
+	}
+	p.current, p.version, p.known = current, version, true
+	return true
+}
+
+// plan improves every set and returns the share of a pass that it saves.
+func (l *leader) plan() (next rebalance.Map, copies int, gain float64) {
+	p := &l.planner
+	s := rebalance.Shape{Ranks: len(l.byRank), Experts: l.shape.Experts, Slots: l.shape.Places}
+	share := l.shape.ExpertShare
+	if share <= 0 {
+		share = expertWork
+	}
+	value := l.s.cfg.SkewPrice * horizon.Seconds() * share / float64(l.shape.Sets) // Of a set's mean load.
+	least := l.shape.ExpertBytes / gigabyte * l.s.cfg.CopyPrice / value
+	before, after := 0.0, 0.0
+	next = make(rebalance.Map, len(p.current))
+	for k, layer := range p.current {
+		i := rebalance.Improve(s, layer, p.load[k], nil, rebalance.Bounds{Spare: l.shape.Spare, Least: least})
+		next[k] = i.Layer
+		copies += i.Copies
+		before += i.Before / float64(len(p.current))
+		after += i.After / float64(len(p.current))
+		pause()
+	}
+	whole := (1 - share) + share*before
+	return next, copies, share * (before - after) / whole
+}
+
+// pause lets other goroutines run between two pieces of planning, since the
+// runtime may not be allowed to do so by itself.
+func pause() { time.Sleep(time.Microsecond) }
--- /dev/null
+++ b/internal/sidecar/leader.go
@@ -0,0 +1,352 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/cutover"
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/peers"
+	"github.com/canvaspulley/canvaspulley/internal/rank"
+)
+
+// leadership is what a sidecar heard of its group's leader.
+type leadership struct {
+	heard peers.Lead
+	at    time.Time
+}
+
+func (s *Sidecar) hearLead(l peers.Lead) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l.Group != s.report.Group {
+		return
+	}
+	s.lead = leadership{heard: l, at: time.Now()}
+}
+
+// Times of leading.
+const (
+	// lookEvery is the time between two looks at the group.
+	lookEvery = 150 * time.Millisecond
+	// askTimeout bounds a call to another sidecar: some round trips between
+	// failure domains, and the time that a small processor share may add.
+	askTimeout = 250 * time.Millisecond
+	// listEvery is the time between two readings of the published list.
+	listEvery = 2 * time.Second
+	// listTimeout bounds one reading.
+	listTimeout = time.Second
+	// fenceStep is added to a fence that a rank refused.
+	fenceStep = 1 << 20
+)
+
+// member is one rank of the group as the leader sees it.
+type member struct {
+	endpoint fleet.Endpoint
+	state    state
+	seen     time.Time // Last answer.
+	fresh    bool      // It answered the newest look.
+}
+
+// leader leads the group while its sidecar is the one that does so. Two at once
+// are harmless: every order carries a fence.
+type leader struct {
+	s        *Sidecar
+	shape    *fleet.Engine
+	service  string
+	listed   time.Time
+	all      []*member // Every endpoint of the service.
+	byRank   []*member // Of the own group, complete or nil.
+	machine  *cutover.Machine
+	fence    uint64
+	planner  planner
+	toldAt   time.Time
+	epoch    uint64
+	openedAt time.Time // When this epoch was first seen.
+}
+
+func newLeader(s *Sidecar) *leader { return &leader{s: s} }
+
+func (l *leader) run(ctx context.Context) error {
+	return every(ctx, lookEvery, l.look)
+}
+
+// look leads for one round, where this sidecar is the leader.
+func (l *leader) look(ctx context.Context) {
+	own, ok := l.s.Report()
+	if !ok || !own.Open || own.Size < 2 {
+		l.resign("group not open")
+		return
+	}
+	if own.Epoch != l.epoch {
+		l.resign("new epoch")
+		l.epoch, l.openedAt = own.Epoch, time.Now()
+	}
+	if !l.leads(own) {
+		l.resign("another rank leads")
+		return
+	}
+	l.refresh(ctx)
+	l.tell(own)
+	if !l.ask(ctx, own) {
+		return
+	}
+	l.work(ctx, own)
+}
+
+// resign drops what belongs to leading.
+func (l *leader) resign(cause string) {
+	if l.machine != nil {
+		l.s.log.Info("leads no more", zap.String("cause", cause), zap.Uint64("epoch", l.epoch))
+	}
+	l.machine, l.byRank = nil, nil
+	l.planner = planner{}
+}
+
+// leads reports whether this sidecar is to lead: it does already and hears of
+// no lower rank, or it has heard of no leader for long enough.
+func (l *leader) leads(own rank.Report) bool {
+	l.s.mu.Lock()
+	heard := l.s.lead
+	l.s.mu.Unlock()
+	now := time.Now()
+	recent := heard.heard.Epoch == own.Epoch && heard.heard.Rank != own.Rank && now.Sub(heard.at) < leadLapse
+	if l.machine != nil {
+		return !recent || heard.heard.Rank > own.Rank
+	}
+	if recent {
+		return false
+	}
+	since := l.openedAt
+	if heard.heard.Epoch == own.Epoch && heard.at.After(since) {
+		since = heard.at
+	}
+	return now.Sub(since) >= time.Duration(own.Rank)*leadStagger
+}
+
+// refresh reads the published list now and then. A stale answer does: ranks
+// tell themselves who they are.
+func (l *leader) refresh(ctx context.Context) {
+	if time.Since(l.listed) < listEvery {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	l.listed = time.Now()
+	snap, err := l.s.source.Snapshot(ctx, true)
+	if err != nil {
+		l.s.log.Debug("list not read", zap.String("error", err.Error()))
+		return
+	}
+	for _, e := range snap.Endpoints {
+		if e.Address == l.s.cfg.Address {
+			l.service = e.Service
+		}
+	}
+	if shape := engineOf(snap.Config, l.service); shape != nil {
+		l.shape = shape
+	}
+	known := map[string]*member{}
+	for _, m := range l.all {
+		known[m.endpoint.ID] = m
+	}
+	l.all = l.all[:0:0]
+	for _, e := range snap.Endpoints {
+		if e.Service != l.service {
+			continue
+		}
+		m := known[e.ID]
+		if m == nil {
+			m = &member{}
+		}
+		m.endpoint = e
+		l.all = append(l.all, m)
+	}
+}
+
+// tell tells the others that this sidecar leads.
+func (l *leader) tell(own rank.Report) {
+	if time.Since(l.toldAt) < leadEvery {
+		return
+	}
+	l.toldAt = time.Now()
+	m := peers.Message{Lead: &peers.Lead{Group: own.Group, Epoch: own.Epoch, Rank: own.Rank, Fence: l.fence}}
+	for _, o := range l.all {
+		if a, ok := l.s.besideAddr(o.endpoint.Address); ok && o.endpoint.Address != l.s.cfg.Address {
+			l.s.socket.Send(a, m)
+		}
+	}
+}
+
+// besideAddr returns the datagram address of the sidecar beside an engine.
+func (s *Sidecar) besideAddr(engine string) (a netip.AddrPort, ok bool) {
+	return BesideAddr(engine, s.cfg.PeersPort)
+}
+
+// BesideAddr returns the datagram address of the sidecar beside an engine, ok
+// false when the engine's address is none.
+func BesideAddr(engine string, port int) (a netip.AddrPort, ok bool) {
+	host, _, err := net.SplitHostPort(engine)
+	if err != nil {
+		return a, false
+	}
+	a, err = netip.ParseAddrPort(net.JoinHostPort(host, strconv.Itoa(port)))
+	return a, err == nil
+}
+
+// ask asks every rank for its state; it reports whether all answered and the
+// group is complete.
+func (l *leader) ask(ctx context.Context, own rank.Report) bool {
+	var g errgroup.Group
+	for _, m := range l.all {
+		g.Go(func() error {
+			call, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			st, err := l.s.calls.rank(call, m.endpoint.Address, m.state.Window)
+			m.fresh = err == nil
+			if err != nil {
+				l.s.log.Debug("rank not heard", zap.String("endpoint", m.endpoint.ID), zap.String("error", err.Error()))
+				return nil
+			}
+			m.state, m.seen = st, time.Now()
+			return nil
+		})
+	}
+	_ = g.Wait() // No function returns an error: a rank that is not heard shows below.
+	l.byRank = make([]*member, own.Size)
+	for _, m := range l.all {
+		r := m.state.Report
+		if m.fresh && r.Group == own.Group && r.Epoch == own.Epoch && r.Open && r.Rank >= 0 && r.Rank < own.Size {
+			l.byRank[r.Rank] = m
+		}
+	}
+	for _, m := range l.byRank {
+		if m == nil {
+			return false
+		}
+	}
+	return true
+}
+
+// reports returns the newest reports by rank.
+func (l *leader) reports() []rank.Report {
+	list := make([]rank.Report, len(l.byRank))
+	for r, m := range l.byRank {
+		list[r] = m.state.Report
+	}
+	return list
+}
+
+// work drives the machine one round.
+func (l *leader) work(ctx context.Context, own rank.Report) {
+	if l.machine == nil {
+		l.fence = max(l.fence+1, uint64(time.Now().UnixMilli())*fencesPerMilli)
+		l.machine = cutover.New(own.Size, own.Rank, own.Epoch, l.fence)
+		l.s.log.Info("leads", zap.String("group", own.Group), zap.Uint64("epoch", own.Epoch), zap.Int("rank", own.Rank), zap.Uint64("fence", l.fence))
+	}
+	m := l.machine
+	if !m.Observe(l.reports()) {
+		return
+	}
+	l.learn()
+	if m.Phase == cutover.Ready {
+		l.change(ctx)
+		return
+	}
+	l.drive(ctx, recoverLimit)
+}
+
+// fencesPerMilli leaves room for fences that are raised in a leadership.
+const fencesPerMilli = 8
+
+// Limits of driving.
+const (
+	// recoverLimit bounds one round of cleaning up; the next look goes on.
+	recoverLimit = 400 * time.Millisecond
+	// prepareLimit bounds the copying of experts: three of 2.2 GB take 0.3 s.
+	prepareLimit = 1500 * time.Millisecond
+	// armLimit bounds how long the group may stand for a switch.
+	armLimit = 350 * time.Millisecond
+	// copiedEvery is the time between two looks whether the copies are there.
+	copiedEvery = 60 * time.Millisecond
+)
+
+// drive sends the machine's orders until its phase needs none, or the time is
+// over.
+func (l *leader) drive(ctx context.Context, limit time.Duration) {
+	began := time.Now()
+	m := l.machine
+	for ctx.Err() == nil && time.Since(began) < limit {
+		switch m.Phase {
+		case cutover.Settling, cutover.Ready:
+			return
+		case cutover.Deposed:
+			l.deposed()
+			return
+		}
+		l.round(ctx)
+	}
+}
+
+// deposed reacts to a higher fence: in the first orders it may be an earlier
+// leader's, whose clock ran ahead; later it is a new leader's.
+func (l *leader) deposed() {
+	l.s.log.Warn("fence refused", zap.Uint64("fence", l.fence), zap.Int("gained", l.machine.Gained))
+	l.fence += fenceStep
+	l.resign("a higher fence")
+	l.openedAt = time.Now().Add(leadLapse) // Whoever leads is heard until then.
+}
+
+// round sends the orders of the present phase and takes in the results.
+func (l *leader) round(ctx context.Context) {
+	orders := l.machine.Next()
+	results := make([]rank.Result, len(orders))
+	var g errgroup.Group
+	for r, o := range orders {
+		if o.Op == "" {
+			continue
+		}
+		g.Go(func() error {
+			results[r] = l.send(ctx, r, o)
+			return nil
+		})
+	}
+	_ = g.Wait() // No function returns an error: results tell what became of each.
+	phase := l.machine.Phase
+	for r, o := range orders {
+		if o.Op != "" && l.machine.Phase == phase {
+			l.machine.Handle(r, results[r])
+		}
+	}
+}
+
+// send gives a rank an order through the sidecar beside it, or straight when
+// that does not answer.
+func (l *leader) send(ctx context.Context, r int, o rank.Order) rank.Result {
+	if r == l.machine.Self {
+		return l.s.carryOut(ctx, o).Result
+	}
+	address := l.byRank[r].endpoint.Address
+	call, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	a, err := l.s.calls.order(call, address, o)
+	if err == nil {
+		return a.Result
+	}
+	l.s.log.Warn("order sent straight", zap.Int("rank", r), zap.String("op", string(o.Op)), zap.String("error", err.Error()))
+	direct, cancelDirect := context.WithTimeout(ctx, engineTimeout)
+	defer cancelDirect()
+	result, err := l.s.dial(address).Order(direct, o)
+	if err != nil {
+		l.s.log.Warn("order lost", zap.Int("rank", r), zap.String("op", string(o.Op)), zap.String("error", err.Error()))
+	}
+	return result
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,236 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package sidecar is the small process beside a model engine. It reads its
+// engine's reports and counts, tells gateways the load, carries out orders, and
+// where it leads its group, makes the group's expert map follow the load. It is
+// not on the way of any request.
+package sidecar
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/follow"
+	"github.com/canvaspulley/canvaspulley/internal/peers"
+	"github.com/canvaspulley/canvaspulley/internal/rank"
+)
+
+// Config is the setting of a Sidecar.
+type Config struct {
+	Address    string // Of the engine.
+	PeersPort  int    // Of every sidecar.
+	SkewPrice  float64
+	CopyPrice  float64
+	OrderPrice float64
+	Fences     bool // Engines refuse orders under a lower fence.
+}
+
+// Times of a sidecar.
+const (
+	// reportEvery is the time between two reports: gateways choose by them, and
+	// the load of an engine changes with each pass of some ten milliseconds.
+	reportEvery = 100 * time.Millisecond
+	// countsEvery is the time between two readings of the counts; a quarter of
+	// the time that a change of demand may take to be followed.
+	countsEvery = 300 * time.Millisecond
+	// engineTimeout bounds a call to the own engine, which answers in about a
+	// millisecond.
+	engineTimeout = 400 * time.Millisecond
+	// subscribed is how long a gateway gets loads after its last hello.
+	subscribed = 4 * time.Second
+)
+
+// Sidecar stands beside one engine.
+type Sidecar struct {
+	cfg    Config
+	engine rank.Engine
+	dial   func(address string) rank.Engine // Another rank's engine.
+	source follow.Source
+	socket *peers.Socket
+	log    *zap.Logger
+	calls  *peerClient
+	seeds  []netip.AddrPort
+
+	mu       sync.Mutex // Guards what follows.
+	report   rank.Report
+	reportAt time.Time // Zero when the engine does not answer.
+	counts   rank.Counts
+	work     window
+	gateways map[netip.AddrPort]time.Time // By the time of their last hello.
+	lead     leadership
+
+	figures figures
+}
+
+// window is the counts of a span of time.
+type window struct {
+	number uint64 // Rises with each window.
+	epoch  uint64
+	span   time.Duration
+	flat   []uint64
+}
+
+// figures are the counters of a sidecar.
+type figures struct {
+	switches metrics.Counter
+	gaveUp   metrics.Counter
+	orders   metrics.Counter
+	copies   metrics.Counter
+}
+
+// New returns the sidecar of an engine. Dial makes the client of another
+// rank's engine; source tells the published state.
+func New(cfg Config, engine rank.Engine, dial func(string) rank.Engine, source follow.Source, socket *peers.Socket, log *zap.Logger, reg metrics.Registry) (s *Sidecar, cleanup func()) {
+	s = &Sidecar{
+		cfg: cfg, engine: engine, dial: dial, source: source, socket: socket, log: log,
+		gateways: map[netip.AddrPort]time.Time{},
+		figures: figures{
+			switches: metrics.GetOrRegisterCounter("sidecar.maps-in-force", reg),
+			gaveUp:   metrics.GetOrRegisterCounter("sidecar.maps-given-up", reg),
+			orders:   metrics.GetOrRegisterCounter("sidecar.orders", reg),
+			copies:   metrics.GetOrRegisterCounter("sidecar.expert-copies", reg),
+		},
+	}
+	s.calls, cleanup = newPeerClient(cfg)
+	return s, cleanup
+}
+
+// Run does the sidecar's duties until ctx ends.
+func (s *Sidecar) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.socket.Run(ctx, s.receive) })
+	g.Go(func() error { return every(ctx, reportEvery, s.readReport) })
+	g.Go(func() error { return every(ctx, countsEvery, s.readCounts) })
+	g.Go(func() error { return newLeader(s).run(ctx) })
+	return g.Wait()
+}
+
+// every calls do until ctx ends.
+func every(ctx context.Context, d time.Duration, do func(ctx context.Context)) error {
+	ticker := time.NewTicker(d)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			do(ctx)
+		}
+	}
+}
+
+func (s *Sidecar) receive(from netip.AddrPort, m peers.Message) {
+	switch {
+	case m.Hello != nil:
+		s.mu.Lock()
+		s.gateways[from] = time.Now()
+		s.mu.Unlock()
+	case m.Lead != nil:
+		s.hearLead(*m.Lead)
+	}
+}
+
+// readReport asks the engine and tells the gateways.
+func (s *Sidecar) readReport(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	r, err := s.engine.Report(ctx)
+	s.noteReport(r, err)
+	load := &peers.Load{Address: s.cfg.Address, Running: r.Running, Waiting: r.Waiting, Pace: r.Pace, Step: r.Step}
+	load.Closed = err != nil || r.Group != "" && !r.Open
+	s.mu.Lock()
+	to := make([]netip.AddrPort, 0, len(s.gateways))
+	for a, at := range s.gateways {
+		if time.Since(at) > subscribed {
+			delete(s.gateways, a)
+			continue
+		}
+		to = append(to, a)
+	}
+	s.mu.Unlock()
+	for _, a := range to {
+		s.socket.Send(a, peers.Message{Load: load})
+	}
+}
+
+// noteReport keeps a report and logs what it changes.
+func (s *Sidecar) noteReport(r rank.Report, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	had := !s.reportAt.IsZero()
+	if err != nil {
+		if had {
+			s.log.Warn("engine lost", zap.String("error", err.Error()))
+			s.reportAt = time.Time{}
+		}
+		return
+	}
+	if !had || r.Epoch != s.report.Epoch || r.Open != s.report.Open {
+		s.log.Info("engine's group", zap.String("group", r.Group), zap.Uint64("epoch", r.Epoch), zap.Int("rank", r.Rank), zap.Bool("open", r.Open), zap.Uint64("map", r.Map))
+	}
+	s.report, s.reportAt = r, time.Now()
+}
+
+// Report returns the newest report, ok false when it is old.
+func (s *Sidecar) Report() (r rank.Report, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.report, !s.reportAt.IsZero() && time.Since(s.reportAt) < 5*reportEvery
+}
+
+// readCounts takes the difference to the last counts as a window.
+func (s *Sidecar) readCounts(ctx context.Context) {
+	r, ok := s.Report()
+	if !ok || !r.Open || r.Size < 2 {
+		return
+	}
+	s.mu.Lock()
+	idle := s.counts.Step == r.Step && s.counts.Epoch == r.Epoch
+	s.mu.Unlock()
+	if idle {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	n, err := s.engine.Counts(ctx)
+	if err != nil {
+		s.log.Debug("counts not read", zap.String("error", err.Error()))
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.work = difference(s.work, s.counts, n)
+	s.counts = n
+}
+
+// difference returns the window between two counts; it is empty where they do
+// not belong together.
+func difference(last window, from, to rank.Counts) (w window) {
+	w = window{number: last.number + 1, epoch: to.Epoch}
+	if from.Epoch != to.Epoch || len(from.Flat) != len(to.Flat) {
+		return w
+	}
+	w.flat = make([]uint64, len(to.Flat))
+	for i, n := range to.Flat {
+		if n < from.Flat[i] {
+			return window{number: w.number, epoch: w.epoch} // The engine began anew.
+		}
+		w.flat[i] = n - from.Flat[i]
+	}
+	return w
+}
+
+// engineOf returns the published shape of a service's engines.
+func engineOf(c *fleet.Config, service string) *fleet.Engine {
+	if c == nil || c.Service(service) == nil {
+		return nil
+	}
+	return c.Service(service).Engine
+}
