--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -177,6 +177,23 @@
 	if err != nil {
 		return err
 	}
+	socket, closeSocket, err := peers.Listen(p.set.Peers, p.log)
+	if err != nil {
+		return err
+	}
+	defer closeSocket()
+	calls, err := listenTCP(p.set.Peers)
+	if err != nil {
+		return err
+	}
+	neighbours, closeNeighbours := gateway.NewNeighbours(gateway.NeighboursConfig{
+		Name:         p.set.Name,
+		Address:      p.set.Peers,
+		Seeds:        p.set.Seeds,
+		SidecarsPort: p.set.PeersPort,
+		Decode:       platform.DecodeConfig,
+	}, g, socket, p.log)
+	defer closeNeighbours()
 	group, ctx := errgroup.WithContext(ctx)
 	stop := make(chan struct{})
 	group.Go(func() error {
@@ -185,6 +202,9 @@
 	follower := follow.NewFollower(view, store.Source(), p.log)
 	group.Go(func() error { return follower.Run(ctx, g.Changed) })
 	group.Go(func() error { return g.Run(ctx) })
+	group.Go(func() error { return socket.Run(ctx, neighbours.Receive) })
+	group.Go(func() error { return neighbours.Run(ctx) })
+	group.Go(func() error { return serveOn(ctx, httpServer(neighbours.Handler()), calls) })
 	srv := httpServer(g.Handler())
 	srv.ConnState = g.ConnState()
 	group.Go(func() error { return serveOn(ctx, srv, callers) })
--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -15,6 +15,7 @@
 	Running int // Requests at work.
 	Waiting int // Requests in its queue.
 	Slots   int
+	Group   string    // Of ranks that stand and fall together; "" for none.
 	Closed  bool      // It serves nothing now, as when its group is broken.
 	Pace    float64   // Above 1 when it is slow; 0 when not told.
 	At      time.Time // When the report was made, by this process's clock.
@@ -38,6 +39,9 @@
 	// in a row doubles it.
 	firstOut   = 1 * time.Second
 	longestOut = 6 * time.Second
+	// misplacedOut is how long an endpoint is out whose address another one
+	// has: its entry lapses after three heartbeats of 1.2 s.
+	misplacedOut = 4 * time.Second
 	// outShare is the part of a service's endpoints that may be out at once.
 	outShare = 0.4
 )
@@ -54,6 +58,7 @@
 	outs     int // Times out in a row.
 	outUntil time.Time
 	trial    bool // It is back on trial: one request at a time.
+	gone     bool // Another endpoint was found at its address.
 }
 
 // Table holds what is known of all endpoints.
@@ -160,6 +165,17 @@
 	return out, true
 }
 
+// Misplaced notes that another endpoint answers at an endpoint's address: it is
+// out until the list tells of the change.
+func (t *Table) Misplaced(id string, now time.Time) {
+	e := t.of(id)
+	e.outUntil = now.Add(misplacedOut)
+	e.gone = true
+}
+
+// Group returns the group that an endpoint's last report names.
+func (t *Table) Group(id string) string { return t.of(id).load.Group }
+
 // Forget drops what is known of endpoints that are no longer listed.
 func (t *Table) Forget(listed func(id string) bool) {
 	for id, e := range t.by {
@@ -198,6 +214,9 @@
 	best, ties := 0, 0
 	for i, c := range list {
 		e := t.of(c.ID)
+		if e.gone && now.Before(e.outUntil) {
+			continue
+		}
 		if judge && (now.Before(e.outUntil) || e.trial && e.own > 0) {
 			continue
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -107,6 +107,7 @@
 	byHost    map[string][]*Route // Invariant: longest prefix first.
 	byKey     map[string]*Customer
 	customers int
+	raw       []byte // As it was published, for neighbours.
 }
 
 // NewConfig indexes one version. It takes its arguments over.
@@ -144,6 +145,15 @@
 // Version returns the number of the version; a higher one is newer.
 func (c *Config) Version() uint64 { return c.version }
 
+// WithRaw returns c with the text that it was decoded from.
+func (c *Config) WithRaw(raw []byte) *Config {
+	c.raw = raw
+	return c
+}
+
+// Raw returns the text that the version was decoded from, nil when unknown.
+func (c *Config) Raw() []byte { return c.raw }
+
 // Limits returns the limits on callers.
 func (c *Config) Limits() Limits { return c.limits }
 
@@ -180,4 +190,5 @@
 	Leaving  bool          // It ends soon and gets nothing new.
 	ColdLeft time.Duration // How much longer it is slow after its start.
 	Revision uint64        // Of the list entry that told this.
+	Made     uint64        // Revision at which the entry first appeared.
 }
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -208,6 +208,24 @@
 	return removed
 }
 
+// Merge takes in entries that a neighbour tells. Nothing is removed by them, and
+// they do not say how new the view is.
+func (v *View) Merge(ch Changes) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	next := *v.state.Load()
+	old := next.Endpoints
+	next.Endpoints = maps.Clone(old)
+	if next.Endpoints == nil {
+		next.Endpoints = map[string]fleet.Endpoint{}
+	}
+	for _, e := range ch.Endpoints {
+		v.put(&next, old, e)
+	}
+	next.group()
+	v.state.Store(&next)
+}
+
 // remove drops an endpoint, or notes it as missing.
 func (s *State) remove(g Gone, hold bool, asked time.Time) bool {
 	e, ok := s.Endpoints[g.ID]
@@ -247,10 +265,17 @@
 	return removed
 }
 
-// group makes the index by service.
+// group makes the index by service. Of two entries with one address the newer
+// life is taken: the older one's entry has only not lapsed yet.
 func (s *State) group() {
-	s.ByService = map[string][]fleet.Endpoint{}
+	newest := map[string]fleet.Endpoint{}
 	for _, e := range s.Endpoints {
+		if had, ok := newest[e.Address]; !ok || e.Made > had.Made {
+			newest[e.Address] = e
+		}
+	}
+	s.ByService = map[string][]fleet.Endpoint{}
+	for _, e := range newest {
 		s.ByService[e.Service] = append(s.ByService[e.Service], e)
 	}
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -19,7 +19,11 @@
 const (
 	startRetry = 400 * time.Millisecond // A start takes some hundred milliseconds.
 	staleRetry = 1 * time.Second        // Another gateway may be asked by then.
+	stopRetry  = 50 * time.Millisecond  // Another gateway is there.
 	emptyRetry = 700 * time.Millisecond // No endpoint: one may be listed by then.
+	// groupRetry is for a group that is down: what its ranks wait for takes
+	// seconds, and callers wait for at most a third of the time they have left.
+	groupRetry = 2500 * time.Millisecond
 	fullRetry  = 300 * time.Millisecond
 )
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,7 +60,7 @@
 	others  int                      // Gateways that are known besides this one.
 
 	busy     atomic.Int64
-	stopping atomic.Bool
+	stopping atomic.Int64 // When the planned stop began, Unix nanoseconds; 0 before.
 }
 
 // New returns a gateway that serves what view holds. The function closes its
@@ -129,6 +129,13 @@
 	}
 }
 
+// groupOf returns the group of ranks that an endpoint is in.
+func (g *Gateway) groupOf(id string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.Group(id)
+}
+
 // SetOthers tells how many other gateways there are.
 func (g *Gateway) SetOthers(n int) {
 	g.mu.Lock()
@@ -139,12 +146,16 @@
 	}
 }
 
-// Parts of the published spare of repeats: half of it is never used, since
+// Parts of the published budget of repeats. Much of the spare is never used, since
 // gateways may not know of each other, and the rest is split among at least so
 // many gateways.
 const (
-	spareUsed     = 0.5
+	spareUsed     = 0.35
 	leastGateways = 8
+	// shareUsed is the part of the published share of repeats that is used: the
+	// windows of the gateways do not begin together, and a gateway that starts
+	// anew has forgotten its repeats.
+	shareUsed = 0.8
 )
 
 func (g *Gateway) spare() float64 {
@@ -155,7 +166,7 @@
 func (g *Gateway) window(service string) *retry.Window {
 	w, ok := g.windows[service]
 	if !ok {
-		w = retry.NewWindow(g.cfg.RetryWindow, g.cfg.RetryShare, g.spare())
+		w = retry.NewWindow(g.cfg.RetryWindow, shareUsed*g.cfg.RetryShare, g.spare())
 		g.windows[service] = w
 	}
 	return w
@@ -166,7 +177,18 @@
 
 // Stop begins the planned stop: everything that comes is still served, but
 // callers are told to use other connections.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
+func (g *Gateway) Stop() { g.stopping.Store(time.Now().UnixNano()) }
+
+// stopTakes is how long after the start of a planned stop requests are still
+// taken: whatever is taken must be able to end within the grace period.
+const stopTakes = 2700 * time.Millisecond
+
+// leaving reports whether the planned stop has begun, and whether it is so far
+// on that nothing more is taken.
+func (g *Gateway) leaving(now time.Time) (begun, closed bool) {
+	at := g.stopping.Load()
+	return at != 0, at != 0 && now.UnixNano()-at > int64(stopTakes)
+}
 
 // readyAge is the age of the configuration above which the process asks for no
 // new callers: it could not serve their keys for much longer.
@@ -174,7 +196,8 @@
 
 // Ready reports whether new callers should come here.
 func (g *Gateway) Ready(now time.Time) bool {
-	return !g.stopping.Load() && g.view.Age(now) < readyAge
+	begun, _ := g.leaving(now)
+	return !begun && g.view.Age(now) < readyAge
 }
 
 // ReadinessHandler answers the platform's question for readiness.
--- /dev/null
+++ b/internal/gateway/neighbours.go
@@ -0,0 +1,330 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/follow"
+	"github.com/canvaspulley/canvaspulley/internal/peers"
+)
+
+// Times of the talk with other processes.
+const (
+	// helloEvery is the time between two hellos; sidecars send loads for some
+	// seconds after each.
+	helloEvery = 700 * time.Millisecond
+	// heardFor is how long a gateway counts as there after its last hello.
+	heardFor = 5 * time.Second
+	// maxKnown bounds the gateways named in a hello, which must fit a datagram.
+	maxKnown = 64
+	// borrowAge is the age of the configuration from which a neighbour is asked
+	// for it: the store's answers keep it below this while the store is there.
+	borrowAge = 2200 * time.Millisecond
+	// borrowEvery and borrowTimeout are the times of asking.
+	borrowEvery   = 400 * time.Millisecond
+	borrowTimeout = 350 * time.Millisecond
+	// maxPublished bounds a neighbour's answer.
+	maxPublished = 16 << 20
+)
+
+// pathPublished is the call between gateways for what is published.
+const pathPublished = "/v1/published"
+
+// published is a gateway's view as it tells it to another one.
+type published struct {
+	Age       time.Duration    `json:"age"`
+	Version   uint64           `json:"version"`
+	Revision  uint64           `json:"revision"`         // Of the configuration.
+	Config    []byte           `json:"config,omitempty"` // Text of the version, when it is newer than the one asked for.
+	Endpoints []fleet.Endpoint `json:"endpoints"`
+}
+
+// Neighbours finds other gateways, tells sidecars and gateways of this one, and
+// borrows the published state from a neighbour while the store does not answer.
+type Neighbours struct {
+	g       *Gateway
+	socket  *peers.Socket
+	log     *zap.Logger
+	decode  func(raw []byte) (*fleet.Config, error)
+	client  *http.Client
+	self    string
+	life    int64
+	name    string
+	seeds   []string
+	port    int // Of sidecars.
+	mu      sync.Mutex
+	heard   map[string]time.Time // Gateways by address.
+	borrows bool
+}
+
+// NeighboursConfig is the setting of Neighbours.
+type NeighboursConfig struct {
+	Name         string
+	Address      string // Peer listener of this gateway.
+	Seeds        []string
+	SidecarsPort int
+	Decode       func(raw []byte) (*fleet.Config, error) // Reads a configuration's text.
+}
+
+// NewNeighbours returns what a gateway knows of other processes. The function
+// closes its connections.
+func NewNeighbours(cfg NeighboursConfig, g *Gateway, socket *peers.Socket, log *zap.Logger) (n *Neighbours, cleanup func()) {
+	t := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: borrowTimeout}).DialContext,
+		MaxIdleConnsPerHost: 1,
+		DisableCompression:  true,
+	}
+	n = &Neighbours{
+		g: g, socket: socket, log: log, decode: cfg.Decode, client: &http.Client{Transport: t},
+		self: cfg.Address, life: time.Now().UnixMilli(), name: cfg.Name, seeds: cfg.Seeds, port: cfg.SidecarsPort,
+		heard: map[string]time.Time{},
+	}
+	return n, t.CloseIdleConnections
+}
+
+// Handler serves the calls of other gateways.
+func (n *Neighbours) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+pathPublished, n.servePublished)
+	return mux
+}
+
+// Receive takes in a message.
+func (n *Neighbours) Receive(_ netip.AddrPort, m peers.Message) {
+	switch {
+	case m.Hello != nil:
+		n.hear(*m.Hello)
+	case m.Load != nil:
+		n.g.Report(m.Load.Address, balance.Load{
+			Running: m.Load.Running, Waiting: m.Load.Waiting, Group: m.Load.Group, Closed: m.Load.Closed, Pace: m.Load.Pace, At: time.Now(),
+		})
+	}
+}
+
+func (n *Neighbours) hear(h peers.Hello) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if h.Leaving {
+		delete(n.heard, h.Address)
+	} else if h.Address != n.self {
+		if _, ok := n.heard[h.Address]; !ok {
+			n.log.Info("gateway heard", zap.String("name", h.Name), zap.String("address", h.Address))
+		}
+		n.heard[h.Address] = now
+	}
+	for _, a := range h.Known {
+		if _, ok := n.heard[a]; !ok && a != n.self {
+			n.heard[a] = now.Add(-heardFor + 2*helloEvery) // By hearsay: it must speak for itself soon.
+		}
+	}
+}
+
+// others returns the gateways that are there.
+func (n *Neighbours) others() (list []string) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for a, at := range n.heard {
+		if now.Sub(at) > heardFor {
+			delete(n.heard, a)
+			n.log.Info("gateway not heard any more", zap.String("address", a))
+			continue
+		}
+		list = append(list, a)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Run greets other processes and borrows until ctx ends.
+func (n *Neighbours) Run(ctx context.Context) error {
+	hello := time.NewTicker(helloEvery)
+	defer hello.Stop()
+	borrow := time.NewTicker(borrowEvery)
+	defer borrow.Stop()
+	n.greet()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hello.C:
+			n.greet()
+		case <-borrow.C:
+			n.borrow(ctx)
+		}
+	}
+}
+
+// greet says hello to sidecars and gateways.
+func (n *Neighbours) greet() {
+	others := n.others()
+	n.g.SetOthers(len(others))
+	leaving, _ := n.g.leaving(time.Now())
+	m := peers.Message{Hello: &peers.Hello{Name: n.name, Life: n.life, Address: n.self, Known: others[:min(len(others), maxKnown)], Leaving: leaving}}
+	to := slices.Clone(others)
+	for _, s := range n.seeds {
+		if s != n.self && !slices.Contains(to, s) {
+			to = append(to, s)
+		}
+	}
+	for _, a := range to {
+		if ap, err := netip.ParseAddrPort(a); err == nil {
+			n.socket.Send(ap, m)
+		}
+	}
+	m.Hello.Known = nil // Sidecars need no more than the address.
+	for _, a := range n.sidecars() {
+		n.socket.Send(a, m)
+	}
+}
+
+// sidecars returns the addresses of the sidecars beside listed engines.
+func (n *Neighbours) sidecars() (list []netip.AddrPort) {
+	s := n.g.view.State()
+	if s.Config == nil {
+		return nil
+	}
+	for name, endpoints := range s.ByService {
+		if svc := s.Config.Service(name); svc == nil || svc.Engine == nil {
+			continue
+		}
+		for _, e := range endpoints {
+			if a, err := besideEngine(e.Address, n.port); err == nil {
+				list = append(list, a)
+			}
+		}
+	}
+	return list
+}
+
+func besideEngine(engine string, port int) (a netip.AddrPort, err error) {
+	host, _, err := net.SplitHostPort(engine)
+	if err != nil {
+		return a, err
+	}
+	return netip.ParseAddrPort(net.JoinHostPort(host, strconv.Itoa(port)))
+}
+
+// servePublished tells another gateway what this one knows.
+func (n *Neighbours) servePublished(w http.ResponseWriter, r *http.Request) {
+	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	if err != nil {
+		http.Error(w, "version: not a number", http.StatusBadRequest)
+		return
+	}
+	s := n.g.view.State()
+	if s.Config == nil {
+		http.Error(w, "nothing known yet", http.StatusServiceUnavailable)
+		return
+	}
+	// The age is taken after the state: the state may only be newer than it says.
+	p := published{Version: s.Config.Version(), Revision: s.ConfigRevision, Age: n.g.view.Age(time.Now())}
+	if p.Version > version {
+		p.Config = s.Config.Raw()
+	}
+	for id, e := range s.Endpoints {
+		if _, missing := s.Missing[id]; !missing {
+			p.Endpoints = append(p.Endpoints, e)
+		}
+	}
+	raw, err := json.Marshal(p)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(raw) // The other gateway sees an answer that is cut.
+}
+
+// borrow asks a neighbour for what is published, if the store has not told for
+// a while.
+func (n *Neighbours) borrow(ctx context.Context) {
+	age := n.g.view.Age(time.Now())
+	if age < borrowAge {
+		n.borrows = false
+		return
+	}
+	others := n.others()
+	for _, s := range n.seeds {
+		if s != n.self && !slices.Contains(others, s) {
+			others = append(others, s)
+		}
+	}
+	if len(others) == 0 {
+		return
+	}
+	from := others[random(len(others))]
+	asked := time.Now()
+	p, err := n.ask(ctx, from)
+	if err != nil {
+		n.log.Debug("nothing borrowed", zap.String("from", from), zap.String("error", err.Error()))
+		return
+	}
+	if err := n.take(p, asked); err != nil {
+		n.log.Warn("nothing borrowed", zap.String("from", from), zap.String("error", err.Error()))
+		return
+	}
+	if !n.borrows {
+		n.borrows = true
+		n.log.Info("borrows what is published", zap.String("from", from), zap.Uint64("version", p.Version), zap.Duration("its-age", p.Age), zap.Duration("own-age", age))
+	}
+}
+
+func (n *Neighbours) ask(ctx context.Context, from string) (p published, err error) {
+	defer func() { err = errors.Wrapf(err, "gateway %s", from) }()
+	version := uint64(0)
+	if c := n.g.view.State().Config; c != nil {
+		version = c.Version()
+	}
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from+pathPublished+"?version="+strconv.FormatUint(version, 10), nil)
+	if err != nil {
+		return p, err
+	}
+	resp, err := n.client.Do(r)
+	if err != nil {
+		return p, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxPublished))
+	if err != nil {
+		return p, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return p, errors.Newf("status %d: %s", resp.StatusCode, bytes.TrimSpace(raw))
+	}
+	return p, json.Unmarshal(raw, &p)
+}
+
+// take puts a neighbour's view into the own one, with its age as seen from the
+// moment before it was asked.
+func (n *Neighbours) take(p published, asked time.Time) error {
+	if len(p.Config) > 0 {
+		c, err := n.decode(p.Config)
+		if err != nil {
+			return err
+		}
+		n.g.view.Offer(c, p.Revision)
+	}
+	n.g.view.Merge(follow.Changes{Endpoints: p.Endpoints})
+	n.g.view.Confirm(p.Version, asked.Add(-p.Age))
+	return nil
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -29,19 +29,21 @@
 	arrived  time.Time
 	final    time.Time // When it must have its final answer.
 
-	tried    []string // Endpoints that it was sent to.
-	unsent   []string // Endpoints that could not be reached.
-	notes    []string // What became of each try, for the log.
-	mayRun   bool     // Some endpoint may have run it.
-	begun    bool     // The head of an answer has gone to the caller.
-	lastID   int64    // Id of the last event that went to the caller.
-	hasID    bool
-	firstAt  time.Time // When the answer or its first event went out.
-	events   int
-	outcome  outcome
-	status   int
-	retryIn  time.Duration
-	endpoint string // That served it.
+	tried     []string // Endpoints that it was sent to.
+	unsent    []string // Endpoints that could not be reached.
+	notes     []string // What became of each try, for the log.
+	mayRun    bool     // Some endpoint may have run it.
+	groupDown bool     // A group of ranks turned it away as a whole.
+	downGroup string
+	begun     bool  // The head of an answer has gone to the caller.
+	lastID    int64 // Id of the last event that went to the caller.
+	hasID     bool
+	firstAt   time.Time // When the answer or its first event went out.
+	events    int
+	outcome   outcome
+	status    int
+	retryIn   time.Duration
+	endpoint  string // That served it.
 }
 
 // outcome says how a request ended.
@@ -74,10 +76,14 @@
 	g.busy.Add(1)
 	defer g.busy.Add(-1)
 	q := &request{g: g, ctx: r.Context(), w: w, r: r, arrived: time.Now(), call: g.codec.ReadCall(r.Header)}
-	if g.stopping.Load() {
+	begun, closed := g.leaving(q.arrived)
+	if begun {
 		w.Header().Set("Connection", "close")
 	}
-	if q.admit() && q.readBody() {
+	switch {
+	case closed:
+		q.refuse("instance is stopping", stopRetry)
+	case q.admit() && q.readBody():
 		q.run()
 	}
 	q.finish()
@@ -139,7 +145,7 @@
 
 // certainAge is the age of the configuration up to which it is taken as the
 // newest when a request is turned away by it: one long wait for changes.
-const certainAge = 1900 * time.Millisecond
+const certainAge = 2200 * time.Millisecond
 
 // rejectIfKnown turns a request away for good only if the configuration that
 // says so is surely the newest.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -99,6 +99,9 @@
 
 // comeBack says when a request that has not run should be tried again.
 func (q *request) comeBack() time.Duration {
+	if q.groupDown {
+		return groupRetry
+	}
 	if len(q.tried) > 0 {
 		return fullRetry
 	}
@@ -119,6 +122,9 @@
 		if _, missing := s.Missing[e.ID]; missing {
 			continue
 		}
+		if q.groupDown && q.g.groupOf(e.ID) == q.downGroup {
+			continue // All ranks of a group stand and fall together.
+		}
 		candidates = append(candidates, e)
 	}
 	list := make([]balance.Candidate, len(candidates))
@@ -163,7 +169,6 @@
 // try sends the request to one endpoint and relays its answer.
 func (q *request) try(e fleet.Endpoint) result {
 	g := q.g
-	first := len(q.tried) == 0
 	g.mu.Lock()
 	g.table.Start(e.ID)
 	g.mu.Unlock()
@@ -187,7 +192,7 @@
 		q.unsent = append(q.unsent, e.ID)
 		return unreached
 	}
-	if first {
+	if len(q.tried) == 0 {
 		g.mu.Lock()
 		g.window(q.service).Request(time.Now())
 		g.mu.Unlock()
@@ -280,11 +285,15 @@
 
 // turnedAway notes an answer that says that the request was not run.
 func (q *request) turnedAway(e fleet.Endpoint, status int, a fleet.Answer) {
-	weight := 0.0 // Being full is no fault.
+	q.bad(e, 0, fmt.Sprintf("turned away: %d %s", status, a.AtFault)) // Being full is no fault.
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
 	if status == http.StatusMisdirectedRequest {
-		weight = 1
+		q.g.table.Misplaced(e.ID, time.Now())
+	}
+	if a.AtFault != "" {
+		q.downGroup, q.groupDown = q.g.table.Group(e.ID), true
 	}
-	q.bad(e, weight, fmt.Sprintf("turned away: %d %s", status, a.AtFault))
 }
 
 // bad notes a failure of an endpoint.
@@ -367,7 +376,7 @@
 	for name, values := range q.g.codec.CallerHeader(resp.Header) {
 		h[name] = values
 	}
-	if q.g.stopping.Load() {
+	if begun, _ := q.g.leaving(time.Now()); begun {
 		h.Set("Connection", "close")
 	}
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -22,16 +22,12 @@
 	Lead  *Lead  `json:"lead,omitempty"`
 }
 
-// Hello tells that a gateway is there and asks for loads, and tells other
-// gateways how new its configuration is.
+// Hello tells that a gateway is there. Sidecars answer it with loads; other
+// gateways learn whom they may ask.
 type Hello struct {
 	Name    string   `json:"n"`
 	Life    int64    `json:"l"`           // Start of the process, Unix milliseconds.
 	Address string   `json:"a"`           // Peer listener.
-	Version uint64   `json:"v"`           // Of its configuration.
-	AgeMs   int64    `json:"g"`           // How long ago that was certainly the newest; below 0 for never.
-	Sent    int64    `json:"s"`           // Of the sender's clock; comes back in Echo.
-	Echo    int64    `json:"e,omitempty"` // Sent of the hello that this one answers.
 	Known   []string `json:"k,omitempty"` // Other gateways that it hears.
 	Leaving bool     `json:"x,omitempty"`
 }
@@ -41,6 +37,7 @@
 	Address string  `json:"a"` // Of the engine.
 	Running int     `json:"r"`
 	Waiting int     `json:"w"`
+	Group   string  `json:"g,omitempty"`
 	Closed  bool    `json:"c,omitempty"`
 	Pace    float64 `json:"p,omitempty"`
 	Step    uint64  `json:"s,omitempty"`
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -104,22 +104,23 @@
 		layout[k] = layer.Rows(len(l.byRank))
 	}
 	began := time.Now()
-	l.machine.Begin(version, layout)
+	m := l.machine
+	m.Begin(version, layout)
 	l.drive(ctx, prepareLimit)
 	if !l.copied(ctx, began) {
-		l.machine.GiveUp()
+		m.GiveUp()
 		l.s.figures.gaveUp.Inc(1)
 		l.s.log.Warn("map not copied", zap.Uint64("version", version), zap.Duration("after", time.Since(began)))
 		return
 	}
 	copied := time.Now()
-	before := l.machine.Gained
-	l.machine.Switch(l.nextStep())
+	before := m.Gained
+	m.Switch(l.nextStep())
 	l.drive(ctx, armLimit)
-	l.machine.GiveUp()
+	m.GiveUp()
 	l.drive(ctx, recoverLimit)
 	p.changed = time.Now()
-	done := l.machine != nil && l.machine.Gained > before
+	done := m.Gained > before
 	if done {
 		p.current, p.version = next, version
 		p.noisy = 0
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -284,6 +284,9 @@
 func (l *leader) drive(ctx context.Context, limit time.Duration) {
 	began := time.Now()
 	m := l.machine
+	if m == nil {
+		return // A higher fence was met before.
+	}
 	for ctx.Err() == nil && time.Since(began) < limit {
 		switch m.Phase {
 		case cutover.Settling, cutover.Ready:
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -143,7 +143,7 @@
 	defer cancel()
 	r, err := s.engine.Report(ctx)
 	s.noteReport(r, err)
-	load := &peers.Load{Address: s.cfg.Address, Running: r.Running, Waiting: r.Waiting, Pace: r.Pace, Step: r.Step}
+	load := &peers.Load{Address: s.cfg.Address, Group: r.Group, Running: r.Running, Waiting: r.Waiting, Pace: r.Pace, Step: r.Step}
 	load.Closed = err != nil || r.Group != "" && !r.Open
 	s.mu.Lock()
 	to := make([]netip.AddrPort, 0, len(s.gateways))
