--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -89,7 +89,7 @@
 
 // carryOut gives an order to the own engine.
 func (s *Sidecar) carryOut(ctx context.Context, o rank.Order) (a answer) {
-	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	result, err := s.engine.Order(ctx, o)
 	s.figures.orders.Inc(1)
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -20,19 +20,21 @@
 	version uint64 // Of current; meaningful only when current is set.
 	known   bool
 	changed time.Time // Last switch.
-	noisy   int       // Windows since the last switch.
 }
 
 // Weights of planning.
 const (
-	// loadWeight is the weight of the newest windows in the smoothed counts: a
-	// change of demand shows within three looks.
-	loadWeight = 0.4
+	// loadWeight is the weight of the newest windows in the smoothed counts.
+	loadWeight = 0.25
+	// shifted is the skew of the newest windows to that of the smoothed counts,
+	// under the map in force, from which the demand is taken to have changed:
+	// what was heard before is dropped then.
+	shifted = 1.2
 	// horizon is how long a gain is reckoned to last: demand shifts every few
 	// seconds.
 	horizon = 2500 * time.Millisecond
 	// leastBetween lies between two switches.
-	leastBetween = 400 * time.Millisecond
+	leastBetween = 200 * time.Millisecond
 	// expertWork is the part of a pass that experts make when none is told.
 	expertWork = 0.85
 	gigabyte   = 1e9
@@ -69,20 +71,32 @@
 	if !heard {
 		return
 	}
-	p.noisy++
-	if p.load == nil {
-		p.load = make([][]float64, l.shape.Sets)
-		for k := range p.load {
-			p.load[k] = make([]float64, l.shape.Experts)
-		}
+	newest := make([][]float64, l.shape.Sets)
+	for k := range newest {
+		newest[k] = sum[k*l.shape.Experts : (k+1)*l.shape.Experts]
+	}
+	if p.load == nil || p.hasShifted(newest, len(l.byRank)) {
+		p.load = newest
+		return
 	}
 	for k := range p.load {
 		for x := range p.load[k] {
-			p.load[k][x] += loadWeight * (sum[k*l.shape.Experts+x] - p.load[k][x])
+			p.load[k][x] += loadWeight * (newest[k][x] - p.load[k][x])
 		}
 	}
 }
 
+// hasShifted reports whether the newest counts load the map in force much less
+// evenly than those before.
+func (p *planner) hasShifted(newest [][]float64, ranks int) bool {
+	if !p.known {
+		return false
+	}
+	slowNow, meanNow := p.current.StepTime(newest, ranks, nil)
+	slow, mean := p.current.StepTime(p.load, ranks, nil)
+	return meanNow > 0 && mean > 0 && slowNow/meanNow > shifted*slow/mean
+}
+
 // change makes a new map and brings it into force, if that pays.
 func (l *leader) change(ctx context.Context) {
 	p := &l.planner
@@ -123,7 +137,6 @@
 	done := m.Gained > before
 	if done {
 		p.current, p.version = next, version
-		p.noisy = 0
 		l.s.figures.switches.Inc(1)
 		l.s.figures.copies.Inc(int64(copies))
 	} else {
@@ -228,9 +241,10 @@
 	value := l.s.cfg.SkewPrice * horizon.Seconds() * share / float64(l.shape.Sets) // Of a set's mean load.
 	least := l.shape.ExpertBytes / gigabyte * l.s.cfg.CopyPrice / value
 	before, after := 0.0, 0.0
+	speed := l.speeds()
 	next = make(rebalance.Map, len(p.current))
 	for k, layer := range p.current {
-		i := rebalance.Improve(s, layer, p.load[k], nil, rebalance.Bounds{Spare: l.shape.Spare, Least: least})
+		i := rebalance.Improve(s, layer, p.load[k], speed, rebalance.Bounds{Spare: l.shape.Spare, Least: least})
 		next[k] = i.Layer
 		copies += i.Copies
 		before += i.Before / float64(len(p.current))
@@ -241,6 +255,23 @@
 	return next, copies, share * (before - after) / whole
 }
 
+// speeds returns the speed of each rank, nil when all are alike.
+func (l *leader) speeds() []float64 {
+	speed := make([]float64, len(l.byRank))
+	alike := true
+	for r, m := range l.byRank {
+		speed[r] = 1
+		if pace := m.state.Report.Pace; pace > 1 {
+			speed[r] = 1 / pace
+			alike = false
+		}
+	}
+	if alike {
+		return nil
+	}
+	return speed
+}
+
 // pause lets other goroutines run between two pieces of planning, since the
 // runtime may not be allowed to do so by itself.
 func pause() { time.Sleep(time.Microsecond) }
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -36,7 +36,7 @@
 // Times of leading.
 const (
 	// lookEvery is the time between two looks at the group.
-	lookEvery = 150 * time.Millisecond
+	lookEvery = 100 * time.Millisecond
 	// askTimeout bounds a call to another sidecar: some round trips between
 	// failure domains, and the time that a small processor share may add.
 	askTimeout = 250 * time.Millisecond
@@ -68,7 +68,6 @@
 	machine  *cutover.Machine
 	fence    uint64
 	planner  planner
-	toldAt   time.Time
 	epoch    uint64
 	openedAt time.Time // When this epoch was first seen.
 }
@@ -95,7 +94,7 @@
 		return
 	}
 	l.refresh(ctx)
-	l.tell(own)
+	l.s.setLeading(l.all, peers.Lead{Group: own.Group, Epoch: own.Epoch, Rank: own.Rank, Fence: l.fence})
 	if !l.ask(ctx, own) {
 		return
 	}
@@ -109,6 +108,7 @@
 	}
 	l.machine, l.byRank = nil, nil
 	l.planner = planner{}
+	l.s.setLeading(nil, peers.Lead{})
 }
 
 // leads reports whether this sidecar is to lead: it does already and hears of
@@ -126,8 +126,8 @@
 		return false
 	}
 	since := l.openedAt
-	if heard.heard.Epoch == own.Epoch && heard.at.After(since) {
-		since = heard.at
+	if heard.heard.Epoch == own.Epoch && heard.at.Add(leadLapse).After(since) {
+		since = heard.at.Add(leadLapse)
 	}
 	return now.Sub(since) >= time.Duration(own.Rank)*leadStagger
 }
@@ -172,18 +172,28 @@
 	}
 }
 
-// tell tells the others that this sidecar leads.
-func (l *leader) tell(own rank.Report) {
-	if time.Since(l.toldAt) < leadEvery {
-		return
-	}
-	l.toldAt = time.Now()
-	m := peers.Message{Lead: &peers.Lead{Group: own.Group, Epoch: own.Epoch, Rank: own.Rank, Fence: l.fence}}
-	for _, o := range l.all {
-		if a, ok := l.s.besideAddr(o.endpoint.Address); ok && o.endpoint.Address != l.s.cfg.Address {
-			l.s.socket.Send(a, m)
+// setLeading tells the duty that announces the leader whom to tell what; it is
+// apart, since a round of orders may take longer than a leader may be silent.
+func (s *Sidecar) setLeading(all []*member, lead peers.Lead) {
+	to := make([]netip.AddrPort, 0, len(all))
+	for _, m := range all {
+		if a, ok := s.besideAddr(m.endpoint.Address); ok && m.endpoint.Address != s.cfg.Address {
+			to = append(to, a)
 		}
 	}
+	s.mu.Lock()
+	s.leading, s.tellTo = lead, to
+	s.mu.Unlock()
+}
+
+// tellLead announces the leader, if it is this one.
+func (s *Sidecar) tellLead(context.Context) {
+	s.mu.Lock()
+	lead, to := s.leading, s.tellTo
+	s.mu.Unlock()
+	for _, a := range to {
+		s.socket.Send(a, peers.Message{Lead: &lead})
+	}
 }
 
 // besideAddr returns the datagram address of the sidecar beside an engine.
@@ -338,7 +348,7 @@
 		return l.s.carryOut(ctx, o).Result
 	}
 	address := l.byRank[r].endpoint.Address
-	call, cancel := context.WithTimeout(ctx, askTimeout)
+	call, cancel := context.WithTimeout(ctx, orderTimeout+askTimeout)
 	defer cancel()
 	a, err := l.s.calls.order(call, address, o)
 	if err == nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -37,9 +37,12 @@
 	// reportEvery is the time between two reports: gateways choose by them, and
 	// the load of an engine changes with each pass of some ten milliseconds.
 	reportEvery = 100 * time.Millisecond
-	// countsEvery is the time between two readings of the counts; a quarter of
-	// the time that a change of demand may take to be followed.
-	countsEvery = 300 * time.Millisecond
+	// countsEvery is the time between two readings of the counts. A window of a
+	// few passes holds some ten thousand choices, enough to see a change.
+	countsEvery = 120 * time.Millisecond
+	// orderTimeout bounds an order to the own engine. Some answers never come;
+	// an order that is sent again does no harm, waiting holds up the group.
+	orderTimeout = 100 * time.Millisecond
 	// engineTimeout bounds a call to the own engine, which answers in about a
 	// millisecond.
 	engineTimeout = 400 * time.Millisecond
@@ -65,6 +68,8 @@
 	work     window
 	gateways map[netip.AddrPort]time.Time // By the time of their last hello.
 	lead     leadership
+	leading  peers.Lead       // What this sidecar announces.
+	tellTo   []netip.AddrPort // Whom; nil while it does not lead.
 
 	figures figures
 }
@@ -108,6 +113,7 @@
 	g.Go(func() error { return s.socket.Run(ctx, s.receive) })
 	g.Go(func() error { return every(ctx, reportEvery, s.readReport) })
 	g.Go(func() error { return every(ctx, countsEvery, s.readCounts) })
+	g.Go(func() error { return every(ctx, leadEvery, s.tellLead) })
 	g.Go(func() error { return newLeader(s).run(ctx) })
 	return g.Wait()
 }
