--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -263,12 +263,11 @@
 		return err
 	}
 	s, closeSidecar := sidecar.New(sidecar.Config{
-		Address:    p.set.Engine,
-		PeersPort:  p.set.PeersPort,
-		SkewPrice:  p.set.SkewPrice,
-		CopyPrice:  p.set.CopyPrice,
-		OrderPrice: p.set.OrderPrice,
-		Fences:     p.set.Fences,
+		Address:   p.set.Engine,
+		PeersPort: p.set.PeersPort,
+		SkewPrice: p.set.SkewPrice,
+		CopyPrice: p.set.CopyPrice,
+		Fences:    p.set.Fences,
 	}, engine, p.otherEngine, store.Source(), socket, p.log, p.reg)
 	defer closeSidecar()
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -63,11 +63,12 @@
 
 // Table holds what is known of all endpoints.
 type Table struct {
-	by map[string]*endpoint
+	by     map[string]*endpoint
+	closed map[string]time.Time // Groups by the newest report that they serve nothing.
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{by: map[string]*endpoint{}} }
+func New() *Table { return &Table{by: map[string]*endpoint{}, closed: map[string]time.Time{}} }
 
 func (t *Table) of(id string) *endpoint {
 	e, ok := t.by[id]
@@ -85,6 +86,13 @@
 		return
 	}
 	e.load, e.ownThen = l, e.own
+	switch {
+	case l.Group == "":
+	case l.Closed:
+		t.closed[l.Group] = l.At
+	default:
+		delete(t.closed, l.Group) // All ranks open together.
+	}
 }
 
 // Start notes that a request of this process goes to an endpoint.
@@ -240,7 +248,8 @@
 	farScore     = 1             // Less than one request: it only breaks ties.
 	coldScore    = 2 * scoreUnit // Of an endpoint that is still slow.
 	closedScore  = 1 << 20       // Of an endpoint whose group is broken.
-	slowestScore = 8             // Pace above which an endpoint is judged alike.
+	silentScore  = 1 << 21
+	slowestScore = 8 // Pace above which an endpoint is judged alike.
 )
 
 func (t *Table) score(e *endpoint, c Candidate, now time.Time) int {
@@ -252,6 +261,9 @@
 	if fresh && e.load.Closed {
 		s += closedScore
 	}
+	if at, ok := t.closed[e.load.Group]; ok && !fresh && now.Sub(at) <= reportAge {
+		s += silentScore // Its group is down, and it cannot even be heard.
+	}
 	if !c.Near {
 		s += farScore
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -29,7 +29,7 @@
 
 // maxUnreached bounds the endpoints that are tried in vain before anything is
 // sent.
-const maxUnreached = 3
+const maxUnreached = 2
 
 // run tries endpoints until the request has its final answer.
 func (q *request) run() {
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -48,7 +48,6 @@
 
 	SkewPrice   float64 // Worth of one second's whole group time, in the unit of the other prices.
 	CopyPrice   float64 // Of a gigabyte of copied experts.
-	OrderPrice  float64 // Of one order.
 	LogLevel    string
 	LogPerSec   int // Lines on requests that went well, a second.
 	MemoryLimit int // Megabytes that the process may hold; 0 for no bound.
@@ -95,7 +94,6 @@
 	s.readBounds(f)
 	s.SkewPrice = f.Float("prices", "group-second", 60, 0, 1e9)
 	s.CopyPrice = f.Float("prices", "copied-gb", 0.085, 0, 1e9)
-	s.OrderPrice = f.Float("prices", "order", 0.08, 0, 1e9)
 	s.LogLevel = f.String("log", "level", "info")
 	s.LogPerSec = f.Int("log", "served-per-second", 50, 0, 100000)
 	return s, f.Problems().Err()
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -20,6 +20,9 @@
 	version uint64 // Of current; meaningful only when current is set.
 	known   bool
 	changed time.Time // Last switch.
+	step    uint64    // Of the own rank at stepAt.
+	stepAt  time.Time
+	pass    time.Duration // Smoothed time of a pass; 0 when not known.
 }
 
 // Weights of planning.
@@ -42,6 +45,47 @@
 	versionsPerRank = 1024
 )
 
+// Passes and what they mean for callers: an event of a stream comes with each
+// pass, and its pause is a pass, longer by what is read of new prompts.
+const (
+	// easyPass is so short that a shorter one serves nobody better.
+	easyPass = 35 * time.Millisecond
+	// hardPass is so long that pauses go over the usual bound of 120 ms as soon
+	// as prompts are read.
+	hardPass = 75 * time.Millisecond
+	// leastPressure is the part of the full value that a shorter pass always
+	// has, since load may rise.
+	leastPressure = 0.12
+	// passWeight is the weight of the newest passes in the smoothed time.
+	passWeight = 0.6
+	// passesMeasured is how many passes are measured together at least.
+	passesMeasured = 2
+)
+
+// timePasses measures how long passes take.
+func (p *planner) timePasses(step uint64, now time.Time) {
+	if p.stepAt.IsZero() || step < p.step {
+		p.step, p.stepAt = step, now
+		return
+	}
+	n := step - p.step
+	if n < passesMeasured {
+		return
+	}
+	one := now.Sub(p.stepAt) / time.Duration(n)
+	if p.pass == 0 {
+		p.pass = one
+	}
+	p.pass += time.Duration(passWeight * float64(one-p.pass))
+	p.step, p.stepAt = step, now
+}
+
+// pressure is the part of the full value that a shorter pass has now.
+func (p *planner) pressure() float64 {
+	part := float64(p.pass-easyPass) / float64(hardPass-easyPass)
+	return min(max(part, leastPressure), 1)
+}
+
 // learn takes in the windows that are new.
 func (l *leader) learn() {
 	p := &l.planner
@@ -107,8 +151,8 @@
 		return
 	}
 	next, copies, gain := l.plan()
-	value := l.s.cfg.SkewPrice * horizon.Seconds() * gain
-	cost := float64(copies)*l.shape.ExpertBytes/gigabyte*l.s.cfg.CopyPrice + float64(2*len(l.byRank)+2)*l.s.cfg.OrderPrice
+	value := l.s.cfg.SkewPrice * horizon.Seconds() * p.pressure() * gain
+	cost := float64(copies) * l.shape.ExpertBytes / gigabyte * l.s.cfg.CopyPrice
 	if gain <= 0 || value <= cost {
 		return
 	}
@@ -143,7 +187,7 @@
 		l.s.figures.gaveUp.Inc(1)
 	}
 	l.s.log.Info("map changed", zap.Bool("in-force", done), zap.Uint64("version", version), zap.Int("copies", copies), zap.Float64("gain", gain),
-		zap.Float64("value", value), zap.Float64("cost", cost), zap.Duration("copying", copied.Sub(began)), zap.Duration("switching", p.changed.Sub(copied)))
+		zap.Float64("value", value), zap.Float64("cost", cost), zap.Duration("pass", p.pass), zap.Duration("copying", copied.Sub(began)), zap.Duration("switching", p.changed.Sub(copied)))
 }
 
 // passesAhead is how many passes lie between the newest one and the switch, so
@@ -238,7 +282,7 @@
 	if share <= 0 {
 		share = expertWork
 	}
-	value := l.s.cfg.SkewPrice * horizon.Seconds() * share / float64(l.shape.Sets) // Of a set's mean load.
+	value := l.s.cfg.SkewPrice * horizon.Seconds() * p.pressure() * share / float64(l.shape.Sets) // Of a set's mean load.
 	least := l.shape.ExpertBytes / gigabyte * l.s.cfg.CopyPrice / value
 	before, after := 0.0, 0.0
 	speed := l.speeds()
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -266,6 +266,7 @@
 	if !m.Observe(l.reports()) {
 		return
 	}
+	l.planner.timePasses(l.byRank[m.Self].state.Report.Step, l.byRank[m.Self].seen)
 	l.learn()
 	if m.Phase == cutover.Ready {
 		l.change(ctx)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -24,12 +24,11 @@
 
 // Config is the setting of a Sidecar.
 type Config struct {
-	Address    string // Of the engine.
-	PeersPort  int    // Of every sidecar.
-	SkewPrice  float64
-	CopyPrice  float64
-	OrderPrice float64
-	Fences     bool // Engines refuse orders under a lower fence.
+	Address   string // Of the engine.
+	PeersPort int    // Of every sidecar.
+	SkewPrice float64
+	CopyPrice float64
+	Fences    bool // Engines refuse orders under a lower fence.
 }
 
 // Times of a sidecar.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -21,7 +21,7 @@
 const (
 	// dialTimeout bounds a new connection: far above a round trip between
 	// failure domains, and short enough to try another endpoint in time.
-	dialTimeout = 400 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// unackedLimit ends a connection whose peer acknowledges nothing, so that a
 	// cut shows; it is longer than a lost packet's first repeats.
 	unackedLimit = 2500 * time.Millisecond
