--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -12,13 +12,13 @@
 
 // Load is what an endpoint's report says.
 type Load struct {
-	Running int // Requests at work.
-	Waiting int // Requests in its queue.
-	Slots   int
-	Group   string    // Of ranks that stand and fall together; "" for none.
-	Closed  bool      // It serves nothing now, as when its group is broken.
-	Pace    float64   // Above 1 when it is slow; 0 when not told.
-	At      time.Time // When the report was made, by this process's clock.
+	Running int           // Requests at work.
+	Waiting int           // Requests in its queue.
+	Group   string        // Of ranks that stand and fall together; "" for none.
+	Closed  bool          // It serves nothing now, as when its group is broken.
+	Pass    time.Duration // Time between two events of its streams; 0 when not told.
+	Pace    float64       // Above 1 when it is slow; 0 when not told.
+	At      time.Time     // When the report was made, by this process's clock.
 }
 
 // Times and limits of judgement.
@@ -123,6 +123,13 @@
 // Busy estimates the requests at an endpoint.
 func (t *Table) Busy(id string, now time.Time) int { return t.of(id).busy(now) }
 
+// Known reports whether an endpoint's load is known, and how long its passes
+// take.
+func (t *Table) Known(id string, now time.Time) (pass time.Duration, ok bool) {
+	e := t.of(id)
+	return e.load.Pass, now.Sub(e.load.At) <= reportAge
+}
+
 // Closed reports whether an endpoint's fresh report says that it serves
 // nothing.
 func (t *Table) Closed(id string, now time.Time) bool {
@@ -198,6 +205,7 @@
 	ID   string
 	Near bool // In the failure domain of the process.
 	Slow bool // Still cold after its start.
+	Base int  // Requests whose work equals that of a pass without any; 0 where there are no passes.
 }
 
 // Pick returns the index of the least busy candidate that is not out, ok false
@@ -229,6 +237,9 @@
 			continue
 		}
 		score := t.score(e, c, now)
+		if c.Base > 0 {
+			score += random(spreadScore) // Reports are as old for other gateways: not all take the same rank.
+		}
 		switch {
 		case !ok || score < best:
 			index, ok, best, ties = i, true, score, 1
@@ -245,6 +256,7 @@
 // Parts of a score, in requests times scoreUnit.
 const (
 	scoreUnit    = 4
+	spreadScore  = 2 * scoreUnit
 	farScore     = 1             // Less than one request: it only breaks ties.
 	coldScore    = 2 * scoreUnit // Of an endpoint that is still slow.
 	closedScore  = 1 << 20       // Of an endpoint whose group is broken.
@@ -256,7 +268,8 @@
 	s := e.busy(now) * scoreUnit
 	fresh := now.Sub(e.load.At) <= reportAge
 	if fresh && e.load.Pace > 1 {
-		s = int(float64(s+scoreUnit) * min(e.load.Pace, slowestScore))
+		// A slow rank holds up every pass of its group, even with little to do.
+		s = int(float64(s+scoreUnit*(1+c.Base))*min(e.load.Pace, slowestScore)) - scoreUnit*(1+c.Base)
 	}
 	if fresh && e.load.Closed {
 		s += closedScore
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -24,7 +24,10 @@
 	// groupRetry is for a group that is down: what its ranks wait for takes
 	// seconds, and callers wait for at most a third of the time they have left.
 	groupRetry = 2500 * time.Millisecond
-	fullRetry  = 300 * time.Millisecond
+	// fullRetry and fullSpread are for a group that is full: a request takes
+	// about a second, and those refused together must not come back together.
+	fullRetry  = 900 * time.Millisecond
+	fullSpread = 900 * time.Millisecond
 )
 
 // refuse answers that the request has not run and never will.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,13 +46,15 @@
 
 // Gateway serves callers.
 type Gateway struct {
-	cfg     Config
-	codec   Codec
-	view    *follow.View
-	log     *zap.Logger
-	pool    *upstream.Pool
-	conns   *connections
-	figures *figures
+	cfg   Config
+	codec Codec
+	view  *follow.View
+	log   *zap.Logger
+	pool  *upstream.Pool
+	conns *connections
+
+	patience *patience
+	figures  *figures
 
 	mu      sync.Mutex // Guards what follows.
 	table   *balance.Table
@@ -73,8 +75,10 @@
 		log:     log,
 		figures: newFigures(reg),
 		conns:   newConnections(),
-		table:   balance.New(),
-		windows: map[string]*retry.Window{},
+
+		patience: newPatience(),
+		table:    balance.New(),
+		windows:  map[string]*retry.Window{},
 	}
 	g.pool, cleanup = upstream.NewPool(cfg.Source, func() { g.figures.dialed.Inc(1) })
 	return g, cleanup
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -112,7 +112,7 @@
 		n.hear(*m.Hello)
 	case m.Load != nil:
 		n.g.Report(m.Load.Address, balance.Load{
-			Running: m.Load.Running, Waiting: m.Load.Waiting, Group: m.Load.Group, Closed: m.Load.Closed, Pace: m.Load.Pace, At: time.Now(),
+			Running: m.Load.Running, Waiting: m.Load.Waiting, Group: m.Load.Group, Closed: m.Load.Closed, Pace: m.Load.Pace, Pass: time.Duration(m.Load.PassMs) * time.Millisecond, At: time.Now(),
 		})
 	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -35,6 +35,8 @@
 	mayRun    bool     // Some endpoint may have run it.
 	groupDown bool     // A group of ranks turned it away as a whole.
 	downGroup string
+	full      bool  // No endpoint can take it now.
+	again     bool  // The caller was refused before.
 	begun     bool  // The head of an answer has gone to the caller.
 	lastID    int64 // Id of the last event that went to the caller.
 	hasID     bool
@@ -125,6 +127,7 @@
 	patience := defaultPatience
 	if q.call.HasPatience {
 		patience = q.call.Patience
+		q.again = q.g.patience.again(q.route.Name, patience)
 	}
 	q.final = q.arrived.Add(min(patience, q.route.Timeout))
 	return true
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -99,8 +99,11 @@
 
 // comeBack says when a request that has not run should be tried again.
 func (q *request) comeBack() time.Duration {
-	if q.groupDown {
+	switch {
+	case q.groupDown:
 		return groupRetry
+	case q.full:
+		return fullRetry + time.Duration(random(int(fullSpread)))
 	}
 	if len(q.tried) > 0 {
 		return fullRetry
@@ -128,8 +131,9 @@
 		candidates = append(candidates, e)
 	}
 	list := make([]balance.Candidate, len(candidates))
+	base := q.base()
 	for i, e := range candidates {
-		list[i] = balance.Candidate{ID: e.ID, Near: e.Domain == q.g.cfg.Domain, Slow: e.ColdLeft > 0}
+		list[i] = balance.Candidate{ID: e.ID, Near: e.Domain == q.g.cfg.Domain, Slow: e.ColdLeft > 0, Base: base}
 	}
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
@@ -137,9 +141,60 @@
 	if !ok {
 		return e, false
 	}
+	if !q.begun && !q.admitted(candidates[i], now) {
+		q.full = true
+		return e, false
+	}
 	return candidates[i], true
 }
 
+// Limits of what is let in to engines.
+const (
+	// easyShare is the part of the longest pause that is in time up to which a
+	// pass may last for answers to be in time at all.
+	easyShare = 0.95
+	// againRoom is how many requests more than slots a rank may hold for a
+	// caller that was refused before: it does not come a third time.
+	againRoom = 4
+	// lateRoom is how many times its slots a rank may hold while no answer is
+	// in time anyway: then it matters only that as many as possible are served.
+	lateRoom = 2
+)
+
+// admitted reports whether the least busy endpoint can still take a request.
+// Plain services tell no load and shed by themselves. The caller holds mu.
+func (q *request) admitted(e fleet.Endpoint, now time.Time) bool {
+	pass, known := q.g.table.Known(e.ID, now)
+	if !known || e.Slots <= 0 || q.engine() == nil {
+		return true
+	}
+	limit := e.Slots
+	switch {
+	case q.route.PauseLimit > 0 && float64(pass) > easyShare*float64(q.route.PauseLimit):
+		limit *= lateRoom
+	case q.again:
+		limit += againRoom
+	}
+	return q.g.table.Busy(e.ID, now) < limit
+}
+
+// engine returns the shape of the service's engines, nil for a plain service.
+func (q *request) engine() *fleet.Engine {
+	if s := q.config.Service(q.service); s != nil {
+		return s.Engine
+	}
+	return nil
+}
+
+// base returns how many requests make as much work as a pass without any.
+func (q *request) base() int {
+	e := q.engine()
+	if e == nil || e.WriterTime <= 0 {
+		return 0
+	}
+	return max(int(e.StepTime/e.WriterTime), 1)
+}
+
 // takeRepeat spends one repeat of the service's budget.
 func (q *request) takeRepeat(now time.Time) bool {
 	q.g.mu.Lock()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -40,7 +40,7 @@
 	Group   string  `json:"g,omitempty"`
 	Closed  bool    `json:"c,omitempty"`
 	Pace    float64 `json:"p,omitempty"`
-	Step    uint64  `json:"s,omitempty"`
+	PassMs  int     `json:"m,omitempty"` // Time of a pass, smoothed.
 }
 
 // Lead tells that a sidecar leads its group.
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -19,9 +19,7 @@
 	current rebalance.Map
 	version uint64 // Of current; meaningful only when current is set.
 	known   bool
-	changed time.Time // Last switch.
-	step    uint64    // Of the own rank at stepAt.
-	stepAt  time.Time
+	changed time.Time     // Last switch.
 	pass    time.Duration // Smoothed time of a pass; 0 when not known.
 }
 
@@ -56,30 +54,8 @@
 	// leastPressure is the part of the full value that a shorter pass always
 	// has, since load may rise.
 	leastPressure = 0.12
-	// passWeight is the weight of the newest passes in the smoothed time.
-	passWeight = 0.6
-	// passesMeasured is how many passes are measured together at least.
-	passesMeasured = 2
 )
 
-// timePasses measures how long passes take.
-func (p *planner) timePasses(step uint64, now time.Time) {
-	if p.stepAt.IsZero() || step < p.step {
-		p.step, p.stepAt = step, now
-		return
-	}
-	n := step - p.step
-	if n < passesMeasured {
-		return
-	}
-	one := now.Sub(p.stepAt) / time.Duration(n)
-	if p.pass == 0 {
-		p.pass = one
-	}
-	p.pass += time.Duration(passWeight * float64(one-p.pass))
-	p.step, p.stepAt = step, now
-}
-
 // pressure is the part of the full value that a shorter pass has now.
 func (p *planner) pressure() float64 {
 	part := float64(p.pass-easyPass) / float64(hardPass-easyPass)
@@ -187,7 +163,7 @@
 		l.s.figures.gaveUp.Inc(1)
 	}
 	l.s.log.Info("map changed", zap.Bool("in-force", done), zap.Uint64("version", version), zap.Int("copies", copies), zap.Float64("gain", gain),
-		zap.Float64("value", value), zap.Float64("cost", cost), zap.Duration("pass", p.pass), zap.Duration("copying", copied.Sub(began)), zap.Duration("switching", p.changed.Sub(copied)))
+		zap.Float64("value", value), zap.Float64("cost", cost), zap.Duration("pass", p.pass), zap.Ints("running", l.running()), zap.Float64s("speed", l.speeds()), zap.Duration("copying", copied.Sub(began)), zap.Duration("switching", p.changed.Sub(copied)))
 }
 
 // passesAhead is how many passes lie between the newest one and the switch, so
@@ -299,6 +275,15 @@
 	return next, copies, share * (before - after) / whole
 }
 
+// running returns the requests at work at each rank, for the log.
+func (l *leader) running() []int {
+	list := make([]int, len(l.byRank))
+	for r, m := range l.byRank {
+		list[r] = m.state.Report.Running + m.state.Report.Waiting
+	}
+	return list
+}
+
 // speeds returns the speed of each rank, nil when all are alike.
 func (l *leader) speeds() []float64 {
 	speed := make([]float64, len(l.byRank))
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -266,7 +266,9 @@
 	if !m.Observe(l.reports()) {
 		return
 	}
-	l.planner.timePasses(l.byRank[m.Self].state.Report.Step, l.byRank[m.Self].seen)
+	l.s.mu.Lock()
+	l.planner.pass = l.s.passes.pass
+	l.s.mu.Unlock()
 	l.learn()
 	if m.Phase == cutover.Ready {
 		l.change(ctx)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -65,6 +65,7 @@
 	reportAt time.Time // Zero when the engine does not answer.
 	counts   rank.Counts
 	work     window
+	passes   passTimer
 	gateways map[netip.AddrPort]time.Time // By the time of their last hello.
 	lead     leadership
 	leading  peers.Lead       // What this sidecar announces.
@@ -148,9 +149,10 @@
 	defer cancel()
 	r, err := s.engine.Report(ctx)
 	s.noteReport(r, err)
-	load := &peers.Load{Address: s.cfg.Address, Group: r.Group, Running: r.Running, Waiting: r.Waiting, Pace: r.Pace, Step: r.Step}
+	load := &peers.Load{Address: s.cfg.Address, Group: r.Group, Running: r.Running, Waiting: r.Waiting, Pace: r.Pace}
 	load.Closed = err != nil || r.Group != "" && !r.Open
 	s.mu.Lock()
+	load.PassMs = int(s.passes.pass.Milliseconds())
 	to := make([]netip.AddrPort, 0, len(s.gateways))
 	for a, at := range s.gateways {
 		if time.Since(at) > subscribed {
@@ -181,6 +183,7 @@
 		s.log.Info("engine's group", zap.String("group", r.Group), zap.Uint64("epoch", r.Epoch), zap.Int("rank", r.Rank), zap.Bool("open", r.Open), zap.Uint64("map", r.Map))
 	}
 	s.report, s.reportAt = r, time.Now()
+	s.passes.note(r.Step, s.reportAt)
 }
 
 // Report returns the newest report, ok false when it is old.
