--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -7,6 +7,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 )
 
@@ -64,6 +65,7 @@
 // Table holds what is known of all endpoints.
 type Table struct {
 	by     map[string]*endpoint
+	usual  int                  // Mean requests at ranks whose load is known.
 	closed map[string]time.Time // Groups by the newest report that they serve nothing.
 }
 
@@ -214,6 +216,7 @@
 func (t *Table) Pick(list []Candidate, random func(n int) int, now time.Time) (index int, ok bool) {
 	limit := int(outShare * float64(len(list)))
 	out := 0
+	t.usual = t.mean(list, now)
 	for _, c := range list {
 		if now.Before(t.of(c.ID).outUntil) {
 			out++
@@ -223,9 +226,82 @@
 	if !ok {
 		index, ok = t.least(list, random, now, false)
 	}
+	if ok && list[index].Base > 0 {
+		index = t.fill(list, index, random, now)
+	}
 	return index, ok
 }
 
+// mean returns the mean requests at the candidates whose load is known.
+func (t *Table) mean(list []Candidate, now time.Time) int {
+	known, sum := 0, 0
+	for _, c := range list {
+		if e := t.of(c.ID); now.Sub(e.load.At) <= reportAge {
+			known++
+			sum += e.busy(now)
+		}
+	}
+	if known == 0 {
+		return 0
+	}
+	return sum / known
+}
+
+// staleShare is the part of the requests at work that arrive, at all gateways,
+// until a report tells of them: a request takes about a second, and reports and
+// what follows from them are about a quarter of that behind.
+const staleShare = 0.25
+
+// leastArriving is taken in its place when little is at work.
+const leastArriving = 3
+
+// fill chooses among ranks that other gateways see just like this one. If all
+// took the least busy, it would be the busiest a moment later; so each is drawn
+// with the part that it gets of the next arrivals, were they poured in from the
+// least busy upwards.
+func (t *Table) fill(list []Candidate, least int, random func(n int) int, now time.Time) int {
+	floor := t.score(t.of(list[least].ID), list[least], now)
+	scores := make([]int, 0, len(list))
+	open := make([]int, 0, len(list)) // Indexes of scores in list.
+	total := 0
+	for i, c := range list {
+		e := t.of(c.ID)
+		s := t.score(e, c, now)
+		if i != least && (s < floor || s >= floor+closedScore/2 || now.Before(e.outUntil) || e.trial && e.own > 0) {
+			continue
+		}
+		scores = append(scores, s)
+		open = append(open, i)
+		total += e.busy(now)
+	}
+	arriving := max(int(staleShare*float64(total)), leastArriving) * scoreUnit
+	level := waterLevel(scores, arriving)
+	n := random(max(arriving, 1))
+	for k, s := range scores {
+		if n -= max(level-s, 0); n < 0 {
+			return open[k]
+		}
+	}
+	return least
+}
+
+// waterLevel returns the level to which an amount fills columns that are so
+// high already.
+func waterLevel(columns []int, amount int) int {
+	sorted := slices.Clone(columns)
+	slices.Sort(sorted)
+	level := sorted[0]
+	for i := 1; i < len(sorted); i++ {
+		need := (sorted[i] - level) * i
+		if need >= amount {
+			return level + amount/i
+		}
+		amount -= need
+		level = sorted[i]
+	}
+	return level + amount/len(sorted)
+}
+
 func (t *Table) least(list []Candidate, random func(n int) int, now time.Time, judge bool) (index int, ok bool) {
 	best, ties := 0, 0
 	for i, c := range list {
@@ -237,9 +313,6 @@
 			continue
 		}
 		score := t.score(e, c, now)
-		if c.Base > 0 {
-			score += random(spreadScore) // Reports are as old for other gateways: not all take the same rank.
-		}
 		switch {
 		case !ok || score < best:
 			index, ok, best, ties = i, true, score, 1
@@ -256,7 +329,6 @@
 // Parts of a score, in requests times scoreUnit.
 const (
 	scoreUnit    = 4
-	spreadScore  = 2 * scoreUnit
 	farScore     = 1             // Less than one request: it only breaks ties.
 	coldScore    = 2 * scoreUnit // Of an endpoint that is still slow.
 	closedScore  = 1 << 20       // Of an endpoint whose group is broken.
@@ -265,8 +337,12 @@
 )
 
 func (t *Table) score(e *endpoint, c Candidate, now time.Time) int {
-	s := e.busy(now) * scoreUnit
 	fresh := now.Sub(e.load.At) <= reportAge
+	busy := e.busy(now)
+	if !fresh && c.Base > 0 {
+		busy = max(busy, t.usual)
+	}
+	s := busy * scoreUnit
 	if fresh && e.load.Pace > 1 {
 		// A slow rank holds up every pass of its group, even with little to do.
 		s = int(float64(s+scoreUnit*(1+c.Base))*min(e.load.Pace, slowestScore)) - scoreUnit*(1+c.Base)
