--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -65,6 +65,8 @@
 // Table holds what is known of all endpoints.
 type Table struct {
 	by     map[string]*endpoint
+	pass   time.Duration        // Smoothed.
+	passAt time.Time            // When pass was last brought up to date.
 	usual  int                  // Mean requests at ranks whose load is known.
 	closed map[string]time.Time // Groups by the newest report that they serve nothing.
 }
@@ -125,11 +127,41 @@
 // Busy estimates the requests at an endpoint.
 func (t *Table) Busy(id string, now time.Time) int { return t.of(id).busy(now) }
 
-// Known reports whether an endpoint's load is known, and how long its passes
-// take.
-func (t *Table) Known(id string, now time.Time) (pass time.Duration, ok bool) {
-	e := t.of(id)
-	return e.load.Pass, now.Sub(e.load.At) <= reportAge
+// Group is what the ranks of candidates tell together.
+type Group struct {
+	Pass    time.Duration // Smoothed over about a second.
+	Running float64       // Mean requests at work at a rank.
+	Pace    float64       // Of the slowest rank, at least 1.
+}
+
+// passTime smooths the time of passes: admission is for load that lasts, not
+// for the moment after a shift of demand.
+const passTime = time.Second
+
+// Passes sums up the fresh reports of candidates; ok is false without any.
+func (t *Table) Passes(list []Candidate, now time.Time) (g Group, ok bool) {
+	n, pass := 0, time.Duration(0)
+	g.Pace = 1
+	for _, c := range list {
+		e := t.of(c.ID)
+		if now.Sub(e.load.At) > reportAge || e.load.Closed {
+			continue
+		}
+		n++
+		pass += e.load.Pass
+		g.Pace = max(g.Pace, e.load.Pace)
+		g.Running += float64(min(e.load.Running, max(c.Slots, 1)))
+	}
+	if n == 0 {
+		return g, false
+	}
+	g.Running /= float64(n)
+	pass /= time.Duration(n)
+	part := min(now.Sub(t.passAt).Seconds()/passTime.Seconds(), 1)
+	t.pass += time.Duration(part * float64(pass-t.pass))
+	t.passAt = now
+	g.Pass = t.pass
+	return g, true
 }
 
 // Closed reports whether an endpoint's fresh report says that it serves
@@ -204,10 +236,11 @@
 
 // Candidate is an endpoint that may be chosen.
 type Candidate struct {
-	ID   string
-	Near bool // In the failure domain of the process.
-	Slow bool // Still cold after its start.
-	Base int  // Requests whose work equals that of a pass without any; 0 where there are no passes.
+	ID    string
+	Near  bool // In the failure domain of the process.
+	Slow  bool // Still cold after its start.
+	Slots int  // Requests that it runs at once; 0 when not told.
+	Base  int  // Requests whose work equals that of a pass without any; 0 where there are no passes.
 }
 
 // Pick returns the index of the least busy candidate that is not out, ok false
@@ -267,7 +300,7 @@
 	for i, c := range list {
 		e := t.of(c.ID)
 		s := t.score(e, c, now)
-		if i != least && (s < floor || s >= floor+closedScore/2 || now.Before(e.outUntil) || e.trial && e.own > 0) {
+		if i != least && (s < floor || s >= floor+slowScore/2 || now.Before(e.outUntil) || e.trial && e.own > 0) {
 			continue
 		}
 		scores = append(scores, s)
@@ -332,6 +365,7 @@
 	farScore     = 1             // Less than one request: it only breaks ties.
 	coldScore    = 2 * scoreUnit // Of an endpoint that is still slow.
 	closedScore  = 1 << 20       // Of an endpoint whose group is broken.
+	slowScore    = 1 << 10
 	silentScore  = 1 << 21
 	slowestScore = 8 // Pace above which an endpoint is judged alike.
 )
@@ -346,6 +380,9 @@
 	if fresh && e.load.Pace > 1 {
 		// A slow rank holds up every pass of its group, even with little to do.
 		s = int(float64(s+scoreUnit*(1+c.Base))*min(e.load.Pace, slowestScore)) - scoreUnit*(1+c.Base)
+		if c.Base > 0 && e.load.Pace*float64(c.Base) > float64(c.Base+c.Slots) {
+			s += slowScore // Even idle it takes longer than the others when full.
+		}
 	}
 	if fresh && e.load.Closed {
 		s += closedScore
--- a/internal/decide/rebalance/improve_test.go
+++ b/internal/decide/rebalance/improve_test.go
@@ -45,12 +45,12 @@
 			layer := dealt(tc.shape)
 			after := 0.0
 			for range 3 {
-				i := Improve(tc.shape, layer, tokens, nil, Bounds{Spare: tc.spare})
-				assertFresh(g, layer, i.Layer, tc.shape, tc.spare)
-				g.Expect(Map{i.Layer}.Valid(tc.shape)).To(BeTrue())
+				i := Improve(tc.shape, Map{layer}, [][]float64{tokens}, nil, Bounds{Spare: tc.spare})
+				assertFresh(g, layer, i.Map[0], tc.shape, tc.spare)
+				g.Expect(i.Map.Valid(tc.shape)).To(BeTrue())
 				g.Expect(i.After).To(BeNumerically("<=", i.Before))
 				t.Logf("skew %.3f to %.3f with %d copies", i.Before, i.After, i.Copies)
-				layer, after = i.Layer, i.After
+				layer, after = i.Map[0], i.After
 			}
 			g.Expect(after).To(BeNumerically("<", tc.most))
 		})
@@ -79,6 +79,24 @@
 	return false
 }
 
+func TestImproveSharesARanksCopiesAmongLayers(t *testing.T) {
+	g := NewWithT(t)
+	shape := Shape{Ranks: 12, Experts: 72, Slots: 8}
+	r := rand.New(rand.NewPCG(3, 4))
+	var current Map
+	var tokens [][]float64
+	for range 4 {
+		current = append(current, dealt(shape))
+		tokens = append(tokens, skewed(r, shape.Experts))
+	}
+	all := Improve(shape, current, tokens, nil, Bounds{Spare: 3})
+	few := Improve(shape, current, tokens, nil, Bounds{Spare: 3, PerRank: 2})
+	t.Logf("skew %.3f to %.3f with %d copies, %d at most a rank; at most 2 a rank: %.3f with %d", all.Before, all.After, all.Copies, all.Most, few.After, few.Copies)
+	g.Expect(few.Most).To(BeNumerically("<=", 2))
+	g.Expect(few.Copies).To(BeNumerically("<=", 24))
+	g.Expect(few.After).To(BeNumerically("<", (few.Before+all.After)/2), "the copies that gain most come first")
+}
+
 func TestRowsAndBack(t *testing.T) {
 	g := NewWithT(t)
 	s := Shape{Ranks: 12, Experts: 72, Slots: 8}
@@ -102,7 +120,7 @@
 			tokens := skewed(rand.New(rand.NewPCG(1, 2)), tc.shape.Experts)
 			layer := dealt(tc.shape)
 			for b.Loop() {
-				Improve(tc.shape, layer, tokens, nil, Bounds{Spare: 3})
+				Improve(tc.shape, Map{layer}, [][]float64{tokens}, nil, Bounds{Spare: 3})
 			}
 		})
 	}
--- a/internal/decide/rebalance/layer.go
+++ b/internal/decide/rebalance/layer.go
@@ -21,14 +21,15 @@
 	tokens []float64
 	speed  []float64
 	loads  []float64
-	rows   [][]int   // Experts by rank.
-	order  []int     // Ranks by load, the lightest first.
-	trial  []float64 // Loads after the change that is being tried.
-	tried  []bool    // Which of trial count.
-	marked []int     // The ranks of tried.
-	first  Layer     // As it was given.
-	spare  int       // Experts that a rank may take on that it had not; 0 for no bound.
-	fresh  []int     // Those it has taken on, by rank.
+	rows   [][]int          // Experts by rank.
+	order  []int            // Ranks by load, the lightest first.
+	trial  []float64        // Loads after the change that is being tried.
+	tried  []bool           // Which of trial count.
+	marked []int            // The ranks of tried.
+	first  Layer            // As it was given.
+	spare  int              // Experts that a rank may take on that it had not; 0 for no bound.
+	fresh  []int            // Those it has taken on, by rank.
+	full   func(r int) bool // Reports whether a rank may take on nothing more; nil for never.
 }
 
 func newEditor(s Shape, l Layer, tokens, speed []float64) *editor {
@@ -110,7 +111,7 @@
 }
 
 func (e *editor) fits(c change) bool {
-	if e.spare > 0 && (!e.room(c.add, c.to) || !e.room(c.back, c.from)) {
+	if !e.room(c.add, c.to) || !e.room(c.back, c.from) {
 		return false
 	}
 	if c.add < 0 || c.back >= 0 || c.drop >= 0 && c.from == c.to {
@@ -124,7 +125,10 @@
 
 // room reports whether rank r may still take on expert x, if it is one.
 func (e *editor) room(x, r int) bool {
-	return x < 0 || !e.isNew(x, r) || e.fresh[r] < e.spare
+	if x < 0 || e.spare == 0 && e.full == nil || !e.isNew(x, r) {
+		return true
+	}
+	return (e.spare == 0 || e.fresh[r] < e.spare) && (e.full == nil || !e.full(r))
 }
 
 // countFresh counts what each rank has taken on.
@@ -235,7 +239,7 @@
 			e.rows[r] = append(e.rows[r], x)
 		}
 	}
-	if e.spare > 0 {
+	if e.spare > 0 || e.full != nil {
 		e.countFresh()
 	}
 	e.loads = e.layer.Loads(e.tokens, e.shape.Ranks, e.speed)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,7 +86,7 @@
 
 // sweepEvery is how often idle connections and endpoints that have gone are
 // looked at.
-const sweepEvery = time.Second
+const sweepEvery = 500 * time.Millisecond
 
 // Run does the housekeeping until ctx ends.
 func (g *Gateway) Run(ctx context.Context) error {
@@ -112,7 +112,9 @@
 	g.mu.Lock()
 	g.table.Forget(func(id string) bool { _, ok := s.Endpoints[id]; return ok })
 	g.mu.Unlock()
-	if s.Config != nil {
+	if at := g.stopping.Load(); at != 0 && time.Now().UnixNano()-at > int64(stopCloses) {
+		g.conns.closeBefore(time.Now())
+	} else if s.Config != nil {
 		g.conns.closeIdle(s.Config.Limits().IdleTimeout)
 	}
 }
@@ -187,6 +189,10 @@
 // taken: whatever is taken must be able to end within the grace period.
 const stopTakes = 2700 * time.Millisecond
 
+// stopCloses is how long after the start of a planned stop idle connections are
+// closed: new ones go elsewhere by then.
+const stopCloses = 2200 * time.Millisecond
+
 // leaving reports whether the planned stop has begun, and whether it is so far
 // on that nothing more is taken.
 func (g *Gateway) leaving(now time.Time) (begun, closed bool) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -133,7 +133,7 @@
 	list := make([]balance.Candidate, len(candidates))
 	base := q.base()
 	for i, e := range candidates {
-		list[i] = balance.Candidate{ID: e.ID, Near: e.Domain == q.g.cfg.Domain, Slow: e.ColdLeft > 0, Base: base}
+		list[i] = balance.Candidate{ID: e.ID, Near: e.Domain == q.g.cfg.Domain, Slow: e.ColdLeft > 0, Slots: e.Slots, Base: base}
 	}
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
@@ -141,7 +141,7 @@
 	if !ok {
 		return e, false
 	}
-	if !q.begun && !q.admitted(candidates[i], now) {
+	if !q.begun && !q.admitted(candidates[i], list, now) {
 		q.full = true
 		return e, false
 	}
@@ -150,11 +150,17 @@
 
 // Limits of what is let in to engines.
 const (
-	// easyShare is the part of the longest pause that is in time up to which a
-	// pass may last for answers to be in time at all.
-	easyShare = 0.95
-	// againRoom is how many requests more than slots a rank may hold for a
-	// caller that was refused before: it does not come a third time.
+	// passShare is the part of the longest pause that is in time that a pass may
+	// last on the whole: the rest is for prompts that are read and for shifts of
+	// demand.
+	passShare = 0.62
+	// hopelessShare is the part of that pause from which on a slow rank's empty
+	// pass leaves no answer in time.
+	hopelessShare = 0.7
+	// leastLet is how many requests a rank gets however long its passes are.
+	leastLet = 4
+	// againRoom is how many requests more a rank may hold for a caller that was
+	// refused before: it does not come a third time.
 	againRoom = 4
 	// lateRoom is how many times its slots a rank may hold while no answer is
 	// in time anyway: then it matters only that as many as possible are served.
@@ -163,16 +169,23 @@
 
 // admitted reports whether the least busy endpoint can still take a request.
 // Plain services tell no load and shed by themselves. The caller holds mu.
-func (q *request) admitted(e fleet.Endpoint, now time.Time) bool {
-	pass, known := q.g.table.Known(e.ID, now)
-	if !known || e.Slots <= 0 || q.engine() == nil {
+func (q *request) admitted(e fleet.Endpoint, list []balance.Candidate, now time.Time) bool {
+	engine := q.engine()
+	group, known := q.g.table.Passes(list, now)
+	if !known || e.Slots <= 0 || engine == nil {
 		return true
 	}
 	limit := e.Slots
-	switch {
-	case q.route.PauseLimit > 0 && float64(pass) > easyShare*float64(q.route.PauseLimit):
+	empty := time.Duration(group.Pace * float64(engine.StepTime) * float64(engine.StepsInPass))
+	switch pause := float64(q.route.PauseLimit); {
+	case pause > 0 && float64(empty) > hopelessShare*pause:
 		limit *= lateRoom
-	case q.again:
+	case pause > 0 && group.Pass > 0:
+		base := float64(q.base())
+		fits := (base+group.Running)*passShare*pause/float64(group.Pass) - base
+		limit = min(max(int(fits), leastLet), e.Slots)
+	}
+	if q.again {
 		limit += againRoom
 	}
 	return q.g.table.Busy(e.ID, now) < limit
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -35,7 +35,11 @@
 	// seconds.
 	horizon = 2500 * time.Millisecond
 	// leastBetween lies between two switches.
-	leastBetween = 200 * time.Millisecond
+	leastBetween = 150 * time.Millisecond
+	// leastGain and paysTimes keep from changes that gain little: while one is
+	// under way, a shift of demand has to wait.
+	leastGain = 0.02
+	paysTimes = 1.5
 	// expertWork is the part of a pass that experts make when none is told.
 	expertWork = 0.85
 	gigabyte   = 1e9
@@ -129,7 +133,7 @@
 	next, copies, gain := l.plan()
 	value := l.s.cfg.SkewPrice * horizon.Seconds() * p.pressure() * gain
 	cost := float64(copies) * l.shape.ExpertBytes / gigabyte * l.s.cfg.CopyPrice
-	if gain <= 0 || value <= cost {
+	if gain < leastGain || value <= paysTimes*cost {
 		return
 	}
 	version := (l.machine.Newest/versionsPerRank+1)*versionsPerRank + uint64(l.machine.Self)
@@ -260,21 +264,25 @@
 	}
 	value := l.s.cfg.SkewPrice * horizon.Seconds() * p.pressure() * share / float64(l.shape.Sets) // Of a set's mean load.
 	least := l.shape.ExpertBytes / gigabyte * l.s.cfg.CopyPrice / value
-	before, after := 0.0, 0.0
-	speed := l.speeds()
-	next = make(rebalance.Map, len(p.current))
-	for k, layer := range p.current {
-		i := rebalance.Improve(s, layer, p.load[k], speed, rebalance.Bounds{Spare: l.shape.Spare, Least: least})
-		next[k] = i.Layer
-		copies += i.Copies
-		before += i.Before / float64(len(p.current))
-		after += i.After / float64(len(p.current))
-		pause()
+	i := rebalance.NewImprover(s, p.current, p.load, l.speeds(), rebalance.Bounds{Spare: l.shape.Spare, PerRank: copiesPerRank, Least: least})
+	for n := 1; i.Step(); n++ {
+		if n%stepsAtOnce == 0 {
+			pause()
+		}
 	}
-	whole := (1 - share) + share*before
-	return next, copies, share * (before - after) / whole
+	r := i.Result()
+	whole := (1 - share) + share*r.Before
+	return r.Map, r.Copies, share * (r.Before - r.After) / whole
 }
 
+const (
+	// copiesPerRank bounds what a rank copies for one map: a copy takes 0.1 s,
+	// and a first map that is there soon gains more than a better one later.
+	copiesPerRank = 2
+	// stepsAtOnce is how many steps of planning are made before others run.
+	stepsAtOnce = 8
+)
+
 // running returns the requests at work at each rank, for the log.
 func (l *leader) running() []int {
 	list := make([]int, len(l.byRank))
