--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -26,7 +26,7 @@
 	groupRetry = 2500 * time.Millisecond
 	// fullRetry and fullSpread are for a group that is full: a request takes
 	// about a second, and those refused together must not come back together.
-	fullRetry  = 900 * time.Millisecond
+	fullRetry  = 1200 * time.Millisecond
 	fullSpread = 900 * time.Millisecond
 )
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -161,7 +161,7 @@
 	leastLet = 4
 	// againRoom is how many requests more a rank may hold for a caller that was
 	// refused before: it does not come a third time.
-	againRoom = 4
+	againRoom = 0
 	// lateRoom is how many times its slots a rank may hold while no answer is
 	// in time anyway: then it matters only that as many as possible are served.
 	lateRoom = 2
