internal/sidecar: windows of all ranks count together

Cause: looks that came between the ranks' windows summed a part of the ranks, and smoothed the more the more often they came; a shift was seen where there was none.

--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,19 +15,22 @@
 
 // planner follows the demand for experts and makes maps for it.
 type planner struct {
-	load    [][]float64 // Smoothed counts by set and expert.
-	taken   []uint64    // Window taken in, by rank.
-	current rebalance.Map
-	version uint64 // Of current; meaningful only when current is set.
-	known   bool
-	changed time.Time     // Last switch.
-	pass    time.Duration // Smoothed time of a pass; 0 when not known.
+	load     [][]float64 // Smoothed counts by set and expert.
+	smoothed time.Time   // When load was last brought up to date.
+	windows  [][]uint64  // Newest counts by rank.
+	taken    []uint64    // Their numbers.
+	current  rebalance.Map
+	version  uint64 // Of current; meaningful only when current is set.
+	known    bool
+	changed  time.Time     // Last switch.
+	pass     time.Duration // Smoothed time of a pass; 0 when not known.
 }
 
 // Weights of planning.
 const (
-	// loadWeight is the weight of the newest windows in the smoothed counts.
-	loadWeight = 0.25
+	// loadTime smooths the counts: what streams that end and begin are about
+	// changes by chance within it.
+	loadTime = 450 * time.Millisecond
 	// shifted is the skew of the newest windows to that of the smoothed counts,
 	// under the map in force, from which the demand is taken to have changed:
 	// what was heard before is dropped then.
@@ -38,7 +42,7 @@
 	leastBetween = 50 * time.Millisecond
 	// leastGain and paysTimes keep from changes that gain little: while one is
 	// under way, a shift of demand has to wait.
-	leastGain = 0.02
+	leastGain = 0.03
 	paysTimes = 1.5
 	// expertWork is the part of a pass that experts make when none is told.
 	expertWork = 0.85
@@ -66,16 +70,18 @@
 	return min(max(part, leastPressure), 1)
 }
 
-// learn takes in the windows that are new.
+// learn takes in the windows that are new. The newest windows of all ranks
+// count together, as ranks differ in what their requests are about.
 func (l *leader) learn() {
 	p := &l.planner
 	if l.shape == nil || l.shape.Sets == 0 {
 		return
 	}
-	if p.taken == nil {
+	size := l.shape.Sets * l.shape.Experts
+	if p.windows == nil {
+		p.windows = make([][]uint64, len(l.byRank))
 		p.taken = make([]uint64, len(l.byRank))
 	}
-	sum := make([]float64, l.shape.Sets*l.shape.Experts)
 	heard := false
 	for r, m := range l.byRank {
 		if m.state.Window == p.taken[r] || len(m.state.Work) == 0 {
@@ -83,29 +89,41 @@
 		}
 		p.taken[r] = m.state.Window
 		flat, err := unpack(m.state.Work)
-		if err != nil || len(flat) != len(sum) {
+		if err != nil || len(flat) != size {
 			l.s.log.Warn("counts left out", zap.Int("rank", r), zap.Int("numbers", len(flat)))
 			continue
 		}
 		heard = true
-		for i, n := range flat {
-			sum[i] += float64(n)
-		}
+		p.windows[r] = flat
 	}
-	if !heard {
-		return
+	if heard {
+		p.smooth(l.shape.Sets, l.shape.Experts, time.Now())
 	}
-	newest := make([][]float64, l.shape.Sets)
+}
+
+// smooth brings the smoothed counts up to date.
+func (p *planner) smooth(sets, experts int, now time.Time) {
+	newest := make([][]float64, sets)
 	for k := range newest {
-		newest[k] = sum[k*l.shape.Experts : (k+1)*l.shape.Experts]
+		newest[k] = make([]float64, experts)
+		for _, flat := range p.windows {
+			if len(flat) == 0 {
+				continue
+			}
+			for x, n := range flat[k*experts : (k+1)*experts] {
+				newest[k][x] += float64(n)
+			}
+		}
 	}
-	if p.load == nil || p.hasShifted(newest, len(l.byRank)) {
+	weight := 1 - math.Exp(-now.Sub(p.smoothed).Seconds()/loadTime.Seconds())
+	p.smoothed = now
+	if p.load == nil || p.hasShifted(newest, len(p.windows)) {
 		p.load = newest
 		return
 	}
 	for k := range p.load {
 		for x := range p.load[k] {
-			p.load[k][x] += loadWeight * (newest[k][x] - p.load[k][x])
+			p.load[k][x] += weight * (newest[k][x] - p.load[k][x])
 		}
 	}
 }
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -35,8 +35,8 @@
 
 // Times of leading.
 const (
-	// lookEvery is the time between two looks at the group.
-	lookEvery = 100 * time.Millisecond
+	// lookEvery is the least time between two looks at the group.
+	lookEvery = 70 * time.Millisecond
 	// askTimeout bounds a call to another sidecar: some round trips between
 	// failure domains, and the time that a small processor share may add.
 	askTimeout = 250 * time.Millisecond
@@ -75,7 +75,7 @@
 func newLeader(s *Sidecar) *leader { return &leader{s: s} }
 
 func (l *leader) run(ctx context.Context) error {
-	return every(ctx, lookEvery, l.look)
+	return l.s.pacedBySize(ctx, lookEvery, l.look)
 }
 
 // look leads for one round, where this sidecar is the leader.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -36,9 +36,13 @@
 	// reportEvery is the time between two reports: gateways choose by them, and
 	// the load of an engine changes with each pass of some ten milliseconds.
 	reportEvery = 100 * time.Millisecond
-	// countsEvery is the time between two readings of the counts. A window of a
-	// few passes holds some ten thousand choices, enough to see a change.
+	// countsEvery is the least time between two readings of the counts. A window
+	// of a few passes holds ten thousand choices; one of a pass or two is so uneven that
+	// it was taken for a shift (score 0.67 against 0.83).
 	countsEvery = 120 * time.Millisecond
+	// perRank is what one rank adds to the time between two looks at a group, so
+	// that the leader of a large one is not busy with looking only.
+	perRank = 4 * time.Millisecond
 	// orderTimeout bounds an order to the own engine. Some answers never come;
 	// an order that is sent again does no harm, waiting holds up the group.
 	orderTimeout = 100 * time.Millisecond
@@ -112,7 +116,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.socket.Run(ctx, s.receive) })
 	g.Go(func() error { return every(ctx, reportEvery, s.readReport) })
-	g.Go(func() error { return every(ctx, countsEvery, s.readCounts) })
+	g.Go(func() error { return s.pacedBySize(ctx, countsEvery, s.readCounts) })
 	g.Go(func() error { return every(ctx, leadEvery, s.tellLead) })
 	g.Go(func() error { return newLeader(s).run(ctx) })
 	return g.Wait()
@@ -132,6 +136,16 @@
 	}
 }
 
+// pacedBySize calls do until ctx ends, the less often the larger the group is.
+func (s *Sidecar) pacedBySize(ctx context.Context, least time.Duration, do func(ctx context.Context)) error {
+	for ctx.Err() == nil {
+		r, _ := s.Report()
+		sleep(ctx, max(least, time.Duration(r.Size)*perRank))
+		do(ctx)
+	}
+	return nil
+}
+
 func (s *Sidecar) receive(from netip.AddrPort, m peers.Message) {
 	switch {
 	case m.Hello != nil:
