--- a/internal/decide/cutover/cutover.go
+++ b/internal/decide/cutover/cutover.go
@@ -60,8 +60,12 @@
 	clear   rank.Arming
 	held    []uint64 // By rank, what is to be let go.
 	layout  [][][]int
-	Gained  int // Switches that came into force.
-	GaveUp  int
+
+	conflicts int  // Holds refused in this switch.
+	spent     bool // Version was taken back: an order to do so may still come late, so it is not armed again.
+
+	Gained int // Switches that came into force.
+	GaveUp int
 }
 
 // New returns a machine that begins by raising the fence.
@@ -154,7 +158,7 @@
 		// reports show whether the copies are there.
 		m.done[r] = true
 	case Holding:
-		m.Step += holdMargin // The pass had begun; a later one is held.
+		m.holdLater()
 	case Arming:
 		m.giveUp()
 	case Undoing:
@@ -162,6 +166,21 @@
 	}
 }
 
+// holdLater tries a later pass, since the one asked for had begun. When that
+// does not help either, another hold stands, which the reports will show.
+func (m *Machine) holdLater() {
+	m.conflicts++
+	if m.conflicts > mostConflicts {
+		m.GaveUp++
+		m.enter(Settling)
+		return
+	}
+	m.Step += holdMargin
+}
+
+// mostConflicts is how often a later pass is tried.
+const mostConflicts = 3
+
 // holdMargin is how many passes later a hold is tried again.
 const holdMargin = 3
 
@@ -268,7 +287,7 @@
 // Copied reports whether every rank has the prepared map's experts.
 func (m *Machine) Copied(reports []rank.Report) bool {
 	for _, r := range reports {
-		if r.Prepared != m.Version || m.Version == 0 {
+		if r.Prepared != m.Version || m.Version == 0 || m.spent {
 			return false
 		}
 	}
@@ -281,15 +300,17 @@
 		return
 	}
 	m.Version, m.layout, m.Newest = version, layout, version
+	m.spent = false
 	m.enter(Preparing)
 }
 
 // Switch brings the prepared map into force at a pass, from Ready.
 func (m *Machine) Switch(step uint64) {
-	if m.Phase != Ready {
+	if m.Phase != Ready || m.spent {
 		return
 	}
 	m.Step = max(step, m.Step+1)
+	m.conflicts = 0
 	m.enter(Holding)
 	m.onlySelf()
 }
@@ -311,6 +332,7 @@
 
 func (m *Machine) giveUp() {
 	m.GaveUp++
+	m.spent = true
 	m.Fence++ // Armings that are still on their way are refused from here on.
 	m.enter(Undoing)
 }
