--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -84,7 +84,7 @@
 	fields := make([]zap.Field, 0, 16)
 	fields = append(fields,
 		zap.String("id", q.call.ID), zap.String("outcome", string(q.outcome)), zap.Int("status", q.status),
-		zap.Int64("ms", now.Sub(q.arrived).Milliseconds()), zap.Int64("age-ms", q.g.view.Age(q.arrived).Milliseconds()))
+		zap.Int64("ms", now.Sub(q.arrived).Milliseconds()), zap.Int64("age-ms", q.age.Milliseconds()))
 	if q.config != nil {
 		fields = append(fields, zap.Uint64("version", q.config.Version()))
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -27,6 +27,7 @@
 	customer *fleet.Customer // Nil when no key is needed.
 	body     []byte
 	arrived  time.Time
+	age      time.Duration // Of the configuration when the request came.
 	final    time.Time // When it must have its final answer.
 
 	tried     []string // Endpoints that it was sent to.
@@ -111,15 +112,15 @@
 		q.reject(http.StatusBadRequest, "no id")
 		return false
 	}
-	age := q.g.view.Age(q.arrived)
+	q.age = q.g.view.Age(time.Now())
 	q.route = s.Config.Route(q.r.Host, q.r.URL.EscapedPath())
 	if q.route == nil {
-		q.rejectIfKnown(age, http.StatusNotFound, "no route")
+		q.rejectIfKnown(q.age, http.StatusNotFound, "no route")
 		return false
 	}
 	if s.Config.NeedsKey(q.route) {
 		if q.customer = s.Config.Customer(q.call.Key); q.customer == nil {
-			q.rejectIfKnown(age, http.StatusUnauthorized, "key not known")
+			q.rejectIfKnown(q.age, http.StatusUnauthorized, "key not known")
 			return false
 		}
 	}
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -93,6 +93,7 @@
 		l.resign("another rank leads")
 		return
 	}
+	l.outbid(own)
 	l.refresh(ctx)
 	l.s.setLeading(l.all, peers.Lead{Group: own.Group, Epoch: own.Epoch, Rank: own.Rank, Fence: l.fence})
 	if !l.ask(ctx, own) {
@@ -126,12 +127,29 @@
 		return false
 	}
 	since := l.openedAt
+	if own.Rank > 0 {
+		since = since.Add(leadLapse) // The lowest rank is given time to begin.
+	}
 	if heard.heard.Epoch == own.Epoch && heard.at.Add(leadLapse).After(since) {
 		since = heard.at.Add(leadLapse)
 	}
 	return now.Sub(since) >= time.Duration(own.Rank)*leadStagger
 }
 
+// outbid drops the machine when a higher rank has led with a higher fence in the
+// meantime: its orders would be refused, and it will stand back.
+func (l *leader) outbid(own rank.Report) {
+	l.s.mu.Lock()
+	heard := l.s.lead.heard
+	l.s.mu.Unlock()
+	if l.machine == nil || heard.Epoch != own.Epoch || heard.Rank <= own.Rank || heard.Fence < l.fence {
+		return
+	}
+	l.s.log.Info("fence raised", zap.Uint64("fence", l.fence), zap.Uint64("heard", heard.Fence), zap.Int("from-rank", heard.Rank))
+	l.fence = heard.Fence + fencesPerMilli
+	l.machine = nil
+}
+
 // refresh reads the published list now and then. A stale answer does: ranks
 // tell themselves who they are.
 func (l *leader) refresh(ctx context.Context) {
@@ -317,8 +335,8 @@
 func (l *leader) deposed() {
 	l.s.log.Warn("fence refused", zap.Uint64("fence", l.fence), zap.Int("gained", l.machine.Gained))
 	l.fence += fenceStep
-	l.resign("a higher fence")
-	l.openedAt = time.Now().Add(leadLapse) // Whoever leads is heard until then.
+	l.resign("a higher fence") // Refused once: the same fence is not used again.
+	l.openedAt = time.Now().Add(2 * leadEvery) // Whoever leads is heard until then.
 }
 
 // round sends the orders of the present phase and takes in the results.
