--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -28,7 +28,7 @@
 	body     []byte
 	arrived  time.Time
 	age      time.Duration // Of the configuration when the request came.
-	final    time.Time // When it must have its final answer.
+	final    time.Time     // When it must have its final answer.
 
 	tried     []string // Endpoints that it was sent to.
 	unsent    []string // Endpoints that could not be reached.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -131,6 +131,10 @@
 	}
 	q.bad(e, 1, "stream: "+err.Error())
 	if q.begun {
+		// What came whole is the caller's, whatever becomes of the rest.
+		if err := http.NewResponseController(q.w).Flush(); err != nil {
+			q.note("caller: " + err.Error())
+		}
 		q.g.figures.resumed.Inc(1)
 	}
 	return unknown
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -335,7 +335,7 @@
 func (l *leader) deposed() {
 	l.s.log.Warn("fence refused", zap.Uint64("fence", l.fence), zap.Int("gained", l.machine.Gained))
 	l.fence += fenceStep
-	l.resign("a higher fence") // Refused once: the same fence is not used again.
+	l.resign("a higher fence")                 // Refused once: the same fence is not used again.
 	l.openedAt = time.Now().Add(2 * leadEvery) // Whoever leads is heard until then.
 }
 
