--- /dev/null
+++ b/internal/follow/view_test.go
@@ -0,0 +1,142 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package follow
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func version(n uint64) *fleet.Config {
+	return fleet.NewConfig(n, nil, nil, nil, fleet.Limits{})
+}
+
+func endpoint(id string, revision uint64) fleet.Endpoint {
+	return fleet.Endpoint{ID: id, Service: "s", Address: id, Revision: revision, Made: revision}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	g := NewWithT(t)
+	v := NewView()
+	v.Replace(Snapshot{Config: version(5), At: 10}, at(0), false)
+	v.Replace(Snapshot{Config: version(4), At: 9}, at(time.Second), false)
+	g.Expect(v.State().Config.Version()).To(Equal(uint64(5)))
+	g.Expect(v.Age(at(time.Second))).To(Equal(time.Second), "an old answer says nothing of how new the view is")
+	g.Expect(v.Offer(version(5), 10)).To(BeFalse())
+	g.Expect(v.Offer(version(7), 12)).To(BeTrue())
+	v.Apply(Changes{Config: version(6), At: 11}, at(2*time.Second), false)
+	g.Expect(v.State().Config.Version()).To(Equal(uint64(7)))
+}
+
+func TestAgeIsThatOfTheCallsBeginning(t *testing.T) {
+	g := NewWithT(t)
+	v := NewView()
+	g.Expect(v.Age(at(0))).To(BeNumerically(">", time.Hour), "nothing is known")
+	v.Replace(Snapshot{Config: version(1), At: 1}, at(0), false)
+	v.Apply(Changes{At: 1}, at(time.Second), false)
+	g.Expect(v.Age(at(3 * time.Second))).To(Equal(2 * time.Second))
+	v.Confirm(2, at(2*time.Second))
+	g.Expect(v.Age(at(3*time.Second))).To(Equal(2*time.Second), "another version was confirmed")
+	v.Confirm(1, at(2*time.Second))
+	g.Expect(v.Age(at(3 * time.Second))).To(Equal(time.Second))
+}
+
+func TestLeavingIsNotTakenBack(t *testing.T) {
+	g := NewWithT(t)
+	v := NewView()
+	leaving := endpoint("a", 2)
+	leaving.Leaving = true
+	v.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{leaving}, At: 2}, at(0), false)
+	v.Merge(Changes{Endpoints: []fleet.Endpoint{endpoint("a", 1)}})
+	g.Expect(v.State().Endpoints["a"].Leaving).To(BeTrue())
+	v.Apply(Changes{Endpoints: []fleet.Endpoint{endpoint("a", 3)}, At: 3}, at(1), false)
+	g.Expect(v.State().Endpoints["a"].Leaving).To(BeTrue())
+}
+
+func TestRemovedEndpointsDoNotComeBackLate(t *testing.T) {
+	g := NewWithT(t)
+	v := NewView()
+	v.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{endpoint("a", 1)}, At: 1}, at(0), false)
+	g.Expect(v.Apply(Changes{Gone: []Gone{{"a", 5}}, At: 5}, at(1), false)).To(Equal([]string{"a"}))
+	v.Merge(Changes{Endpoints: []fleet.Endpoint{endpoint("a", 4)}})
+	g.Expect(v.State().Endpoints).To(BeEmpty())
+}
+
+// After an outage an entry that is missing may only have lapsed; it is held back
+// for a while and dropped when it does not come back.
+func TestLapsedEntriesAreHeldAndThenDropped(t *testing.T) {
+	g := NewWithT(t)
+	v := NewView()
+	both := []fleet.Endpoint{endpoint("a", 1), endpoint("b", 1)}
+	v.Replace(Snapshot{Config: version(1), Endpoints: both, At: 1}, at(0), false)
+	v.Replace(Snapshot{Config: version(1), At: 9}, at(time.Second), true)
+	g.Expect(v.State().Endpoints).To(HaveLen(2))
+	g.Expect(v.State().Missing).To(HaveLen(2))
+	v.Apply(Changes{Endpoints: []fleet.Endpoint{endpoint("a", 10)}, At: 10}, at(2*time.Second), true)
+	g.Expect(v.State().Missing).To(HaveLen(1))
+	g.Expect(v.Drop(at(1500 * time.Millisecond))).To(Equal([]string{"b"}))
+	g.Expect(v.State().Endpoints).To(HaveKey("a"))
+}
+
+func TestTheNewerLifeAtAnAddressIsTaken(t *testing.T) {
+	g := NewWithT(t)
+	v := NewView()
+	old, young := endpoint("old", 9), endpoint("young", 8)
+	old.Made, young.Made = 3, 8 // The old life's entry was renewed last.
+	young.Address = old.Address
+	v.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{old, young}, At: 9}, at(0), false)
+	g.Expect(v.State().ByService["s"]).To(ConsistOf(young))
+}
+
+// script is a source that answers by script.
+type script struct {
+	snapshots []error
+	changes   []error
+	asked     []string
+}
+
+func (s *script) source() Source {
+	take := func(list *[]error) error {
+		if len(*list) == 0 {
+			return nil
+		}
+		err := (*list)[0]
+		*list = (*list)[1:]
+		return err
+	}
+	return Source{
+		Snapshot: func(context.Context, bool) (Snapshot, error) {
+			s.asked = append(s.asked, "snapshot")
+			return Snapshot{Config: version(1), At: 7}, take(&s.snapshots)
+		},
+		Changes: func(_ context.Context, after uint64, _ time.Duration) (Changes, error) {
+			s.asked = append(s.asked, "changes")
+			return Changes{At: after + 1}, take(&s.changes)
+		},
+	}
+}
+
+func TestFollowerReadsAllAgainWhenHistoryIsForgotten(t *testing.T) {
+	g := NewWithT(t)
+	s := &script{changes: []error{nil, ErrForgotten, errors.New("lost"), nil}}
+	f := NewFollower(NewView(), s.source(), zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	n := 0
+	g.Expect(f.Run(ctx, func() {
+		if n++; n == 4 {
+			cancel()
+		}
+	})).To(Succeed())
+	g.Expect(s.asked).To(Equal([]string{"snapshot", "changes", "changes", "snapshot", "changes", "changes"}))
+}
