--- /dev/null
+++ b/internal/oplog/oplog_test.go
@@ -0,0 +1,52 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package oplog
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestTooManyLinesAreLeftOutAndCounted(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	log, l, err := New(&out, "info", 3)
+	g.Expect(err).NotTo(HaveOccurred())
+	// The count is by wall-clock second, so lines may fall into two of them.
+	for range 100 {
+		log.Info("served")
+	}
+	for range 5 {
+		log.Warn("failed")
+	}
+	log.Debug("below the level")
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	g.Expect(l.Run(ctx)).To(Succeed())
+	good, bad := strings.Count(out.String(), "served"), strings.Count(out.String(), "failed")
+	g.Expect(good).To(BeNumerically("<=", 6))
+	g.Expect(bad).To(Equal(5), "failures go before successes")
+	g.Expect(l.Dropped()).To(Equal(int64(100 - good)))
+	g.Expect(out.String()).NotTo(ContainSubstring("below"))
+}
+
+func TestAFullQueueNeverBlocks(t *testing.T) {
+	g := NewWithT(t)
+	log, l, err := New(&bytes.Buffer{}, "info", 1<<30)
+	g.Expect(err).NotTo(HaveOccurred())
+	for range 2 * queued {
+		log.Info("served") // Nobody writes.
+	}
+	g.Expect(l.lines.Len()).To(Equal(queued - kept), "room is left for failures")
+	log.Warn("failed")
+	g.Expect(l.lines.Len()).To(Equal(queued - kept + 1))
+}
+
+func TestBadLevel(t *testing.T) {
+	_, _, err := New(&bytes.Buffer{}, "loud", 1)
+	NewWithT(t).Expect(err).To(HaveOccurred())
+}
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -44,6 +44,9 @@
 	listEvery = 2 * time.Second
 	// listTimeout bounds one reading.
 	listTimeout = time.Second
+	// straightEvery is the least time between two calls to an engine past its
+	// sidecar.
+	straightEvery = 300 * time.Millisecond
 	// fenceStep is added to a fence that a rank refused.
 	fenceStep = 1 << 20
 )
@@ -54,6 +57,7 @@
 	state    state
 	seen     time.Time // Last answer.
 	fresh    bool      // It answered the newest look.
+	straight time.Time // Its engine was last asked past its sidecar.
 }
 
 // leader leads the group while its sidecar is the one that does so. Two at once
@@ -239,12 +243,12 @@
 			call, cancel := context.WithTimeout(ctx, askTimeout)
 			defer cancel()
 			st, err := l.s.calls.rank(call, m.endpoint.Address, m.state.Window)
-			m.fresh = err == nil
-			if err != nil {
-				l.s.log.Debug("rank not heard", zap.String("endpoint", m.endpoint.ID), zap.String("error", err.Error()))
+			if m.fresh = err == nil; m.fresh {
+				m.state, m.seen = st, time.Now()
 				return nil
 			}
-			m.state, m.seen = st, time.Now()
+			l.s.log.Debug("sidecar not heard", zap.String("endpoint", m.endpoint.ID), zap.String("error", err.Error()))
+			l.askStraight(ctx, m)
 			return nil
 		})
 	}
@@ -264,6 +268,23 @@
 	return true
 }
 
+// askStraight asks an engine whose sidecar does not answer: it may have died
+// while its engine held the group. Such calls are priced, so they are few.
+func (l *leader) askStraight(ctx context.Context, m *member) {
+	if time.Since(m.straight) < straightEvery {
+		return
+	}
+	m.straight = time.Now()
+	call, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	r, err := l.s.dial(m.endpoint.Address).Report(call)
+	if err != nil {
+		l.s.log.Info("rank not heard", zap.String("endpoint", m.endpoint.ID), zap.String("error", err.Error()))
+		return
+	}
+	m.state.Report, m.seen, m.fresh = r, time.Now(), true
+}
+
 // reports returns the newest reports by rank.
 func (l *leader) reports() []rank.Report {
 	list := make([]rank.Report, len(l.byRank))
