--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -165,7 +165,6 @@
 		RetryShare:  p.set.RetryShare,
 		RetryWindow: p.set.RetryWindow,
 		RetrySpare:  float64(p.set.RetrySpare),
-		Grace:       p.set.Grace,
 	}, platformCodec(), view, p.log, p.reg)
 	defer closeGateway()
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,7 +41,6 @@
 	RetryShare  float64       // Repeats by requests of a service, in RetryWindow.
 	RetryWindow time.Duration
 	RetrySpare  float64 // Repeats of all gateways together that need no request.
-	Grace       time.Duration
 }
 
 // Gateway serves callers.
@@ -104,11 +103,7 @@
 
 func (g *Gateway) sweep() {
 	s := g.view.State()
-	listed := func(id string) bool {
-		e, ok := s.Endpoints[id]
-		return ok && !e.Leaving
-	}
-	g.pool.Forget(listed)
+	g.Changed()
 	g.mu.Lock()
 	g.table.Forget(func(id string) bool { _, ok := s.Endpoints[id]; return ok })
 	g.mu.Unlock()
@@ -119,8 +114,15 @@
 	}
 }
 
-// Changed is called after each change of the view.
-func (g *Gateway) Changed() {}
+// Changed is called after each change of the view: connections to endpoints
+// that leave are closed at once.
+func (g *Gateway) Changed() {
+	s := g.view.State()
+	g.pool.Forget(func(id string) bool {
+		e, ok := s.Endpoints[id]
+		return ok && !e.Leaving
+	})
+}
 
 // Report takes in an endpoint's load by its address, since an agent knows no
 // more of the endpoint beside it.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -147,7 +147,7 @@
 	}
 	s.view.Replace(snap, read, false)
 	g, cleanup := gateway.New(gateway.Config{
-		KeyAge: 2 * time.Second, RetryShare: 1, RetryWindow: 10 * time.Second, RetrySpare: 100, Grace: 8 * time.Second,
+		KeyAge: 2 * time.Second, RetryShare: 1, RetryWindow: 10 * time.Second, RetrySpare: 100,
 	}, gateway.Codec{
 		ReadCall: platform.ReadCall, EndpointHeader: platform.EndpointHeader, CallerHeader: platform.CallerHeader,
 		ReadAnswer: platform.ReadAnswer, MarkAnswer: platform.MarkAnswer,
--- a/internal/oplog/oplog_test.go
+++ b/internal/oplog/oplog_test.go
@@ -41,7 +41,7 @@
 	for range 2 * queued {
 		log.Info("served") // Nobody writes.
 	}
-	g.Expect(l.lines.Len()).To(Equal(queued - kept), "room is left for failures")
+	g.Expect(l.lines.Len()).To(Equal(queued-kept), "room is left for failures")
 	log.Warn("failed")
 	g.Expect(l.lines.Len()).To(Equal(queued - kept + 1))
 }
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -39,7 +39,6 @@
 	PeersPort int      // Port on which sidecars listen, alike everywhere.
 
 	Revocation  time.Duration // After which a key that was taken away must not count anywhere.
-	DrainBound  time.Duration // After which a leaving endpoint must get nothing new.
 	Grace       time.Duration // From the signal to stop until the process is killed.
 	RetryShare  float64       // Repeats by requests, in RetryWindow.
 	RetryWindow time.Duration
@@ -131,7 +130,6 @@
 func (s *Fleet) readBounds(f *inifile.File) {
 	const section = "bounds"
 	s.Revocation = f.Duration(section, "revocation", 5*time.Second)
-	s.DrainBound = f.Duration(section, "drain", 2*time.Second)
 	s.Grace = f.Duration(section, "grace", 8*time.Second)
 	s.RetryShare = f.Float(section, "retry-share", 0.2, 0, 10)
 	s.RetryWindow = f.Duration(section, "retry-window", 10*time.Second)
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -85,6 +85,9 @@
 // look leads for one round, where this sidecar is the leader.
 func (l *leader) look(ctx context.Context) {
 	own, ok := l.s.Report()
+	if !l.s.cfg.Fences {
+		return // Without fences an order that is carried out late cannot be shut out.
+	}
 	if !ok || !own.Open || own.Size < 2 {
 		l.resign("group not open")
 		return
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -62,7 +62,6 @@
 	socket *peers.Socket
 	log    *zap.Logger
 	calls  *peerClient
-	seeds  []netip.AddrPort
 
 	mu       sync.Mutex // Guards what follows.
 	report   rank.Report
@@ -82,7 +81,6 @@
 type window struct {
 	number uint64 // Rises with each window.
 	epoch  uint64
-	span   time.Duration
 	flat   []uint64
 }
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -42,11 +42,10 @@
 
 // standIn is one engine.
 type standIn struct {
-	fence    uint64
-	report   rank.Report
-	counts   []uint64
-	maps     map[uint64][][][]int
-	prepared uint64
+	fence  uint64
+	report rank.Report
+	counts []uint64
+	maps   map[uint64][][][]int
 }
 
 func newGroup(lose int) *group {
