--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -87,12 +87,26 @@
 	return err
 }
 
-// listen opens a listener whose address may still be held for a moment by a
-// process that has just ended.
+// listenTCP opens a listener at an IP number.
 func listenTCP(address string) (l net.Listener, err error) {
 	return net.Listen("tcp4", address)
 }
 
+// listenPeers opens what other processes speak to: datagrams and calls. The
+// function closes both.
+func (p *fleetProcess) listenPeers() (socket *peers.Socket, calls net.Listener, cleanup func(), err error) {
+	socket, closeSocket, err := peers.Listen(p.set.Peers, p.log)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	calls, err = listenTCP(p.set.Peers)
+	if err != nil {
+		closeSocket()
+		return nil, nil, nil, err
+	}
+	return socket, calls, func() { closeSocket(); _ = calls.Close() }, nil
+}
+
 // httpServer returns a server of the process.
 func httpServer(h http.Handler) *http.Server {
 	return &http.Server{
@@ -176,15 +190,11 @@
 	if err != nil {
 		return err
 	}
-	socket, closeSocket, err := peers.Listen(p.set.Peers, p.log)
-	if err != nil {
-		return err
-	}
-	defer closeSocket()
-	calls, err := listenTCP(p.set.Peers)
+	socket, calls, closePeers, err := p.listenPeers()
 	if err != nil {
 		return err
 	}
+	defer closePeers()
 	neighbours, closeNeighbours := gateway.NewNeighbours(gateway.NeighboursConfig{
 		Name:         p.set.Name,
 		Address:      p.set.Peers,
@@ -252,15 +262,11 @@
 	defer closeStore()
 	engine, closeEngine := platform.NewEngine(p.set.Engine, p.set.Source)
 	defer closeEngine()
-	socket, closeSocket, err := peers.Listen(p.set.Peers, p.log)
-	if err != nil {
-		return err
-	}
-	defer closeSocket()
-	calls, err := listenTCP(p.set.Peers)
+	socket, calls, closePeers, err := p.listenPeers()
 	if err != nil {
 		return err
 	}
+	defer closePeers()
 	s, closeSidecar := sidecar.New(sidecar.Config{
 		Address:   p.set.Engine,
 		PeersPort: p.set.PeersPort,
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+
+	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
 // Source reads the published state. Both functions return an error for what
@@ -77,7 +79,7 @@
 			whole = f.view.State().Config == nil
 			changed()
 			if whole {
-				sleep(ctx, longestPause/2)
+				wait.For(ctx, longestPause/2)
 			}
 			continue
 		}
@@ -87,7 +89,7 @@
 			continue
 		}
 		f.lose(err)
-		sleep(ctx, min(firstPause<<min(f.failed, 8), longestPause))
+		wait.For(ctx, min(firstPause<<min(f.failed, 8), longestPause))
 	}
 	return nil
 }
@@ -190,12 +192,3 @@
 		f.log.Info("store regained", zap.Duration("age", f.view.Age(f.now())))
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -206,7 +206,7 @@
 			continue
 		}
 		for _, e := range endpoints {
-			if a, err := besideEngine(e.Address, n.port); err == nil {
+			if a, err := peers.Beside(e.Address, n.port); err == nil {
 				list = append(list, a)
 			}
 		}
@@ -214,14 +214,6 @@
 	return list
 }
 
-func besideEngine(engine string, port int) (a netip.AddrPort, err error) {
-	host, _, err := net.SplitHostPort(engine)
-	if err != nil {
-		return a, err
-	}
-	return netip.ParseAddrPort(net.JoinHostPort(host, strconv.Itoa(port)))
-}
-
 // servePublished tells another gateway what this one knows.
 func (n *Neighbours) servePublished(w http.ResponseWriter, r *http.Request) {
 	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
--- a/internal/oplog/oplog.go
+++ b/internal/oplog/oplog.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"github.com/canvaspulley/canvaspulley/internal/ring"
+	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
 const (
@@ -102,22 +103,13 @@
 			return nil
 		case line := <-l.lines.Out():
 			buf = append(buf[:0], line...)
-			sleep(ctx, flushEvery)
+			wait.For(ctx, flushEvery)
 			buf = l.gather(buf)
 			l.write(buf)
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // gather appends the lines that wait.
 func (l *Log) gather(buf []byte) []byte {
 	for len(buf) < batch {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -51,6 +51,17 @@
 	Fence uint64 `json:"f"`
 }
 
+// Beside returns the address of the sidecar beside an engine, which listens on
+// the engine's instance at a port that is alike everywhere.
+func Beside(engine string, port int) (a netip.AddrPort, err error) {
+	defer func() { err = errors.Wrapf(err, "sidecar beside %q", engine) }()
+	at, err := netip.ParseAddrPort(engine)
+	if err != nil {
+		return a, err
+	}
+	return netip.AddrPortFrom(at.Addr(), uint16(port)), nil
+}
+
 // maxDatagram is above any message; a longer one is dropped.
 const maxDatagram = 8 << 10
 
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
 )
 
@@ -137,22 +138,13 @@
 // peerClient calls other sidecars.
 type peerClient struct {
 	client *http.Client
-	port   string
+	port   int // Of every sidecar.
 }
 
 func newPeerClient(cfg Config) (c *peerClient, cleanup func()) {
 	d := &net.Dialer{Timeout: engineTimeout}
 	t := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true}
-	return &peerClient{client: &http.Client{Transport: t}, port: strconv.Itoa(cfg.PeersPort)}, t.CloseIdleConnections
-}
-
-// beside returns the address of the sidecar beside an engine.
-func (c *peerClient) beside(engine string) (address string, err error) {
-	host, _, err := net.SplitHostPort(engine)
-	if err != nil {
-		return "", errors.Wrap(err, "endpoint's address")
-	}
-	return net.JoinHostPort(host, c.port), nil
+	return &peerClient{client: &http.Client{Transport: t}, port: cfg.PeersPort}, t.CloseIdleConnections
 }
 
 // rank asks a sidecar for its state, with the work of a window that is newer
@@ -174,11 +166,11 @@
 
 func (c *peerClient) call(ctx context.Context, method, engine, path string, body []byte, v any) (err error) {
 	defer func() { err = errors.Wrapf(err, "sidecar of %s", engine) }()
-	address, err := c.beside(engine)
+	address, err := peers.Beside(engine, c.port)
 	if err != nil {
 		return err
 	}
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -11,6 +11,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/cutover"
 	"github.com/canvaspulley/canvaspulley/internal/decide/rebalance"
+	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
 // planner follows the demand for experts and makes maps for it.
@@ -212,26 +213,17 @@
 // go on.
 func (l *leader) copied(ctx context.Context, began time.Time, copying time.Duration) bool {
 	own, _ := l.s.Report()
-	sleep(ctx, copying)
+	wait.For(ctx, copying)
 	for ctx.Err() == nil && l.machine != nil && time.Since(began) < prepareLimit {
 		if l.ask(ctx, own) && l.machine.Observe(l.reports()) &&
 			l.machine.Phase == cutover.Ready && l.machine.Copied(l.reports()) {
 			return true
 		}
-		sleep(ctx, copiedEvery)
+		wait.For(ctx, copiedEvery)
 	}
 	return false
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // readMap makes sure that the map in force is known. Map 0 is made by rule;
 // any other was made here, or is read from the ranks' engines.
 func (l *leader) readMap(ctx context.Context) bool {
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -202,7 +200,12 @@
 func (s *Sidecar) setLeading(all []*member, lead peers.Lead) {
 	to := make([]netip.AddrPort, 0, len(all))
 	for _, m := range all {
-		if a, ok := s.besideAddr(m.endpoint.Address); ok && m.endpoint.Address != s.cfg.Address {
+		a, err := peers.Beside(m.endpoint.Address, s.cfg.PeersPort)
+		if err != nil {
+			s.log.Warn("rank not told of its leader", zap.String("error", err.Error()))
+			continue
+		}
+		if m.endpoint.Address != s.cfg.Address {
 			to = append(to, a)
 		}
 	}
@@ -221,22 +224,6 @@
 	}
 }
 
-// besideAddr returns the datagram address of the sidecar beside an engine.
-func (s *Sidecar) besideAddr(engine string) (a netip.AddrPort, ok bool) {
-	return BesideAddr(engine, s.cfg.PeersPort)
-}
-
-// BesideAddr returns the datagram address of the sidecar beside an engine, ok
-// false when the engine's address is none.
-func BesideAddr(engine string, port int) (a netip.AddrPort, ok bool) {
-	host, _, err := net.SplitHostPort(engine)
-	if err != nil {
-		return a, false
-	}
-	a, err = netip.ParseAddrPort(net.JoinHostPort(host, strconv.Itoa(port)))
-	return a, err == nil
-}
-
 // ask asks every rank for its state; it reports whether all answered and the
 // group is complete.
 func (l *leader) ask(ctx context.Context, own rank.Report) bool {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -20,6 +20,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
+	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
 // Config is the setting of a Sidecar.
@@ -138,7 +139,7 @@
 func (s *Sidecar) pacedBySize(ctx context.Context, least time.Duration, do func(ctx context.Context)) error {
 	for ctx.Err() == nil {
 		r, _ := s.Report()
-		sleep(ctx, max(least, time.Duration(r.Size)*perRank))
+		wait.For(ctx, max(least, time.Duration(r.Size)*perRank))
 		do(ctx)
 	}
 	return nil
