--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -268,6 +268,23 @@
 	}
 }
 
+// A failure that an endpoint answered with is the caller's when no other
+// endpoint does better.
+func TestAnEndpointsOwnFailureIsKept(t *testing.T) {
+	for _, tc := range []struct{ name, second string }{
+		{"no answer", ""}, {"not run", notRun}, {"unsigned", noSign},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSite(t, newEndpoint(t, whole(500, "first")), newEndpoint(t, tc.second))
+			a := s.ask(t, http.MethodGet, "/again/x", "key", "")
+			g.Expect(a.status).To(Equal(500))
+			g.Expect(a.body).To(Equal("first"))
+			g.Expect(a.header.Get("Runner-Signature")).To(Equal("s"))
+		})
+	}
+}
+
 func TestLateAnswerBelongsToNobody(t *testing.T) {
 	g := NewWithT(t)
 	e := newEndpoint(t, late+whole(200, "mine"))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -30,11 +30,12 @@
 	age      time.Duration // Of the configuration when the request came.
 	final    time.Time     // When it must have its final answer.
 
-	tried     []string // Endpoints that it was sent to.
-	unsent    []string // Endpoints that could not be reached.
-	notes     []string // What became of each try, for the log.
-	mayRun    bool     // Some endpoint may have run it.
-	groupDown bool     // A group of ranks turned it away as a whole.
+	tried     []string    // Endpoints that it was sent to.
+	unsent    []string    // Endpoints that could not be reached.
+	notes     []string    // What became of each try, for the log.
+	mayRun    bool        // Some endpoint may have run it.
+	kept      *keptAnswer // Nil until an endpoint failed by itself.
+	groupDown bool        // A group of ranks turned it away as a whole.
 	downGroup string
 	full      bool  // No endpoint can take it now.
 	again     bool  // The caller was refused before.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -84,6 +84,8 @@
 		q.outcome = left
 	case q.begun:
 		q.outcome = cutStream
+	case q.kept != nil:
+		q.passOn(q.kept.from, q.kept.resp, q.kept.body)
 	case q.mayRun || last == unknown:
 		if late {
 			q.fail(http.StatusGatewayTimeout, "time over")
@@ -188,7 +190,11 @@
 	if q.again {
 		limit += againRoom
 	}
-	return q.g.table.Busy(e.ID, now) < limit
+	busy := q.g.table.Busy(e.ID, now)
+	if busy >= limit {
+		q.note(fmt.Sprintf("group full: %d requests at the least busy rank, %d let in at passes of %v", busy, limit, group.Pass.Round(time.Millisecond)))
+	}
+	return busy < limit
 }
 
 // engine returns the shape of the service's engines, nil for a plain service.
@@ -404,6 +410,7 @@
 	if resp.StatusCode >= 500 {
 		q.bad(e, 1, fmt.Sprintf("status %d", resp.StatusCode))
 		if q.mayAskAnother() {
+			q.kept = &keptAnswer{e, resp, body}
 			return unknown
 		}
 	} else {
@@ -413,6 +420,14 @@
 	return over
 }
 
+// keptAnswer is an endpoint's own failure, which is passed on when no other
+// endpoint does better.
+type keptAnswer struct {
+	from fleet.Endpoint
+	resp *http.Response
+	body []byte
+}
+
 // mayAskAnother reports whether the request could be sent to a further
 // endpoint.
 func (q *request) mayAskAnother() bool {
