--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -130,7 +130,6 @@
 	}, patience, "20ms").Should(Equal(http.StatusOK), p.Name)
 }
 
-// signal sends a signal to one process of the site.
 // readiness returns the status with which a process answers whether it is ready,
 // 0 when it does not answer.
 func (s *site) readiness(p example.Process) int {
@@ -143,6 +142,7 @@
 	return resp.StatusCode
 }
 
+// signal sends a signal to one process of the site.
 func (s *site) signal(name string, sig syscall.Signal) {
 	GinkgoHelper()
 	Expect(s.procs[name].Process.Signal(sig)).To(Succeed())
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -40,11 +40,7 @@
 	if limit <= 0 {
 		return
 	}
-	c.closeBefore(time.Now().Add(-limit - idleSlack))
-}
-
-// closeBefore closes what has been idle since before a moment.
-func (c *connections) closeBefore(before time.Time) {
+	before := time.Now().Add(-limit - idleSlack)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for nc, since := range c.idle {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,9 +107,7 @@
 	g.mu.Lock()
 	g.table.Forget(func(id string) bool { _, ok := s.Endpoints[id]; return ok })
 	g.mu.Unlock()
-	if at := g.stopping.Load(); at != 0 && time.Now().UnixNano()-at > int64(stopCloses) {
-		g.conns.closeBefore(time.Now())
-	} else if s.Config != nil {
+	if s.Config != nil {
 		g.conns.closeIdle(s.Config.Limits().IdleTimeout)
 	}
 }
@@ -191,10 +189,6 @@
 // taken: whatever is taken must be able to end within the grace period.
 const stopTakes = 2700 * time.Millisecond
 
-// stopCloses is how long after the start of a planned stop idle connections are
-// closed: new ones go elsewhere by then.
-const stopCloses = 2200 * time.Millisecond
-
 // leaving reports whether the planned stop has begun, and whether it is so far
 // on that nothing more is taken.
 func (g *Gateway) leaving(now time.Time) (begun, closed bool) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
@@ -157,7 +159,9 @@
 	for i, e := range endpoints { // The first is the least busy, so it is asked first.
 		g.Report(e.l.Addr().String(), balance.Load{Running: 10 * i, At: time.Now().Add(time.Hour)})
 	}
-	s.srv = httptest.NewServer(g.Handler())
+	s.srv = httptest.NewUnstartedServer(g.Handler())
+	s.srv.Config.ConnState = g.ConnState()
+	s.srv.Start()
 	t.Cleanup(s.srv.Close)
 	return s
 }
@@ -341,3 +345,33 @@
 	a := s.ask(t, http.MethodPost, "/once/x", "key", "")
 	g.Expect(a.status).To(Equal(200), "connections that are open are still served")
 }
+
+// A connection that is idle when the planned stop begins stays open: a request
+// may already be on its way on it, and must be answered.
+func TestIdleConnectionsStayOpenInAPlannedStop(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t, newEndpoint(t, whole(200, "x"), whole(200, "x")))
+	ctx, cancel := context.WithCancel(context.Background())
+	var all errgroup.Group
+	all.Go(func() error { return s.g.Run(ctx) })
+	t.Cleanup(func() { cancel(); g.Expect(all.Wait()).To(Succeed()) })
+	c, err := net.Dial("tcp4", s.srv.Listener.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	ask := func() (status int, err error) {
+		if _, err := io.WriteString(c, "GET /open/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n\r\n"); err != nil {
+			return 0, err
+		}
+		resp, err := http.ReadResponse(br, nil)
+		if err != nil {
+			return 0, err
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode, err
+	}
+	g.Expect(ask()).To(Equal(200))
+	s.g.Stop()
+	time.Sleep(3 * time.Second) // Longer than the gateway takes anything new.
+	g.Expect(ask()).To(Equal(http.StatusServiceUnavailable), "a refusal, not a closed connection")
+}
