--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -34,7 +34,7 @@
 
 // Times of a sidecar.
 const (
-	// reportEvery is the time between two reports: gateways choose by them, and
+	// reportEvery is the least time between two reports: gateways choose by them, and
 	// the load of an engine changes with each pass of some ten milliseconds.
 	reportEvery = 100 * time.Millisecond
 	// countsEvery is the least time between two readings of the counts. A window
@@ -114,7 +114,7 @@
 func (s *Sidecar) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.socket.Run(ctx, s.receive) })
-	g.Go(func() error { return every(ctx, reportEvery, s.readReport) })
+	g.Go(func() error { return s.pacedBySize(ctx, reportEvery, s.readReport) })
 	g.Go(func() error { return s.pacedBySize(ctx, countsEvery, s.readCounts) })
 	g.Go(func() error { return every(ctx, leadEvery, s.tellLead) })
 	g.Go(func() error { return newLeader(s).run(ctx) })
