--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -113,9 +113,6 @@
 	}
 }
 
-// Own returns the requests of this process at an endpoint.
-func (t *Table) Own(id string) int { return t.of(id).own }
-
 // busy estimates the requests at an endpoint.
 func (e *endpoint) busy(now time.Time) int {
 	if now.Sub(e.load.At) > reportAge {
@@ -164,13 +161,6 @@
 	return g, true
 }
 
-// Closed reports whether an endpoint's fresh report says that it serves
-// nothing.
-func (t *Table) Closed(id string, now time.Time) bool {
-	e := t.of(id)
-	return e.load.Closed && now.Sub(e.load.At) <= reportAge
-}
-
 func (e *endpoint) age(now time.Time) {
 	if d := now.Sub(e.weighed); d > 0 && !e.weighed.IsZero() {
 		keep := 1 / (1 + d.Seconds()/outcomeAge.Seconds())
--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -18,14 +18,6 @@
 	Topic        string // First part of its prompt, which many requests share.
 }
 
-// Size returns the tokens of prompt and expected answer.
-func (c *Call) Size() int {
-	if c.GuessTokens > 0 {
-		return c.PromptTokens + c.GuessTokens
-	}
-	return c.PromptTokens + c.AnswerTokens
-}
-
 // Stamp is what a gateway adds to a request for one endpoint.
 type Stamp struct {
 	EndpointID string // The only endpoint that may run it.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -143,16 +143,6 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
-// Body returns the reader of the answer's body.
-func (x *Exchange) Body() io.Reader { return x.resp.Body }
-
-// Framed reports whether the answer tells its own end; otherwise it ends with
-// the connection.
-func (x *Exchange) Framed() bool { return framed(x.resp) }
-
-// SetReadDeadline bounds the next reads.
-func (x *Exchange) SetReadDeadline(t time.Time) error { return x.conn.nc.SetReadDeadline(t) }
-
 // Done gives the connection back after a body that was read to its end, or
 // closes it when the endpoint will, or when the request was not read whole.
 func (x *Exchange) Done(p *Pool) {
