internal/sidecar: maps of large groups are handed on in a tree

The counts of all ranks filled the same link, and one copy a rank was all that a map might make although a copy takes 14 ms there.

Now the order names the map and sidecars read it from the one before them in a tree; a third of the ranks tell their counts in a look; a rank makes as many copies as fit 0.11 s (one on the small sites, as before).

--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -37,6 +38,12 @@
 	Work   []byte      `json:"work"`   // Its counts as varints, when it is newer than the one asked for.
 }
 
+// orderCall is an order as one sidecar sends it to another.
+type orderCall struct {
+	rank.Order
+	MapFrom []string `json:"map-from,omitempty"` // Engines beside which the map is to be had; of Prepare.
+}
+
 // answer is what became of an order.
 type answer struct {
 	Result rank.Result `json:"result"`
@@ -48,14 +55,22 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+pathRank, s.serveRank)
 	mux.HandleFunc("POST "+pathOrder, s.serveOrder)
+	mux.HandleFunc("GET "+pathMap, s.serveMap)
 	return mux
 }
 
+// noWork asks for no counts.
+const noWork = math.MaxUint64
+
 func (s *Sidecar) serveRank(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	if err != nil {
-		http.Error(w, "after: not a number", http.StatusBadRequest)
-		return
+	after := uint64(noWork)
+	if text := r.URL.Query().Get("after"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			http.Error(w, "after: not a number", http.StatusBadRequest)
+			return
+		}
+		after = n
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), engineTimeout)
 	defer cancel()
@@ -68,7 +83,7 @@
 	st := state{Report: rep}
 	s.mu.Lock()
 	st.Window = s.work.number
-	if s.work.number != after && s.work.epoch == rep.Epoch {
+	if after != noWork && s.work.number != after && s.work.epoch == rep.Epoch {
 		st.Work = pack(s.work.flat)
 	}
 	s.mu.Unlock()
@@ -76,7 +91,7 @@
 }
 
 func (s *Sidecar) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var o rank.Order
+	var o orderCall
 	raw, err := io.ReadAll(io.LimitReader(r.Body, maxPeerAnswer))
 	if err == nil {
 		err = json.Unmarshal(raw, &o)
@@ -85,7 +100,14 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	writeJSON(w, s.carryOut(r.Context(), o))
+	if o.Op == rank.Prepare {
+		if o.Map, err = s.fetchMap(r.Context(), keyOf(o.Order), o.MapFrom); err != nil {
+			s.log.Warn("map not had", zap.Uint64("version", o.Version), zap.Strings("from", o.MapFrom), zap.String("error", err.Error()))
+			writeJSON(w, answer{Result: rank.Lost, Error: err.Error()})
+			return
+		}
+	}
+	writeJSON(w, s.carryOut(r.Context(), o.Order))
 }
 
 // carryOut gives an order to the own engine.
@@ -148,14 +170,18 @@
 }
 
 // rank asks a sidecar for its state, with the work of a window that is newer
-// than after.
+// than after; none for noWork.
 func (c *peerClient) rank(ctx context.Context, engine string, after uint64) (st state, err error) {
-	err = c.call(ctx, http.MethodGet, engine, pathRank+"?after="+strconv.FormatUint(after, 10), nil, &st)
+	path := pathRank
+	if after != noWork {
+		path += "?after=" + strconv.FormatUint(after, 10)
+	}
+	err = c.call(ctx, http.MethodGet, engine, path, nil, &st)
 	return st, err
 }
 
 // order has a sidecar give its engine an order.
-func (c *peerClient) order(ctx context.Context, engine string, o rank.Order) (a answer, err error) {
+func (c *peerClient) order(ctx context.Context, engine string, o orderCall) (a answer, err error) {
 	raw, err := json.Marshal(o)
 	if err != nil {
 		return a, err
@@ -165,28 +191,36 @@
 }
 
 func (c *peerClient) call(ctx context.Context, method, engine, path string, body []byte, v any) (err error) {
+	raw, err := c.raw(ctx, method, engine, path, body)
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(json.Unmarshal(raw, v), "sidecar of %s", engine)
+}
+
+// raw makes one call and returns the answer's body.
+func (c *peerClient) raw(ctx context.Context, method, engine, path string, body []byte) (raw []byte, err error) {
 	defer func() { err = errors.Wrapf(err, "sidecar of %s", engine) }()
 	address, err := peers.Beside(engine, c.port)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+address.String()+path, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	resp, err := c.client.Do(r)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerAnswer))
-	if err != nil {
-		return err
+	if raw, err = io.ReadAll(io.LimitReader(resp.Body, maxPeerAnswer)); err != nil {
+		return nil, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return errors.Newf("status %d: %s", resp.StatusCode, bytes.TrimSpace(raw))
+		return nil, errors.Newf("status %d: %s", resp.StatusCode, bytes.TrimSpace(raw))
 	}
-	return json.Unmarshal(raw, v)
+	return raw, nil
 }
 
 // leadEvery and leadLapse are the times of leadership: a leader tells of itself
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -20,6 +20,7 @@
 	smoothed time.Time   // When load was last brought up to date.
 	windows  [][]uint64  // Newest counts by rank.
 	taken    []uint64    // Their numbers.
+	heard    []time.Time // When they came.
 	current  rebalance.Map
 	version  uint64 // Of current; meaningful only when current is set.
 	known    bool
@@ -32,6 +33,9 @@
 	// loadTime smooths the counts: what streams that end and begin are about
 	// changes by chance within it.
 	loadTime = 450 * time.Millisecond
+	// windowLife is how long a rank's newest counts say what is asked for now:
+	// about three looks.
+	windowLife = 300 * time.Millisecond
 	// shifted is the skew of the newest windows to that of the smoothed counts,
 	// under the map in force, from which the demand is taken to have changed:
 	// what was heard before is dropped then.
@@ -82,7 +86,9 @@
 	if p.windows == nil {
 		p.windows = make([][]uint64, len(l.byRank))
 		p.taken = make([]uint64, len(l.byRank))
+		p.heard = make([]time.Time, len(l.byRank))
 	}
+	now := time.Now()
 	heard := false
 	for r, m := range l.byRank {
 		if m.state.Window == p.taken[r] || len(m.state.Work) == 0 {
@@ -95,10 +101,15 @@
 			continue
 		}
 		heard = true
-		p.windows[r] = flat
+		p.windows[r], p.heard[r] = flat, now
+	}
+	for r, at := range p.heard {
+		if now.Sub(at) > windowLife {
+			p.windows[r] = nil
+		}
 	}
 	if heard {
-		p.smooth(l.shape.Sets, l.shape.Experts, time.Now())
+		p.smooth(l.shape.Sets, l.shape.Experts, now)
 	}
 }
 
@@ -163,6 +174,7 @@
 	began := time.Now()
 	m := l.machine
 	m.Begin(version, layout)
+	l.s.maps.put(mapKey{epoch: m.Epoch, fence: m.Fence, version: version}, packMap(layout))
 	l.drive(ctx, prepareLimit)
 	if !l.copied(ctx, began, l.copyTime(most)) {
 		m.GiveUp()
@@ -219,7 +231,7 @@
 			l.machine.Phase == cutover.Ready && l.machine.Copied(l.reports()) {
 			return true
 		}
-		wait.For(ctx, copiedEvery)
+		wait.For(ctx, max(copiedEvery, time.Duration(len(l.byRank))*lookPerRank/2))
 	}
 	return false
 }
@@ -281,7 +293,7 @@
 	}
 	value := l.s.cfg.SkewPrice * horizon.Seconds() * p.pressure() * share / float64(l.shape.Sets) // Of a set's mean load.
 	least := l.shape.ExpertBytes / gigabyte * l.s.cfg.CopyPrice / value
-	i := rebalance.NewImprover(s, p.current, p.load, l.speeds(), rebalance.Bounds{Spare: l.shape.Spare, PerRank: copiesPerRank, Least: least})
+	i := rebalance.NewImprover(s, p.current, p.load, l.speeds(), rebalance.Bounds{Spare: l.shape.Spare, PerRank: l.copiesPerRank(), Least: least})
 	for n := 1; i.Step(); n++ {
 		if n%stepsAtOnce == 0 {
 			pause()
@@ -293,14 +305,23 @@
 }
 
 const (
-	// copiesPerRank bounds what a rank copies for one map: a copy takes 0.1 s,
-	// and two maps one after the other gain more than one twice as good. Mean
-	// scores of the two small sites with 3, 2 and 1: 0.69, 0.78, 0.81.
-	copiesPerRank = 1
+	// copyingTime bounds what a rank copies for one map: two maps one after the
+	// other gain more than one twice as good. Mean scores of the two small sites,
+	// where a copy takes 0.1 s, with 3, 2 and 1 copies: 0.69, 0.78, 0.81.
+	copyingTime = 110 * time.Millisecond
 	// stepsAtOnce is how many steps of planning are made before others run.
 	stepsAtOnce = 8
 )
 
+// copiesPerRank returns how many experts a rank may copy for one map.
+func (l *leader) copiesPerRank() int {
+	one := l.copyTime(1)
+	if one <= 0 {
+		return 1
+	}
+	return max(int(copyingTime/one), 1)
+}
+
 // running returns the requests at work at each rank, for the log.
 func (l *leader) running() []int {
 	list := make([]int, len(l.byRank))
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -35,6 +35,14 @@
 const (
 	// lookEvery is the least time between two looks at the group.
 	lookEvery = 70 * time.Millisecond
+	// lookPerRank is what one rank adds to it, so that the leader of a large group
+	// is not busy with looking only: a call takes it about 0.2 ms of a core.
+	lookPerRank = 2 * time.Millisecond
+	// wholeLook and partLook bound the ranks that are asked for their counts in one
+	// look: all of a small group, a part of a large one in turn, since counts are
+	// long and the leader's link is narrow.
+	wholeLook = 20
+	partLook  = 3
 	// askTimeout bounds a call to another sidecar: some round trips between
 	// failure domains, and the time that a small processor share may add.
 	askTimeout = 250 * time.Millisecond
@@ -70,6 +78,7 @@
 	machine  *cutover.Machine
 	fence    uint64
 	planner  planner
+	turn     int // First of the ranks that are asked for counts next.
 	epoch    uint64
 	openedAt time.Time // When this epoch was first seen.
 }
@@ -77,7 +86,7 @@
 func newLeader(s *Sidecar) *leader { return &leader{s: s} }
 
 func (l *leader) run(ctx context.Context) error {
-	return l.s.pacedBySize(ctx, lookEvery, l.look)
+	return l.s.pacedBySize(ctx, lookEvery, lookPerRank, l.look)
 }
 
 // look leads for one round, where this sidecar is the leader.
@@ -228,11 +237,16 @@
 // group is complete.
 func (l *leader) ask(ctx context.Context, own rank.Report) bool {
 	var g errgroup.Group
-	for _, m := range l.all {
+	asked := l.askedForWork()
+	for i, m := range l.all {
 		g.Go(func() error {
 			call, cancel := context.WithTimeout(ctx, askTimeout)
 			defer cancel()
-			st, err := l.s.calls.rank(call, m.endpoint.Address, m.state.Window)
+			after := uint64(noWork)
+			if asked(i) {
+				after = m.state.Window
+			}
+			st, err := l.s.calls.rank(call, m.endpoint.Address, after)
 			if m.fresh = err == nil; m.fresh {
 				m.state, m.seen = st, time.Now()
 				return nil
@@ -258,6 +272,19 @@
 	return true
 }
 
+// askedForWork returns which places in all are asked for their counts in this
+// look.
+func (l *leader) askedForWork() func(place int) bool {
+	n := len(l.all)
+	part := n
+	if n > wholeLook {
+		part = max(n/partLook, wholeLook)
+	}
+	first := l.turn
+	l.turn = (first + part) % max(n, 1)
+	return func(place int) bool { return (place-first+n)%n < part }
+}
+
 // askStraight asks an engine whose sidecar does not answer: it may have died
 // while its engine held the group. Such calls are priced, so they are few.
 func (l *leader) askStraight(ctx context.Context, m *member) {
@@ -380,9 +407,13 @@
 		return l.s.carryOut(ctx, o).Result
 	}
 	address := l.byRank[r].endpoint.Address
-	call, cancel := context.WithTimeout(ctx, orderTimeout+askTimeout)
+	limit, sent := orderTimeout+askTimeout, orderCall{Order: o}
+	if o.Op == rank.Prepare {
+		limit, sent.Map, sent.MapFrom = prepareTimeout, nil, l.mapSources(r)
+	}
+	call, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	a, err := l.s.calls.order(call, address, o)
+	a, err := l.s.calls.order(call, address, sent)
 	if err == nil {
 		return a.Result
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -41,8 +41,9 @@
 	// of a few passes holds ten thousand choices; one of a pass or two is so uneven that
 	// it was taken for a shift (score 0.67 against 0.83).
 	countsEvery = 120 * time.Millisecond
-	// perRank is what one rank adds to the time between two looks at a group, so
-	// that the leader of a large one is not busy with looking only.
+	// perRank is what one rank adds to the time between two reports and between
+	// two readings of counts: passes of large groups are longer, and so many more
+	// loads reach each gateway.
 	perRank = 4 * time.Millisecond
 	// orderTimeout bounds an order to the own engine. Some answers never come;
 	// an order that is sent again does no harm, waiting holds up the group.
@@ -63,6 +64,7 @@
 	socket *peers.Socket
 	log    *zap.Logger
 	calls  *peerClient
+	maps   *shelf
 
 	mu       sync.Mutex // Guards what follows.
 	report   rank.Report
@@ -98,7 +100,7 @@
 func New(cfg Config, engine rank.Engine, dial func(string) rank.Engine, source follow.Source, socket *peers.Socket, log *zap.Logger, reg metrics.Registry) (s *Sidecar, cleanup func()) {
 	s = &Sidecar{
 		cfg: cfg, engine: engine, dial: dial, source: source, socket: socket, log: log,
-		gateways: map[netip.AddrPort]time.Time{},
+		gateways: map[netip.AddrPort]time.Time{}, maps: newShelf(),
 		figures: figures{
 			switches: metrics.GetOrRegisterCounter("sidecar.maps-in-force", reg),
 			gaveUp:   metrics.GetOrRegisterCounter("sidecar.maps-given-up", reg),
@@ -114,8 +116,8 @@
 func (s *Sidecar) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.socket.Run(ctx, s.receive) })
-	g.Go(func() error { return s.pacedBySize(ctx, reportEvery, s.readReport) })
-	g.Go(func() error { return s.pacedBySize(ctx, countsEvery, s.readCounts) })
+	g.Go(func() error { return s.pacedBySize(ctx, reportEvery, perRank, s.readReport) })
+	g.Go(func() error { return s.pacedBySize(ctx, countsEvery, perRank, s.readCounts) })
 	g.Go(func() error { return every(ctx, leadEvery, s.tellLead) })
 	g.Go(func() error { return newLeader(s).run(ctx) })
 	return g.Wait()
@@ -136,10 +138,10 @@
 }
 
 // pacedBySize calls do until ctx ends, the less often the larger the group is.
-func (s *Sidecar) pacedBySize(ctx context.Context, least time.Duration, do func(ctx context.Context)) error {
+func (s *Sidecar) pacedBySize(ctx context.Context, least, each time.Duration, do func(ctx context.Context)) error {
 	for ctx.Err() == nil {
 		r, _ := s.Report()
-		wait.For(ctx, max(least, time.Duration(r.Size)*perRank))
+		wait.For(ctx, max(least, time.Duration(r.Size)*each))
 		do(ctx)
 	}
 	return nil
