internal/follow, internal/gateway: few gateways read the store, the others listen

Two gateways of a failure domain read; the others hold a call for news open at one of them, told by numbered changes with their age. Who hears nothing new enough within 1.5 s reads the store itself, so nothing depends on agreeing who reads. Changes in a row are gathered for 40 ms.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -197,6 +197,7 @@
 	defer closePeers()
 	neighbours, closeNeighbours := gateway.NewNeighbours(gateway.NeighboursConfig{
 		Name:         p.set.Name,
+		Domain:       p.set.Domain,
 		Address:      p.set.Peers,
 		Seeds:        p.set.Seeds,
 		SidecarsPort: p.set.PeersPort,
@@ -209,6 +210,7 @@
 		return p.signals(ctx, func() { g.Stop(); close(stop) }, cancel)
 	})
 	follower := follow.NewFollower(view, store.Source(), p.log)
+	follower.ListenTo(neighbours.Follow())
 	group.Go(func() error { return follower.Run(ctx, g.Changed) })
 	group.Go(func() error { return g.Run(ctx) })
 	group.Go(func() error { return socket.Run(ctx, neighbours.Receive) })
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -40,8 +40,31 @@
 	// outageTime is how long a source must have been silent for entries to have
 	// lapsed: three heartbeats of 1.2 s are longer than this.
 	outageTime = 2 * time.Second
+	// listenAge is the greatest age of the configuration at which a process goes
+	// on listening to another one: two waits, and some room below the age from
+	// which the configuration is not trusted for refusals.
+	listenAge = 2 * time.Second
+	// ownTime is how long a process that heard nothing new enough reads the
+	// source itself before it listens again.
+	ownTime = 4 * time.Second
+	// blindTime is how long a process for which the source failed does not count
+	// as one that others may listen to.
+	blindTime = 5 * time.Second
+	// gatherTime is waited after news, so that several changes in a row cost one
+	// call.
+	gatherTime = 40 * time.Millisecond
 )
 
+// Listener lets a process follow by another one's word, so that few read the
+// source.
+type Listener struct {
+	// Reads reports whether this process is one of the few; able tells whether
+	// the source answers it.
+	Reads func(able bool) bool
+	// Listen waits for news from one of the few and takes it into the view.
+	Listen func(ctx context.Context) error
+}
+
 // Follower keeps a view up to date.
 type Follower struct {
 	view   *View
@@ -52,6 +75,10 @@
 	failed int       // Failed calls in a row.
 	heard  time.Time // Last answer.
 	back   time.Time // End of the last outage.
+
+	listener *Listener // Nil where every process reads the source.
+	ownUntil time.Time // Until then it reads the source itself.
+	blind    time.Time // When the source last failed.
 }
 
 // NewFollower returns a follower of source into view.
@@ -59,12 +86,52 @@
 	return &Follower{view: view, source: source, log: log, now: time.Now}
 }
 
+// ListenTo makes the follower listen to others where it is not one of the few
+// that read the source. It is called before Run.
+func (f *Follower) ListenTo(l Listener) { f.listener = &l }
+
+// listens reports whether another process's word is to be followed now.
+func (f *Follower) listens() bool {
+	now := f.now()
+	if f.listener == nil || f.view.State().Config == nil || now.Before(f.ownUntil) {
+		return false
+	}
+	return !f.listener.Reads(f.blind.IsZero() || now.Sub(f.blind) > blindTime)
+}
+
+// listen follows another process's word once; it reports whether that was new
+// enough to go on so.
+func (f *Follower) listen(ctx context.Context) bool {
+	err := f.listener.Listen(ctx)
+	now := f.now()
+	age := f.view.Age(now)
+	if ctx.Err() != nil || err == nil && age < listenAge {
+		f.heard = now.Add(-age)
+		return true
+	}
+	cause := "too old"
+	if err != nil {
+		cause = err.Error()
+	}
+	f.log.Info("reads the store itself", zap.String("cause", cause), zap.Duration("age", age))
+	f.ownUntil = now.Add(ownTime)
+	return false
+}
+
 // Run follows until ctx ends. Cleared, when not nil, is called after each
 // change of the view.
 func (f *Follower) Run(ctx context.Context, changed func()) error {
 	f.heard = f.now()
 	whole := true // The next call must read everything.
 	for ctx.Err() == nil {
+		if f.listens() {
+			whole = true // What was heard does not say from where to read on.
+			if f.listen(ctx) {
+				changed()
+				wait.For(ctx, gatherTime)
+				continue
+			}
+		}
 		var err error
 		if whole {
 			err = f.snapshot(ctx)
@@ -80,7 +147,9 @@
 			changed()
 			if whole {
 				wait.For(ctx, longestPause/2)
+				continue
 			}
+			wait.For(ctx, gatherTime)
 			continue
 		}
 		if errors.Is(err, ErrForgotten) {
@@ -178,6 +247,7 @@
 }
 
 func (f *Follower) lose(err error) {
+	f.blind = f.now()
 	f.failed++
 	if !f.lost {
 		f.lost = true
--- /dev/null
+++ b/internal/follow/told.go
@@ -0,0 +1,146 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package follow
+
+import (
+	"maps"
+	"time"
+
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+)
+
+// maxRemovals bounds the removals that are kept for others to be told of; whoever
+// missed more is told everything.
+const maxRemovals = 4096
+
+// changeLog numbers the changes of a view's endpoints, so that another process
+// can be told what is new to it.
+type changeLog struct {
+	number  uint64            // Of the newest change.
+	changed map[string]uint64 // Number of the last change, by endpoint in the view.
+	removed []removal         // The newest ones, in order.
+	dropped uint64            // Number of the newest removal that is not kept any more.
+}
+
+type removal struct {
+	number uint64
+	gone   Gone
+}
+
+func newChangeLog() changeLog { return changeLog{changed: map[string]uint64{}} }
+
+// note takes in a new state of the view.
+func (l *changeLog) note(old, next *State) {
+	number := l.number + 1
+	for id, e := range next.Endpoints {
+		had, ok := old.Endpoints[id]
+		_, missed := old.Missing[id]
+		_, misses := next.Missing[id]
+		if !ok || had != e || missed != misses {
+			l.changed[id] = number
+			l.number = number
+		}
+	}
+	for id, e := range old.Endpoints {
+		if _, ok := next.Endpoints[id]; !ok {
+			delete(l.changed, id)
+			l.removed = append(l.removed, removal{number, Gone{ID: id, Revision: e.Revision}})
+			l.number = number
+		}
+	}
+	if n := len(l.removed) - maxRemovals; n > 0 {
+		l.dropped = l.removed[n-1].number
+		l.removed = append(l.removed[:0:0], l.removed[n:]...)
+	}
+}
+
+// Told is what one process tells another one of its view.
+type Told struct {
+	Number    uint64           `json:"number"` // To be named in the next question.
+	Whole     bool             `json:"whole"`  // Endpoints is all there are.
+	At        uint64           `json:"at"`     // Revision up to which it holds.
+	Endpoints []fleet.Endpoint `json:"endpoints,omitempty"`
+	Missing   []string         `json:"missing,omitempty"` // Those of Endpoints whose entry may only have lapsed.
+	Gone      []Gone           `json:"gone,omitempty"`
+}
+
+// Tell returns what has changed after a number that Tell gave, or everything
+// for 0 or what lies too far back.
+func (v *View) Tell(after uint64) (t Told) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.state.Load()
+	t = Told{Number: v.log.number, At: v.at, Whole: after == 0 || after < v.log.dropped || after > v.log.number}
+	for id, e := range s.Endpoints {
+		if !t.Whole && v.log.changed[id] <= after {
+			continue
+		}
+		t.Endpoints = append(t.Endpoints, e)
+		if _, missing := s.Missing[id]; missing {
+			t.Missing = append(t.Missing, id)
+		}
+	}
+	if t.Whole {
+		return t
+	}
+	for _, r := range v.log.removed {
+		if r.number > after {
+			t.Gone = append(t.Gone, r.gone)
+		}
+	}
+	return t
+}
+
+// ChangedSince reports whether Tell has anything to tell after a number.
+func (v *View) ChangedSince(number uint64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.log.number != number
+}
+
+// Hear takes in what another process tells. Nothing that is known to be newer
+// is changed or removed by it.
+func (v *View) Hear(t Told, now time.Time) {
+	if !t.Whole && len(t.Endpoints)+len(t.Gone) == 0 {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	next := *v.state.Load()
+	old := next.Endpoints
+	next.Endpoints = maps.Clone(old)
+	if next.Endpoints == nil {
+		next.Endpoints = map[string]fleet.Endpoint{}
+	}
+	next.Missing = maps.Clone(next.Missing)
+	if next.Missing == nil {
+		next.Missing = map[string]time.Time{}
+	}
+	named := map[string]bool{}
+	for _, e := range t.Endpoints {
+		named[e.ID] = true
+		if had, ok := old[e.ID]; !ok || had.Revision <= e.Revision {
+			delete(next.Missing, e.ID)
+		}
+		v.put(&next, old, e)
+	}
+	for _, id := range t.Missing {
+		if _, ok := next.Endpoints[id]; ok {
+			next.Missing[id] = now
+		}
+	}
+	for _, g := range t.Gone {
+		next.remove(g, false, now)
+		v.gone[g.ID] = max(v.gone[g.ID], g.Revision)
+	}
+	if t.Whole {
+		for id, e := range old {
+			if !named[id] && e.Revision <= t.At {
+				delete(next.Endpoints, id)
+				delete(next.Missing, id)
+			}
+		}
+	}
+	next.group()
+	v.set(&next)
+}
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -63,6 +63,8 @@
 	at    uint64                 // Revision up to which changes are known.
 	gone  map[string]uint64      // Revisions of removals, against entries that come late.
 	check atomic.Pointer[moment] // Never nil.
+	log   changeLog
+	moved chan struct{} // Closed at each change or confirmation; never nil.
 }
 
 // moment is a time before which all that was published is in the view.
@@ -70,7 +72,7 @@
 
 // NewView returns a view that knows nothing.
 func NewView() *View {
-	v := &View{gone: map[string]uint64{}}
+	v := &View{gone: map[string]uint64{}, log: newChangeLog(), moved: make(chan struct{})}
 	v.state.Store(&State{})
 	v.check.Store(&moment{})
 	return v
@@ -99,12 +101,34 @@
 		return
 	}
 	v.check.Store(&moment{at})
+	v.move()
+}
+
+// set takes the next state, and notes what it changes. The caller holds mu.
+func (v *View) set(next *State) {
+	v.log.note(v.state.Load(), next)
+	v.state.Store(next)
+	v.move()
+}
+
+// move wakes whoever waits for news. The caller holds mu.
+func (v *View) move() {
+	close(v.moved)
+	v.moved = make(chan struct{})
+}
+
+// Moved returns a channel that is closed at the next change or confirmation.
+func (v *View) Moved() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.moved
 }
 
 // confirm notes that the view held everything at a moment.
 func (v *View) confirm(at time.Time) {
 	if v.state.Load().Config != nil && at.After(v.check.Load().at) {
 		v.check.Store(&moment{at})
+		v.move()
 	}
 }
 
@@ -116,7 +140,7 @@
 	if !next.takeConfig(c, revision) {
 		return false
 	}
-	v.state.Store(&next)
+	v.set(&next)
 	return true
 }
 
@@ -150,7 +174,7 @@
 	}
 	next.group()
 	v.at = max(v.at, snap.At)
-	v.state.Store(&next)
+	v.set(&next)
 	if snap.Config == nil || snap.Config.Version() == next.Config.Version() {
 		v.confirm(asked)
 	}
@@ -203,7 +227,7 @@
 		next.group()
 	}
 	v.at = max(v.at, ch.At)
-	v.state.Store(&next)
+	v.set(&next)
 	v.confirm(asked)
 	return removed
 }
@@ -223,7 +247,7 @@
 		v.put(&next, old, e)
 	}
 	next.group()
-	v.state.Store(&next)
+	v.set(&next)
 }
 
 // remove drops an endpoint, or notes it as missing.
@@ -261,7 +285,7 @@
 		delete(next.Missing, id)
 	}
 	next.group()
-	v.state.Store(&next)
+	v.set(&next)
 	return removed
 }
 
--- a/internal/follow/view_test.go
+++ b/internal/follow/view_test.go
@@ -140,3 +140,44 @@
 	})).To(Succeed())
 	g.Expect(s.asked).To(Equal([]string{"snapshot", "changes", "changes", "snapshot", "changes", "changes"}))
 }
+
+func TestWhoListensReadsTheSourceWhenNothingNewIsHeard(t *testing.T) {
+	g := NewWithT(t)
+	v := NewView()
+	calls := 0
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	source := Source{
+		Snapshot: func(context.Context, bool) (Snapshot, error) {
+			calls++
+			if calls == 3 {
+				cancel()
+			}
+			return Snapshot{Config: fleet.NewConfig(uint64(calls), nil, nil, nil, fleet.Limits{}), At: 1}, nil
+		},
+		Changes: func(context.Context, uint64, time.Duration) (Changes, error) {
+			t.Error("the source was followed by one that listens")
+			return Changes{}, nil
+		},
+	}
+	f := NewFollower(v, source, zap.NewNop())
+	now := time.Now()
+	f.now = func() time.Time { return now }
+	heard := 0
+	f.ListenTo(Listener{
+		Reads: func(bool) bool { return false },
+		Listen: func(context.Context) error {
+			if heard++; heard%2 == 1 {
+				v.Confirm(uint64(calls), now)
+				return nil
+			}
+			now = now.Add(ownTime) // Nobody answered for a long time.
+			return errors.New("no answer")
+		},
+	})
+	// After each failure the source is read once, the time it is read alone being
+	// over at once here.
+	g.Expect(f.Run(ctx, func() { now = now.Add(2 * ownTime) })).To(Succeed())
+	g.Expect(calls).To(Equal(3))
+	g.Expect(heard).To(BeNumerically(">=", 3))
+}
--- /dev/null
+++ b/internal/gateway/listen.go
@@ -0,0 +1,200 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/canvaspulley/canvaspulley/internal/follow"
+)
+
+// Few gateways of a failure domain read the store, and the others wait for news
+// from one of them. Nothing depends on their agreeing who reads: whoever does
+// not hear of anything new enough reads the store itself.
+const (
+	// readersPerDomain is how many gateways of a domain read the store: with two,
+	// the loss of one leaves another that is up to date.
+	readersPerDomain = 2
+	// readerHeard is how long after its last hello a gateway counts as one that
+	// reads: three hellos.
+	readerHeard = 3 * helloEvery
+	// holdTime is how long a call for news is held: a reader has news, if only
+	// that nothing changed, after each wait of one second and the answer's way.
+	holdTime = 1300 * time.Millisecond
+	// listenTimeout bounds such a call. A reader that died without a word is found
+	// out after so long, which must lie well below the time in which a new
+	// configuration is to be in force (2 s).
+	listenTimeout = holdTime + 200*time.Millisecond
+)
+
+// errNoReader means that no gateway is known that reads the store.
+var errNoReader = errors.New("no gateway of the domain is known to read the store")
+
+// listenedTo is what the gateways that this one listened to said last, by
+// address.
+type listenedTo map[string]heardNumber
+
+// heardNumber says up to where a gateway's changes are known.
+type heardNumber struct {
+	life   int64
+	number uint64
+}
+
+// Reads reports whether this gateway is one of the few of its domain that read
+// the store.
+func (n *Neighbours) Reads(able bool) bool {
+	n.mu.Lock()
+	n.blind = !able
+	n.mu.Unlock()
+	leaving, _ := n.g.leaving(time.Now())
+	readers := n.readers()
+	if !able || leaving {
+		return len(readers) == 0
+	}
+	before, _ := slices.BinarySearch(readers, n.self)
+	return before < readersPerDomain
+}
+
+// readers returns the other gateways of the domain that can read the store, in
+// the order in which they do.
+func (n *Neighbours) readers() (list []string) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for a, other := range n.heard {
+		if other.domain == n.domain && !other.blind && now.Sub(other.at) <= readerHeard {
+			list = append(list, a)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Listen waits for news from a gateway that reads the store and takes it in.
+func (n *Neighbours) Listen(ctx context.Context) (err error) {
+	readers := n.readers()
+	if len(readers) == 0 {
+		return errNoReader
+	}
+	readers = readers[:min(len(readers), readersPerDomain)]
+	from := readers[int(n.life)%len(readers)] // Each keeps to one, and they are spread over all.
+	n.mu.Lock()
+	last := n.heardOf[from]
+	n.mu.Unlock()
+	asked := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, listenTimeout)
+	defer cancel()
+	p, err := n.call(ctx, from, fmt.Sprintf("&life=%d&after=%d&hold=1", last.life, last.number))
+	if err != nil {
+		return err
+	}
+	if err := n.takeConfig(p); err != nil {
+		return err
+	}
+	n.g.view.Hear(p.Told, time.Now())
+	n.g.view.Confirm(p.Version, asked.Add(p.Held-p.Age))
+	n.mu.Lock()
+	n.heardOf = listenedTo{from: {life: p.Life, number: p.Number}}
+	n.mu.Unlock()
+	n.logTold(from, p)
+	return nil
+}
+
+func (n *Neighbours) logTold(from string, p published) {
+	if len(p.Config)+len(p.Endpoints)+len(p.Gone) == 0 {
+		return
+	}
+	n.log.Info("heard of changes", zap.String("from", from), zap.Uint64("version", p.Version), zap.Uint64("revision", p.At),
+		zap.Duration("age", p.Age), zap.Bool("whole", p.Whole), zap.Int("endpoints", len(p.Endpoints)), zap.Int("gone", len(p.Gone)))
+}
+
+// question is what a gateway wants to know of another one.
+type question struct {
+	version uint64 // Of its configuration.
+	life    int64  // Of the process that gave after.
+	after   uint64 // Number of the newest change that it knows.
+	hold    bool   // Wait for news.
+}
+
+func readQuestion(r *http.Request) (q question, err error) {
+	values := r.URL.Query()
+	if q.version, err = strconv.ParseUint(values.Get("version"), 10, 64); err != nil {
+		return q, errors.Wrap(err, "version")
+	}
+	q.hold = values.Get("hold") == "1"
+	if !q.hold {
+		return q, nil
+	}
+	if q.life, err = strconv.ParseInt(values.Get("life"), 10, 64); err != nil {
+		return q, errors.Wrap(err, "life")
+	}
+	q.after, err = strconv.ParseUint(values.Get("after"), 10, 64)
+	return q, errors.Wrap(err, "after")
+}
+
+// servePublished tells another gateway what this one knows.
+func (n *Neighbours) servePublished(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	q, err := readQuestion(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if q.life != n.life {
+		q.after = 0
+	}
+	if q.hold && q.after != 0 {
+		n.awaitNews(r.Context(), q)
+	}
+	s := n.g.view.State()
+	if s.Config == nil {
+		http.Error(w, "nothing known yet", http.StatusServiceUnavailable)
+		return
+	}
+	p := published{Life: n.life, Version: s.Config.Version(), Revision: s.ConfigRevision, Told: n.g.view.Tell(q.after)}
+	if p.Version > q.version {
+		p.Config = s.Config.Raw()
+	}
+	// The age is taken after the state, and the time of holding before it: what is
+	// told may only be newer than it says.
+	p.Held = time.Since(began)
+	p.Age = n.g.view.Age(time.Now())
+	raw, err := json.Marshal(p)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(raw) // The other gateway sees an answer that is cut.
+}
+
+// awaitNews waits until the view changes or is confirmed, at most holdTime, if
+// it holds nothing that is new to the other gateway.
+func (n *Neighbours) awaitNews(ctx context.Context, q question) {
+	moved := n.g.view.Moved()
+	s := n.g.view.State()
+	if s.Config == nil || s.Config.Version() > q.version || n.g.view.ChangedSince(q.after) {
+		return
+	}
+	timer := time.NewTimer(holdTime)
+	defer timer.Stop()
+	select {
+	case <-moved:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Follow returns what makes a follower listen to these neighbours.
+func (n *Neighbours) Follow() follow.Listener {
+	return follow.Listener{Reads: n.Reads, Listen: n.Listen}
+}
--- /dev/null
+++ b/internal/gateway/listen_test.go
@@ -0,0 +1,140 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/follow"
+	"github.com/canvaspulley/canvaspulley/internal/peers"
+)
+
+// station is a gateway that others can listen to.
+type station struct {
+	*Neighbours
+	view *follow.View
+}
+
+func newStation(t *testing.T, life int64) station {
+	view := follow.NewView()
+	g, closeGateway := New(Config{Domain: "a"}, Codec{}, view, zap.NewNop(), metrics.NewRegistry())
+	t.Cleanup(closeGateway)
+	n, closeNeighbours := NewNeighbours(NeighboursConfig{Name: "g", Domain: "a", Decode: func(raw []byte) (*fleet.Config, error) {
+		return configOf(uint64(len(raw))), nil
+	}}, g, nil, zap.NewNop())
+	t.Cleanup(closeNeighbours)
+	n.life = life
+	srv := httptest.NewServer(n.Handler())
+	t.Cleanup(srv.Close)
+	n.self = strings.TrimPrefix(srv.URL, "http://")
+	return station{n, view}
+}
+
+// configOf is a configuration whose text is as long as its version is high.
+func configOf(version uint64) *fleet.Config {
+	return fleet.NewConfig(version, nil, nil, nil, fleet.Limits{}).WithRaw([]byte(strings.Repeat("x", int(version))))
+}
+
+func endpointAt(id string, revision uint64) fleet.Endpoint {
+	return fleet.Endpoint{ID: id, Service: "s", Address: id + ":1", Revision: revision, Made: revision}
+}
+
+func hello(s station, domain string, blind bool) peers.Hello {
+	return peers.Hello{Name: "g", Address: s.self, Domain: domain, Blind: blind}
+}
+
+func TestAGatewayListensToOneThatReads(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	reader, listener := newStation(t, 7), newStation(t, 9)
+	listener.hear(hello(reader, "a", false))
+	reader.view.Replace(follow.Snapshot{Config: configOf(3), Endpoints: []fleet.Endpoint{endpointAt("one", 5), endpointAt("two", 6)}, At: 6}, time.Now(), false)
+	ids := func() (list []string) {
+		for id := range listener.view.State().Endpoints {
+			list = append(list, id)
+		}
+		return list
+	}
+
+	g.Expect(listener.Listen(ctx)).To(Succeed())
+	g.Expect(listener.view.State().Config.Version()).To(BeEquivalentTo(3))
+	g.Expect(ids()).To(ConsistOf("one", "two"))
+	g.Expect(listener.view.Age(time.Now())).To(BeNumerically(">=", reader.view.Age(time.Now().Add(-time.Millisecond))))
+
+	// The call is held until something changes, and only that is told.
+	var held errgroup.Group
+	held.Go(func() error { return listener.Listen(ctx) })
+	reader.view.Apply(follow.Changes{Config: configOf(4), Gone: []follow.Gone{{ID: "one", Revision: 8}}, Endpoints: []fleet.Endpoint{endpointAt("three", 7)}, At: 8}, time.Now(), false)
+	g.Expect(held.Wait()).To(Succeed())
+	g.Expect(listener.view.State().Config.Version()).To(BeEquivalentTo(4))
+	g.Expect(ids()).To(ConsistOf("two", "three"))
+
+	// What went is not brought back by an older word, and a reader that began anew
+	// tells everything.
+	listener.view.Merge(follow.Changes{Endpoints: []fleet.Endpoint{endpointAt("one", 5)}})
+	g.Expect(ids()).To(ConsistOf("two", "three"))
+	reader.life++
+	g.Expect(listener.Listen(ctx)).To(Succeed())
+	g.Expect(ids()).To(ConsistOf("two", "three"))
+}
+
+func TestAnOlderWordChangesNothing(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	behind, listener := newStation(t, 7), newStation(t, 9)
+	listener.hear(hello(behind, "a", false))
+	behind.view.Replace(follow.Snapshot{Config: configOf(3), Endpoints: []fleet.Endpoint{endpointAt("old", 2)}, At: 2}, time.Now().Add(-time.Minute), false)
+	listener.view.Replace(follow.Snapshot{Config: configOf(5), Endpoints: []fleet.Endpoint{endpointAt("new", 9)}, At: 9}, time.Now(), false)
+	g.Expect(listener.Listen(ctx)).To(Succeed())
+	g.Expect(listener.view.State().Config.Version()).To(BeEquivalentTo(5))
+	g.Expect(listener.view.State().Endpoints).To(HaveKey("new"))
+	g.Expect(listener.view.Age(time.Now())).To(BeNumerically("<", 30*time.Second))
+}
+
+func TestFewGatewaysRead(t *testing.T) {
+	all := []station{newStation(t, 1), newStation(t, 2), newStation(t, 3), newStation(t, 4), newStation(t, 5)}
+	reading := func(blind map[int]bool) (n int) {
+		for i, s := range all {
+			for j, other := range all {
+				if i != j {
+					s.hear(hello(other, "a", blind[j]))
+				}
+			}
+			if s.Reads(!blind[i]) {
+				n++
+			}
+		}
+		return n
+	}
+	for _, tc := range []struct {
+		name  string
+		blind map[int]bool
+		want  int
+	}{
+		{"all can", nil, readersPerDomain},
+		{"one cannot", map[int]bool{0: true}, readersPerDomain},
+		{"four cannot", map[int]bool{0: true, 1: true, 2: true, 3: true}, 1},
+		{"none can: each tries for itself", map[int]bool{0: true, 1: true, 2: true, 3: true, 4: true}, 5},
+	} {
+		t.Run(tc.name, func(t *testing.T) { NewWithT(t).Expect(reading(tc.blind)).To(Equal(tc.want)) })
+	}
+	t.Run("another domain's do not count", func(t *testing.T) {
+		g := NewWithT(t)
+		alone := newStation(t, 6)
+		for _, other := range all {
+			alone.hear(hello(other, "b", false))
+		}
+		g.Expect(alone.Reads(true)).To(BeTrue())
+		g.Expect(alone.Listen(context.Background())).To(MatchError(errNoReader))
+	})
+}
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -48,11 +48,13 @@
 
 // published is a gateway's view as it tells it to another one.
 type published struct {
-	Age       time.Duration    `json:"age"`
-	Version   uint64           `json:"version"`
-	Revision  uint64           `json:"revision"`         // Of the configuration.
-	Config    []byte           `json:"config,omitempty"` // Text of the version, when it is newer than the one asked for.
-	Endpoints []fleet.Endpoint `json:"endpoints"`
+	Life     int64         `json:"life"` // Of the process: its numbers of changes hold for it only.
+	Age      time.Duration `json:"age"`
+	Held     time.Duration `json:"held"` // How long the call was held until there was news.
+	Version  uint64        `json:"version"`
+	Revision uint64        `json:"revision"`         // Of the configuration.
+	Config   []byte        `json:"config,omitempty"` // Text of the version, when it is newer than the one asked for.
+	follow.Told
 }
 
 // Neighbours finds other gateways, tells sidecars and gateways of this one, and
@@ -68,14 +70,25 @@
 	name    string
 	seeds   []string
 	port    int // Of sidecars.
+	domain  string
 	mu      sync.Mutex
-	heard   map[string]time.Time // Gateways by address.
+	heard   map[string]neighbour // Gateways by address.
 	borrows bool
+	blind   bool       // As the follower last said; others do not listen to this gateway then.
+	heardOf listenedTo // What the last answers to listening were.
+}
+
+// neighbour is another gateway.
+type neighbour struct {
+	at     time.Time // Last word.
+	domain string    // "" while it is known by hearsay only.
+	blind  bool
 }
 
 // NeighboursConfig is the setting of Neighbours.
 type NeighboursConfig struct {
 	Name         string
+	Domain       string
 	Address      string // Peer listener of this gateway.
 	Seeds        []string
 	SidecarsPort int
@@ -92,8 +105,8 @@
 	}
 	n = &Neighbours{
 		g: g, socket: socket, log: log, decode: cfg.Decode, client: &http.Client{Transport: t},
-		self: cfg.Address, life: time.Now().UnixMilli(), name: cfg.Name, seeds: cfg.Seeds, port: cfg.SidecarsPort,
-		heard: map[string]time.Time{},
+		self: cfg.Address, life: time.Now().UnixMilli(), name: cfg.Name, domain: cfg.Domain, seeds: cfg.Seeds, port: cfg.SidecarsPort,
+		heard: map[string]neighbour{}, heardOf: listenedTo{},
 	}
 	return n, t.CloseIdleConnections
 }
@@ -127,11 +140,11 @@
 		if _, ok := n.heard[h.Address]; !ok {
 			n.log.Info("gateway heard", zap.String("name", h.Name), zap.String("address", h.Address))
 		}
-		n.heard[h.Address] = now
+		n.heard[h.Address] = neighbour{at: now, domain: h.Domain, blind: h.Blind}
 	}
 	for _, a := range h.Known {
 		if _, ok := n.heard[a]; !ok && a != n.self {
-			n.heard[a] = now.Add(-heardFor + 2*helloEvery) // By hearsay: it must speak for itself soon.
+			n.heard[a] = neighbour{at: now.Add(-heardFor + 2*helloEvery)} // By hearsay: it must speak for itself soon.
 		}
 	}
 }
@@ -141,8 +154,8 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for a, at := range n.heard {
-		if now.Sub(at) > heardFor {
+	for a, other := range n.heard {
+		if now.Sub(other.at) > heardFor {
 			delete(n.heard, a)
 			n.log.Info("gateway not heard any more", zap.String("address", a))
 			continue
@@ -177,7 +190,10 @@
 	others := n.others()
 	n.g.SetOthers(len(others))
 	leaving, _ := n.g.leaving(time.Now())
-	m := peers.Message{Hello: &peers.Hello{Name: n.name, Life: n.life, Address: n.self, Known: others[:min(len(others), maxKnown)], Leaving: leaving}}
+	n.mu.Lock()
+	blind := n.blind
+	n.mu.Unlock()
+	m := peers.Message{Hello: &peers.Hello{Name: n.name, Life: n.life, Address: n.self, Domain: n.domain, Blind: blind, Known: others[:min(len(others), maxKnown)], Leaving: leaving}}
 	to := slices.Clone(others)
 	for _, s := range n.seeds {
 		if s != n.self && !slices.Contains(to, s) {
@@ -214,37 +230,6 @@
 	return list
 }
 
-// servePublished tells another gateway what this one knows.
-func (n *Neighbours) servePublished(w http.ResponseWriter, r *http.Request) {
-	version, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
-	if err != nil {
-		http.Error(w, "version: not a number", http.StatusBadRequest)
-		return
-	}
-	s := n.g.view.State()
-	if s.Config == nil {
-		http.Error(w, "nothing known yet", http.StatusServiceUnavailable)
-		return
-	}
-	// The age is taken after the state: the state may only be newer than it says.
-	p := published{Version: s.Config.Version(), Revision: s.ConfigRevision, Age: n.g.view.Age(time.Now())}
-	if p.Version > version {
-		p.Config = s.Config.Raw()
-	}
-	for id, e := range s.Endpoints {
-		if _, missing := s.Missing[id]; !missing {
-			p.Endpoints = append(p.Endpoints, e)
-		}
-	}
-	raw, err := json.Marshal(p)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(raw) // The other gateway sees an answer that is cut.
-}
-
 // borrow asks a neighbour for what is published, if the store has not told for
 // a while.
 func (n *Neighbours) borrow(ctx context.Context) {
@@ -279,15 +264,21 @@
 	}
 }
 
+// ask asks a neighbour for all that it knows.
 func (n *Neighbours) ask(ctx context.Context, from string) (p published, err error) {
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
+	return n.call(ctx, from, "")
+}
+
+// call asks a neighbour for what it knows.
+func (n *Neighbours) call(ctx context.Context, from, query string) (p published, err error) {
 	defer func() { err = errors.Wrapf(err, "gateway %s", from) }()
 	version := uint64(0)
 	if c := n.g.view.State().Config; c != nil {
 		version = c.Version()
 	}
-	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from+pathPublished+"?version="+strconv.FormatUint(version, 10), nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from+pathPublished+"?version="+strconv.FormatUint(version, 10)+query, nil)
 	if err != nil {
 		return p, err
 	}
@@ -307,16 +298,25 @@
 }
 
 // take puts a neighbour's view into the own one, with its age as seen from the
-// moment before it was asked.
+// moment before it was asked. Nothing is removed by it: the neighbour may be
+// further behind than the own view.
 func (n *Neighbours) take(p published, asked time.Time) error {
-	if len(p.Config) > 0 {
-		c, err := n.decode(p.Config)
-		if err != nil {
-			return err
-		}
-		n.g.view.Offer(c, p.Revision)
+	if err := n.takeConfig(p); err != nil {
+		return err
 	}
 	n.g.view.Merge(follow.Changes{Endpoints: p.Endpoints})
-	n.g.view.Confirm(p.Version, asked.Add(-p.Age))
+	n.g.view.Confirm(p.Version, asked.Add(p.Held-p.Age))
+	return nil
+}
+
+func (n *Neighbours) takeConfig(p published) error {
+	if len(p.Config) == 0 {
+		return nil
+	}
+	c, err := n.decode(p.Config)
+	if err != nil {
+		return err
+	}
+	n.g.view.Offer(c, p.Revision)
 	return nil
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -28,6 +28,8 @@
 	Name    string   `json:"n"`
 	Life    int64    `json:"l"`           // Start of the process, Unix milliseconds.
 	Address string   `json:"a"`           // Peer listener.
+	Domain  string   `json:"d,omitempty"`
+	Blind   bool     `json:"b,omitempty"` // The store does not answer it.
 	Known   []string `json:"k,omitempty"` // Other gateways that it hears.
 	Leaving bool     `json:"x,omitempty"`
 }
