--- /dev/null
+++ b/internal/rank/ranktest/group.go
@@ -0,0 +1,248 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package ranktest is a stand-in of a group of model engines that run passes in
+// lock-step and take orders, for tests and the soak. It says when a pass ran on
+// two maps. It is not for requests: what they cost is not played.
+package ranktest
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/canvaspulley/canvaspulley/internal/rank"
+)
+
+// Shape is the size of a group.
+type Shape struct {
+	Ranks   int
+	Sets    int
+	Experts int
+}
+
+// Group is a group of engines.
+type Group struct {
+	mu      sync.Mutex
+	shape   Shape
+	step    uint64
+	engines []engine
+	broken  string // Says how a pass ran on two maps.
+	lose    int    // Orders whose answer is lost, one in so many; 0 for none.
+	orders  int
+	hot     int // Place in each set of the expert that gets most.
+	changes int // Maps that came into force.
+}
+
+// engine is one rank's.
+type engine struct {
+	fence  uint64
+	report rank.Report
+	counts []uint64
+	maps   map[uint64][][][]int
+}
+
+// New returns a group on map 0 that loses the answer of one order in so many, 0
+// for none.
+func New(s Shape, lose int) *Group {
+	g := &Group{shape: s, lose: lose, engines: make([]engine, s.Ranks)}
+	for r := range g.engines {
+		g.engines[r] = engine{counts: make([]uint64, s.Sets*s.Experts), maps: map[uint64][][][]int{0: dealt(s)}}
+		g.engines[r].report = rank.Report{Group: "g", Epoch: 1, Rank: r, Size: s.Ranks, Open: true, Running: 4, Pace: 1}
+	}
+	return g
+}
+
+// dealt is map 0: experts in turn over the ranks.
+func dealt(s Shape) [][][]int {
+	layout := make([][][]int, s.Sets)
+	for k := range layout {
+		layout[k] = make([][]int, s.Ranks)
+		for x := range s.Experts {
+			layout[k][x%s.Ranks] = append(layout[k][x%s.Ranks], x)
+		}
+	}
+	return layout
+}
+
+// Run makes passes until ctx ends.
+func (g *Group) Run(ctx context.Context, pass time.Duration) error {
+	ticker := time.NewTicker(pass)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			g.pass()
+		}
+	}
+}
+
+// Shift makes other experts the ones that get most.
+func (g *Group) Shift(hot int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.hot = hot
+}
+
+// Forget makes a rank's counts begin anew, as after a restart of its requests.
+func (g *Group) Forget(r int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	clear(g.engines[r].counts)
+}
+
+// HoldAt sets which pass a rank holds, 0 for none.
+func (g *Group) HoldAt(r int, step uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.engines[r].report.Held = step
+}
+
+// Step returns the newest pass that began.
+func (g *Group) Step() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.step
+}
+
+func (g *Group) pass() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for r := range g.engines {
+		if g.engines[r].report.Held == g.step+1 {
+			return
+		}
+	}
+	g.step++
+	for r := range g.engines {
+		e := &g.engines[r]
+		e.report.Step = g.step
+		if e.report.Armed.Version != 0 && e.report.Armed.Step == g.step {
+			e.report.Map, e.report.Armed, e.report.Prepared = e.report.Armed.Version, rank.Arming{}, 0
+			if r == 0 {
+				g.changes++
+			}
+		}
+		for i := range e.counts { // A few experts of the first rank get nearly all.
+			e.counts[i] += 1
+			if x := (i + g.hot) % g.shape.Experts; x%g.shape.Ranks == 0 {
+				e.counts[i] += uint64(200 / (1 + x))
+			}
+		}
+	}
+	for r := range g.engines {
+		first, other := &g.engines[0], &g.engines[r]
+		if first.report.Map != other.report.Map || !equalMaps(first.maps[first.report.Map], other.maps[other.report.Map]) {
+			g.broken = fmt.Sprintf("pass %d on maps %d and %d", g.step, first.report.Map, other.report.Map)
+		}
+	}
+}
+
+// Order gives a rank an order.
+func (g *Group) Order(r int, o rank.Order) (rank.Result, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := &g.engines[r]
+	if o.Fence < e.fence {
+		return rank.Fenced, nil
+	}
+	result := g.obey(e, o)
+	if result == rank.Done {
+		e.fence = o.Fence
+	}
+	if g.orders++; g.lose > 0 && g.orders%g.lose == 0 {
+		return rank.Lost, errors.New("no answer")
+	}
+	return result, nil
+}
+
+func (g *Group) obey(e *engine, o rank.Order) rank.Result {
+	rep := &e.report
+	switch o.Op {
+	case rank.Prepare:
+		if o.Version <= max(rep.Map, rep.Prepared, rep.Armed.Version) || rep.Armed.Version != 0 {
+			return rank.Conflict
+		}
+		rep.Prepared, e.maps[o.Version] = o.Version, o.Map
+	case rank.Arm:
+		want := rank.Arming{Version: o.Version, Step: o.Step}
+		if rep.Armed != want && (rep.Prepared != o.Version || g.step >= o.Step || rep.Armed.Version != 0) {
+			return rank.Conflict
+		}
+		rep.Armed = want
+	case rank.Disarm:
+		if rep.Map == o.Version {
+			return rank.Conflict
+		}
+		if rep.Armed.Version == o.Version {
+			rep.Armed = rank.Arming{}
+		}
+	case rank.Hold:
+		if g.step >= o.Step || rep.Held != 0 && rep.Held != o.Step {
+			return rank.Conflict
+		}
+		rep.Held = o.Step
+	case rank.Go:
+		if rep.Held == o.Step {
+			rep.Held = 0
+		}
+	}
+	return rank.Done
+}
+
+// Engine returns the engine of a rank as a sidecar sees it.
+func (g *Group) Engine(r int) rank.Engine {
+	return rank.Engine{
+		Report: func(context.Context) (rank.Report, error) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return g.engines[r].report, nil
+		},
+		Counts: func(context.Context) (rank.Counts, error) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return rank.Counts{Epoch: 1, Step: g.step, Flat: append([]uint64(nil), g.engines[r].counts...)}, nil
+		},
+		Held: func(context.Context) (rank.Held, error) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			h := rank.Held{Epoch: 1, Version: g.engines[r].report.Map}
+			for _, set := range g.engines[r].maps[h.Version] {
+				h.Sets = append(h.Sets, set[r])
+			}
+			return h, nil
+		},
+		Order: func(_ context.Context, o rank.Order) (rank.Result, error) { return g.Order(r, o) },
+	}
+}
+
+// State returns the map in force, which rank holds a pass, if one does, and how
+// a pass ran on two maps, if one did.
+func (g *Group) State() (version uint64, held, broken string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for r := range g.engines {
+		if g.engines[r].report.Held != 0 {
+			held = fmt.Sprintf("rank %d holds %d", r, g.engines[r].report.Held)
+		}
+	}
+	return g.engines[0].report.Map, held, g.broken
+}
+
+// Changes returns how many maps came into force.
+func (g *Group) Changes() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.changes
+}
+
+func equalMaps(a, b [][][]int) bool {
+	return slices.EqualFunc(a, b, func(x, y [][]int) bool {
+		return slices.EqualFunc(x, y, func(p, q []int) bool { return slices.Equal(p, q) })
+	})
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 
@@ -21,6 +20,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
+	"github.com/canvaspulley/canvaspulley/internal/rank/ranktest"
 )
 
 const (
@@ -30,155 +30,6 @@
 	places  = 6
 )
 
-// group is a stand-in of a group of engines that run passes in lock-step.
-type group struct {
-	mu      sync.Mutex
-	step    uint64
-	engines [ranks]standIn
-	broken  string // Says how a pass ran on two maps.
-	lose    int    // Orders whose answer is lost, one in so many; 0 for none.
-	orders  int
-}
-
-// standIn is one engine.
-type standIn struct {
-	fence  uint64
-	report rank.Report
-	counts []uint64
-	maps   map[uint64][][][]int
-}
-
-func newGroup(lose int) *group {
-	g := &group{lose: lose}
-	for r := range g.engines {
-		g.engines[r] = standIn{counts: make([]uint64, sets*experts), maps: map[uint64][][][]int{}}
-		g.engines[r].report = rank.Report{Group: "g", Epoch: 1, Rank: r, Size: ranks, Open: true, Running: 4, Pace: 1}
-	}
-	return g
-}
-
-// run makes passes until ctx ends.
-func (g *group) run(ctx context.Context) error {
-	return every(ctx, 5*time.Millisecond, func(context.Context) { g.pass() })
-}
-
-func (g *group) pass() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for r := range g.engines {
-		if g.engines[r].report.Held == g.step+1 {
-			return
-		}
-	}
-	g.step++
-	for r := range g.engines {
-		e := &g.engines[r]
-		e.report.Step = g.step
-		if e.report.Armed.Version != 0 && e.report.Armed.Step == g.step {
-			e.report.Map, e.report.Armed, e.report.Prepared = e.report.Armed.Version, rank.Arming{}, 0
-		}
-		for i := range e.counts { // A few experts of the first rank get nearly all.
-			e.counts[i] += 1
-			if x := i % experts; x%ranks == 0 {
-				e.counts[i] += uint64(200 / (1 + x))
-			}
-		}
-	}
-	for r := range g.engines {
-		if g.engines[r].report.Map != g.engines[0].report.Map {
-			g.broken = fmt.Sprintf("pass %d on maps %d and %d", g.step, g.engines[0].report.Map, g.engines[r].report.Map)
-		}
-	}
-}
-
-func (g *group) order(r int, o rank.Order) (rank.Result, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	e := &g.engines[r]
-	if o.Fence < e.fence {
-		return rank.Fenced, nil
-	}
-	result := g.obey(e, o)
-	if result == rank.Done {
-		e.fence = o.Fence
-	}
-	if g.orders++; g.lose > 0 && g.orders%g.lose == 0 {
-		return rank.Lost, errors.New("no answer")
-	}
-	return result, nil
-}
-
-func (g *group) obey(e *standIn, o rank.Order) rank.Result {
-	rep := &e.report
-	switch o.Op {
-	case rank.Prepare:
-		if o.Version <= max(rep.Map, rep.Prepared, rep.Armed.Version) || rep.Armed.Version != 0 {
-			return rank.Conflict
-		}
-		rep.Prepared, e.maps[o.Version] = o.Version, o.Map
-	case rank.Arm:
-		want := rank.Arming{Version: o.Version, Step: o.Step}
-		if rep.Armed != want && (rep.Prepared != o.Version || g.step >= o.Step || rep.Armed.Version != 0) {
-			return rank.Conflict
-		}
-		rep.Armed = want
-	case rank.Disarm:
-		if rep.Map == o.Version {
-			return rank.Conflict
-		}
-		if rep.Armed.Version == o.Version {
-			rep.Armed = rank.Arming{}
-		}
-	case rank.Hold:
-		if g.step >= o.Step || rep.Held != 0 && rep.Held != o.Step {
-			return rank.Conflict
-		}
-		rep.Held = o.Step
-	case rank.Go:
-		if rep.Held == o.Step {
-			rep.Held = 0
-		}
-	}
-	return rank.Done
-}
-
-// engine returns the engine of a rank as a sidecar sees it.
-func (g *group) engine(r int) rank.Engine {
-	return rank.Engine{
-		Report: func(context.Context) (rank.Report, error) {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			return g.engines[r].report, nil
-		},
-		Counts: func(context.Context) (rank.Counts, error) {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			return rank.Counts{Epoch: 1, Step: g.step, Flat: append([]uint64(nil), g.engines[r].counts...)}, nil
-		},
-		Held: func(context.Context) (rank.Held, error) {
-			g.mu.Lock()
-			defer g.mu.Unlock()
-			h := rank.Held{Epoch: 1, Version: g.engines[r].report.Map}
-			for _, set := range g.engines[r].maps[h.Version] {
-				h.Sets = append(h.Sets, set[r])
-			}
-			return h, nil
-		},
-		Order: func(_ context.Context, o rank.Order) (rank.Result, error) { return g.order(r, o) },
-	}
-}
-
-func (g *group) state() (version uint64, held, broken string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for r := range g.engines {
-		if g.engines[r].report.Held != 0 {
-			held = fmt.Sprintf("rank %d holds %d", r, g.engines[r].report.Held)
-		}
-	}
-	return g.engines[0].report.Map, held, g.broken
-}
-
 // freePort returns a port that is free on every rank's address.
 func freePort(g *WithT) int {
 	for range 20 {
@@ -206,7 +57,7 @@
 	stop [ranks]context.CancelFunc
 }
 
-func startSidecars(t *testing.T, engines *group) *running {
+func startSidecars(t *testing.T, engines *ranktest.Group) *running {
 	g := NewWithT(t)
 	port := freePort(g)
 	address := func(r int) string { return fmt.Sprintf("127.0.0.%d:9", r+1) }
@@ -222,7 +73,7 @@
 	dial := func(a string) rank.Engine {
 		for r := range ranks {
 			if address(r) == a {
-				return engines.engine(r)
+				return engines.Engine(r)
 			}
 		}
 		return rank.Engine{}
@@ -237,7 +88,7 @@
 		l, err := net.Listen("tcp4", own)
 		g.Expect(err).NotTo(HaveOccurred())
 		s, cleanup := New(Config{Address: address(r), PeersPort: port, SkewPrice: 1e6, CopyPrice: 0.01, Fences: true},
-			engines.engine(r), dial, source, socket, zap.NewNop(), metrics.NewRegistry())
+			engines.Engine(r), dial, source, socket, zap.NewNop(), metrics.NewRegistry())
 		ctx, cancel := context.WithCancel(context.Background())
 		run.stop[r] = cancel
 		srv := &http.Server{Handler: s.Handler()}
@@ -253,7 +104,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	all.Go(func() error { return engines.run(ctx) })
+	all.Go(func() error { return engines.Run(ctx, 5*time.Millisecond) })
 	return run
 }
 
@@ -268,24 +119,22 @@
 	}{{"calm", 0}, {"one answer in five is lost", 5}} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
-			engines := newGroup(tc.lose)
+			engines := ranktest.New(ranktest.Shape{Ranks: ranks, Sets: sets, Experts: experts}, tc.lose)
 			run := startSidecars(t, engines)
-			version := func() uint64 { v, _, _ := engines.state(); return v }
+			version := func() uint64 { v, _, _ := engines.State(); return v }
 			g.Eventually(version, eventually).Should(BeNumerically(">", 0))
 			first := version()
 			run.stop[0]()
 			// Another rank leads: a load that shifts is followed again, and no hold
 			// is left behind.
-			engines.mu.Lock()
-			for r := range engines.engines {
-				clear(engines.engines[r].counts)
-				engines.engines[r].report.Held = 0
+			for r := range ranks {
+				engines.Forget(r)
+				engines.HoldAt(r, 0)
 			}
-			engines.engines[0].report.Held = engines.step + 50
-			engines.mu.Unlock()
-			g.Eventually(func() string { _, held, _ := engines.state(); return held }, eventually).Should(BeEmpty())
+			engines.HoldAt(0, engines.Step()+50)
+			g.Eventually(func() string { _, held, _ := engines.State(); return held }, eventually).Should(BeEmpty())
 			g.Expect(version()).To(BeNumerically(">=", first))
-			_, _, broken := engines.state()
+			_, _, broken := engines.State()
 			g.Expect(broken).To(BeEmpty())
 		})
 	}
