internal/soak: a fault soak of separate processes

canvaspulley soak runs gateways and sidecars as processes before stand-ins of the users' platform and makes trouble from outside by a schedule that follows from a seed: signals, proxies that delay, reset, cut one way or silence, the store, endpoints that crash, leave or answer badly, configuration. It judges what callers and endpoints saw.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -53,6 +53,7 @@
 		{"check", "judge a folder of configuration as the daemon would", &checkVerb{app: a}},
 		{"pack", "sign a folder of configuration as one generation", &packVerb{app: a}},
 		{"policy", "say what a policy answers for given requests", &policyVerb{app: a}},
+		{"soak", "run gateways and sidecars as processes under trouble, and check the promises", &soakVerb{app: a}},
 		{"load", "send requests at a rate and check every answer", &loadVerb{app: a}},
 		{"experiment", "measure the decisions against their naive versions", newExperimentVerb(a)},
 		{"capacity", "work out what a site of a given size costs", &capacityVerb{app: a}},
--- /dev/null
+++ b/internal/cli/soak.go
@@ -0,0 +1,67 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/canvaspulley/canvaspulley/internal/soak"
+)
+
+// soakVerb runs gateways and sidecars as processes under trouble.
+type soakVerb struct {
+	app     *app
+	Seed    uint64  `long:"seed" default:"1" description:"first seed; the schedule of the trouble follows from it"`
+	Runs    int     `long:"runs" default:"1" description:"seeds to run, one after the other"`
+	Seconds float64 `long:"seconds" default:"24" description:"length of a run; its last 8 s are without trouble"`
+	Daemon  string  `long:"daemon" description:"program of the daemon (default: canvaspulleyd beside this program)"`
+	Dir     string  `long:"dir" description:"folder for settings and logs (default: the system's for temporary files)"`
+	Sizes   struct {
+		Gateways int `long:"gateways" default:"4"`
+		Ranks    int `long:"ranks" default:"3"`
+		Plain    int `long:"plain" default:"6" description:"endpoints of plain services"`
+		Callers  int `long:"callers" default:"3" description:"at each gateway"`
+	} `group:"size of the site"`
+	Quiet bool `long:"quiet" description:"tell only what became of each run"`
+}
+
+// Execute runs the verb.
+func (v *soakVerb) Execute([]string) error {
+	daemon := v.Daemon
+	if daemon == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		daemon = filepath.Join(filepath.Dir(self), "canvaspulleyd")
+	}
+	broken := 0
+	for i := range v.Runs {
+		cfg := soak.Usual(v.Seed + uint64(i))
+		cfg.Daemon, cfg.Dir, cfg.Length, cfg.Log = daemon, v.Dir, time.Duration(v.Seconds*float64(time.Second)), v.app.out
+		cfg.Gateways, cfg.Ranks, cfg.Plain, cfg.Callers = v.Sizes.Gateways, v.Sizes.Ranks, v.Sizes.Plain, v.Sizes.Callers
+		if v.Quiet {
+			cfg.Log = io.Discard
+		}
+		r, err := soak.Run(context.Background(), cfg)
+		if err != nil {
+			return errors.Wrapf(err, "seed %d", cfg.Seed)
+		}
+		fmt.Fprintf(v.app.out, "seed %d: %d requests, %d served, %d faults, %d maps, %d promises broken; logs in %s\n", cfg.Seed, r.Requests, r.Served, r.Faults, r.Maps, len(r.Broken), r.Dir)
+		for _, b := range r.Broken {
+			fmt.Fprintln(v.app.out, "  broken:", b)
+		}
+		broken += len(r.Broken)
+	}
+	if broken > 0 {
+		return failed(errors.Newf("%d promises broken", broken))
+	}
+	return nil
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -26,8 +26,8 @@
 // gateways learn whom they may ask.
 type Hello struct {
 	Name    string   `json:"n"`
-	Life    int64    `json:"l"`           // Start of the process, Unix milliseconds.
-	Address string   `json:"a"`           // Peer listener.
+	Life    int64    `json:"l"` // Start of the process, Unix milliseconds.
+	Address string   `json:"a"` // Peer listener.
 	Domain  string   `json:"d,omitempty"`
 	Blind   bool     `json:"b,omitempty"` // The store does not answer it.
 	Known   []string `json:"k,omitempty"` // Other gateways that it hears.
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,262 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/platform/standin"
+)
+
+// faultKind is a kind of trouble that the soak makes.
+type faultKind int
+
+// The kinds of trouble.
+const (
+	killGateway faultKind = iota
+	stopGateway
+	pauseGateway
+	reloadGateway
+	killSidecar
+	pauseSidecar
+	spoilLink      // Between a gateway and an endpoint.
+	spoilStoreLink // Between a gateway and the store.
+	storeRefuses
+	storeSilent
+	storeForgets
+	takeKey
+	moveRoute
+	manyVersions
+	replaceEndpoint // A planned end: it leaves, and another comes.
+	crashEndpoint   // It goes without a word.
+	misbehave
+	shiftLoad
+	faultKinds
+)
+
+var faultNames = [...]string{"kill gateway", "stop gateway", "pause gateway", "reload gateway", "kill sidecar", "pause sidecar",
+	"spoil link", "spoil store link", "store refuses", "store silent", "store forgets", "take key", "move route", "many versions",
+	"replace endpoint", "crash endpoint", "misbehave", "shift load"}
+
+// fault is one trouble of a schedule.
+type fault struct {
+	at    time.Duration // From the start of the run.
+	kind  faultKind
+	which int // Of the things that it can strike.
+	how   int // Variant.
+	lasts time.Duration
+}
+
+func (f fault) String() string {
+	return fmt.Sprintf("%6.2f s %s (which %d, how %d, %.2f s)", f.at.Seconds(), faultNames[f.kind], f.which, f.how, f.lasts.Seconds())
+}
+
+// Times of a schedule. Faults overlap: they come faster than they end.
+const (
+	firstFault   = time.Second
+	shortestGap  = 80 * time.Millisecond
+	longestGap   = 700 * time.Millisecond
+	shortest     = 200 * time.Millisecond
+	longest      = 2500 * time.Millisecond
+	calmTail     = 8 * time.Second // Without faults, at the end: the site must serve again.
+	restartPause = 150 * time.Millisecond
+)
+
+// schedule returns the troubles of a seed, in order.
+func schedule(seed uint64, length time.Duration) (list []fault) {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	between := func(a, b time.Duration) time.Duration { return a + time.Duration(rnd.Int64N(int64(b-a))) }
+	for at := firstFault; at < length-calmTail; at += between(shortestGap, longestGap) {
+		list = append(list, fault{at: at, kind: faultKind(rnd.IntN(int(faultKinds))), which: rnd.IntN(1000), how: rnd.IntN(1000), lasts: between(shortest, longest)})
+	}
+	return list
+}
+
+// strike makes one trouble and returns when it is over.
+func (s *site) strike(f fault) error {
+	g := f.which % len(s.gateways)
+	gateway := s.gateways[g]
+	sidecar := s.sidecars[f.which%len(s.sidecars)]
+	switch f.kind {
+	case killGateway:
+		return s.restart(g, gateway.proc, syscall.SIGKILL, 0)
+	case stopGateway:
+		return s.restart(g, gateway.proc, syscall.SIGTERM, grace)
+	case pauseGateway:
+		s.disturb(g, f.lasts, func() { gateway.proc.pause(f.lasts) })
+	case reloadGateway:
+		gateway.proc.signal(syscall.SIGHUP)
+	case killSidecar:
+		return s.restart(-1, sidecar.proc, syscall.SIGKILL, 0)
+	case pauseSidecar:
+		sidecar.proc.pause(f.lasts)
+	case spoilLink:
+		e := s.endpoint(f.which / 7)
+		s.spoil(g, e.proxy, f)
+	case spoilStoreLink:
+		s.spoil(g, s.storeVia, f)
+	case storeRefuses, storeSilent:
+		mode := standin.Refuses
+		if f.kind == storeSilent {
+			mode = standin.Silent
+		}
+		s.disturbAll(f.lasts, func() {
+			s.store.SetMode(mode)
+			time.Sleep(f.lasts)
+			s.store.SetMode(standin.Well)
+		})
+	case storeForgets:
+		s.disturbAll(0, s.store.Forget)
+	case takeKey, moveRoute, manyVersions:
+		return s.change(f)
+	case replaceEndpoint:
+		return s.replace(f)
+	case crashEndpoint:
+		return s.crash(f)
+	case misbehave:
+		kinds := []standin.Behaviour{standin.TurnsAway, standin.Fails, standin.CutsShort, standin.LosesAnswer, standin.AnswersTwice}
+		s.endpoint(f.which).misbehave(kinds[f.how%len(kinds)], f.lasts)
+	case shiftLoad:
+		s.group.Shift(f.how)
+	}
+	return nil
+}
+
+// grace is how long a planned stop may take, as the settings say.
+const grace = 8 * time.Second
+
+// restart ends a process by a signal and starts it again. Gateway is -1 for a
+// sidecar.
+func (s *site) restart(gateway int, p *process, sig syscall.Signal, patience time.Duration) error {
+	began := time.Now()
+	over := p.signal(sig)
+	if sig == syscall.SIGTERM && !within(over, patience+slack) {
+		s.ledger.note(func(l *ledger) { l.ends = append(l.ends, p.name+" did not end within its grace period") })
+		p.signal(syscall.SIGKILL)
+	}
+	within(over, grace)
+	ended := time.Now()
+	if gateway >= 0 {
+		s.ledger.note(func(l *ledger) {
+			if sig == syscall.SIGTERM {
+				l.stopping[gateway] = append(l.stopping[gateway], span{began, ended})
+				began = ended
+			}
+			l.spans[gateway] = append(l.spans[gateway], span{began, ended.Add(restartPause)})
+		})
+	}
+	time.Sleep(restartPause)
+	return p.again()
+}
+
+// disturb notes that a gateway is disturbed while do runs.
+func (s *site) disturb(gateway int, lasts time.Duration, do func()) {
+	s.ledger.disturb(gateway, span{time.Now(), time.Now().Add(lasts + slack)})
+	do()
+}
+
+// disturbAll notes that the store is disturbed while do runs, which is to all
+// gateways alike.
+func (s *site) disturbAll(lasts time.Duration, do func()) {
+	for g := range s.gateways {
+		s.ledger.disturb(g, span{time.Now(), time.Now().Add(lasts + slack)})
+	}
+	do()
+}
+
+// spoil spoils a gateway's connections through a proxy for a while.
+func (s *site) spoil(gateway int, p *proxy, f fault) {
+	kind := linkFault(1 + f.how%linkFaultCount)
+	s.say("        link of gateway-%d %s", gateway, linkNames[kind])
+	s.disturb(gateway, f.lasts, func() {
+		p.set(s.gateways[gateway].ip, kind)
+		time.Sleep(f.lasts)
+		p.set(s.gateways[gateway].ip, linkWell)
+	})
+}
+
+// endpoint returns one of the endpoints that are there.
+func (s *site) endpoint(which int) *endpointAt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoints[which%len(s.endpoints)]
+}
+
+// change publishes one or more versions.
+func (s *site) change(f fault) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch f.kind {
+	case takeKey:
+		c := f.which % customers
+		gone := s.keys[c][0]
+		s.keys[c] = append(append([]string(nil), s.keys[c][1:]...), fmt.Sprintf("key-%d-%d", c, s.version+2))
+		s.taken = append(s.taken, gone)
+		defer s.ledger.note(func(l *ledger) { l.taken[gone] = time.Now() })
+	case moveRoute:
+		s.movedTo = plainNames[f.which%len(plainNames)]
+		to := s.movedTo
+		defer s.ledger.note(func(l *ledger) {
+			if l.movedTo != to {
+				l.moved, l.movedTo = time.Now(), to
+			}
+		})
+	case manyVersions:
+		for range 5 {
+			if err := s.publish(); err != nil {
+				return err
+			}
+		}
+	}
+	return s.publish()
+}
+
+// replace makes a plain endpoint leave as planned, and another one come.
+func (s *site) replace(f fault) error {
+	s.mu.Lock()
+	i := s.cfg.Ranks + f.which%s.cfg.Plain
+	old := s.endpoints[i]
+	next, err := s.addEndpoint(old.service, plainIP+s.births%60, nil)
+	if err == nil {
+		s.endpoints = s.endpoints[:len(s.endpoints)-1]
+		s.endpoints[i] = next
+		err = s.store.List(fleet.Endpoint{ID: old.name, Service: old.service, Address: old.address, Domain: "a", Slots: 8, Leaving: true})
+	}
+	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	s.ledger.note(func(l *ledger) { l.left[old.name] = time.Now() })
+	time.Sleep(drainBound + slack)
+	s.store.Remove(old.name)
+	time.Sleep(patience) // It serves on for a while.
+	return old.srv.Close()
+}
+
+// crash makes a plain endpoint go without a word; its entry goes later, and
+// another one comes.
+func (s *site) crash(f fault) error {
+	s.mu.Lock()
+	i := s.cfg.Ranks + f.which%s.cfg.Plain
+	old := s.endpoints[i]
+	old.misbehave(standin.LosesAnswer, time.Hour) // What it has begun is lost, too.
+	next, err := s.addEndpoint(old.service, plainIP+s.births%60, nil)
+	if err == nil {
+		s.endpoints = s.endpoints[:len(s.endpoints)-1]
+		s.endpoints[i] = next
+	}
+	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if err := old.srv.Close(); err != nil {
+		return err
+	}
+	time.Sleep(f.lasts)
+	s.store.Remove(old.name)
+	return nil
+}
--- /dev/null
+++ b/internal/soak/ledger.go
@@ -0,0 +1,201 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/canvaspulley/canvaspulley/platform/standin"
+)
+
+// Bounds that the pages of the users give for the two small sites.
+const (
+	revocationBound    = 5 * time.Second
+	configurationBound = 2 * time.Second
+	drainBound         = 2 * time.Second
+	// calmBefore is how long nothing must have disturbed a gateway for the bounds
+	// above to hold for it; a key that was taken away counts always.
+	calmBefore = 3 * time.Second
+	// slack is what this machine's own scheduling may add to a bound.
+	slack = 300 * time.Millisecond
+)
+
+// kind is what may be done with a request.
+type kind int
+
+// The kinds.
+const (
+	once kind = iota
+	repeatable
+	stream
+)
+
+// request is one attempt of a caller and what became of it.
+type request struct {
+	id       string
+	kind     kind
+	gateway  int
+	customer string
+	key      string
+	service  string // That the newest configuration named as it was sent.
+	sent     time.Time
+	ended    time.Time
+	status   int    // 0 when no head of an answer came.
+	whole    bool   // The answer came to its end.
+	wrong    string // What is wrong with what came, "" for nothing.
+	runs     []standin.Run
+	spoiled  bool // An endpoint was made to answer badly.
+}
+
+// span is a time in which something disturbed a gateway.
+type span struct{ from, to time.Time }
+
+// ledger holds what callers and endpoints saw.
+type ledger struct {
+	mu        sync.Mutex
+	requests  map[string]*request
+	spans     map[int][]span       // Disturbances by gateway.
+	stopping  map[int][]span       // Planned stops by gateway; they are no disturbance.
+	taken     map[string]time.Time // Keys that were taken away, by when that was acknowledged.
+	moved     time.Time            // When the route last moved to another service.
+	movedTo   string
+	left      map[string]time.Time // Endpoints that leave, by when that was acknowledged.
+	strangers []string             // Runs that no caller asked for.
+	ends      []string             // Processes that ended by themselves or not at all.
+}
+
+func newLedger() *ledger {
+	return &ledger{requests: map[string]*request{}, spans: map[int][]span{}, stopping: map[int][]span{}, taken: map[string]time.Time{}, left: map[string]time.Time{}}
+}
+
+func (l *ledger) begin(r *request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.requests[r.id] = r
+}
+
+// ran notes that an endpoint began to run a request.
+func (l *ledger) ran(run standin.Run, spoiled bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.requests[run.ID]
+	if !ok {
+		l.strangers = append(l.strangers, run.ID)
+		return
+	}
+	r.runs = append(r.runs, run)
+	r.spoiled = r.spoiled || spoiled
+}
+
+// disturb notes a disturbance of a gateway.
+func (l *ledger) disturb(gateway int, s span) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.spans[gateway] = append(l.spans[gateway], s)
+}
+
+func (l *ledger) note(f func(l *ledger)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(l)
+}
+
+// calm reports whether nothing disturbed a gateway in a time and calmBefore it.
+func (l *ledger) calm(gateway int, from, to time.Time) bool {
+	return !slices.ContainsFunc(l.spans[gateway], func(s span) bool {
+		return s.from.Before(to) && s.to.After(from.Add(-calmBefore))
+	})
+}
+
+// promisesNotRun are the statuses that say that a request never runs.
+var promisesNotRun = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
+
+// judge returns every broken promise; those with a bound in time only if timed
+// is set.
+func (l *ledger) judge(timed bool) (broken []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	say := func(r *request, format string, args ...any) {
+		broken = append(broken, fmt.Sprintf("request %s at gateway %d, sent %s: ", r.id, r.gateway, r.sent.Format(clock))+fmt.Sprintf(format, args...))
+	}
+	for _, id := range l.strangers {
+		broken = append(broken, fmt.Sprintf("an endpoint ran %q, which no caller sent", id))
+	}
+	broken = append(broken, l.ends...)
+	for _, r := range l.requests {
+		if r.wrong != "" {
+			say(r, "%s", r.wrong)
+		}
+		if r.kind == once && len(r.runs) > 1 {
+			say(r, "may run once, ran at %s and %s", r.runs[0].Endpoint, r.runs[1].Endpoint)
+		}
+		if r.kind == once && len(r.runs) > 0 && slices.Contains(promisesNotRun, r.status) {
+			say(r, "status %d, but it ran at %s", r.status, r.runs[0].Endpoint)
+		}
+		for _, run := range r.runs {
+			if run.Customer != r.customer {
+				say(r, "ran for customer %q, its key is of %q", run.Customer, r.customer)
+			}
+			if timed {
+				l.judgeRun(r, run, say)
+			}
+		}
+		if timed {
+			l.judgeStop(r, say)
+		}
+	}
+	slices.Sort(broken)
+	return broken
+}
+
+// judgeRun checks the bounds of one run.
+func (l *ledger) judgeRun(r *request, run standin.Run, say func(*request, string, ...any)) {
+	if at, ok := l.taken[r.key]; ok && r.sent.Sub(at) > revocationBound+slack {
+		say(r, "ran %v after its key was taken away", r.sent.Sub(at))
+	}
+	if !l.calm(r.gateway, r.sent, run.At) {
+		return
+	}
+	if at, ok := l.left[run.Endpoint]; ok && run.At.Sub(at) > drainBound+slack && l.calm(r.gateway, at, run.At) {
+		say(r, "reached %s %v after that said that it leaves", run.Endpoint, run.At.Sub(at))
+	}
+	if r.service != "" && run.Path == movingPath && r.sent.Sub(l.moved) > configurationBound+slack && l.calm(r.gateway, l.moved, run.At) && serviceOf(run.Endpoint) != l.movedTo {
+		say(r, "ran at %s %v after its route went to %s", run.Endpoint, r.sent.Sub(l.moved), l.movedTo)
+	}
+}
+
+// judgeStop checks that a planned stop cut nothing off that had reached an
+// endpoint.
+func (l *ledger) judgeStop(r *request, say func(*request, string, ...any)) {
+	if r.whole || len(r.runs) == 0 || r.spoiled || !l.calm(r.gateway, r.sent, r.ended) {
+		return
+	}
+	for _, s := range l.stopping[r.gateway] {
+		if s.from.Before(r.ended) && s.to.After(r.sent) {
+			say(r, "was cut off in a planned stop that began %s", s.from.Format(clock))
+		}
+	}
+}
+
+// clock is how times are written.
+const clock = "15:04:05.000"
+
+// served counts the requests sent in a time and those of them that were served.
+func (l *ledger) served(from, to time.Time) (sent, served int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.requests {
+		if r.sent.Before(from) || !r.sent.Before(to) {
+			continue
+		}
+		sent++
+		if r.whole && r.status == http.StatusOK {
+			served++
+		}
+	}
+	return sent, served
+}
--- /dev/null
+++ b/internal/soak/site.go
@@ -0,0 +1,370 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/rank/ranktest"
+	"github.com/canvaspulley/canvaspulley/platform/standin"
+)
+
+// Names of the soak's site.
+const (
+	host       = "soak.example"
+	movingPath = "/once/x" // Its route moves between the two plain services.
+	modelName  = "model"
+	fileMode   = 0o600
+)
+
+var plainNames = [...]string{"east", "west"}
+
+// passTime is how often the stand-in engines make a pass.
+const passTime = 10 * time.Millisecond
+
+// gatewayAt is one gateway of the site.
+type gatewayAt struct {
+	ip, callers, readiness, peers, file string
+	proc                                *process
+}
+
+// endpointAt is one stand-in of an endpoint, behind a proxy.
+type endpointAt struct {
+	name    string
+	service string
+	address string // Of the proxy, as published.
+	proxy   *proxy
+	mu      sync.Mutex
+	does    standin.Behaviour
+	until   time.Time
+	srv     *http.Server
+}
+
+// behave returns what the endpoint does with the next request.
+func (e *endpointAt) behave() standin.Behaviour {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if time.Now().After(e.until) {
+		return standin.Serves
+	}
+	return e.does
+}
+
+func (e *endpointAt) misbehave(b standin.Behaviour, d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.does, e.until = b, time.Now().Add(d)
+}
+
+// sidecarAt is the sidecar beside a stand-in engine.
+type sidecarAt struct {
+	file string
+	proc *process
+}
+
+// site is the stand-ins and the processes of one run.
+type site struct {
+	cfg      Config
+	dir      string
+	net      string // First three numbers of the site's own loopback addresses.
+	store    *standin.Store
+	storeAt  string
+	storeVia *proxy
+	group    *ranktest.Group
+	gateways []*gatewayAt
+	sidecars []*sidecarAt
+	ledger   *ledger
+	servers  errgroup.Group
+	closers  []func()
+	logMu    sync.Mutex
+
+	mu        sync.Mutex // Guards what follows.
+	endpoints []*endpointAt
+	version   uint64
+	movedTo   string
+	keys      [][]string // In force, by customer.
+	taken     []string   // Keys that were taken away, with their customer.
+	births    int
+	port      int // Of sidecars.
+}
+
+// customers is how many there are.
+const customers = 3
+
+func customerName(i int) string { return fmt.Sprintf("customer-%d", i) }
+
+// newSite lays out and starts everything but the callers.
+func newSite(cfg Config) (s *site, err error) {
+	defer func() { err = errors.Wrap(err, "soak site") }()
+	pid := os.Getpid()
+	s = &site{cfg: cfg, net: fmt.Sprintf("127.%d.%d", 64+pid%128, pid/128%250), store: standin.NewStore(), ledger: newLedger(), movedTo: plainNames[0]}
+	s.ledger.moved, s.ledger.movedTo = time.Now(), s.movedTo
+	if s.dir, err = os.MkdirTemp(cfg.Dir, fmt.Sprintf("seed-%d-", cfg.Seed)); err != nil {
+		return nil, err
+	}
+	if err = s.startPlatform(); err != nil {
+		s.close()
+		return nil, err
+	}
+	if err = s.startProcesses(); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// ip returns the site's address with a last number.
+func (s *site) ip(last int) string { return fmt.Sprintf("%s.%d", s.net, last) }
+
+// Last numbers of addresses.
+const (
+	storeIP   = 1
+	gatewayIP = 10
+	engineIP  = 100
+	plainIP   = 180
+)
+
+// serve serves a handler at a free port of an address.
+func (s *site) serve(ip string, h http.Handler) (address string, srv *http.Server, err error) {
+	l, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return "", nil, err
+	}
+	srv = &http.Server{Handler: h, ReadHeaderTimeout: patience}
+	s.servers.Go(func() error {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	s.closers = append(s.closers, func() { _ = srv.Close() })
+	return l.Addr().String(), srv, nil
+}
+
+// via puts a proxy before a target.
+func (s *site) via(ip, target string) (p *proxy, address string, err error) {
+	p, cleanup, err := newProxy(net.JoinHostPort(ip, "0"), target)
+	if err != nil {
+		return nil, "", err
+	}
+	s.closers = append(s.closers, cleanup)
+	return p, p.l.Addr().String(), nil
+}
+
+func (s *site) startPlatform() (err error) {
+	target, _, err := s.serve(s.ip(storeIP), s.store)
+	if err != nil {
+		return err
+	}
+	if s.storeVia, s.storeAt, err = s.via(s.ip(storeIP), target); err != nil {
+		return err
+	}
+	s.group = ranktest.New(ranktest.Shape{Ranks: s.cfg.Ranks, Sets: 2, Experts: 4 * s.cfg.Ranks}, 0)
+	passes, stop := context.WithCancel(context.Background())
+	s.closers = append(s.closers, stop)
+	s.servers.Go(func() error { return s.group.Run(passes, passTime) })
+	for c := range customers {
+		s.keys = append(s.keys, []string{fmt.Sprintf("key-%d-0", c), fmt.Sprintf("key-%d-1", c)})
+	}
+	for r := range s.cfg.Ranks {
+		if _, err = s.addEndpoint(modelName, engineIP+r, standin.Engine(s.group.Engine(r))); err != nil {
+			return err
+		}
+	}
+	for i := range s.cfg.Plain {
+		if _, err = s.addEndpoint(plainNames[i%len(plainNames)], plainIP+i, nil); err != nil {
+			return err
+		}
+	}
+	return s.publish()
+}
+
+// addEndpoint starts an endpoint and lists it.
+func (s *site) addEndpoint(service string, last int, engine http.Handler) (e *endpointAt, err error) {
+	s.births++
+	e = &endpointAt{name: fmt.Sprintf("%s-%d", service, s.births), service: service}
+	h := &standin.Endpoint{Name: e.name, Behave: e.behave, Pause: passTime, Engine: engine, Ran: func(r standin.Run) {
+		s.ledger.ran(r, e.behave() != standin.Serves)
+	}}
+	target, srv, err := s.serve(s.ip(last), h)
+	if err != nil {
+		return nil, err
+	}
+	e.srv = srv
+	if e.proxy, e.address, err = s.via(s.ip(last), target); err != nil {
+		return nil, err
+	}
+	s.endpoints = append(s.endpoints, e)
+	return e, s.store.List(fleet.Endpoint{ID: e.name, Service: service, Address: e.address, Domain: "a", Slots: 8})
+}
+
+// serviceOf returns the service of an endpoint's name.
+func serviceOf(endpoint string) string {
+	service, _, _ := strings.Cut(endpoint, "-")
+	return service
+}
+
+// publish writes the configuration as it is to be now, as a new version. The
+// caller holds mu, or nothing runs yet.
+func (s *site) publish() error {
+	s.version += 1 + uint64(s.births%3)
+	all := []fleet.Share{{Service: plainNames[0], Weight: 1}, {Service: plainNames[1], Weight: 1}}
+	route := func(name string, k fleet.Kind, to ...fleet.Share) fleet.Route {
+		return fleet.Route{Name: name, Host: host, PathPrefix: "/" + name + "/", Kind: k, Timeout: patience, Target: 300 * time.Millisecond, Attempts: 2, Split: to, Resumable: k == fleet.Streaming}
+	}
+	p := standin.Published{
+		Version: s.version,
+		Routes: []fleet.Route{
+			route("once", fleet.Once, fleet.Share{Service: s.movedTo, Weight: 1}),
+			route("again", fleet.Repeatable, all...),
+			route("stream", fleet.Streaming, fleet.Share{Service: modelName, Weight: 1}),
+		},
+		Services: []fleet.Service{{Name: plainNames[0]}, {Name: plainNames[1]}, {Name: modelName, Engine: &fleet.Engine{
+			Slots: 8, Sets: 2, Experts: 4 * s.cfg.Ranks, Places: 6, Spare: 2, ExpertBytes: 1e8, LinkRate: 1e11, ExpertShare: 0.9,
+			StepTime: passTime, StepsInPass: 1,
+		}}},
+	}
+	for i, keys := range s.keys {
+		p.Customers = append(p.Customers, fleet.Customer{Name: customerName(i), Keys: keys})
+	}
+	return s.store.Publish(p)
+}
+
+// aim chooses the customer and the key of a request. One in twenty tries a key
+// that was taken away.
+func (s *site) aim(r *request, rnd *rand.Rand) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.service = s.movedTo
+	if len(s.taken) > 0 && rnd.IntN(20) == 0 {
+		r.key = s.taken[rnd.IntN(len(s.taken))]
+		var i int
+		if _, err := fmt.Sscanf(r.key, "key-%d-", &i); err == nil {
+			r.customer = customerName(i)
+		}
+		return
+	}
+	i := rnd.IntN(customers)
+	r.customer, r.key = customerName(i), s.keys[i][rnd.IntN(len(s.keys[i]))]
+}
+
+// freePorts returns ports that are free at an address now.
+func freePorts(ip string, n int) (ports []int, err error) {
+	for range n {
+		l, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }() // All stay open until the last is found.
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
+
+func (s *site) startProcesses() error {
+	for i := range s.cfg.Gateways {
+		ip := s.ip(gatewayIP + i)
+		ports, err := freePorts(ip, 3)
+		if err != nil {
+			return err
+		}
+		at := func(k int) string { return fmt.Sprintf("%s:%d", ip, ports[k]) }
+		s.gateways = append(s.gateways, &gatewayAt{ip: ip, callers: at(0), readiness: at(1), peers: at(2)})
+	}
+	sidecarPort, err := freePorts(s.ip(engineIP), 1)
+	if err != nil {
+		return err
+	}
+	s.port = sidecarPort[0]
+	for i, g := range s.gateways {
+		g.file = filepath.Join(s.dir, fmt.Sprintf("gateway-%d.ini", i))
+		if err := os.WriteFile(g.file, []byte(s.gatewaySettings(i)), fileMode); err != nil {
+			return err
+		}
+		if g.proc, err = s.start(fmt.Sprintf("gateway-%d", i), g.file); err != nil {
+			return err
+		}
+	}
+	for r := range s.cfg.Ranks {
+		c := &sidecarAt{file: filepath.Join(s.dir, fmt.Sprintf("sidecar-%d.ini", r))}
+		s.sidecars = append(s.sidecars, c)
+		if err := os.WriteFile(c.file, []byte(s.sidecarSettings(r)), fileMode); err != nil {
+			return err
+		}
+		if c.proc, err = s.start(fmt.Sprintf("sidecar-%d", r), c.file); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *site) seeds() string {
+	var list []string
+	for _, g := range s.gateways[:min(3, len(s.gateways))] {
+		list = append(list, g.peers)
+	}
+	return strings.Join(list, ",")
+}
+
+const bounds = "[bounds]\nrevocation = 5s\ngrace = 8s\nretry-share = 0.2\nretry-window = 10s\nretry-spare = 90\n"
+
+func (s *site) gatewaySettings(i int) string {
+	g := s.gateways[i]
+	return fmt.Sprintf("[instance]\nname = gateway-%d\ndomain = a\nrole = gateway\n[listen]\ncallers = %s\nreadiness = %s\npeers = %s\nsource = %s\nsidecars-port = %d\n[platform]\nstore = %s\nseeds = %s\n",
+		i, g.callers, g.readiness, g.peers, g.ip, s.port, s.storeAt, s.seeds()) + bounds
+}
+
+func (s *site) sidecarSettings(r int) string {
+	ip := s.ip(engineIP + r)
+	return fmt.Sprintf("[instance]\nname = sidecar-%d\ndomain = a\nrole = sidecar\n[listen]\npeers = %s:%d\nsource = %s\nsidecars-port = %d\n[platform]\nstore = %s\nseeds = %s\nengine = %s\n",
+		r, ip, s.port, ip, s.port, s.storeAt, s.seeds(), s.endpoints[r].address) + bounds
+}
+
+// ready waits until every gateway says that it can take callers.
+func (s *site) ready(ctx context.Context) error {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, g := range s.gateways {
+		for {
+			resp, err := client.Get("http://" + g.readiness + "/readiness")
+			if err == nil {
+				_ = resp.Body.Close()
+				if resp.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			select {
+			case <-ctx.Done():
+				return errors.Wrapf(ctx.Err(), "gateway at %s is not ready", g.callers)
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+// close ends what the site started, and only that.
+func (s *site) close() {
+	for _, g := range s.gateways {
+		g.proc.end()
+	}
+	for _, c := range s.sidecars {
+		c.proc.end()
+	}
+	for _, f := range s.closers {
+		f()
+	}
+	_ = s.servers.Wait() // What a stand-in's server says as it is closed tells nothing.
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,128 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package soak runs the real programs as separate processes on one machine
+// before stand-ins of the users' platform, makes trouble from outside them by a
+// schedule that follows from a seed, and checks the promises from what callers
+// and endpoints see. It is not for figures of speed.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Config is the setting of a run.
+type Config struct {
+	Seed     uint64
+	Length   time.Duration // Of the whole run; the last calmTail of it is without trouble.
+	Daemon   string        // Path of the daemon's program.
+	Dir      string        // For settings and logs; "" for the system's.
+	Gateways int
+	Ranks    int
+	Plain    int  // Endpoints of the plain services.
+	Callers  int  // At each gateway.
+	Timed    bool // Check bounds in time, too; not on a machine that may be overloaded.
+	Log      io.Writer
+}
+
+// Usual returns the usual size of a run with a seed.
+func Usual(seed uint64) Config {
+	return Config{Seed: seed, Length: 24 * time.Second, Gateways: 4, Ranks: 3, Plain: 6, Callers: 3, Timed: true}
+}
+
+// Report is what became of a run.
+type Report struct {
+	Dir      string // Of settings and logs.
+	Requests int
+	Served   int
+	Faults   int
+	Maps     int // Expert maps that came into force.
+	Broken   []string
+}
+
+// servedAtEnd is the part of the requests that must be served once the trouble
+// has been over for settleTime.
+const (
+	servedAtEnd = 0.9
+	settleTime  = 5 * time.Second
+)
+
+// say writes a line to the run's log.
+func (s *site) say(format string, args ...any) {
+	s.logMu.Lock()
+	defer s.logMu.Unlock()
+	fmt.Fprintf(s.cfg.Log, time.Now().Format(clock)+" "+format+"\n", args...)
+}
+
+// Run plays one seed.
+func Run(ctx context.Context, cfg Config) (r Report, err error) {
+	s, err := newSite(cfg)
+	if err != nil {
+		return r, err
+	}
+	defer s.close()
+	startup, cancelStartup := context.WithTimeout(ctx, time.Minute)
+	defer cancelStartup()
+	if err := s.ready(startup); err != nil {
+		return r, err
+	}
+	s.say("seed %d: %d gateways, %d ranks, %d plain endpoints, logs in %s", cfg.Seed, cfg.Gateways, cfg.Ranks, cfg.Plain, s.dir)
+	began := time.Now()
+	running, stop := context.WithDeadline(ctx, began.Add(cfg.Length))
+	defer stop()
+	var callers, trouble errgroup.Group
+	for g := range cfg.Gateways {
+		for n := range cfg.Callers {
+			c := newCaller(s, g, n)
+			callers.Go(func() error { return c.run(running) })
+		}
+	}
+	list := schedule(cfg.Seed, cfg.Length)
+	last := s.play(running, began, list, &trouble)
+	if err := trouble.Wait(); err != nil {
+		return r, err
+	}
+	if err := callers.Wait(); err != nil {
+		return r, err
+	}
+	r = s.report(began, max(last, time.Since(began)-cfg.Length))
+	r.Faults = len(list)
+	return r, nil
+}
+
+// play makes the schedule's troubles and returns when the last one was made.
+func (s *site) play(ctx context.Context, began time.Time, list []fault, trouble *errgroup.Group) (last time.Duration) {
+	for _, f := range list {
+		select {
+		case <-ctx.Done():
+			return last
+		case <-time.After(time.Until(began.Add(f.at))):
+		}
+		s.say("fault %s", f)
+		trouble.Go(func() error { return s.strike(f) })
+		last = time.Since(began)
+	}
+	return last
+}
+
+func (s *site) report(began time.Time, last time.Duration) (r Report) {
+	r.Dir = s.dir
+	r.Requests, r.Served = s.ledger.served(began, time.Now())
+	r.Broken = s.ledger.judge(s.cfg.Timed)
+	r.Maps = s.group.Changes()
+	if _, _, broken := s.group.State(); broken != "" {
+		r.Broken = append(r.Broken, broken)
+	}
+	if s.cfg.Timed {
+		from := began.Add(last + settleTime)
+		sent, served := s.ledger.served(from, began.Add(s.cfg.Length-patience/2))
+		if sent > 0 && float64(served) < servedAtEnd*float64(sent) {
+			r.Broken = append(r.Broken, fmt.Sprintf("after the trouble was over, %d of %d requests were served", served, sent))
+		}
+	}
+	return r
+}
