internal/sidecar: switches lie as many passes ahead as their orders take

A sidecar gives an order without an answer again after 40 ms by itself, and answers an order to prepare when the copies are there, so the leader need not ask; the switch lies as many passes ahead as its orders lately took, and what they take beyond that must be gained; looks come more quickly.

--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -19,6 +19,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
+	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
 // Paths of the calls between sidecars.
@@ -46,8 +47,9 @@
 
 // answer is what became of an order.
 type answer struct {
-	Result rank.Result `json:"result"`
-	Error  string      `json:"error,omitempty"`
+	Result rank.Result  `json:"result"`
+	Error  string       `json:"error,omitempty"`
+	Report *rank.Report `json:"report,omitempty"` // Of an order to prepare: made once the copies were there, or had taken too long.
 }
 
 // Handler serves the calls of other sidecars.
@@ -110,8 +112,21 @@
 	writeJSON(w, s.carryOut(r.Context(), o.Order))
 }
 
-// carryOut gives an order to the own engine.
+// carryOut gives an order to the own engine. One that is not answered is given
+// again: that does no harm, and waiting for it would hold up the group.
 func (s *Sidecar) carryOut(ctx context.Context, o rank.Order) (a answer) {
+	for range orderTries {
+		if a = s.carryOutOnce(ctx, o); a.Result != rank.Lost || ctx.Err() != nil {
+			break
+		}
+	}
+	if o.Op == rank.Prepare && a.Result != rank.Fenced {
+		a.Report = s.awaitCopies(ctx, o.Version)
+	}
+	return a
+}
+
+func (s *Sidecar) carryOutOnce(ctx context.Context, o rank.Order) (a answer) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	result, err := s.engine.Order(ctx, o)
@@ -125,6 +140,25 @@
 	return a
 }
 
+// awaitCopies looks at the own engine, which costs nothing, until it has the
+// experts of a version, and returns its last report, nil without one.
+func (s *Sidecar) awaitCopies(ctx context.Context, version uint64) (last *rank.Report) {
+	ctx, cancel := context.WithTimeout(ctx, copiesTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		r, err := s.engine.Report(ctx)
+		s.noteReport(r, err)
+		if err == nil {
+			last = &r
+			if r.Prepared == version {
+				break
+			}
+		}
+		wait.For(ctx, ownCopiedEvery)
+	}
+	return last
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	raw, err := json.Marshal(v)
 	if err != nil {
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -163,7 +163,7 @@
 	next, copies, most, gain := l.plan()
 	value := l.s.cfg.SkewPrice * horizon.Seconds() * p.pressure() * gain
 	cost := float64(copies) * l.shape.ExpertBytes / gigabyte * l.s.cfg.CopyPrice
-	if gain < leastGain || value <= paysTimes*cost {
+	if gain < max(leastGain, l.standstill()) || value <= paysTimes*cost {
 		return
 	}
 	version := (l.machine.Newest/versionsPerRank+1)*versionsPerRank + uint64(l.machine.Self)
@@ -189,6 +189,7 @@
 	m.GiveUp()
 	l.drive(ctx, recoverLimit)
 	p.changed = time.Now()
+	l.arming += time.Duration(armingWeight * float64(p.changed.Sub(copied)-l.arming))
 	done := m.Gained > before
 	if done {
 		p.current, p.version = next, version
@@ -201,16 +202,40 @@
 		zap.Float64("value", value), zap.Float64("cost", cost), zap.Duration("pass", p.pass), zap.Ints("running", l.running()), zap.Float64s("speed", l.speeds()), zap.Duration("copying", copied.Sub(began)), zap.Duration("switching", p.changed.Sub(copied)))
 }
 
-// passesAhead is how many passes lie between the newest one and the switch, so
-// that most ranks are armed before the group reaches it.
-const passesAhead = 2
+// Passes between the newest one and the switch, so that all ranks are armed
+// before the group reaches it.
+const (
+	leastAhead = 2
+	mostAhead  = 12
+	// armingWeight is the weight of the newest switch in the smoothed time that
+	// the orders of a switch take.
+	armingWeight = 0.5
+)
 
 func (l *leader) nextStep() uint64 {
 	step := uint64(0)
 	for _, m := range l.byRank {
 		step = max(step, m.state.Report.Step)
 	}
-	return step + passesAhead
+	return step + uint64(min(l.passesAhead(), mostAhead))
+}
+
+// passesAhead is how many passes the orders of a switch take, as the last ones
+// did.
+func (l *leader) passesAhead() int {
+	pass := l.planner.pass
+	if pass <= 0 {
+		return leastAhead
+	}
+	return max(leastAhead, int(l.arming/pass)+leastAhead)
+}
+
+// standstill is the part of a pass's time that a switch must save in order to
+// pay for the time that the group stands still, where the orders of switches
+// have lately taken longer than the passes that lie before one can cover.
+func (l *leader) standstill() float64 {
+	covered := mostAhead * l.planner.pass
+	return max(l.arming-covered, 0).Seconds() / horizon.Seconds()
 }
 
 // copyTime returns how long a rank takes for so many copies.
@@ -225,6 +250,9 @@
 // go on.
 func (l *leader) copied(ctx context.Context, began time.Time, copying time.Duration) bool {
 	own, _ := l.s.Report()
+	if l.machine == nil || l.machine.Observe(l.reports()) && l.machine.Phase == cutover.Ready && l.machine.Copied(l.reports()) {
+		return l.machine != nil // The answers to the orders told it.
+	}
 	wait.For(ctx, copying)
 	for ctx.Err() == nil && l.machine != nil && time.Since(began) < prepareLimit {
 		if l.ask(ctx, own) && l.machine.Observe(l.reports()) &&
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -37,7 +37,7 @@
 	lookEvery = 70 * time.Millisecond
 	// lookPerRank is what one rank adds to it, so that the leader of a large group
 	// is not busy with looking only: a call takes it about 0.2 ms of a core.
-	lookPerRank = 2 * time.Millisecond
+	lookPerRank = time.Millisecond
 	// wholeLook and partLook bound the ranks that are asked for their counts in one
 	// look: all of a small group, a part of a large one in turn, since counts are
 	// long and the leader's link is narrow.
@@ -78,7 +78,8 @@
 	machine  *cutover.Machine
 	fence    uint64
 	planner  planner
-	turn     int // First of the ranks that are asked for counts next.
+	arming   time.Duration // Smoothed time that the orders of a switch took.
+	turn     int           // First of the ranks that are asked for counts next.
 	epoch    uint64
 	openedAt time.Time // When this epoch was first seen.
 }
@@ -400,14 +401,22 @@
 	}
 }
 
+// took takes in what a sidecar says of an order.
+func (l *leader) took(r int, a answer) rank.Result {
+	if a.Report != nil {
+		l.byRank[r].state.Report = *a.Report
+	}
+	return a.Result
+}
+
 // send gives a rank an order through the sidecar beside it, or straight when
 // that does not answer.
 func (l *leader) send(ctx context.Context, r int, o rank.Order) rank.Result {
 	if r == l.machine.Self {
-		return l.s.carryOut(ctx, o).Result
+		return l.took(r, l.s.carryOut(ctx, o))
 	}
 	address := l.byRank[r].endpoint.Address
-	limit, sent := orderTimeout+askTimeout, orderCall{Order: o}
+	limit, sent := orderTries*orderTimeout+askTimeout, orderCall{Order: o}
 	if o.Op == rank.Prepare {
 		limit, sent.Map, sent.MapFrom = prepareTimeout, nil, l.mapSources(r)
 	}
@@ -415,7 +424,7 @@
 	defer cancel()
 	a, err := l.s.calls.order(call, address, sent)
 	if err == nil {
-		return a.Result
+		return l.took(r, a)
 	}
 	l.s.log.Warn("order sent straight", zap.Int("rank", r), zap.String("op", string(o.Op)), zap.String("error", err.Error()))
 	direct, cancelDirect := context.WithTimeout(ctx, engineTimeout)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -45,9 +45,17 @@
 	// two readings of counts: passes of large groups are longer, and so many more
 	// loads reach each gateway.
 	perRank = 4 * time.Millisecond
-	// orderTimeout bounds an order to the own engine. Some answers never come;
-	// an order that is sent again does no harm, waiting holds up the group.
-	orderTimeout = 100 * time.Millisecond
+	// orderTimeout bounds an order to the own engine, which answers in about a
+	// millisecond. Some answers never come; an order that is sent again does no
+	// harm, waiting holds up the group.
+	orderTimeout = 40 * time.Millisecond
+	// orderTries is how often an order without an answer is given before the
+	// leader hears that it was lost. One in three may be.
+	orderTries = 3
+	// copiesTimeout bounds the wait of an order to prepare for its copies, and
+	// ownCopiedEvery lies between two looks for them.
+	copiesTimeout  = 250 * time.Millisecond
+	ownCopiedEvery = 12 * time.Millisecond
 	// engineTimeout bounds a call to the own engine, which answers in about a
 	// millisecond.
 	engineTimeout = 400 * time.Millisecond
