--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -47,6 +47,9 @@
 	// ownTime is how long a process that heard nothing new enough reads the
 	// source itself before it listens again.
 	ownTime = 4 * time.Second
+	// ownPause is how long a process that the source failed listens to another one
+	// again, though that one's word is old: most likely the source is down for all.
+	ownPause = 2500 * time.Millisecond
 	// blindTime is how long a process for which the source failed does not count
 	// as one that others may listen to.
 	blindTime = 5 * time.Second
@@ -78,6 +81,7 @@
 
 	listener *Listener // Nil where every process reads the source.
 	ownUntil time.Time // Until then it reads the source itself.
+	ownAfter time.Time // Until then it goes on listening, though what it hears is old.
 	blind    time.Time // When the source last failed.
 }
 
@@ -109,6 +113,9 @@
 		f.heard = now.Add(-age)
 		return true
 	}
+	if err == nil && now.Before(f.ownAfter) {
+		return true
+	}
 	cause := "too old"
 	if err != nil {
 		cause = err.Error()
@@ -158,6 +165,9 @@
 			continue
 		}
 		f.lose(err)
+		if f.listener != nil && !f.listener.Reads(false) {
+			f.ownUntil, f.ownAfter = time.Time{}, f.now().Add(ownPause)
+		}
 		wait.For(ctx, min(firstPause<<min(f.failed, 8), longestPause))
 	}
 	return nil
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -56,32 +56,52 @@
 	n.blind = !able
 	n.mu.Unlock()
 	leaving, _ := n.g.leaving(time.Now())
-	readers := n.readers()
-	if !able || leaving {
-		return len(readers) == 0
+	if leaving {
+		return len(n.readers()) == 0
+	}
+	readers, seeing := n.readersThat(able)
+	if !able && seeing {
+		return false
 	}
 	before, _ := slices.BinarySearch(readers, n.self)
 	return before < readersPerDomain
 }
 
-// readers returns the other gateways of the domain that can read the store, in
-// the order in which they do.
-func (n *Neighbours) readers() (list []string) {
+// readers returns the other gateways of the domain that read the store, in the
+// order in which they do.
+func (n *Neighbours) readers() []string {
+	list, _ := n.readersThat(true)
+	return list
+}
+
+// readersThat returns the other gateways of the domain that can read the store;
+// when there are none and this one cannot either, those that try to. Seeing is
+// false then.
+func (n *Neighbours) readersThat(able bool) (list []string, seeing bool) {
 	now := time.Now()
+	var blind []string
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for a, other := range n.heard {
-		if other.domain == n.domain && !other.blind && now.Sub(other.at) <= readerHeard {
+		switch {
+		case other.domain != n.domain || now.Sub(other.at) > readerHeard:
+		case other.blind:
+			blind = append(blind, a)
+		default:
 			list = append(list, a)
 		}
 	}
+	seeing = len(list) > 0
+	if !seeing && !able {
+		list = blind
+	}
 	slices.Sort(list)
-	return list
+	return list, seeing
 }
 
 // Listen waits for news from a gateway that reads the store and takes it in.
 func (n *Neighbours) Listen(ctx context.Context) (err error) {
-	readers := n.readers()
+	readers, _ := n.readersThat(false)
 	if len(readers) == 0 {
 		return errNoReader
 	}
