internal/gateway: passes under a slow rank fill half of what it leaves

A rank 4.9 times as slow makes an empty pass of 111 ms; that was taken for hopeless at a bound of 150 ms, and ranks were filled to twice their slots, so passes of 160 to 250 ms lasted.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -158,7 +158,10 @@
 	passShare = 0.62
 	// hopelessShare is the part of that pause from which on a slow rank's empty
 	// pass leaves no answer in time.
-	hopelessShare = 0.7
+	hopelessShare = 0.95
+	// slowShare is the part of what a slow rank's empty pass leaves of that pause
+	// that passes may fill; passShare of the whole is out of reach then.
+	slowShare = 0.5
 	// leastLet is how many requests a rank gets however long its passes are.
 	leastLet = 4
 	// againRoom is how many requests more a rank may hold for a caller that was
@@ -183,8 +186,12 @@
 	case pause > 0 && float64(empty) > hopelessShare*pause:
 		limit *= lateRoom
 	case pause > 0 && group.Pass > 0:
-		base := float64(q.base())
-		fits := (base+group.Running)*passShare*pause/float64(group.Pass) - base
+		base := group.Pace * float64(q.base())
+		most := max(passShare*pause, float64(empty)+slowShare*(pause-float64(empty)))
+		if group.Pace <= 1 {
+			most = passShare * pause
+		}
+		fits := (base+group.Running)*most/float64(group.Pass) - base
 		limit = min(max(int(fits), leastLet), e.Slots)
 	}
 	if q.again {
