--- a/internal/agent/mapper.go
+++ b/internal/agent/mapper.go
@@ -16,6 +16,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/decide/mapswitch"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/decide/rebalance"
+	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/node"
 	"github.com/canvaspulley/canvaspulley/internal/published"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
@@ -291,7 +292,7 @@
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
 	}
-	node.WriteJSON(w, reply)
+	httpjson.Reply(w, reply)
 }
 
 // mayOrder is the guard of an engine that checks no fences: orders go only while
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -18,6 +18,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/chart"
 	"github.com/canvaspulley/canvaspulley/internal/decide/admit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/once"
+	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/ident"
 	"github.com/canvaspulley/canvaspulley/internal/node"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
@@ -357,5 +358,5 @@
 	if s == once.Tombstoned {
 		reply.Outcome = wire.NotRun
 	}
-	node.WriteJSON(w, reply)
+	httpjson.Reply(w, reply)
 }
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -14,6 +14,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/limit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
+	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/node"
 	"github.com/canvaspulley/canvaspulley/internal/published"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
@@ -151,5 +152,5 @@
 		reply.Rate = l.get(cfg, c, now).share.Lend(q.Rate, now)
 		l.mu.Unlock()
 	}
-	node.WriteJSON(w, reply)
+	httpjson.Reply(w, reply)
 }
--- a/internal/follow/told.go
+++ b/internal/follow/told.go
@@ -3,7 +3,6 @@
 package follow
 
 import (
-	"maps"
 	"time"
 
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
@@ -108,14 +107,7 @@
 	defer v.mu.Unlock()
 	next := *v.state.Load()
 	old := next.Endpoints
-	next.Endpoints = maps.Clone(old)
-	if next.Endpoints == nil {
-		next.Endpoints = map[string]fleet.Endpoint{}
-	}
-	next.Missing = maps.Clone(next.Missing)
-	if next.Missing == nil {
-		next.Missing = map[string]time.Time{}
-	}
+	next.own()
 	named := map[string]bool{}
 	for _, e := range t.Endpoints {
 		named[e.ID] = true
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -153,6 +153,17 @@
 	return true
 }
 
+// own gives s, which must be a copy, tables of endpoints of its own to change.
+func (s *State) own() {
+	s.Endpoints, s.Missing = maps.Clone(s.Endpoints), maps.Clone(s.Missing)
+	if s.Endpoints == nil {
+		s.Endpoints = map[string]fleet.Endpoint{}
+	}
+	if s.Missing == nil {
+		s.Missing = map[string]time.Time{}
+	}
+}
+
 // Replace takes in a whole snapshot that was asked for at a moment. Endpoints
 // that are missing from it are removed, or held as missing when hold is set.
 func (v *View) Replace(snap Snapshot, asked time.Time, hold bool) {
@@ -204,14 +215,7 @@
 	next.takeConfig(ch.Config, ch.ConfigRevision)
 	if len(ch.Endpoints)+len(ch.Gone) > 0 {
 		old := next.Endpoints
-		next.Endpoints = maps.Clone(old)
-		if next.Endpoints == nil {
-			next.Endpoints = map[string]fleet.Endpoint{}
-		}
-		next.Missing = maps.Clone(next.Missing)
-		if next.Missing == nil {
-			next.Missing = map[string]time.Time{}
-		}
+		next.own()
 		for _, e := range ch.Endpoints {
 			v.put(&next, old, e)
 			delete(next.Missing, e.ID)
@@ -239,10 +243,7 @@
 	defer v.mu.Unlock()
 	next := *v.state.Load()
 	old := next.Endpoints
-	next.Endpoints = maps.Clone(old)
-	if next.Endpoints == nil {
-		next.Endpoints = map[string]fleet.Endpoint{}
-	}
+	next.own()
 	for _, e := range ch.Endpoints {
 		v.put(&next, old, e)
 	}
@@ -279,7 +280,7 @@
 	if len(removed) == 0 {
 		return nil
 	}
-	next.Endpoints, next.Missing = maps.Clone(next.Endpoints), maps.Clone(next.Missing)
+	next.own()
 	for _, id := range removed {
 		delete(next.Endpoints, id)
 		delete(next.Missing, id)
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -15,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/follow"
+	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 )
 
 // Few gateways of a failure domain read the store, and the others wait for news
@@ -188,13 +188,7 @@
 	// told may only be newer than it says.
 	p.Held = time.Since(began)
 	p.Age = n.g.view.Age(time.Now())
-	raw, err := json.Marshal(p)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(raw) // The other gateway sees an answer that is cut.
+	httpjson.Reply(w, p)
 }
 
 // awaitNews waits until the view changes or is confirmed, at most holdTime, if
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -31,8 +31,13 @@
 	helloEvery = 700 * time.Millisecond
 	// heardFor is how long a gateway counts as there after its last hello.
 	heardFor = 5 * time.Second
-	// maxKnown bounds the gateways named in a hello, which must fit a datagram.
-	maxKnown = 64
+	// maxKnown bounds the gateways named in a hello, which are drawn anew for each:
+	// a newcomer hears of all within some hellos. With all of 40 named, hellos were
+	// half of the bytes between failure domains.
+	maxKnown = 6
+	// sidecarsEvery is how many hellos to gateways come to one to sidecars, whose
+	// subscriptions last longer.
+	sidecarsEvery = 2
 	// borrowAge is the age of the configuration from which a neighbour is asked
 	// for it: the store's answers keep it below this while the store is there.
 	borrowAge = 2200 * time.Millisecond
@@ -74,6 +79,7 @@
 	mu      sync.Mutex
 	heard   map[string]neighbour // Gateways by address.
 	borrows bool
+	greeted int        // Hellos so far; of the duty that greets.
 	blind   bool       // As the follower last said; others do not listen to this gateway then.
 	heardOf listenedTo // What the last answers to listening were.
 }
@@ -193,7 +199,7 @@
 	n.mu.Lock()
 	blind := n.blind
 	n.mu.Unlock()
-	m := peers.Message{Hello: &peers.Hello{Name: n.name, Life: n.life, Address: n.self, Domain: n.domain, Blind: blind, Known: others[:min(len(others), maxKnown)], Leaving: leaving}}
+	m := peers.Message{Hello: &peers.Hello{Name: n.name, Life: n.life, Address: n.self, Domain: n.domain, Blind: blind, Known: some(others, maxKnown), Leaving: leaving}}
 	to := slices.Clone(others)
 	for _, s := range n.seeds {
 		if s != n.self && !slices.Contains(to, s) {
@@ -205,12 +211,25 @@
 			n.socket.Send(ap, m)
 		}
 	}
+	if n.greeted++; !leaving && n.greeted%sidecarsEvery != 1 {
+		return
+	}
 	m.Hello.Known = nil // Sidecars need no more than the address.
 	for _, a := range n.sidecars() {
 		n.socket.Send(a, m)
 	}
 }
 
+// some returns so many of list, drawn anew each time.
+func some(list []string, n int) []string {
+	drawn := slices.Clone(list)
+	for i := range min(n, len(drawn)) {
+		j := i + random(len(drawn)-i)
+		drawn[i], drawn[j] = drawn[j], drawn[i]
+	}
+	return drawn[:min(n, len(drawn))]
+}
+
 // sidecars returns the addresses of the sidecars beside listed engines.
 func (n *Neighbours) sidecars() (list []netip.AddrPort) {
 	s := n.g.view.State()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -12,6 +12,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/spread"
+	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/published"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
@@ -195,7 +196,7 @@
 		size += len(v)
 		reply.Values = append(reply.Values, v)
 	}
-	WriteJSON(w, reply)
+	httpjson.Reply(w, reply)
 }
 
 // fetchValues gets the values that are not held already. Each is known by its
@@ -295,9 +296,9 @@
 	for _, old := range older {
 		if have != "" && old.hash == have {
 			d := m.DeltaFrom(old.manifest)
-			WriteJSON(w, published.Told{Delta: &d})
+			httpjson.Reply(w, published.Told{Delta: &d})
 			return
 		}
 	}
-	WriteJSON(w, published.Told{Whole: &m})
+	httpjson.Reply(w, published.Told{Whole: &m})
 }
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -17,6 +17,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
+	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/published"
 	"github.com/canvaspulley/canvaspulley/internal/trust"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
@@ -289,7 +290,7 @@
 	if len(m.Rows) > 0 {
 		from = m.Rows[0].Name
 	}
-	WriteJSON(w, n.outgoing(from))
+	httpjson.Reply(w, n.outgoing(from))
 }
 
 func (n *Node) serveProbe(w http.ResponseWriter, r *http.Request) {
@@ -301,7 +302,7 @@
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
 	}
-	WriteJSON(w, struct{}{})
+	httpjson.Reply(w, struct{}{})
 }
 
 // ReadJSON decodes a bounded message from a peer; on a fault it answers and
@@ -317,9 +318,3 @@
 	}
 	return true
 }
-
-// WriteJSON answers with v.
-func WriteJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v) // The reader may be gone.
-}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -12,6 +12,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/chart"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
+	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/published"
 )
 
@@ -78,9 +79,9 @@
 	})
 	mux.HandleFunc("GET "+PathAudit, func(w http.ResponseWriter, _ *http.Request) {
 		records, dropped := n.trail.Records()
-		WriteJSON(w, AuditReport{Dropped: dropped, Records: records})
+		httpjson.Reply(w, AuditReport{Dropped: dropped, Records: records})
 	})
-	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, n.Status()) })
+	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) { httpjson.Reply(w, n.Status()) })
 	if n.set.Pprof {
 		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
 	"github.com/canvaspulley/canvaspulley/internal/wait"
@@ -89,7 +90,7 @@
 		st.Work = pack(s.work.flat)
 	}
 	s.mu.Unlock()
-	writeJSON(w, st)
+	httpjson.Reply(w, st)
 }
 
 func (s *Sidecar) serveOrder(w http.ResponseWriter, r *http.Request) {
@@ -105,11 +106,11 @@
 	if o.Op == rank.Prepare {
 		if o.Map, err = s.fetchMap(r.Context(), keyOf(o.Order), o.MapFrom); err != nil {
 			s.log.Warn("map not had", zap.Uint64("version", o.Version), zap.Strings("from", o.MapFrom), zap.String("error", err.Error()))
-			writeJSON(w, answer{Result: rank.Lost, Error: err.Error()})
+			httpjson.Reply(w, answer{Result: rank.Lost, Error: err.Error()})
 			return
 		}
 	}
-	writeJSON(w, s.carryOut(r.Context(), o.Order))
+	httpjson.Reply(w, s.carryOut(r.Context(), o.Order))
 }
 
 // carryOut gives an order to the own engine. One that is not answered is given
@@ -159,16 +160,6 @@
 	return last
 }
 
-func writeJSON(w http.ResponseWriter, v any) {
-	raw, err := json.Marshal(v)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(raw) // The caller sees an answer that is cut.
-}
-
 // pack writes numbers as varints.
 func pack(flat []uint64) []byte {
 	raw := make([]byte, 0, 2*len(flat))
