internal/sidecar: counts are read each 0.12 s in large groups, too

Cause (leader's log): the first map after a shift was planned from windows of 0.25 s that were half from before it, and a second one had to follow.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -37,12 +37,11 @@
 	// reportEvery is the least time between two reports: gateways choose by them, and
 	// the load of an engine changes with each pass of some ten milliseconds.
 	reportEvery = 100 * time.Millisecond
-	// countsEvery is the least time between two readings of the counts. A window
+	// countsEvery is the time between two readings of the counts. A window
 	// of a few passes holds ten thousand choices; one of a pass or two is so uneven that
 	// it was taken for a shift (score 0.67 against 0.83).
 	countsEvery = 120 * time.Millisecond
-	// perRank is what one rank adds to the time between two reports and between
-	// two readings of counts: passes of large groups are longer, and so many more
+	// perRank is what one rank adds to the time between two reports: so many more
 	// loads reach each gateway.
 	perRank = 4 * time.Millisecond
 	// orderTimeout bounds an order to the own engine, which answers in about a
@@ -126,7 +125,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.socket.Run(ctx, s.receive) })
 	g.Go(func() error { return s.pacedBySize(ctx, reportEvery, perRank, s.readReport) })
-	g.Go(func() error { return s.pacedBySize(ctx, countsEvery, perRank, s.readCounts) })
+	g.Go(func() error { return every(ctx, countsEvery, s.readCounts) })
 	g.Go(func() error { return every(ctx, leadEvery, s.tellLead) })
 	g.Go(func() error { return newLeader(s).run(ctx) })
 	return g.Wait()
