--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,6 +44,9 @@
 		}
 		daemon = filepath.Join(filepath.Dir(self), "canvaspulleyd")
 	}
+	// A run that is broken off ends the processes that it started.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	broken := 0
 	for i := range v.Runs {
 		cfg := soak.Usual(v.Seed + uint64(i))
@@ -50,7 +55,7 @@
 		if v.Quiet {
 			cfg.Log = io.Discard
 		}
-		r, err := soak.Run(context.Background(), cfg)
+		r, err := soak.Run(ctx, cfg)
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", cfg.Seed)
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -89,6 +89,9 @@
 	if err := callers.Wait(); err != nil {
 		return r, err
 	}
+	if err := ctx.Err(); err != nil {
+		return r, err // Broken off: what was seen says nothing.
+	}
 	r = s.report(began, max(last, time.Since(began)-cfg.Length))
 	r.Faults = len(list)
 	return r, nil
