internal/daemon: a second SIGTERM does not cut a planned stop short

Who stops instances in turn may well do so twice. A second SIGINT still ends the process.

The soak's runs in one process shared loopback addresses and took each other's ports; each has its own now.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -128,7 +128,9 @@
 }
 
 // signals calls stop at the first signal to stop and reload at each SIGHUP. A
-// second signal to stop ends the process at once.
+// further SIGTERM changes nothing, since whoever stops instances in turn may send
+// it twice and nothing may be cut; a further SIGINT, from a person, ends the
+// process at once.
 func (p *fleetProcess) signals(ctx context.Context, stop, end func()) error {
 	c := make(chan os.Signal, 4)
 	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
@@ -142,9 +144,11 @@
 			switch {
 			case s == syscall.SIGHUP:
 				p.reload()
-			case stopped:
+			case stopped && s == syscall.SIGINT:
 				p.log.Warn("stopping at once", zap.String("signal", s.String()))
 				end()
+			case stopped:
+				p.log.Info("stopping already", zap.String("signal", s.String()))
 			default:
 				stopped = true
 				p.log.Info("stopping", zap.String("signal", s.String()))
--- /dev/null
+++ b/internal/daemon/fleet_test.go
@@ -0,0 +1,75 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package daemon
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"golang.org/x/sync/errgroup"
+)
+
+// patience bounds waits; nothing is asserted about how long things take.
+const patience = 20 * time.Second
+
+// signalled runs the duty that hears signals, sends some to this process, one
+// after the other is heard, and counts what they led to.
+func signalled(t *testing.T, list ...syscall.Signal) (stops, ends int32) {
+	g := NewWithT(t)
+	core, lines := observer.New(zap.InfoLevel)
+	p := &fleetProcess{log: zap.New(core)}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var stop, end atomic.Int32
+	var group errgroup.Group
+	guard := make(chan os.Signal, 8) // Keeps the signals from ending the test.
+	defer notify(guard)()
+	group.Go(func() error {
+		return p.signals(ctx, func() { stop.Add(1) }, func() { end.Add(1) })
+	})
+	for i, s := range list {
+		g.Eventually(func() int {
+			if lines.Len() <= i { // It may have been sent before the duty heard signals.
+				g.Expect(syscall.Kill(os.Getpid(), s)).To(Succeed())
+			}
+			return lines.Len()
+		}, patience, 50*time.Millisecond).Should(BeNumerically(">", i))
+	}
+	cancel()
+	g.Expect(group.Wait()).To(Succeed())
+	return stop.Load(), end.Load()
+}
+
+func TestAPlannedStopIsNotCutShortByASecondSignal(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		signals []syscall.Signal
+		ends    int32
+	}{
+		{"SIGTERM twice", []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM}, 0},
+		{"SIGINT, then SIGTERM", []syscall.Signal{syscall.SIGINT, syscall.SIGTERM}, 0},
+		{"a person insists", []syscall.Signal{syscall.SIGTERM, syscall.SIGINT}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			stops, ends := signalled(t, tc.signals...)
+			g.Expect(stops).To(BeEquivalentTo(1))
+			g.Expect(ends >= 1).To(Equal(tc.ends == 1))
+		})
+	}
+}
+
+// notify delivers the signals of the tests to c as well, until the function is
+// called.
+func notify(c chan os.Signal) (stop func()) {
+	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
+	return func() { signal.Stop(c) }
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -125,7 +125,7 @@
 	return false
 }
 
-// Run follows until ctx ends. Cleared, when not nil, is called after each
+// Run follows until ctx ends. The function changed is called after each
 // change of the view.
 func (f *Follower) Run(ctx context.Context, changed func()) error {
 	f.heard = f.now()
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -144,9 +144,7 @@
 				l.judgeRun(r, run, say)
 			}
 		}
-		if timed {
-			l.judgeStop(r, say)
-		}
+		l.judgeStop(r, say)
 	}
 	slices.Sort(broken)
 	return broken
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -109,8 +110,7 @@
 // newSite lays out and starts everything but the callers.
 func newSite(cfg Config) (s *site, err error) {
 	defer func() { err = errors.Wrap(err, "soak site") }()
-	pid := os.Getpid()
-	s = &site{cfg: cfg, net: fmt.Sprintf("127.%d.%d", 64+pid%128, pid/128%250), store: standin.NewStore(), ledger: newLedger(), movedTo: plainNames[0]}
+	s = &site{cfg: cfg, net: ownNet(), store: standin.NewStore(), ledger: newLedger(), movedTo: plainNames[0]}
 	s.ledger.moved, s.ledger.movedTo = time.Now(), s.movedTo
 	if s.dir, err = os.MkdirTemp(cfg.Dir, fmt.Sprintf("seed-%d-", cfg.Seed)); err != nil {
 		return nil, err
@@ -126,6 +126,17 @@
 	return s, nil
 }
 
+// sites counts the sites of this process.
+var sites atomic.Int64
+
+// ownNet returns the first three numbers of loopback addresses that no other
+// site uses: ports that were found free at them stay so.
+func ownNet() string {
+	const second, third = 128, 250 // How many there are of each.
+	pid, n := int64(os.Getpid()), sites.Add(1)
+	return fmt.Sprintf("127.%d.%d", 64+pid%second, (pid/second+n*41)%third)
+}
+
 // ip returns the site's address with a last number.
 func (s *site) ip(last int) string { return fmt.Sprintf("%s.%d", s.net, last) }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -48,6 +48,7 @@
 	seed  uint64
 	cause string
 }{
+	{246, "a second SIGTERM in a planned stop ended the process at once and cut requests off"},
 	{121, "the soak judged runs by a move of the route that had not come yet"},
 }
 
