--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -220,7 +220,7 @@
 	s.mu.Lock()
 	i := s.cfg.Ranks + f.which%s.cfg.Plain
 	old := s.endpoints[i]
-	next, err := s.addEndpoint(old.service, plainIP+s.births%60, nil)
+	next, err := s.addEndpoint(old.service, plainIP+s.births%plainIPs, nil)
 	if err == nil {
 		s.endpoints = s.endpoints[:len(s.endpoints)-1]
 		s.endpoints[i] = next
@@ -244,7 +244,7 @@
 	i := s.cfg.Ranks + f.which%s.cfg.Plain
 	old := s.endpoints[i]
 	old.misbehave(standin.LosesAnswer, time.Hour) // What it has begun is lost, too.
-	next, err := s.addEndpoint(old.service, plainIP+s.births%60, nil)
+	next, err := s.addEndpoint(old.service, plainIP+s.births%plainIPs, nil)
 	if err == nil {
 		s.endpoints = s.endpoints[:len(s.endpoints)-1]
 		s.endpoints[i] = next
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -146,6 +146,7 @@
 	gatewayIP = 10
 	engineIP  = 100
 	plainIP   = 180
+	plainIPs  = 60 // Addresses of plain endpoints, which those that come later use again.
 )
 
 // serve serves a handler at a free port of an address.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,8 +10,10 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -34,6 +36,32 @@
 	return Config{Seed: seed, Length: 24 * time.Second, Gateways: 4, Ranks: 3, Plain: 6, Callers: 3, Timed: true}
 }
 
+// Check names everything that is wrong with the sizes of a run: the site's
+// addresses have room for so many, and the troubles need something to strike.
+func (c Config) Check() error {
+	var faults []string
+	for _, one := range []struct {
+		name        string
+		n, min, max int
+	}{
+		{"gateways", c.Gateways, 1, engineIP - gatewayIP},
+		{"ranks", c.Ranks, 2, plainIP - engineIP},
+		{"endpoints of plain services", c.Plain, len(plainNames), plainIPs},
+		{"callers", c.Callers, 1, 100},
+	} {
+		if one.n < one.min || one.n > one.max {
+			faults = append(faults, fmt.Sprintf("%d %s: must be %d to %d", one.n, one.name, one.min, one.max))
+		}
+	}
+	if c.Length <= firstFault+calmTail {
+		faults = append(faults, fmt.Sprintf("length %v: must be above %v", c.Length, firstFault+calmTail))
+	}
+	if len(faults) > 0 {
+		return errors.Newf("soak: %s", strings.Join(faults, "; "))
+	}
+	return nil
+}
+
 // Report is what became of a run.
 type Report struct {
 	Dir      string // Of settings and logs.
@@ -60,6 +88,9 @@
 
 // Run plays one seed.
 func Run(ctx context.Context, cfg Config) (r Report, err error) {
+	if err := cfg.Check(); err != nil {
+		return r, err
+	}
 	s, err := newSite(cfg)
 	if err != nil {
 		return r, err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -119,3 +119,14 @@
 	}
 	g.Expect(len(kinds)).To(BeNumerically(">=", int(faultKinds)*3/4))
 }
+
+func TestSizesAreChecked(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(Usual(1).Check()).To(Succeed())
+	faulty := Usual(1)
+	faulty.Gateways, faulty.Ranks, faulty.Length = 0, 500, time.Second
+	err := faulty.Check()
+	g.Expect(err).To(MatchError(ContainSubstring("0 gateways")))
+	g.Expect(err).To(MatchError(ContainSubstring("500 ranks")))
+	g.Expect(err).To(MatchError(ContainSubstring("length 1s")))
+}
