internal/node: requests are taken in a millisecond later after a start

Idempotency keys tell their time in whole milliseconds, rounded down; one minted right when the agent began to take in requests seemed to be from before its start, and was answered as one that an earlier life may have run. Nothing ran twice; a caller was told unknown without need.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -38,8 +38,17 @@
 	slot  string
 }
 
-// newBench starts an agent; change may edit its settings.
+// newBench starts an agent and waits until it takes in requests; change may edit
+// its settings.
 func newBench(t *testing.T, change func(*settings.Settings), engine *adapter.Engine, service *adapter.Service) *bench {
+	t.Helper()
+	b, n := startBench(t, change, engine, service)
+	gomega.NewWithT(t).Eventually(n.Refusal, "20s").Should(gomega.BeNil())
+	return b
+}
+
+// startBench starts an agent with its node.
+func startBench(t *testing.T, change func(*settings.Settings), engine *adapter.Engine, service *adapter.Service) (*bench, *node.Node) {
 	t.Helper()
 	g := gomega.NewWithT(t)
 	layout, err := example.New(example.RefundDesk, example.Small, 0)
@@ -73,8 +82,7 @@
 		srv.Close()
 		_ = group.Wait()
 	})
-	g.Eventually(n.Refusal, "20s").Should(gomega.BeNil())
-	return &bench{t, a, srv.URL, p.Endpoint}
+	return &bench{t, a, srv.URL, p.Endpoint}, n
 }
 
 // answer is what an entry sees.
@@ -182,6 +190,17 @@
 	check("service breaks off", errors.New("broken"), wire.Unknown, wire.Unknown)
 }
 
+func TestAKeyMintedAsSoonAsTheAgentTakesInIsNotDoubtful(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := &counter{}
+	b, n := startBench(t, nil, nil, c.service())
+	for deadline := time.Now().Add(20 * time.Second); n.Refusal() != nil && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Microsecond) // Within the millisecond to which keys tell their time.
+	}
+	env := call(ident.NewKey(b.slot).String())
+	g.Expect(b.send(env, "").outcome).To(gomega.Equal(wire.Done))
+}
+
 func TestNotRunIsNeverSaidAfterTheSend(t *testing.T) {
 	g := gomega.NewWithT(t)
 	gone := adapter.NewService("http://"+closedPort(t), http.DefaultClient, &http.Client{Transport: adapter.NewSingleTransport("")})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/chart"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/decide/spread"
+	"github.com/canvaspulley/canvaspulley/internal/ident"
 	"github.com/canvaspulley/canvaspulley/internal/published"
 	"github.com/canvaspulley/canvaspulley/internal/ring"
 	"github.com/canvaspulley/canvaspulley/internal/settings"
@@ -257,7 +258,7 @@
 func (n *Node) Refusal() *wire.Refusal {
 	switch n.State() {
 	case Serving:
-		if early := n.set.ClockSkew - time.Since(n.start); early > 0 {
+		if early := n.set.ClockSkew + ident.KeyGrain - time.Since(n.start); early > 0 {
 			// Keys minted now cannot yet be told from those of an earlier life.
 			return wire.Refuse(http.StatusServiceUnavailable, early, "process has just started")
 		}
