--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -45,7 +45,7 @@
 		daemon = filepath.Join(filepath.Dir(self), "canvaspulleyd")
 	}
 	// A run that is broken off ends the processes that it started.
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	defer stop()
 	broken := 0
 	for i := range v.Runs {
