--- a/internal/gateway/listen_test.go
+++ b/internal/gateway/listen_test.go
@@ -156,3 +156,16 @@
 	g.Expect(some(list[:2], 3)).To(ConsistOf("a", "b"))
 	g.Expect(some(nil, 3)).To(BeEmpty())
 }
+
+func TestWhatMayHaveLapsedIsNotBorrowed(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	lender, borrower := newStation(t, 7), newStation(t, 9)
+	lender.view.Replace(follow.Snapshot{Config: configOf(3), Endpoints: []fleet.Endpoint{endpointAt("there", 5), endpointAt("missed", 6)}, At: 6}, time.Now(), false)
+	lender.view.Apply(follow.Changes{Gone: []follow.Gone{{ID: "missed", Revision: 7}}, At: 7}, time.Now(), true)
+	p, err := borrower.ask(ctx, lender.self)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(borrower.take(p, time.Now())).To(Succeed())
+	g.Expect(borrower.view.State().Endpoints).To(HaveKey("there"))
+	g.Expect(borrower.view.State().Endpoints).NotTo(HaveKey("missed"))
+}
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -317,13 +317,14 @@
 }
 
 // take puts a neighbour's view into the own one, with its age as seen from the
-// moment before it was asked. Nothing is removed by it: the neighbour may be
-// further behind than the own view.
+// moment before it was asked. Nothing is removed by it, since the neighbour may
+// be further behind than the own view, and nothing that may have lapsed is taken.
 func (n *Neighbours) take(p published, asked time.Time) error {
 	if err := n.takeConfig(p); err != nil {
 		return err
 	}
-	n.g.view.Merge(follow.Changes{Endpoints: p.Endpoints})
+	there := slices.DeleteFunc(p.Endpoints, func(e fleet.Endpoint) bool { return slices.Contains(p.Missing, e.ID) })
+	n.g.view.Merge(follow.Changes{Endpoints: there})
 	n.g.view.Confirm(p.Version, asked.Add(p.Held-p.Age))
 	return nil
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -134,6 +134,3 @@
 	p.mu.Unlock()
 	_ = p.waiting.Wait() // Functions of the group return no error.
 }
-
-// String names the process for the log.
-func (p *process) String() string { return fmt.Sprintf("%s (pid %d)", p.name, p.cmd.Process.Pid) }
