internal/sidecar, internal/decide/demand, internal/decide/remap: maps follow a shift at once

Change: the order to copy does not wait; the leader's looks go on and see when the copies are there. The decisions are two pure packages: demand notices a shift by the distance of the newest counts to the smoothed ones against the usual distance, confirms it by a second window and says how long demand may be expected to stay; remap says whether a change saves more than it costs until then, how many copies a rank it should have, and whether it replaces one under way. Counts are read once a pass in place of each 120 ms.

What is left of a shift is the copy itself.

--- /dev/null
+++ b/internal/decide/demand/demand.go
@@ -0,0 +1,194 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package demand follows which experts the requests of a group of ranks choose:
+// it smooths the counts of the ranks, notices when demand has shifted, and says
+// for how long it may be expected to stay as it is. It is a pure state machine:
+// time comes in as an argument, and the caller serialises access. What to do
+// about a shift is package remap's matter.
+package demand
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// shiftRatio is how far, against the usual distance, the newest counts lie from
+	// the smoothed ones when demand has shifted. The usual distance is observed, so
+	// that few and long prompts, which make counts uneven, are not taken for a shift.
+	shiftRatio = 1.8
+	// usualWeight is the weight of one more distance in the usual one: some ten of
+	// them are one request's time.
+	usualWeight = 0.1
+	// noDistance is taken as the usual distance until one was seen: half of all
+	// choices are others.
+	noDistance = 0.5
+	// maxSpans bounds the times between shifts that are remembered.
+	maxSpans = 8
+)
+
+// Config is the shape of what is counted, and its times.
+type Config struct {
+	Sets    int
+	Experts int // A set.
+	Ranks   int
+	// Memory is the time over which counts are smoothed: long against the time
+	// between two prompts, short against the time of a request.
+	Memory time.Duration
+	// Life is how long a rank's newest counts say what is asked for now.
+	Life time.Duration
+}
+
+// window is the newest counts of one rank.
+type window struct {
+	counts []uint64 // Set by set; nil without any.
+	at     time.Time
+}
+
+// Follower follows the demand of one group.
+type Follower struct {
+	cfg     Config
+	newest  []window    // By rank.
+	load    [][]float64 // Smoothed counts by set and expert; nil before the first.
+	at      time.Time   // When load was last brought up to date.
+	since   time.Time   // When demand became as it is.
+	usual   float64     // Usual distance of the newest counts to load.
+	suspect bool        // The newest counts lie far off, for the first time.
+	spans   []time.Duration
+	shifts  int
+}
+
+// New returns a follower that has heard nothing.
+func New(cfg Config) *Follower {
+	return &Follower{cfg: cfg, newest: make([]window, cfg.Ranks), usual: noDistance}
+}
+
+// Hear takes in the newest counts of a rank, which must be of the configured
+// size; it reports whether they are.
+func (f *Follower) Hear(r int, counts []uint64, now time.Time) bool {
+	if len(counts) != f.cfg.Sets*f.cfg.Experts {
+		return false
+	}
+	f.newest[r] = window{counts: counts, at: now}
+	return true
+}
+
+// Learn brings the smoothed counts up to date with what was heard. It reports
+// whether demand is now known to have shifted.
+func (f *Follower) Learn(now time.Time) (shifted bool) {
+	newest, any := f.sum(now)
+	if !any {
+		return false
+	}
+	if f.load == nil {
+		f.load, f.at, f.since = newest, now, now
+		return false
+	}
+	d := distance(newest, f.load)
+	far := d > shiftRatio*f.usual
+	switch {
+	case far && f.suspect:
+		f.suspect = false
+		f.spans = append(f.spans, now.Sub(f.since))
+		f.spans = f.spans[max(0, len(f.spans)-maxSpans):]
+		f.load, f.at, f.since = newest, now, now
+		f.shifts++
+		return true
+	case far:
+		// One window may lie far off by a single long prompt, and the first after a
+		// shift holds counts from before it: the next one tells.
+		f.suspect = true
+		return false
+	}
+	f.suspect = false
+	f.usual += usualWeight * (d - f.usual)
+	f.smooth(newest, now)
+	return false
+}
+
+// sum adds the newest counts of all ranks: they count together, as ranks differ
+// in what their requests are about.
+func (f *Follower) sum(now time.Time) (newest [][]float64, any bool) {
+	newest = make([][]float64, f.cfg.Sets)
+	for k := range newest {
+		newest[k] = make([]float64, f.cfg.Experts)
+	}
+	for _, w := range f.newest {
+		if w.counts == nil || now.Sub(w.at) > f.cfg.Life {
+			continue
+		}
+		any = true
+		for i, n := range w.counts {
+			newest[i/f.cfg.Experts][i%f.cfg.Experts] += float64(n)
+		}
+	}
+	return newest, any
+}
+
+// smooth mixes the newest counts in. Soon after a shift all counts since weigh
+// alike, so that the first ones do not count for more than the rest.
+func (f *Follower) smooth(newest [][]float64, now time.Time) {
+	passed := now.Sub(f.at).Seconds()
+	weight := 1 - math.Exp(-passed/f.cfg.Memory.Seconds())
+	if all := now.Sub(f.since).Seconds(); all > 0 {
+		weight = max(weight, passed/(all+passed))
+	}
+	f.at = now
+	for k := range f.load {
+		for x := range f.load[k] {
+			f.load[k][x] += weight * (newest[k][x] - f.load[k][x])
+		}
+	}
+}
+
+// distance is the part of all choices, as a mean over the sets, that would have
+// to be others for the one to become the other: 0 to 1.
+func distance(a, b [][]float64) (d float64) {
+	for k := range a {
+		sumA, sumB := total(a[k]), total(b[k])
+		if sumA == 0 || sumB == 0 {
+			continue
+		}
+		for x := range a[k] {
+			d += math.Abs(a[k][x]/sumA-b[k][x]/sumB) / 2
+		}
+	}
+	return d / float64(max(len(a), 1))
+}
+
+func total(list []float64) (sum float64) {
+	for _, v := range list {
+		sum += v
+	}
+	return sum
+}
+
+// Load returns the smoothed counts by set and expert, nil before the first. The
+// caller must not change them.
+func (f *Follower) Load() [][]float64 { return f.load }
+
+// Suspect reports whether the newest counts lie so far off that a shift may
+// have come, which is not yet sure.
+func (f *Follower) Suspect() bool { return f.suspect }
+
+// Shifts returns how many shifts were noticed.
+func (f *Follower) Shifts() int { return f.shifts }
+
+// Left says how much longer demand may be expected to stay as it is: what was
+// left, in the mean, of the earlier spans between shifts that lasted as long as
+// this one has. A span that is longer than all before, or the first one, is
+// expected to last as long again as it has.
+func (f *Follower) Left(now time.Time) time.Duration {
+	passed := now.Sub(f.since)
+	sum, n := time.Duration(0), time.Duration(0)
+	for _, s := range f.spans {
+		if s > passed {
+			sum += s - passed
+			n++
+		}
+	}
+	if n == 0 {
+		return passed
+	}
+	return sum / n
+}
--- a/internal/decide/rebalance/improve.go
+++ b/internal/decide/rebalance/improve.go
@@ -40,7 +40,7 @@
 	for l, layer := range current {
 		e := newEditor(s, append(Layer(nil), layer...), tokens[l], speed)
 		e.spare = b.Spare
-		e.full = func(r int) bool { return b.PerRank > 0 && i.taken[r] >= b.PerRank }
+		e.full = func(r int) bool { return i.bounds.PerRank > 0 && i.taken[r] >= i.bounds.PerRank }
 		mean := 0.0
 		for _, v := range e.loads {
 			mean += v / float64(s.Ranks)
@@ -56,6 +56,14 @@
 	return i
 }
 
+// Allow sets how many experts a rank may take on in all layers, 0 for no bound.
+func (i *Improver) Allow(perRank int) {
+	i.bounds.PerRank = perRank
+	for l := range i.best {
+		i.look(l)
+	}
+}
+
 func (i *Improver) skew(l int) float64 {
 	if i.means[l] <= 0 {
 		return 1
@@ -119,7 +127,7 @@
 func (i *Improver) Result() Improvement {
 	r := i.result
 	for l, e := range i.editors {
-		r.Map = append(r.Map, e.layer)
+		r.Map = append(r.Map, slices.Clone(e.layer)) // Steps that follow do not change it: rows are replaced.
 		r.After += i.skew(l) / float64(len(i.editors))
 	}
 	r.Copies = Transfers(i.current, r.Map)
--- /dev/null
+++ b/internal/decide/remap/remap.go
@@ -0,0 +1,129 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package remap decides whether the expert map of a group of ranks is worth
+// changing, into which map, and whether a change that is under way is to be
+// dropped for a better one. It is pure: what is observed comes in as arguments.
+// How a map is improved is package rebalance's matter, how it comes into force
+// that of cutover.
+package remap
+
+import (
+	"time"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/rebalance"
+)
+
+// Group is what a plan is made for.
+type Group struct {
+	Shape       rebalance.Shape
+	Spare       int       // Experts that a rank may take on in one change, a set.
+	ExpertShare float64   // Part of the work that is done by experts, above 0.
+	Speed       []float64 // By rank; nil when all are alike.
+}
+
+// Effort is the time that a change takes.
+type Effort struct {
+	Copy time.Duration // Of one expert; a rank copies one after the other.
+	Rest time.Duration // Of all else: noticing, planning, orders.
+	// Still is how long the group stands still for the switch.
+	Still time.Duration
+}
+
+// copyDrag is the part by which passes take longer while experts are copied, as
+// the platform's pages give it.
+const copyDrag = 0.15
+
+// takes returns how long a change takes in which a rank copies so many experts.
+func (e Effort) takes(copies int) time.Duration {
+	return time.Duration(copies)*e.Copy + e.Rest
+}
+
+// Plan is a map that could take the place of the one in force. Before and After
+// are times of a pass, in those under a map that loads all ranks alike.
+type Plan struct {
+	Map    rebalance.Map
+	Copies int // Of experts, at all ranks together.
+	Most   int // Of them, those of the rank that copies most.
+	Before float64
+	After  float64
+}
+
+// Gain returns the part of a pass that the plan saves.
+func (p Plan) Gain() float64 {
+	if p.Before <= 0 {
+		return 0
+	}
+	return (p.Before - p.After) / p.Before
+}
+
+// rate is what a plan gains a second of its effort.
+func (p Plan) rate(e Effort) float64 {
+	return (p.Before - p.After) / e.takes(p.Most).Seconds()
+}
+
+// passTime turns a skew into a pass's time, in that without any.
+func (g Group) passTime(skew float64) float64 { return 1 - g.ExpertShare + g.ExpertShare*skew }
+
+// Make plans a map for a demand. A rank copies one expert more only as long as
+// what the plan gains a second rises by it: where copies are slow, two small
+// changes one after the other gain sooner than one large; where they are quick,
+// the effort of a change is mostly not in them. Yield is called now and then, as
+// planning is long work.
+func Make(g Group, current rebalance.Map, demand [][]float64, e Effort, least float64, yield func()) (best Plan) {
+	i := rebalance.NewImprover(g.Shape, current, demand, g.Speed, rebalance.Bounds{Spare: g.Spare, PerRank: 1, Least: least})
+	for k := 1; ; k++ {
+		i.Allow(k)
+		for n := 1; i.Step(); n++ {
+			if n%stepsAtOnce == 0 {
+				yield()
+			}
+		}
+		r := i.Result()
+		p := Plan{Map: r.Map, Copies: r.Copies, Most: r.Most, Before: g.passTime(r.Before), After: g.passTime(r.After)}
+		if k > 1 && p.rate(e) <= best.rate(e) {
+			return best
+		}
+		best = p
+		if p.Most < k || !mayRise(p, e, k+1) {
+			return best
+		}
+	}
+}
+
+// stepsAtOnce is how many steps of planning are made before others run: one
+// takes some ten microseconds.
+const stepsAtOnce = 8
+
+// mayRise reports whether so many copies a rank could gain more a second than p,
+// if they made the load even.
+func mayRise(p Plan, e Effort, copies int) bool {
+	perfect := Plan{Before: p.Before, After: 1, Most: copies}
+	return perfect.rate(e) > p.rate(e)
+}
+
+// Saves returns the time of passes, in seconds, that a plan saves until demand
+// shifts, less what copying costs meanwhile: below 0 when it does not pay.
+func (p Plan) Saves(e Effort, left time.Duration) float64 {
+	drag := copyDrag * (time.Duration(p.Most) * e.Copy).Seconds()
+	return p.Gain()*(left-e.takes(p.Most)).Seconds() - drag - e.Still.Seconds()
+}
+
+// Replaces reports whether a plan, made for what is asked for now, is to take
+// the place of one that is under way and needs so much longer. Both come into
+// force in the end; what differs is how long passes take until then. Now is the
+// time of a pass under the map in force, soon that under the map under way.
+func (p Plan) Replaces(e Effort, remaining time.Duration, now, soon float64) bool {
+	dropped := remaining.Seconds() * (now - p.After)
+	kept := e.takes(p.Most).Seconds() * (now - soon)
+	return dropped > kept
+}
+
+// PassTime returns the time of a pass under a map and a demand, in that under a
+// map that loads all ranks alike.
+func (g Group) PassTime(m rebalance.Map, demand [][]float64) float64 {
+	slowest, mean := m.StepTime(demand, g.Shape.Ranks, g.Speed)
+	if mean <= 0 {
+		return 1
+	}
+	return g.passTime(slowest / mean)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 package fleet
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -163,6 +164,20 @@
 // Services returns all services by name; callers must not change the map.
 func (c *Config) Services() map[string]*Service { return c.services }
 
+// PauseLimit returns the shortest pause between events that a route of a service
+// allows, 0 when none gives one.
+func (c *Config) PauseLimit(service string) (least time.Duration) {
+	for _, routes := range c.byHost {
+		for _, r := range routes {
+			to := slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+			if to && r.PauseLimit > 0 && (least == 0 || r.PauseLimit < least) {
+				least = r.PauseLimit
+			}
+		}
+	}
+	return least
+}
+
 // Route returns the route of a request: that of its host with the longest
 // prefix of the path, or nil.
 func (c *Config) Route(host, path string) *Route {
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -20,7 +20,6 @@
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
-	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
 // Paths of the calls between sidecars.
@@ -48,9 +47,8 @@
 
 // answer is what became of an order.
 type answer struct {
-	Result rank.Result  `json:"result"`
-	Error  string       `json:"error,omitempty"`
-	Report *rank.Report `json:"report,omitempty"` // Of an order to prepare: made once the copies were there, or had taken too long.
+	Result rank.Result `json:"result"`
+	Error  string      `json:"error,omitempty"`
 }
 
 // Handler serves the calls of other sidecars.
@@ -121,9 +119,6 @@
 			break
 		}
 	}
-	if o.Op == rank.Prepare && a.Result != rank.Fenced {
-		a.Report = s.awaitCopies(ctx, o.Version)
-	}
 	return a
 }
 
@@ -141,25 +136,6 @@
 	return a
 }
 
-// awaitCopies looks at the own engine, which costs nothing, until it has the
-// experts of a version, and returns its last report, nil without one.
-func (s *Sidecar) awaitCopies(ctx context.Context, version uint64) (last *rank.Report) {
-	ctx, cancel := context.WithTimeout(ctx, copiesTimeout)
-	defer cancel()
-	for ctx.Err() == nil {
-		r, err := s.engine.Report(ctx)
-		s.noteReport(r, err)
-		if err == nil {
-			last = &r
-			if r.Prepared == version {
-				break
-			}
-		}
-		wait.For(ctx, ownCopiedEvery)
-	}
-	return last
-}
-
 // pack writes numbers as varints.
 func pack(flat []uint64) []byte {
 	raw := make([]byte, 0, 2*len(flat))
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -4,50 +4,55 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/cutover"
+	"github.com/canvaspulley/canvaspulley/internal/decide/demand"
 	"github.com/canvaspulley/canvaspulley/internal/decide/rebalance"
-	"github.com/canvaspulley/canvaspulley/internal/wait"
+	"github.com/canvaspulley/canvaspulley/internal/decide/remap"
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
 )
 
 // planner follows the demand for experts and makes maps for it.
 type planner struct {
-	load     [][]float64 // Smoothed counts by set and expert.
-	smoothed time.Time   // When load was last brought up to date.
-	windows  [][]uint64  // Newest counts by rank.
-	taken    []uint64    // Their numbers.
-	heard    []time.Time // When they came.
+	follower *demand.Follower // Nil until the group's shape is known.
+	taken    []uint64         // Numbers of the windows that were taken in, by rank.
 	current  rebalance.Map
-	version  uint64 // Of current; meaningful only when current is set.
+	version  uint64 // Of current; meaningful only when known is set.
 	known    bool
-	changed  time.Time     // Last switch.
 	pass     time.Duration // Smoothed time of a pass; 0 when not known.
+	pending  *pending      // The change under way; nil for none.
+}
+
+// pending is a change whose experts are being copied.
+type pending struct {
+	plan    remap.Plan
+	version uint64
+	began   time.Time
+	due     time.Time // When the copies should be there.
+	shifts  int       // That were noticed when it began.
 }
 
 // Weights of planning.
 const (
-	// loadTime smooths the counts: what streams that end and begin are about
-	// changes by chance within it.
-	loadTime = 450 * time.Millisecond
-	// windowLife is how long a rank's newest counts say what is asked for now:
-	// about three looks.
-	windowLife = 300 * time.Millisecond
-	// shifted is the skew of the newest windows to that of the smoothed counts,
-	// under the map in force, from which the demand is taken to have changed:
-	// what was heard before is dropped then.
-	shifted = 1.2
-	// horizon is how long a gain is reckoned to last: demand shifts every few
-	// seconds.
-	horizon = 2500 * time.Millisecond
-	// leastBetween lies between two switches.
-	leastBetween = 50 * time.Millisecond
-	// leastGain and paysTimes keep from changes that gain little: while one is
-	// under way, a shift of demand has to wait.
+	// memoryShare is the part of an answer's unhurried time over which counts are
+	// smoothed: what streams that end and begin are about changes by chance within
+	// a few prompts, and a change of demand is to be seen before most of them end.
+	memoryShare = 0.45
+	// usualMemory smooths the counts where answers' usual length is not published.
+	usualMemory = 450 * time.Millisecond
+	// lifeLooks is how many looks long a rank's newest counts say what is asked for
+	// now: an answer may be lost, and a new one may not be ready at each look.
+	lifeLooks = 3
+	// noticeLooks is how many looks a shift takes to be seen and confirmed.
+	noticeLooks = 2
+	// leastGain is the part of a pass that a change must save at least: less is
+	// within what counts differ by from one second to the next.
 	leastGain = 0.03
+	// paysTimes is how many times its price a change must be worth, since what it
+	// gains is an estimate.
 	paysTimes = 1.5
 	// expertWork is the part of a pass that experts make when none is told.
 	expertWork = 0.85
@@ -57,149 +62,204 @@
 )
 
 // Passes and what they mean for callers: an event of a stream comes with each
-// pass, and its pause is a pass, longer by what is read of new prompts.
+// pass, and its pause is a pass, longer by what is read of new prompts. Both are
+// parts of the shortest pause that a route of the service allows.
 const (
 	// easyPass is so short that a shorter one serves nobody better.
-	easyPass = 52 * time.Millisecond
-	// hardPass is so long that pauses go over the usual bound of 120 ms as soon
-	// as prompts are read.
-	hardPass = 95 * time.Millisecond
+	easyPass = 0.43
+	// hardPass is so long that pauses go over the limit as soon as prompts are read.
+	hardPass = 0.79
 	// leastPressure is the part of the full value that a shorter pass always
 	// has, since load may rise.
 	leastPressure = 0.05
 )
 
 // pressure is the part of the full value that a shorter pass has now.
-func (p *planner) pressure() float64 {
-	part := float64(p.pass-easyPass) / float64(hardPass-easyPass)
+func (l *leader) pressure() float64 {
+	if l.pauseLimit <= 0 {
+		return 1
+	}
+	part := (l.planner.pass.Seconds()/l.pauseLimit.Seconds() - easyPass) / (hardPass - easyPass)
 	return min(max(part, leastPressure), 1)
 }
 
-// learn takes in the windows that are new. The newest windows of all ranks
-// count together, as ranks differ in what their requests are about.
+// learn takes in the windows that are new. It reports whether demand is now
+// known to have shifted.
 func (l *leader) learn() {
 	p := &l.planner
 	if l.shape == nil || l.shape.Sets == 0 {
 		return
 	}
-	size := l.shape.Sets * l.shape.Experts
-	if p.windows == nil {
-		p.windows = make([][]uint64, len(l.byRank))
+	if p.follower == nil {
+		p.follower = demand.New(l.demandConfig())
 		p.taken = make([]uint64, len(l.byRank))
-		p.heard = make([]time.Time, len(l.byRank))
 	}
-	now := time.Now()
-	heard := false
+	now, heard := time.Now(), false
 	for r, m := range l.byRank {
 		if m.state.Window == p.taken[r] || len(m.state.Work) == 0 {
 			continue
 		}
 		p.taken[r] = m.state.Window
 		flat, err := unpack(m.state.Work)
-		if err != nil || len(flat) != size {
+		if err != nil || !p.follower.Hear(r, flat, now) {
 			l.s.log.Warn("counts left out", zap.Int("rank", r), zap.Int("numbers", len(flat)))
 			continue
 		}
 		heard = true
-		p.windows[r], p.heard[r] = flat, now
 	}
-	for r, at := range p.heard {
-		if now.Sub(at) > windowLife {
-			p.windows[r] = nil
-		}
-	}
-	if heard {
-		p.smooth(l.shape.Sets, l.shape.Experts, now)
+	if heard && p.follower.Learn(now) {
+		l.s.log.Info("demand has shifted", zap.Int("shifts", p.follower.Shifts()), zap.Duration("expected-for", p.follower.Left(now)))
 	}
 }
 
-// smooth brings the smoothed counts up to date.
-func (p *planner) smooth(sets, experts int, now time.Time) {
-	newest := make([][]float64, sets)
-	for k := range newest {
-		newest[k] = make([]float64, experts)
-		for _, flat := range p.windows {
-			if len(flat) == 0 {
-				continue
-			}
-			for x, n := range flat[k*experts : (k+1)*experts] {
-				newest[k][x] += float64(n)
-			}
-		}
+func (l *leader) demandConfig() demand.Config {
+	e := l.shape
+	memory := usualMemory
+	if e.UsualAnswer > 0 && e.StepTime > 0 {
+		step := e.StepTime + time.Duration(e.Slots)*e.WriterTime/2
+		memory = time.Duration(memoryShare * e.UsualAnswer * float64(step))
 	}
-	weight := 1 - math.Exp(-now.Sub(p.smoothed).Seconds()/loadTime.Seconds())
-	p.smoothed = now
-	if p.load == nil || p.hasShifted(newest, len(p.windows)) {
-		p.load = newest
-		return
+	return demand.Config{
+		Sets: e.Sets, Experts: e.Experts, Ranks: len(l.byRank),
+		Memory: memory, Life: lifeLooks * (l.lookPause() + passPoll),
 	}
-	for k := range p.load {
-		for x := range p.load[k] {
-			p.load[k][x] += weight * (newest[k][x] - p.load[k][x])
-		}
+}
+
+// group returns the group as package remap sees it.
+func (l *leader) group() remap.Group {
+	share := l.shape.ExpertShare
+	if share <= 0 {
+		share = expertWork
+	}
+	return remap.Group{
+		Shape:       rebalance.Shape{Ranks: len(l.byRank), Experts: l.shape.Experts, Slots: l.shape.Places},
+		Spare:       l.shape.Spare,
+		ExpertShare: share,
+		Speed:       l.speeds(),
 	}
 }
 
-// hasShifted reports whether the newest counts load the map in force much less
-// evenly than those before.
-func (p *planner) hasShifted(newest [][]float64, ranks int) bool {
-	if !p.known {
-		return false
+// effort returns the time that changes take here.
+func (l *leader) effort() remap.Effort {
+	return remap.Effort{
+		Copy:  l.copyTime(1),
+		Rest:  noticeLooks*l.lookPause() + l.arming,
+		Still: max(l.arming-mostAhead*l.planner.pass, 0),
 	}
-	slowNow, meanNow := p.current.StepTime(newest, ranks, nil)
-	slow, mean := p.current.StepTime(p.load, ranks, nil)
-	return meanNow > 0 && mean > 0 && slowNow/meanNow > shifted*slow/mean
 }
 
-// change makes a new map and brings it into force, if that pays.
+// change begins a new map, if that pays.
 func (l *leader) change(ctx context.Context) {
 	p := &l.planner
-	if p.load == nil || l.shape == nil || time.Since(p.changed) < leastBetween {
+	if p.follower == nil || p.follower.Load() == nil || p.follower.Suspect() || !l.readMap(ctx) {
 		return
 	}
-	if !l.readMap(ctx) {
+	left := p.follower.Left(time.Now())
+	plan := l.plan(left)
+	if !l.pays(plan, left) {
 		return
 	}
-	next, copies, most, gain := l.plan()
-	value := l.s.cfg.SkewPrice * horizon.Seconds() * p.pressure() * gain
-	cost := float64(copies) * l.shape.ExpertBytes / gigabyte * l.s.cfg.CopyPrice
-	if gain < max(leastGain, l.standstill()) || value <= paysTimes*cost {
-		return
+	l.begin(ctx, plan)
+}
+
+// plan makes a map for what is asked for now.
+func (l *leader) plan(left time.Duration) remap.Plan {
+	p, g := &l.planner, l.group()
+	value := l.s.cfg.SkewPrice * left.Seconds() * l.pressure() * g.ExpertShare / float64(l.shape.Sets) // Of a set's mean load.
+	least := 1.0
+	if value > 0 {
+		least = l.shape.ExpertBytes / gigabyte * l.s.cfg.CopyPrice / value
 	}
-	version := (l.machine.Newest/versionsPerRank+1)*versionsPerRank + uint64(l.machine.Self)
-	layout := make([][][]int, len(next))
-	for k, layer := range next {
+	return remap.Make(g, p.current, p.follower.Load(), l.effort(), least, pause)
+}
+
+// pays reports whether a plan is worth its copies and the time that they take.
+func (l *leader) pays(plan remap.Plan, left time.Duration) bool {
+	saves := plan.Saves(l.effort(), left)
+	value := l.s.cfg.SkewPrice * l.pressure() * saves
+	cost := float64(plan.Copies) * l.shape.ExpertBytes / gigabyte * l.s.cfg.CopyPrice
+	return plan.Gain() >= leastGain && saves > 0 && value > paysTimes*cost
+}
+
+// begin has the ranks copy the experts of a plan.
+func (l *leader) begin(ctx context.Context, plan remap.Plan) {
+	p, m := &l.planner, l.machine
+	version := (m.Newest/versionsPerRank+1)*versionsPerRank + uint64(m.Self)
+	layout := make([][][]int, len(plan.Map))
+	for k, layer := range plan.Map {
 		layout[k] = layer.Rows(len(l.byRank))
 	}
-	began := time.Now()
-	m := l.machine
+	now := time.Now()
+	p.pending = &pending{plan: plan, version: version, began: now, due: now.Add(l.copyTime(plan.Most)), shifts: p.follower.Shifts()}
 	m.Begin(version, layout)
 	l.s.maps.put(mapKey{epoch: m.Epoch, fence: m.Fence, version: version}, packMap(layout))
 	l.drive(ctx, prepareLimit)
-	if !l.copied(ctx, began, l.copyTime(most)) {
-		m.GiveUp()
-		l.s.figures.gaveUp.Inc(1)
-		l.s.log.Warn("map not copied", zap.Uint64("version", version), zap.Duration("after", time.Since(began)))
+	if m.Phase == cutover.Preparing {
+		l.abandon("orders not answered")
+	}
+}
+
+// abandon drops the change that is under way.
+func (l *leader) abandon(cause string) {
+	p := &l.planner
+	l.s.figures.gaveUp.Inc(1)
+	l.s.log.Warn("map given up", zap.String("cause", cause), zap.Uint64("version", p.pending.version), zap.Duration("after", time.Since(p.pending.began)))
+	p.pending = nil
+	l.machine.GiveUp()
+}
+
+// proceed goes on with the change that is under way.
+func (l *leader) proceed(ctx context.Context) {
+	p := &l.planner
+	now := time.Now()
+	switch {
+	case l.machine.Copied(l.reports()):
+		l.switchOver(ctx)
+	case now.Sub(p.pending.due) > p.pending.due.Sub(p.pending.began)+overdue:
+		l.abandon("not copied in time")
+	case p.pending.shifts != p.follower.Shifts():
+		l.reconsider(ctx, now)
+	}
+}
+
+// reconsider looks, after a shift of demand, whether a new plan is to take the
+// place of the one under way.
+func (l *leader) reconsider(ctx context.Context, now time.Time) {
+	p, g := &l.planner, l.group()
+	left := p.follower.Left(now)
+	plan := l.plan(left)
+	soon := g.PassTime(p.pending.plan.Map, p.follower.Load())
+	remaining := max(p.pending.due.Sub(now), 0)
+	if !l.pays(plan, left) || !plan.Replaces(l.effort(), remaining, plan.Before, soon) {
+		p.pending.shifts = p.follower.Shifts()
 		return
 	}
-	copied := time.Now()
-	before := m.Gained
+	l.abandon("demand has shifted")
+	l.begin(ctx, plan)
+}
+
+// switchOver brings the map whose experts were copied into force.
+func (l *leader) switchOver(ctx context.Context) {
+	p, m := &l.planner, l.machine
+	change, copied, before := p.pending, time.Now(), m.Gained
+	p.pending = nil
 	m.Switch(l.nextStep())
 	l.drive(ctx, armLimit)
 	m.GiveUp()
 	l.drive(ctx, recoverLimit)
-	p.changed = time.Now()
-	l.arming += time.Duration(armingWeight * float64(p.changed.Sub(copied)-l.arming))
+	took := time.Since(copied)
+	l.arming += time.Duration(armingWeight * float64(took-l.arming))
 	done := m.Gained > before
 	if done {
-		p.current, p.version = next, version
+		p.current, p.version = change.plan.Map, change.version
 		l.s.figures.switches.Inc(1)
-		l.s.figures.copies.Inc(int64(copies))
+		l.s.figures.copies.Inc(int64(change.plan.Copies))
 	} else {
 		l.s.figures.gaveUp.Inc(1)
 	}
-	l.s.log.Info("map changed", zap.Bool("in-force", done), zap.Uint64("version", version), zap.Int("copies", copies), zap.Float64("gain", gain),
-		zap.Float64("value", value), zap.Float64("cost", cost), zap.Duration("pass", p.pass), zap.Ints("running", l.running()), zap.Float64s("speed", l.speeds()), zap.Duration("copying", copied.Sub(began)), zap.Duration("switching", p.changed.Sub(copied)))
+	l.s.log.Info("map changed", zap.Bool("in-force", done), zap.Uint64("version", change.version), zap.Int("copies", change.plan.Copies), zap.Int("most", change.plan.Most),
+		zap.Float64("before", change.plan.Before), zap.Float64("after", change.plan.After), zap.Duration("pass", p.pass), zap.Ints("running", l.running()), zap.Float64s("speed", l.speeds()),
+		zap.Duration("copying", copied.Sub(change.began)), zap.Duration("switching", took))
 }
 
 // Passes between the newest one and the switch, so that all ranks are armed
@@ -230,14 +290,6 @@
 	return max(leastAhead, int(l.arming/pass)+leastAhead)
 }
 
-// standstill is the part of a pass's time that a switch must save in order to
-// pay for the time that the group stands still, where the orders of switches
-// have lately taken longer than the passes that lie before one can cover.
-func (l *leader) standstill() float64 {
-	covered := mostAhead * l.planner.pass
-	return max(l.arming-covered, 0).Seconds() / horizon.Seconds()
-}
-
 // copyTime returns how long a rank takes for so many copies.
 func (l *leader) copyTime(copies int) time.Duration {
 	if l.shape.LinkRate <= 0 {
@@ -246,110 +298,6 @@
 	return time.Duration(float64(copies) * l.shape.ExpertBytes / l.shape.LinkRate * float64(time.Second))
 }
 
-// copied waits until every rank has the prepared experts and the machine may
-// go on.
-func (l *leader) copied(ctx context.Context, began time.Time, copying time.Duration) bool {
-	own, _ := l.s.Report()
-	if l.machine == nil || l.machine.Observe(l.reports()) && l.machine.Phase == cutover.Ready && l.machine.Copied(l.reports()) {
-		return l.machine != nil // The answers to the orders told it.
-	}
-	wait.For(ctx, copying)
-	for ctx.Err() == nil && l.machine != nil && time.Since(began) < prepareLimit {
-		if l.ask(ctx, own) && l.machine.Observe(l.reports()) &&
-			l.machine.Phase == cutover.Ready && l.machine.Copied(l.reports()) {
-			return true
-		}
-		wait.For(ctx, max(copiedEvery, time.Duration(len(l.byRank))*lookPerRank/2))
-	}
-	return false
-}
-
-// readMap makes sure that the map in force is known. Map 0 is made by rule;
-// any other was made here, or is read from the ranks' engines.
-func (l *leader) readMap(ctx context.Context) bool {
-	p := &l.planner
-	version := l.byRank[0].state.Report.Map
-	if p.known && p.version == version {
-		return true
-	}
-	ranks := len(l.byRank)
-	if version == 0 {
-		p.current = make(rebalance.Map, l.shape.Sets)
-		for k := range p.current {
-			p.current[k] = make(rebalance.Layer, l.shape.Experts)
-			for x := range p.current[k] {
-				p.current[k][x] = []int{x % ranks}
-			}
-		}
-		p.version, p.known = 0, true
-		return true
-	}
-	rows := make([][][]int, ranks)
-	for r, m := range l.byRank {
-		call, cancel := context.WithTimeout(ctx, engineTimeout)
-		h, err := l.s.dial(m.endpoint.Address).Held(call)
-		cancel()
-		if err != nil || h.Version != version || len(h.Sets) != l.shape.Sets {
-			return false // It has just changed, or the next look asks again.
-		}
-		rows[r] = h.Sets
-	}
-	current := make(rebalance.Map, l.shape.Sets)
-	for k := range current {
-		bySet := make([][]int, ranks)
-		for r := range rows {
-			bySet[r] = rows[r][k]
-		}
-		layer, ok := rebalance.FromRows(bySet, l.shape.Experts)
-		if !ok {
-			l.s.log.Warn("map in force does not fit its shape", zap.Uint64("version", version), zap.Int("set", k))
-			return false
-		}
-		current[k] = layer
-	}
-	p.current, p.version, p.known = current, version, true
-	return true
-}
-
-// plan improves every set and returns the share of a pass that it saves.
-func (l *leader) plan() (next rebalance.Map, copies, most int, gain float64) {
-	p := &l.planner
-	s := rebalance.Shape{Ranks: len(l.byRank), Experts: l.shape.Experts, Slots: l.shape.Places}
-	share := l.shape.ExpertShare
-	if share <= 0 {
-		share = expertWork
-	}
-	value := l.s.cfg.SkewPrice * horizon.Seconds() * p.pressure() * share / float64(l.shape.Sets) // Of a set's mean load.
-	least := l.shape.ExpertBytes / gigabyte * l.s.cfg.CopyPrice / value
-	i := rebalance.NewImprover(s, p.current, p.load, l.speeds(), rebalance.Bounds{Spare: l.shape.Spare, PerRank: l.copiesPerRank(), Least: least})
-	for n := 1; i.Step(); n++ {
-		if n%stepsAtOnce == 0 {
-			pause()
-		}
-	}
-	r := i.Result()
-	whole := (1 - share) + share*r.Before
-	return r.Map, r.Copies, r.Most, share * (r.Before - r.After) / whole
-}
-
-const (
-	// copyingTime bounds what a rank copies for one map: two maps one after the
-	// other gain more than one twice as good. Mean scores of the two small sites,
-	// where a copy takes 0.1 s, with 3, 2 and 1 copies: 0.69, 0.78, 0.81.
-	copyingTime = 110 * time.Millisecond
-	// stepsAtOnce is how many steps of planning are made before others run.
-	stepsAtOnce = 8
-)
-
-// copiesPerRank returns how many experts a rank may copy for one map.
-func (l *leader) copiesPerRank() int {
-	one := l.copyTime(1)
-	if one <= 0 {
-		return 1
-	}
-	return max(int(copyingTime/one), 1)
-}
-
 // running returns the requests at work at each rank, for the log.
 func (l *leader) running() []int {
 	list := make([]int, len(l.byRank))
@@ -379,3 +327,11 @@
 // pause lets other goroutines run between two pieces of planning, since the
 // runtime may not be allowed to do so by itself.
 func pause() { time.Sleep(time.Microsecond) }
+
+// engineOf returns the published shape of a service's engines.
+func engineOf(c *fleet.Config, service string) *fleet.Engine {
+	if c == nil || c.Service(service) == nil {
+		return nil
+	}
+	return c.Service(service).Engine
+}
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -14,6 +14,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
+	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
 // leadership is what a sidecar heard of its group's leader.
@@ -69,25 +70,51 @@
 // leader leads the group while its sidecar is the one that does so. Two at once
 // are harmless: every order carries a fence.
 type leader struct {
-	s        *Sidecar
-	shape    *fleet.Engine
-	service  string
-	listed   time.Time
-	all      []*member // Every endpoint of the service.
-	byRank   []*member // Of the own group, complete or nil.
-	machine  *cutover.Machine
-	fence    uint64
-	planner  planner
-	arming   time.Duration // Smoothed time that the orders of a switch took.
-	turn     int           // First of the ranks that are asked for counts next.
-	epoch    uint64
-	openedAt time.Time // When this epoch was first seen.
+	s       *Sidecar
+	shape   *fleet.Engine
+	service string
+	// pauseLimit is the shortest pause between events that a route of the service
+	// allows; 0 when there is none.
+	pauseLimit time.Duration
+	listed     time.Time
+	all        []*member // Every endpoint of the service.
+	byRank     []*member // Of the own group, complete or nil.
+	machine    *cutover.Machine
+	fence      uint64
+	planner    planner
+	arming     time.Duration // Smoothed time that the orders of a switch took.
+	turn       int           // First of the ranks that are asked for counts next.
+	epoch      uint64
+	openedAt   time.Time // When this epoch was first seen.
 }
 
 func newLeader(s *Sidecar) *leader { return &leader{s: s} }
 
+// run looks at the group until ctx ends.
 func (l *leader) run(ctx context.Context) error {
-	return l.s.pacedBySize(ctx, lookEvery, lookPerRank, l.look)
+	for ctx.Err() == nil {
+		wait.For(ctx, l.untilLook(time.Now()))
+		l.look(ctx)
+	}
+	return nil
+}
+
+// lookPause is the time between two looks while nothing is awaited.
+func (l *leader) lookPause() time.Duration {
+	return lookEvery + time.Duration(len(l.byRank))*lookPerRank
+}
+
+// untilLook is the time until the next look: copies that are due are looked for
+// at once, and then more often.
+func (l *leader) untilLook(now time.Time) time.Duration {
+	p := l.planner.pending
+	if p == nil {
+		return l.lookPause()
+	}
+	if left := p.due.Sub(now); left > 0 {
+		return min(left, l.lookPause())
+	}
+	return copiedEvery + time.Duration(len(l.byRank))*lookPerRank/2
 }
 
 // look leads for one round, where this sidecar is the leader.
@@ -185,7 +212,7 @@
 		}
 	}
 	if shape := engineOf(snap.Config, l.service); shape != nil {
-		l.shape = shape
+		l.shape, l.pauseLimit = shape, snap.Config.PauseLimit(l.service)
 	}
 	known := map[string]*member{}
 	for _, m := range l.all {
@@ -327,11 +354,14 @@
 	l.planner.pass = l.s.passes.pass
 	l.s.mu.Unlock()
 	l.learn()
-	if m.Phase == cutover.Ready {
+	switch {
+	case m.Phase != cutover.Ready:
+		l.drive(ctx, recoverLimit)
+	case l.planner.pending != nil:
+		l.proceed(ctx)
+	default:
 		l.change(ctx)
-		return
 	}
-	l.drive(ctx, recoverLimit)
 }
 
 // fencesPerMilli leaves room for fences that are raised in a leadership.
@@ -341,8 +371,12 @@
 const (
 	// recoverLimit bounds one round of cleaning up; the next look goes on.
 	recoverLimit = 400 * time.Millisecond
-	// prepareLimit bounds the copying of experts: three of 2.2 GB take 0.3 s.
-	prepareLimit = 1500 * time.Millisecond
+	// prepareLimit bounds the orders to copy experts, without the copying: all of
+	// them are lost a few times at most.
+	prepareLimit = 2 * prepareTimeout
+	// overdue is how much later than twice the expected time copies may be: as long
+	// as the looks for them may take.
+	overdue = 2 * askTimeout
 	// armLimit bounds how long the group may stand for a switch.
 	armLimit = 350 * time.Millisecond
 	// copiedEvery is the time between two looks whether the copies are there.
@@ -401,19 +435,11 @@
 	}
 }
 
-// took takes in what a sidecar says of an order.
-func (l *leader) took(r int, a answer) rank.Result {
-	if a.Report != nil {
-		l.byRank[r].state.Report = *a.Report
-	}
-	return a.Result
-}
-
 // send gives a rank an order through the sidecar beside it, or straight when
 // that does not answer.
 func (l *leader) send(ctx context.Context, r int, o rank.Order) rank.Result {
 	if r == l.machine.Self {
-		return l.took(r, l.s.carryOut(ctx, o))
+		return l.s.carryOut(ctx, o).Result
 	}
 	address := l.byRank[r].endpoint.Address
 	limit, sent := orderTries*orderTimeout+askTimeout, orderCall{Order: o}
@@ -424,7 +450,7 @@
 	defer cancel()
 	a, err := l.s.calls.order(call, address, sent)
 	if err == nil {
-		return l.took(r, a)
+		return a.Result
 	}
 	l.s.log.Warn("order sent straight", zap.Int("rank", r), zap.String("op", string(o.Op)), zap.String("error", err.Error()))
 	direct, cancelDirect := context.WithTimeout(ctx, engineTimeout)
--- a/internal/sidecar/maptext.go
+++ b/internal/sidecar/maptext.go
@@ -28,8 +28,8 @@
 	// wait for it itself.
 	mapTimeout = 300 * time.Millisecond
 	// prepareTimeout bounds an order to prepare with all that it needs: a map
-	// from each of the two sidecars named, the engine's answers, and the copies.
-	prepareTimeout = 2*mapTimeout + orderTries*orderTimeout + copiesTimeout
+	// from each of the two sidecars named, and the engine's answers.
+	prepareTimeout = 2*mapTimeout + orderTries*orderTimeout + askTimeout
 	pathMap        = "/v1/maps"
 )
 
--- /dev/null
+++ b/internal/sidecar/readmap.go
@@ -0,0 +1,58 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package sidecar
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/rebalance"
+)
+
+// readMap makes sure that the map in force is known. Map 0 is made by rule;
+// any other was made here, or is read from the ranks' engines.
+func (l *leader) readMap(ctx context.Context) bool {
+	p := &l.planner
+	version := l.byRank[0].state.Report.Map
+	if p.known && p.version == version {
+		return true
+	}
+	ranks := len(l.byRank)
+	if version == 0 {
+		p.current = make(rebalance.Map, l.shape.Sets)
+		for k := range p.current {
+			p.current[k] = make(rebalance.Layer, l.shape.Experts)
+			for x := range p.current[k] {
+				p.current[k][x] = []int{x % ranks}
+			}
+		}
+		p.version, p.known = 0, true
+		return true
+	}
+	rows := make([][][]int, ranks)
+	for r, m := range l.byRank {
+		call, cancel := context.WithTimeout(ctx, engineTimeout)
+		h, err := l.s.dial(m.endpoint.Address).Held(call)
+		cancel()
+		if err != nil || h.Version != version || len(h.Sets) != l.shape.Sets {
+			return false // It has just changed, or the next look asks again.
+		}
+		rows[r] = h.Sets
+	}
+	current := make(rebalance.Map, l.shape.Sets)
+	for k := range current {
+		bySet := make([][]int, ranks)
+		for r := range rows {
+			bySet[r] = rows[r][k]
+		}
+		layer, ok := rebalance.FromRows(bySet, l.shape.Experts)
+		if !ok {
+			l.s.log.Warn("map in force does not fit its shape", zap.Uint64("version", version), zap.Int("set", k))
+			return false
+		}
+		current[k] = layer
+	}
+	p.current, p.version, p.known = current, version, true
+	return true
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,7 +16,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
@@ -37,10 +36,10 @@
 	// reportEvery is the least time between two reports: gateways choose by them, and
 	// the load of an engine changes with each pass of some ten milliseconds.
 	reportEvery = 100 * time.Millisecond
-	// countsEvery is the time between two readings of the counts. A window
-	// of a few passes holds ten thousand choices; one of a pass or two is so uneven that
-	// it was taken for a shift (score 0.67 against 0.83).
-	countsEvery = 120 * time.Millisecond
+	// passPoll is the time between two looks at the own engine, which cost nothing,
+	// for a new pass: counts are read once a pass, so that those after a shift of
+	// demand are soon had alone. Passes take some ten milliseconds.
+	passPoll = 25 * time.Millisecond
 	// perRank is what one rank adds to the time between two reports: so many more
 	// loads reach each gateway.
 	perRank = 4 * time.Millisecond
@@ -51,10 +50,6 @@
 	// orderTries is how often an order without an answer is given before the
 	// leader hears that it was lost. One in three may be.
 	orderTries = 3
-	// copiesTimeout bounds the wait of an order to prepare for its copies, and
-	// ownCopiedEvery lies between two looks for them.
-	copiesTimeout  = 250 * time.Millisecond
-	ownCopiedEvery = 12 * time.Millisecond
 	// engineTimeout bounds a call to the own engine, which answers in about a
 	// millisecond.
 	engineTimeout = 400 * time.Millisecond
@@ -125,7 +120,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.socket.Run(ctx, s.receive) })
 	g.Go(func() error { return s.pacedBySize(ctx, reportEvery, perRank, s.readReport) })
-	g.Go(func() error { return every(ctx, countsEvery, s.readCounts) })
+	g.Go(func() error { return every(ctx, passPoll, s.watchPasses) })
 	g.Go(func() error { return every(ctx, leadEvery, s.tellLead) })
 	g.Go(func() error { return newLeader(s).run(ctx) })
 	return g.Wait()
@@ -232,20 +227,25 @@
 	return s.report, !s.reportAt.IsZero() && time.Since(s.reportAt) < 5*reportEvery
 }
 
-// readCounts takes the difference to the last counts as a window.
-func (s *Sidecar) readCounts(ctx context.Context) {
-	r, ok := s.Report()
-	if !ok || !r.Open || r.Size < 2 {
+// watchPasses reads the counts when a new pass has begun.
+func (s *Sidecar) watchPasses(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	r, err := s.engine.Report(ctx)
+	s.noteReport(r, err)
+	if err != nil || !r.Open || r.Size < 2 {
 		return
 	}
 	s.mu.Lock()
 	idle := s.counts.Step == r.Step && s.counts.Epoch == r.Epoch
 	s.mu.Unlock()
-	if idle {
-		return
+	if !idle {
+		s.readCounts(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
-	defer cancel()
+}
+
+// readCounts takes the difference to the last counts as a window.
+func (s *Sidecar) readCounts(ctx context.Context) {
 	n, err := s.engine.Counts(ctx)
 	if err != nil {
 		s.log.Debug("counts not read", zap.String("error", err.Error()))
@@ -273,11 +273,3 @@
 	}
 	return w
 }
-
-// engineOf returns the published shape of a service's engines.
-func engineOf(c *fleet.Config, service string) *fleet.Engine {
-	if c == nil || c.Service(service) == nil {
-		return nil
-	}
-	return c.Service(service).Engine
-}
