internal/gateway, internal/decide/passes, internal/decide/line: groups are judged whole, waits are short, slow ranks are cleared

Change: package passes judges each group by its passes, seen in the pauses of the streams here as well as told by ranks; what a gateway sent since a report counts for the others too; requests wait for room in line only as long as they are served in time, first tries first; refused callers are let in up to 0.85 of the limit; streams of a rank whose empty pass takes half of the longest pause are moved and go on elsewhere; an empty slow rank does not lower the limit; failed switches teach nothing; a group stands still after three of its own passes.

--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -65,8 +65,6 @@
 // Table holds what is known of all endpoints.
 type Table struct {
 	by     map[string]*endpoint
-	pass   time.Duration        // Smoothed.
-	passAt time.Time            // When pass was last brought up to date.
 	usual  int                  // Mean requests at ranks whose load is known.
 	closed map[string]time.Time // Groups by the newest report that they serve nothing.
 }
@@ -124,41 +122,16 @@
 // Busy estimates the requests at an endpoint.
 func (t *Table) Busy(id string, now time.Time) int { return t.of(id).busy(now) }
 
-// Group is what the ranks of candidates tell together.
-type Group struct {
-	Pass    time.Duration // Smoothed over about a second.
-	Running float64       // Mean requests at work at a rank.
-	Pace    float64       // Of the slowest rank, at least 1.
-}
-
-// passTime smooths the time of passes: admission is for load that lasts, not
-// for the moment after a shift of demand.
-const passTime = time.Second
-
-// Passes sums up the fresh reports of candidates; ok is false without any.
-func (t *Table) Passes(list []Candidate, now time.Time) (g Group, ok bool) {
-	n, pass := 0, time.Duration(0)
-	g.Pace = 1
-	for _, c := range list {
-		e := t.of(c.ID)
-		if now.Sub(e.load.At) > reportAge || e.load.Closed {
-			continue
-		}
-		n++
-		pass += e.load.Pass
-		g.Pace = max(g.Pace, e.load.Pace)
-		g.Running += float64(min(e.load.Running, max(c.Slots, 1)))
-	}
-	if n == 0 {
-		return g, false
+// Shared estimates the requests at an endpoint which so many other processes
+// send to as well: what this one has sent since the last report, each of them is
+// taken to have sent too, since all see the same.
+func (t *Table) Shared(id string, others int, now time.Time) int {
+	e := t.of(id)
+	busy := e.busy(now)
+	if now.Sub(e.load.At) > reportAge {
+		return busy
 	}
-	g.Running /= float64(n)
-	pass /= time.Duration(n)
-	part := min(now.Sub(t.passAt).Seconds()/passTime.Seconds(), 1)
-	t.pass += time.Duration(part * float64(pass-t.pass))
-	t.passAt = now
-	g.Pass = t.pass
-	return g, true
+	return busy + others*max(e.own-e.ownThen, 0)
 }
 
 // Down reports whether every candidate whose load is known serves nothing now.
--- /dev/null
+++ b/internal/decide/passes/passes.go
@@ -0,0 +1,302 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package passes judges how many requests a group of ranks may hold so that its
+// passes stay within the pause that callers allow between two events. All ranks
+// of a group make each pass together, so a group is judged as a whole; which rank
+// takes a request is package balance's matter. It is a pure state machine: time
+// and chance come in as arguments, and the caller serialises access.
+package passes
+
+import "time"
+
+// Shape is what is published of the engines of a group and of what their callers
+// want.
+type Shape struct {
+	Base   float64       // Requests whose work equals that of a pass without any.
+	Slots  int           // Requests that a rank runs at once.
+	Empty  time.Duration // Pass without any request, at an even load.
+	Pause  time.Duration // Longest pause between two events that is in time; 0 for none.
+	Answer time.Duration // Unhurried time of a usual answer.
+	Passes float64       // That a usual answer takes.
+}
+
+// Rank is what a rank tells.
+type Rank struct {
+	Running int
+	Pass    time.Duration // Time of a pass; 0 when not known.
+	Pace    float64       // Above 1 when it is slow.
+	Closed  bool          // Its group serves nothing now.
+	At      time.Time
+}
+
+const (
+	// rankAge is how long a rank's word counts: ranks tell several times a second.
+	rankAge = 1500 * time.Millisecond
+	// gapAge is how long pauses that were seen count, in the longest one that is in
+	// time: they come with each pass while a stream is under way here.
+	gapAge = 3
+	// gapWeight is the weight of the newest pause: a pass is seen in those of all
+	// streams here, one after the other.
+	gapWeight = 0.4
+	// firstWeight is the weight of the newest time to a first event, and firstOffs how
+	// many deviations above the mean are allowed for: as in the usual estimate of
+	// round trips.
+	firstWeight = 0.125
+	firstOffs   = 2
+	// fillShare is the part of the longest pause that a pass may last by what is
+	// known: the rest is for prompts that come together and for requests that other
+	// gateways let in meanwhile.
+	fillShare = 0.85
+	// hopelessShare is the part of that pause from which on a slow rank's empty
+	// pass leaves no answer in time.
+	hopelessShare = 0.95
+	// slowShare is the part of what a slow rank's empty pass leaves of that pause
+	// that passes may fill; fillShare of the whole may be out of reach then.
+	slowShare = 0.5
+	// leastLet is how many requests a rank gets however long its passes are: with
+	// fewer, a pass is mostly work that it makes without any.
+	leastLet = 4
+	// vacateShare is the part of the longest pause from which on a rank is cleared if
+	// its slowness makes a pass so long with a single request: then nothing that its
+	// group answers is in time until it holds none.
+	vacateShare = 0.5
+	// vacateFill is the part of the slots of the other ranks that may be taken when
+	// the requests of slow ranks are moved to them.
+	vacateFill = 0.9
+)
+
+// group is what is known of one group.
+type group struct {
+	shape    Shape
+	ranks    map[string]Rank
+	gap      time.Duration // Smoothed pause between events of streams here; 0 before the first.
+	gapAt    time.Time
+	first    time.Duration // Smoothed time from sending a request to its first event; 0 before the first.
+	firstOff time.Duration // Its smoothed deviation.
+}
+
+// Tracker follows the passes of groups.
+type Tracker struct {
+	groups map[string]*group
+	member map[string]string // Group by endpoint.
+}
+
+// New returns a tracker that knows no group.
+func New() *Tracker { return &Tracker{groups: map[string]*group{}, member: map[string]string{}} }
+
+// Report takes in what a rank tells of itself and its group.
+func (t *Tracker) Report(id, name string, s Shape, r Rank) {
+	if before, ok := t.member[id]; ok && before != name {
+		t.forget(id)
+	}
+	if name == "" {
+		return
+	}
+	g := t.groups[name]
+	if g == nil {
+		g = &group{ranks: map[string]Rank{}}
+		t.groups[name] = g
+	}
+	t.member[id] = name
+	g.shape = s
+	g.ranks[id] = r
+}
+
+// Gap takes in the pause before an event of a stream here: it is a pass, seen
+// sooner than ranks can tell of it.
+func (t *Tracker) Gap(id string, d time.Duration, now time.Time) {
+	g := t.groups[t.member[id]]
+	if g == nil {
+		return
+	}
+	if now.Sub(g.gapAt) > gapAge*g.shape.Pause {
+		g.gap = d
+	}
+	g.gap += time.Duration(gapWeight * float64(d-g.gap))
+	g.gapAt = now
+}
+
+// First takes in how long a request took from being sent to its first event.
+func (t *Tracker) First(id string, d time.Duration) {
+	g := t.groups[t.member[id]]
+	if g == nil {
+		return
+	}
+	if g.first == 0 {
+		g.first = d
+	}
+	off := d - g.first
+	g.first += time.Duration(firstWeight * float64(off))
+	g.firstOff += time.Duration(firstWeight * float64(off.Abs()-g.firstOff))
+}
+
+// Turnover is how soon a group takes and answers requests.
+type Turnover struct {
+	Rate  float64       // Requests a second that end at one rank when it holds as many as it may.
+	First time.Duration // Until the first event of nearly all.
+}
+
+// Turnover returns that of a group which may hold so many requests a rank; ok is
+// false when it is not known.
+func (t *Tracker) Turnover(name string, perRank float64, now time.Time) (v Turnover, ok bool) {
+	g := t.groups[name]
+	if g == nil || g.shape.Passes <= 0 || g.first == 0 {
+		return v, false
+	}
+	work, ok := g.work(now)
+	if !ok {
+		return v, false
+	}
+	pass := work * (g.shape.Base + perRank)
+	return Turnover{Rate: perRank / (g.shape.Passes * pass), First: g.first + firstOffs*g.firstOff}, true
+}
+
+// Forget drops what is known of endpoints that are no longer listed.
+func (t *Tracker) Forget(listed func(id string) bool) {
+	for id := range t.member {
+		if !listed(id) {
+			t.forget(id)
+		}
+	}
+}
+
+func (t *Tracker) forget(id string) {
+	name := t.member[id]
+	delete(t.member, id)
+	g := t.groups[name]
+	if g == nil {
+		return
+	}
+	if delete(g.ranks, id); len(g.ranks) == 0 {
+		delete(t.groups, name)
+	}
+}
+
+// Group returns the group of an endpoint, "" when it is not known.
+func (t *Tracker) Group(id string) string { return t.member[id] }
+
+// work returns how much a request adds to a pass, in seconds: the time of a pass
+// by the requests at a rank, with those that its empty part equals.
+func (g *group) work(now time.Time) (seconds float64, ok bool) {
+	n, pass, running := 0, time.Duration(0), 0
+	for _, r := range g.ranks {
+		if r.Closed || r.Pass <= 0 || now.Sub(r.At) > rankAge {
+			continue
+		}
+		n++
+		pass += r.Pass
+		running += min(r.Running, max(g.shape.Slots, 1))
+	}
+	if n == 0 {
+		return 0, false
+	}
+	mean := float64(running) / float64(n)
+	last := pass.Seconds() / float64(n)
+	if now.Sub(g.gapAt) <= gapAge*g.shape.Pause {
+		last = g.gap.Seconds()
+	}
+	return last / (g.shape.Base + mean), true
+}
+
+// Limit returns how many requests a rank of a group may hold in the mean; ok is
+// false when nothing is known that limits it but its slots.
+func (t *Tracker) Limit(name string, now time.Time) (perRank float64, ok bool) {
+	g := t.groups[name]
+	if g == nil || g.shape.Pause <= 0 || g.shape.Slots <= 0 {
+		return 0, false
+	}
+	work, ok := g.work(now)
+	if !ok {
+		return 0, false
+	}
+	pause, pace := g.shape.Pause.Seconds(), g.pace(now)
+	empty := pace * g.shape.Empty.Seconds()
+	if empty > hopelessShare*pause {
+		return float64(g.shape.Slots), true // Nothing is in time: as many as possible are served.
+	}
+	most := fillShare * pause
+	if pace > 1 {
+		most = max(most, empty+slowShare*(pause-empty))
+	}
+	limit := max(most/work-g.shape.Base, leastLet)
+	return min(limit, float64(g.shape.Slots)), true
+}
+
+// pace returns that of the slowest rank that holds requests, at least 1: one that
+// holds none makes no part of a pass but that of its experts.
+func (g *group) pace(now time.Time) float64 {
+	pace := 1.0
+	for _, r := range g.ranks {
+		if !r.Closed && r.Running > 0 && now.Sub(r.At) <= rankAge {
+			pace = max(pace, r.Pace)
+		}
+	}
+	return pace
+}
+
+// Vacate reports whether the requests at an endpoint are to be moved to other
+// ranks of its group, since it is so slow that all passes take too long by it.
+func (t *Tracker) Vacate(id string, now time.Time) bool {
+	g := t.groups[t.member[id]]
+	if g == nil || !g.slow(g.ranks[id]) {
+		return false
+	}
+	running, room := 0, 0
+	for _, r := range g.ranks {
+		if r.Closed || now.Sub(r.At) > rankAge {
+			continue
+		}
+		running += r.Running
+		if !g.slow(r) {
+			room += g.shape.Slots
+		}
+	}
+	return float64(running) <= vacateFill*float64(room)
+}
+
+func (g *group) slow(r Rank) bool {
+	return r.Pace > 1 && r.Pace*g.shape.Empty.Seconds() > vacateShare*g.shape.Pause.Seconds()
+}
+
+// Offer is a group that could take a request.
+type Offer struct {
+	Ranks int     // That may be chosen.
+	Busy  int     // Requests at them.
+	Limit float64 // That one of them may hold in the mean.
+	Near  int     // Ranks in the failure domain of the process.
+}
+
+// room is how many more requests the group may take.
+func (o Offer) room() float64 { return o.Limit*float64(o.Ranks) - float64(o.Busy) }
+
+// nearWeight is how much more often a group is drawn if all its ranks are near:
+// bytes between failure domains are dear, yet groups must fill alike.
+const nearWeight = 2.0
+
+// Choose draws a group with the room that it has, so that gateways that see the
+// same do not all take the same one; ok is false when none has room for one more.
+func Choose(offers []Offer, random func(n int) int) (index int, ok bool) {
+	weights := make([]int, len(offers))
+	sum := 0
+	for i, o := range offers {
+		if o.room() < 1 {
+			continue
+		}
+		near := 1 + (nearWeight-1)*float64(o.Near)/float64(max(o.Ranks, 1))
+		weights[i] = max(int(o.room()*near*weightUnit), 1)
+		sum += weights[i]
+	}
+	if sum == 0 {
+		return 0, false
+	}
+	n := random(sum)
+	for i, w := range weights {
+		if n -= w; n < 0 {
+			return i, true
+		}
+	}
+	return len(offers) - 1, true
+}
+
+// weightUnit is how many parts of a request's room a weight tells apart.
+const weightUnit = 8
--- /dev/null
+++ b/internal/decide/passes/passes_test.go
@@ -0,0 +1,173 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package passes
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var (
+	at    = time.Unix(1000, 0)
+	shape = Shape{Base: 5, Slots: 12, Empty: 18 * time.Millisecond, Pause: 120 * time.Millisecond, Answer: time.Second, Passes: 24}
+)
+
+const (
+	ranks = 4
+	ms    = time.Millisecond
+)
+
+func id(group string, r int) string { return fmt.Sprintf("%s-%d", group, r) }
+
+// tell has all ranks of a group tell the same.
+func tell(t *Tracker, group string, r Rank) {
+	if r.At.IsZero() {
+		r.At = at
+	}
+	for k := range ranks {
+		t.Report(id(group, k), group, shape, r)
+	}
+}
+
+func TestLimit(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		rank Rank
+		want float64
+	}{
+		{"passes half as long as they may be", Rank{Running: 5, Pass: 51 * ms}, 12},
+		{"as long as they may be", Rank{Running: 5, Pass: 102 * ms}, 5},
+		{"too long", Rank{Running: 9, Pass: 140 * ms}, 5.2},
+		{"far too long", Rank{Running: 5, Pass: 400 * ms}, leastLet},
+		{"nothing in time any more", Rank{Running: 5, Pass: 400 * ms, Pace: 10}, 12},
+		{"a slow rank that holds nothing", Rank{Running: 0, Pass: 60 * ms, Pace: 10}, 3.5},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := New()
+			tell(p, "g", tc.rank)
+			limit, ok := p.Limit("g", at)
+			g.Expect(ok).To(BeTrue())
+			g.Expect(limit).To(BeNumerically("~", max(tc.want, leastLet), 0.2))
+		})
+	}
+}
+
+func TestGroupsAreJudgedApart(t *testing.T) {
+	g := NewWithT(t)
+	p := New()
+	tell(p, "fast", Rank{Running: 5, Pass: 51 * ms})
+	tell(p, "slow", Rank{Running: 5, Pass: 200 * ms})
+	fast, _ := p.Limit("fast", at)
+	slow, _ := p.Limit("slow", at)
+	g.Expect(fast).To(BeNumerically(">", 2*slow))
+	_, ok := p.Limit("unheard", at)
+	g.Expect(ok).To(BeFalse())
+	_, ok = p.Limit("fast", at.Add(2*rankAge))
+	g.Expect(ok).To(BeFalse(), "what was told is old")
+}
+
+func TestPausesThatAreSeenGoBeforeWhatRanksTold(t *testing.T) {
+	g := NewWithT(t)
+	p := New()
+	tell(p, "g", Rank{Running: 5, Pass: 51 * ms})
+	for range 6 {
+		p.Gap(id("g", 1), 102*ms, at)
+	}
+	limit, _ := p.Limit("g", at)
+	g.Expect(limit).To(BeNumerically("~", 5, 0.2))
+	tell(p, "g", Rank{Running: 5, Pass: 51 * ms, At: at.Add(time.Second)})
+	limit, _ = p.Limit("g", at.Add(time.Second))
+	g.Expect(limit).To(BeNumerically("~", 12, 0.2), "no stream is under way here")
+}
+
+func TestARankThatChangesItsGroupIsForgottenInTheOldOne(t *testing.T) {
+	g := NewWithT(t)
+	p := New()
+	tell(p, "old", Rank{Running: 5, Pass: 51 * ms})
+	for r := range ranks {
+		p.Report(id("old", r), "new", shape, Rank{Running: 5, Pass: 51 * ms, At: at})
+	}
+	g.Expect(p.Group(id("old", 0))).To(Equal("new"))
+	_, ok := p.Limit("old", at)
+	g.Expect(ok).To(BeFalse())
+	p.Forget(func(string) bool { return false })
+	_, ok = p.Limit("new", at)
+	g.Expect(ok).To(BeFalse())
+}
+
+func TestSlowRanksAreVacatedWhereTheOthersHaveRoom(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		pace    float64
+		running int
+		want    bool
+	}{
+		{"a little slow", 2, 3, false},
+		{"very slow", 8, 3, true},
+		{"the others are full", 8, 12, false},
+		{"not slow", 1, 3, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := New()
+			tell(p, "g", Rank{Running: tc.running, Pass: 300 * ms, Pace: 1})
+			p.Report(id("g", 2), "g", shape, Rank{Running: tc.running, Pass: 300 * ms, Pace: tc.pace, At: at})
+			g.Expect(p.Vacate(id("g", 2), at)).To(Equal(tc.want))
+			g.Expect(p.Vacate(id("g", 1), at)).To(BeFalse())
+		})
+	}
+}
+
+func TestTurnover(t *testing.T) {
+	g := NewWithT(t)
+	p := New()
+	tell(p, "g", Rank{Running: 5, Pass: 50 * ms})
+	_, ok := p.Turnover("g", 5, at)
+	g.Expect(ok).To(BeFalse(), "no first event was seen")
+	for range 50 {
+		p.First(id("g", 0), 150*ms)
+	}
+	v, ok := p.Turnover("g", 5, at)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(v.Rate).To(BeNumerically("~", 5/(24*0.05), 0.01), "five requests, each of 24 passes of 50 ms")
+	g.Expect(v.First).To(BeNumerically("~", 150*ms, 5*ms))
+}
+
+func TestChoose(t *testing.T) {
+	full := Offer{Ranks: 4, Busy: 40, Limit: 10}
+	half := Offer{Ranks: 4, Busy: 20, Limit: 10}
+	near := Offer{Ranks: 4, Busy: 20, Limit: 10, Near: 4}
+	for _, tc := range []struct {
+		name   string
+		offers []Offer
+		share  float64 // Of the last one.
+		ok     bool
+	}{
+		{"none has room", []Offer{full, full}, 0, false},
+		{"one has room", []Offer{full, half}, 1, true},
+		{"near before far", []Offer{half, near}, 2.0 / 3, true},
+		{"by room", []Offer{{Ranks: 4, Busy: 30, Limit: 10}, half}, 2.0 / 3, true},
+		{"no groups", nil, 0, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			drawn, last := 0, 0
+			for n := range 3000 {
+				i, ok := Choose(tc.offers, func(sum int) int { return n * 7919 % sum })
+				g.Expect(ok).To(Equal(tc.ok))
+				if !ok {
+					return
+				}
+				drawn++
+				if i == len(tc.offers)-1 {
+					last++
+				}
+			}
+			g.Expect(float64(last)/float64(drawn)).To(BeNumerically("~", tc.share, 0.02))
+		})
+	}
+}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -100,8 +100,11 @@
 	if !q.firstAt.IsZero() {
 		fields = append(fields, zap.Int64("first-ms", q.firstAt.Sub(q.arrived).Milliseconds()))
 	}
+	if q.waited > 0 {
+		fields = append(fields, zap.Int64("waited-ms", q.waited.Milliseconds()))
+	}
 	if q.events > 0 {
-		fields = append(fields, zap.Int("events", q.events))
+		fields = append(fields, zap.Int("events", q.events), zap.Int64("pause-ms", q.pause.Milliseconds()))
 	}
 	if q.retryIn > 0 {
 		fields = append(fields, zap.Duration("retry-after", q.retryIn))
--- /dev/null
+++ b/internal/gateway/choose.go
@@ -0,0 +1,167 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
+	"github.com/canvaspulley/canvaspulley/internal/decide/passes"
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+)
+
+// againShare is the part of what a group may hold up to which callers are let in
+// that were refused before. Their answer is late anyhow; let in alike, they take
+// the room of callers who could be served in time, who come again in turn: a
+// twentieth more requests than can be served made a third of all come twice.
+const againShare = 0.85
+
+// choose picks the next endpoint.
+func (q *request) choose(now time.Time) (e fleet.Endpoint, ok bool) {
+	if len(q.tried) >= q.route.Attempts || len(q.unsent) > maxUnreached {
+		return e, false
+	}
+	candidates := q.candidates()
+	list := make([]balance.Candidate, len(candidates))
+	shape, ranked := q.g.shape(q.config, q.service)
+	for i, e := range candidates {
+		list[i] = balance.Candidate{ID: e.ID, Near: e.Domain == q.g.cfg.Domain, Slow: e.ColdLeft > 0, Slots: e.Slots, Base: int(shape.Base)}
+	}
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	if ranked {
+		if q.g.table.Down(list, now) {
+			q.note("all ranks that are heard say that they serve nothing")
+			q.groupDown = true // It would be turned away, or wait in vain.
+			return e, false
+		}
+		q.full = false
+		list, ok = q.chooseGroup(list, now)
+		if ok && !q.inLine && len(q.tried) == 0 && q.g.queued(q.service) {
+			ok = false // Others came before.
+		}
+		if !ok {
+			q.full = true
+			return e, false
+		}
+	}
+	i, ok := q.g.table.Pick(list, random, now)
+	if !ok {
+		return e, false
+	}
+	at := slices.IndexFunc(candidates, func(e fleet.Endpoint) bool { return e.ID == list[i].ID })
+	return candidates[at], true
+}
+
+// candidates returns the endpoints of the service that may be tried.
+func (q *request) candidates() (list []fleet.Endpoint) {
+	s := q.g.view.State()
+	for _, e := range s.ByService[q.service] {
+		if e.Leaving || slices.Contains(q.tried, e.ID) || slices.Contains(q.unsent, e.ID) {
+			continue
+		}
+		if _, missing := s.Missing[e.ID]; missing {
+			continue
+		}
+		if q.groupDown && q.g.groupOf(e.ID) == q.downGroup {
+			continue // All ranks of a group stand and fall together.
+		}
+		list = append(list, e)
+	}
+	return list
+}
+
+// chooseGroup draws one of the groups that the ranks in list are in, by the room
+// that they have, and returns its ranks. A request that was sent
+// before goes on wherever it can: it has its place among those under way. The caller holds mu.
+func (q *request) chooseGroup(list []balance.Candidate, now time.Time) (chosen []balance.Candidate, ok bool) {
+	var names []string
+	members := map[string][]balance.Candidate{}
+	for _, c := range list {
+		name := q.g.passes.Group(c.ID)
+		if _, known := members[name]; !known {
+			names = append(names, name)
+		}
+		members[name] = append(members[name], c)
+	}
+	slices.Sort(names)
+	offers := make([]passes.Offer, 0, len(names))
+	open := make([]string, 0, len(names))
+	limited := false
+	q.turnover = passes.Turnover{}
+	for _, name := range names {
+		ranks := members[name]
+		if q.g.table.Down(ranks, now) {
+			continue
+		}
+		limit, known := q.g.passes.Limit(name, now)
+		if !known {
+			if limit = float64(ranks[0].Slots); limit <= 0 {
+				return list, true // Nothing is known that limits it.
+			}
+		}
+		limited = limited || known
+		if q.again {
+			limit *= againShare
+		}
+		o := passes.Offer{Ranks: len(ranks), Limit: limit}
+		for _, c := range ranks {
+			o.Busy += q.g.table.Shared(c.ID, q.g.others, now)
+			if c.Near {
+				o.Near++
+			}
+		}
+		offers, open = append(offers, o), append(open, name)
+		if v, ok := q.g.passes.Turnover(name, limit, now); ok {
+			q.turnover.Rate += v.Rate * float64(o.Ranks)
+			q.turnover.First = max(q.turnover.First, v.First)
+		}
+	}
+	i, ok := passes.Choose(offers, random)
+	switch {
+	case ok:
+		return members[open[i]], true
+	case q.begun || len(q.tried) > 0 || !limited:
+		return list, true
+	}
+	for k, o := range offers {
+		if q.waited > 0 {
+			break // Said before.
+		}
+		q.note(fmt.Sprintf("group %s full: %d requests at %d ranks, %.1f let in at each", open[k], o.Busy, o.Ranks, o.Limit))
+	}
+	return nil, false
+}
+
+// shape returns the engines of a service as their passes are judged; ok is
+// false for a plain service.
+func (g *Gateway) shape(c *fleet.Config, service string) (s passes.Shape, ok bool) {
+	svc := c.Service(service)
+	if svc == nil || svc.Engine == nil || svc.Engine.WriterTime <= 0 {
+		return s, false
+	}
+	g.shapesMu.Lock()
+	defer g.shapesMu.Unlock()
+	if g.shapesOf != c {
+		g.shapesOf, g.shapes = c, map[string]passes.Shape{}
+	}
+	if s, ok = g.shapes[service]; !ok {
+		s = shapeOf(svc.Engine, c.PauseLimit(service))
+		g.shapes[service] = s
+	}
+	return s, true
+}
+
+func shapeOf(e *fleet.Engine, pause time.Duration) passes.Shape {
+	step := e.StepTime + time.Duration(e.Slots)*e.WriterTime/2
+	return passes.Shape{
+		Base:   max(float64(e.StepTime)/float64(e.WriterTime), 1),
+		Slots:  e.Slots,
+		Empty:  e.StepTime * time.Duration(e.StepsInPass),
+		Pause:  pause,
+		Answer: time.Duration(e.UsualAnswer * float64(step)),
+		Passes: e.UsualAnswer / float64(max(e.StepsInPass, 1)),
+	}
+}
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -13,6 +13,8 @@
 	reg     metrics.Registry
 	dialed  metrics.Counter   // New connections to endpoints.
 	repeats metrics.Counter   // Requests sent to a further endpoint.
+	waited  metrics.Counter   // Requests that waited for room.
+	moved   metrics.Counter   // Requests moved away from slow ranks.
 	resumed metrics.Counter   // Streams that went on at another endpoint.
 	first   metrics.Histogram // Milliseconds to the answer or its first event.
 }
@@ -25,6 +27,8 @@
 		reg:     reg,
 		dialed:  metrics.GetOrRegisterCounter("gateway.connections", reg),
 		repeats: metrics.GetOrRegisterCounter("gateway.repeats", reg),
+		waited:  metrics.GetOrRegisterCounter("gateway.waited", reg),
+		moved:   metrics.GetOrRegisterCounter("gateway.moved", reg),
 		resumed: metrics.GetOrRegisterCounter("gateway.resumed", reg),
 		first:   metrics.GetOrRegisterHistogram("gateway.first-ms", reg, metrics.NewUniformSample(histogramSize)),
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,8 @@
 	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
+	"github.com/canvaspulley/canvaspulley/internal/decide/line"
+	"github.com/canvaspulley/canvaspulley/internal/decide/passes"
 	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
@@ -57,11 +59,19 @@
 
 	mu      sync.Mutex // Guards what follows.
 	table   *balance.Table
-	windows map[string]*retry.Window // By service.
-	others  int                      // Gateways that are known besides this one.
-
-	busy     atomic.Int64
-	stopping atomic.Int64 // When the planned stop began, Unix nanoseconds; 0 before.
+	passes  *passes.Tracker
+	windows map[string]*retry.Window               // By service.
+	lines   map[string]*line.Line                  // By service.
+	at      map[string]map[*request]*upstream.Conn // Requests that may be moved, by endpoint.
+	others  int                                    // Gateways that are known besides this one.
+
+	shapesMu sync.Mutex // Guards what follows.
+	shapesOf *fleet.Config
+	shapes   map[string]passes.Shape // By service, of shapesOf.
+
+	lastWaiter atomic.Uint64
+	busy       atomic.Int64
+	stopping   atomic.Int64 // When the planned stop began, Unix nanoseconds; 0 before.
 }
 
 // New returns a gateway that serves what view holds. The function closes its
@@ -77,7 +87,10 @@
 
 		patience: newPatience(),
 		table:    balance.New(),
+		passes:   passes.New(),
 		windows:  map[string]*retry.Window{},
+		lines:    map[string]*line.Line{},
+		at:       map[string]map[*request]*upstream.Conn{},
 	}
 	g.pool, cleanup = upstream.NewPool(cfg.Source, func() { g.figures.dialed.Inc(1) })
 	return g, cleanup
@@ -105,7 +118,9 @@
 	s := g.view.State()
 	g.Changed()
 	g.mu.Lock()
-	g.table.Forget(func(id string) bool { _, ok := s.Endpoints[id]; return ok })
+	listed := func(id string) bool { _, ok := s.Endpoints[id]; return ok }
+	g.table.Forget(listed)
+	g.passes.Forget(listed)
 	g.mu.Unlock()
 	if s.Config != nil {
 		g.conns.closeIdle(s.Config.Limits().IdleTimeout)
@@ -125,13 +140,22 @@
 // Report takes in an endpoint's load by its address, since an agent knows no
 // more of the endpoint beside it.
 func (g *Gateway) Report(address string, l balance.Load) {
-	for id, e := range g.view.State().Endpoints {
-		if e.Address != address {
+	s := g.view.State()
+	for id, e := range s.Endpoints {
+		if e.Address != address || s.Config == nil {
 			continue
 		}
+		shape, ranked := g.shape(s.Config, e.Service)
 		g.mu.Lock()
 		g.table.Report(id, l)
+		if ranked {
+			g.passes.Report(id, l.Group, shape, passes.Rank{Running: l.Running, Pass: l.Pass, Pace: l.Pace, Closed: l.Closed, At: l.At})
+		}
+		vacate := ranked && g.passes.Vacate(id, l.At)
 		g.mu.Unlock()
+		if vacate {
+			g.vacate(id)
+		}
 	}
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/canvaspulley/canvaspulley/internal/decide/passes"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 )
 
@@ -37,13 +38,21 @@
 	kept      *keptAnswer // Nil until an endpoint failed by itself.
 	groupDown bool        // A group of ranks turned it away as a whole.
 	downGroup string
-	full      bool  // No endpoint can take it now.
-	again     bool  // The caller was refused before.
-	begun     bool  // The head of an answer has gone to the caller.
-	lastID    int64 // Id of the last event that went to the caller.
+	full      bool            // No endpoint can take it now.
+	turnover  passes.Turnover // Of all groups, as last looked at.
+	waited    time.Duration   // For room.
+	inLine    bool            // It waits for room.
+	sentAt    time.Time       // When it was last sent to an endpoint.
+	moved     bool            // Its try was ended by vacate, which took a repeat for it; guarded by the gateway's mu.
+	paid      bool            // The next try's repeat is taken already.
+	again     bool            // The caller was refused before.
+	begun     bool            // The head of an answer has gone to the caller.
+	lastID    int64           // Id of the last event that went to the caller.
 	hasID     bool
 	firstAt   time.Time // When the answer or its first event went out.
 	events    int
+	lastAt    time.Time     // When the last event went out.
+	pause     time.Duration // Longest between two events.
 	outcome   outcome
 	status    int
 	retryIn   time.Duration
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -6,12 +6,10 @@
 	"context"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
-	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/upstream"
 )
@@ -55,18 +53,23 @@
 			return
 		}
 		e, ok := q.choose(now)
+		if !ok && q.full && len(q.tried) == 0 {
+			e, ok = q.await(now)
+		}
 		if !ok {
 			q.giveUp(last, false)
 			return
 		}
-		if len(q.tried) > 0 && !q.takeRepeat(now) {
+		if len(q.tried) > 0 && !q.paid && !q.takeRepeat(now) {
 			q.note("repeats used up")
 			q.giveUp(last, false)
 			return
 		}
+		q.paid = false
 		if last = q.try(e); last == over {
 			return
 		}
+		q.paid = q.takeMoved()
 		if last == unknown {
 			q.mayRun = true
 			if !q.route.MayRepeat() {
@@ -113,119 +116,6 @@
 	return emptyRetry
 }
 
-// choose picks the next endpoint.
-func (q *request) choose(now time.Time) (e fleet.Endpoint, ok bool) {
-	if len(q.tried) >= q.route.Attempts || len(q.unsent) > maxUnreached {
-		return e, false
-	}
-	s := q.g.view.State()
-	candidates := make([]fleet.Endpoint, 0, len(s.ByService[q.service]))
-	for _, e := range s.ByService[q.service] {
-		if e.Leaving || slices.Contains(q.tried, e.ID) || slices.Contains(q.unsent, e.ID) {
-			continue
-		}
-		if _, missing := s.Missing[e.ID]; missing {
-			continue
-		}
-		if q.groupDown && q.g.groupOf(e.ID) == q.downGroup {
-			continue // All ranks of a group stand and fall together.
-		}
-		candidates = append(candidates, e)
-	}
-	list := make([]balance.Candidate, len(candidates))
-	base := q.base()
-	for i, e := range candidates {
-		list[i] = balance.Candidate{ID: e.ID, Near: e.Domain == q.g.cfg.Domain, Slow: e.ColdLeft > 0, Slots: e.Slots, Base: base}
-	}
-	q.g.mu.Lock()
-	defer q.g.mu.Unlock()
-	if base > 0 && q.g.table.Down(list, now) {
-		q.note("all ranks that are heard say that they serve nothing")
-		q.groupDown = true // It would be turned away, or wait in vain.
-		return e, false
-	}
-	i, ok := q.g.table.Pick(list, random, now)
-	if !ok {
-		return e, false
-	}
-	if !q.begun && !q.admitted(candidates[i], list, now) {
-		q.full = true
-		return e, false
-	}
-	return candidates[i], true
-}
-
-// Limits of what is let in to engines.
-const (
-	// passShare is the part of the longest pause that is in time that a pass may
-	// last on the whole: the rest is for prompts that are read and for shifts of
-	// demand.
-	passShare = 0.62
-	// hopelessShare is the part of that pause from which on a slow rank's empty
-	// pass leaves no answer in time.
-	hopelessShare = 0.95
-	// slowShare is the part of what a slow rank's empty pass leaves of that pause
-	// that passes may fill; passShare of the whole is out of reach then.
-	slowShare = 0.5
-	// leastLet is how many requests a rank gets however long its passes are.
-	leastLet = 4
-	// againRoom is how many requests more a rank may hold for a caller that was
-	// refused before: it does not come a third time.
-	againRoom = 0
-	// lateRoom is how many times its slots a rank may hold while no answer is
-	// in time anyway: then it matters only that as many as possible are served.
-	lateRoom = 2
-)
-
-// admitted reports whether the least busy endpoint can still take a request.
-// Plain services tell no load and shed by themselves. The caller holds mu.
-func (q *request) admitted(e fleet.Endpoint, list []balance.Candidate, now time.Time) bool {
-	engine := q.engine()
-	group, known := q.g.table.Passes(list, now)
-	if !known || e.Slots <= 0 || engine == nil {
-		return true
-	}
-	limit := e.Slots
-	empty := time.Duration(group.Pace * float64(engine.StepTime) * float64(engine.StepsInPass))
-	switch pause := float64(q.route.PauseLimit); {
-	case pause > 0 && float64(empty) > hopelessShare*pause:
-		limit *= lateRoom
-	case pause > 0 && group.Pass > 0:
-		base := group.Pace * float64(q.base())
-		most := max(passShare*pause, float64(empty)+slowShare*(pause-float64(empty)))
-		if group.Pace <= 1 {
-			most = passShare * pause
-		}
-		fits := (base+group.Running)*most/float64(group.Pass) - base
-		limit = min(max(int(fits), leastLet), e.Slots)
-	}
-	if q.again {
-		limit += againRoom
-	}
-	busy := q.g.table.Busy(e.ID, now)
-	if busy >= limit {
-		q.note(fmt.Sprintf("group full: %d requests at the least busy rank, %d let in at passes of %v", busy, limit, group.Pass.Round(time.Millisecond)))
-	}
-	return busy < limit
-}
-
-// engine returns the shape of the service's engines, nil for a plain service.
-func (q *request) engine() *fleet.Engine {
-	if s := q.config.Service(q.service); s != nil {
-		return s.Engine
-	}
-	return nil
-}
-
-// base returns how many requests make as much work as a pass without any.
-func (q *request) base() int {
-	e := q.engine()
-	if e == nil || e.WriterTime <= 0 {
-		return 0
-	}
-	return max(int(e.StepTime/e.WriterTime), 1)
-}
-
 // takeRepeat spends one repeat of the service's budget.
 func (q *request) takeRepeat(now time.Time) bool {
 	q.g.mu.Lock()
@@ -304,6 +194,10 @@
 // exchange sends the request on a connection and relays the answer.
 func (q *request) exchange(e fleet.Endpoint, conn *upstream.Conn) result {
 	sentAt := time.Now()
+	q.sentAt = sentAt
+	if q.route.MayRepeat() && q.route.Kind == fleet.Streaming {
+		defer q.g.enter(e.ID, q, conn)()
+	}
 	q.tried = append(q.tried, e.ID)
 	out := &upstream.Request{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Body: q.body}
 	out.Header = q.g.codec.EndpointHeader(q.r.Header, q.stamp(e, sentAt))
@@ -361,6 +255,9 @@
 		q.bad(e, 1, "unsent: "+err.Error())
 		return unreached
 	}
+	if q.moving(e) {
+		return unknown
+	}
 	weight := 1.0
 	if x.Conn().Reused() {
 		weight = 0.5 // It may just have closed an idle connection.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -100,6 +100,9 @@
 	if _, err := q.w.Write(ev.raw); err != nil {
 		return err
 	}
+	now := time.Now()
+	q.noteTime(e, now)
+	q.lastAt = now
 	q.events++
 	if ev.hasID {
 		q.lastID, q.hasID = ev.id, true
@@ -110,6 +113,18 @@
 	return http.NewResponseController(q.w).Flush()
 }
 
+// noteTime tells what the time of an event says of the passes of its group.
+func (q *request) noteTime(e fleet.Endpoint, now time.Time) {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	if q.events == 0 {
+		q.g.passes.First(e.ID, now.Sub(q.sentAt))
+		return
+	}
+	q.pause = max(q.pause, now.Sub(q.lastAt))
+	q.g.passes.Gap(e.ID, now.Sub(q.lastAt), now)
+}
+
 // endStream ends a stream that its endpoint ended as whole.
 func (q *request) endStream(e fleet.Endpoint, x *upstream.Exchange, resp *http.Response) result {
 	if !q.begun {
@@ -129,7 +144,9 @@
 		q.outcome = left
 		return over
 	}
-	q.bad(e, 1, "stream: "+err.Error())
+	if !q.moving(e) {
+		q.bad(e, 1, "stream: "+err.Error())
+	}
 	if q.begun {
 		// What came whole is the caller's, whatever becomes of the rest.
 		if err := http.NewResponseController(q.w).Flush(); err != nil {
--- /dev/null
+++ b/internal/gateway/vacate.go
@@ -0,0 +1,69 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/upstream"
+)
+
+// enter notes that a request is at an endpoint, from which it may be moved. The
+// function takes it out again.
+func (g *Gateway) enter(id string, q *request, conn *upstream.Conn) (leave func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.at[id] == nil {
+		g.at[id] = map[*request]*upstream.Conn{}
+	}
+	g.at[id][q] = conn
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if delete(g.at[id], q); len(g.at[id]) == 0 {
+			delete(g.at, id)
+		}
+	}
+}
+
+// vacate moves the requests of this process away from an endpoint, as far as the
+// budget of repeats allows: their connections end, and each goes on at another
+// rank after the last event that its caller got.
+func (g *Gateway) vacate(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	for q, conn := range g.at[id] {
+		if len(q.tried) >= q.route.Attempts || q.moved || !g.window(q.service).Take(now) {
+			continue
+		}
+		g.figures.moved.Inc(1)
+		q.moved = true
+		g.log.Info("request moved", zap.String("id", q.call.ID), zap.String("from", id))
+		conn.Close()
+	}
+}
+
+// takeMoved reports whether the try that has just ended was ended by vacate, and
+// forgets it.
+func (q *request) takeMoved() bool {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	moved := q.moved
+	q.moved = false
+	return moved
+}
+
+// moving reports whether the try under way is being ended by vacate, which is no
+// fault of its endpoint.
+func (q *request) moving(e fleet.Endpoint) bool {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	if q.moved {
+		q.note(e.ID + ": moved away, it is slow")
+	}
+	return q.moved
+}
--- /dev/null
+++ b/internal/gateway/wait.go
@@ -0,0 +1,77 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"time"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/line"
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/wait"
+)
+
+const (
+	// waitPoll is the time between two looks of the request that is next: a part of
+	// the shortest pass, so that room is used while it is new.
+	waitPoll = 12 * time.Millisecond
+	// lateTargets is for how many targets a caller waits that was refused before: its
+	// answer is late anyhow, and one that is not served has waited in vain. Callers
+	// give up a stream that is silent for four.
+	lateTargets = 2
+)
+
+// await waits for room as long as the request will be served in time, in the line
+// of its service. It reports whether there is an endpoint now.
+func (q *request) await(now time.Time) (e fleet.Endpoint, ok bool) {
+	g := q.g
+	until := q.arrived.Add(q.route.Target - q.turnover.First)
+	if q.again {
+		until = q.arrived.Add(lateTargets * q.route.Target)
+	}
+	if until.After(q.final) {
+		until = q.final
+	}
+	w := line.Waiter{ID: g.lastWaiter.Add(1), Again: q.again, Until: until}
+	g.mu.Lock()
+	joined := g.line(q.service).Join(w, q.turnover.Rate/float64(g.others+1), now)
+	g.mu.Unlock()
+	if !joined {
+		return e, false
+	}
+	g.figures.waited.Inc(1)
+	q.inLine = true
+	defer func() {
+		q.inLine = false
+		g.mu.Lock()
+		g.line(q.service).Leave(w.ID)
+		g.mu.Unlock()
+	}()
+	for now.Before(until) && q.ctx.Err() == nil {
+		wait.For(q.ctx, min(waitPoll, until.Sub(now)))
+		now = time.Now()
+		q.waited = now.Sub(q.arrived)
+		g.mu.Lock()
+		next := g.line(q.service).First(w.ID)
+		g.mu.Unlock()
+		if !next {
+			continue
+		}
+		if e, ok = q.choose(now); ok || !q.full {
+			return e, ok
+		}
+	}
+	return e, false
+}
+
+// line returns the line of a service. The caller holds mu.
+func (g *Gateway) line(service string) *line.Line {
+	l, ok := g.lines[service]
+	if !ok {
+		l = &line.Line{}
+		g.lines[service] = l
+	}
+	return l
+}
+
+// queued reports whether others wait for a service already. The caller holds mu.
+func (g *Gateway) queued(service string) bool { return g.line(service).Len() > 0 }
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,7 +33,8 @@
 	version uint64
 	began   time.Time
 	due     time.Time // When the copies should be there.
-	shifts  int       // That were noticed when it began.
+	shifts  int       // That were noticed when it was last judged.
+	speeds  []float64 // Of the ranks then; nil when all were alike.
 }
 
 // Weights of planning.
@@ -190,7 +192,7 @@
 		layout[k] = layer.Rows(len(l.byRank))
 	}
 	now := time.Now()
-	p.pending = &pending{plan: plan, version: version, began: now, due: now.Add(l.copyTime(plan.Most)), shifts: p.follower.Shifts()}
+	p.pending = &pending{plan: plan, version: version, began: now, due: now.Add(l.copyTime(plan.Most)), shifts: p.follower.Shifts(), speeds: l.speeds()}
 	m.Begin(version, layout)
 	l.s.maps.put(mapKey{epoch: m.Epoch, fence: m.Fence, version: version}, packMap(layout))
 	l.drive(ctx, prepareLimit)
@@ -217,12 +219,12 @@
 		l.switchOver(ctx)
 	case now.Sub(p.pending.due) > p.pending.due.Sub(p.pending.began)+overdue:
 		l.abandon("not copied in time")
-	case p.pending.shifts != p.follower.Shifts():
+	case p.pending.shifts != p.follower.Shifts() || !slices.Equal(p.pending.speeds, l.speeds()):
 		l.reconsider(ctx, now)
 	}
 }
 
-// reconsider looks, after a shift of demand, whether a new plan is to take the
+// reconsider looks, after a shift of demand or of a rank's speed, whether a new plan is to take the
 // place of the one under way.
 func (l *leader) reconsider(ctx context.Context, now time.Time) {
 	p, g := &l.planner, l.group()
@@ -231,10 +233,10 @@
 	soon := g.PassTime(p.pending.plan.Map, p.follower.Load())
 	remaining := max(p.pending.due.Sub(now), 0)
 	if !l.pays(plan, left) || !plan.Replaces(l.effort(), remaining, plan.Before, soon) {
-		p.pending.shifts = p.follower.Shifts()
+		p.pending.shifts, p.pending.speeds = p.follower.Shifts(), l.speeds()
 		return
 	}
-	l.abandon("demand has shifted")
+	l.abandon("what it was made for has changed")
 	l.begin(ctx, plan)
 }
 
@@ -248,9 +250,11 @@
 	m.GiveUp()
 	l.drive(ctx, recoverLimit)
 	took := time.Since(copied)
-	l.arming += time.Duration(armingWeight * float64(took-l.arming))
 	done := m.Gained > before
 	if done {
+		// One that came to nothing says how long an answer did not come, as from a
+		// frozen instance, and not how long orders take.
+		l.arming += time.Duration(armingWeight * float64(took-l.arming))
 		p.current, p.version = change.plan.Map, change.version
 		l.s.figures.switches.Inc(1)
 		l.s.figures.copies.Inc(int64(change.plan.Copies))
--- a/internal/sidecar/passes.go
+++ b/internal/sidecar/passes.go
@@ -12,9 +12,12 @@
 	// passesForget is how long without a pass makes the measure void: the group
 	// is idle.
 	passesForget = 2 * time.Second
-	// stalledAfter is how long a group with requests at work makes no pass when it
-	// stands still: passes take 50 to 250 ms, and some 400 ms under the first map.
-	stalledAfter = 700 * time.Millisecond
+	// stalledAfter is how long at least a group with requests at work makes no pass
+	// when it stands still, and stalledPasses how many of its last passes: an even
+	// group makes some passes in this time, and one with a slow rank may take a second
+	// for each.
+	stalledAfter  = 700 * time.Millisecond
+	stalledPasses = 3
 )
 
 // passTimer measures how long the passes of a group take.
@@ -51,5 +54,5 @@
 // stalled reports whether no pass has begun for so long that a group with
 // requests at work must stand still.
 func (t *passTimer) stalled(now time.Time) bool {
-	return !t.began.IsZero() && now.Sub(t.began) > stalledAfter
+	return !t.began.IsZero() && now.Sub(t.began) > max(stalledAfter, stalledPasses*t.pass)
 }
