internal/sidecar, internal/gateway: the first map at once, switches one pass ahead, few let in while nothing is known

Cause: demand was expected to stay for as long as it had, so the first map of a group waited until that was longer than its copies took: it was in force after 1.6 s, and all of the first two seconds were late. A group that has just opened tells no passes, and its ranks were filled to their slots under the worst map. Each map lay two passes ahead, and the next one was begun a look after that.

A hold comes too late now and then and is tried again two passes later; the search of orders (decide/cutover) finds nothing.

--- a/internal/decide/cutover/cutover.go
+++ b/internal/decide/cutover/cutover.go
@@ -181,8 +181,9 @@
 // mostConflicts is how often a later pass is tried.
 const mostConflicts = 3
 
-// holdMargin is how many passes later a hold is tried again.
-const holdMargin = 3
+// holdMargin is how many passes later a hold is tried again: the one that has
+// begun may be the next one after that asked for.
+const holdMargin = 2
 
 func (m *Machine) advance() {
 	switch m.Phase {
--- a/internal/decide/passes/passes_test.go
+++ b/internal/decide/passes/passes_test.go
@@ -167,7 +167,7 @@
 					last++
 				}
 			}
-			g.Expect(float64(last)/float64(drawn)).To(BeNumerically("~", tc.share, 0.02))
+			g.Expect(float64(last) / float64(drawn)).To(BeNumerically("~", tc.share, 0.02))
 		})
 	}
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -98,7 +98,9 @@
 		}
 		limit, known := q.g.passes.Limit(name, now)
 		if !known {
-			if limit = float64(ranks[0].Slots); limit <= 0 {
+			// Nothing is known of its passes, as when it has just opened: until then a
+			// pass is given as much work as it makes without any request.
+			if limit = min(float64(ranks[0].Slots), float64(ranks[0].Base)); limit <= 0 {
 				return list, true // Nothing is known that limits it.
 			}
 		}
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -50,6 +50,9 @@
 	lifeLooks = 3
 	// noticeLooks is how many looks a shift takes to be seen and confirmed.
 	noticeLooks = 2
+	// firstChanges is for how many changes' time demand is expected to stay before any
+	// shift of it was seen.
+	firstChanges = 4
 	// leastGain is the part of a pass that a change must save at least: less is
 	// within what counts differ by from one second to the next.
 	leastGain = 0.03
@@ -156,7 +159,7 @@
 	if p.follower == nil || p.follower.Load() == nil || p.follower.Suspect() || !l.readMap(ctx) {
 		return
 	}
-	left := p.follower.Left(time.Now())
+	left := l.left(time.Now())
 	plan := l.plan(left)
 	if !l.pays(plan, left) {
 		return
@@ -164,6 +167,19 @@
 	l.begin(ctx, plan)
 }
 
+// left is how much longer demand is expected to stay as it is. Before a shift was
+// seen, it is expected to stay for as long as some changes take: the first map,
+// dealt out in turn, is so uneven that one is worth its copies even if it helps
+// for no longer.
+func (l *leader) left(now time.Time) time.Duration {
+	f := l.planner.follower
+	if f.Shifts() > 0 {
+		return f.Left(now)
+	}
+	e := l.effort()
+	return max(f.Left(now), firstChanges*(e.Copy+e.Rest))
+}
+
 // plan makes a map for what is asked for now.
 func (l *leader) plan(left time.Duration) remap.Plan {
 	p, g := &l.planner, l.group()
@@ -228,7 +244,7 @@
 // place of the one under way.
 func (l *leader) reconsider(ctx context.Context, now time.Time) {
 	p, g := &l.planner, l.group()
-	left := p.follower.Left(now)
+	left := l.left(now)
 	plan := l.plan(left)
 	soon := g.PassTime(p.pending.plan.Map, p.follower.Load())
 	remaining := max(p.pending.due.Sub(now), 0)
@@ -267,9 +283,10 @@
 }
 
 // Passes between the newest one and the switch, so that all ranks are armed
-// before the group reaches it.
+// before the group reaches it: orders mostly take less than what is left of the
+// pass under way, and a hold keeps the group from reaching it too soon.
 const (
-	leastAhead = 2
+	leastAhead = 1
 	mostAhead  = 12
 	// armingWeight is the weight of the newest switch in the smoothed time that
 	// the orders of a switch take.
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -105,9 +105,12 @@
 }
 
 // untilLook is the time until the next look: copies that are due are looked for
-// at once, and then more often.
+// at once, and then more often, and so is the pass from which on a map is in force.
 func (l *leader) untilLook(now time.Time) time.Duration {
 	p := l.planner.pending
+	if l.machine != nil && l.machine.Phase == cutover.Settling {
+		return copiedEvery
+	}
 	if p == nil {
 		return l.lookPause()
 	}
