--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -59,6 +59,9 @@
 	// straightEvery is the least time between two calls to an engine past its
 	// sidecar: each is priced, and one to a frozen instance keeps a look waiting.
 	straightEvery = 700 * time.Millisecond
+	// straightTimeout bounds one order to another rank's engine: what one to the own
+	// engine may take, and a new connection between failure domains.
+	straightTimeout = orderTimeout + 20*time.Millisecond
 	// fenceStep is added to a fence that a rank refused.
 	fenceStep = 1 << 20
 )
@@ -507,7 +510,7 @@
 
 // sendForOwn has the rank that holds passes arm the own one.
 func (l *leader) sendForOwn(ctx context.Context, o rank.Order) rank.Result {
-	ctx, cancel := context.WithTimeout(ctx, engineTimeout+askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, straightTimeout+askTimeout)
 	defer cancel()
 	holder := l.byRank[cutover.Holder(l.machine.Self)].endpoint.Address
 	a, err := l.s.calls.order(ctx, holder, orderCall{Order: o, Engine: l.s.cfg.Address})
@@ -530,13 +533,24 @@
 	return false
 }
 
-// sendStraight gives a rank's engine an order past the sidecar beside it.
-func (l *leader) sendStraight(ctx context.Context, r int, o rank.Order) rank.Result {
-	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
-	defer cancel()
-	result, err := l.s.dial(l.byRank[r].endpoint.Address).Order(ctx, o)
+// sendStraight gives a rank's engine an order past the sidecar beside it. One
+// without an answer is given again, as sidecars do: the group may be standing.
+func (l *leader) sendStraight(ctx context.Context, r int, o rank.Order) (result rank.Result) {
+	var err error
+	for range orderTries {
+		if result, err = l.s.orderStraight(ctx, l.byRank[r].endpoint.Address, o); result != rank.Lost || ctx.Err() != nil {
+			break
+		}
+	}
 	if err != nil {
 		l.s.log.Warn("order lost", zap.Int("rank", r), zap.String("op", string(o.Op)), zap.String("error", err.Error()))
 	}
 	return result
 }
+
+// orderStraight gives another rank's engine an order once.
+func (s *Sidecar) orderStraight(ctx context.Context, engine string, o rank.Order) (rank.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, straightTimeout)
+	defer cancel()
+	return s.dial(engine).Order(ctx, o)
+}
--- a/internal/sidecar/ownarming.go
+++ b/internal/sidecar/ownarming.go
@@ -38,9 +38,7 @@
 	before := s.own
 	s.own.epoch, s.own.armed, s.own.lost = o.Epoch, arming, true
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
-	defer cancel()
-	result, err := s.dial(engine).Order(ctx, o)
+	result, err := s.orderStraight(ctx, engine, o)
 	if a.Result = result; err != nil {
 		a.Error = err.Error()
 	}
