internal/sidecar, internal/peers, internal/decide/remap: loads go to one gateway of each other domain; a change gains what copying costs

A sidecar now tells one gateway of each other domain, another one each time, which passes the load on at home: no role, no agreement, and a gateway that is gone costs the others one load in so many.

A change of less than 0.15 of a pass made passes longer, while it was copied, than it made them shorter, and streams are late by their longest pass.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -275,6 +275,7 @@
 	defer closePeers()
 	s, closeSidecar := sidecar.New(sidecar.Config{
 		Address:   p.set.Engine,
+		Domain:    p.set.Domain,
 		PeersPort: p.set.PeersPort,
 		SkewPrice: p.set.SkewPrice,
 		CopyPrice: p.set.CopyPrice,
--- a/internal/decide/remap/remap.go
+++ b/internal/decide/remap/remap.go
@@ -108,6 +108,14 @@
 	return p.Gain()*(left-e.takes(p.Most)).Seconds() - drag - e.Still.Seconds()
 }
 
+// Pays reports whether a plan is worth the time that it takes: it saves some until
+// demand shifts, and a pass is shorter by it than copying makes passes longer
+// meanwhile. Streams are late by their longest pass, so what is saved later does
+// not make up for one.
+func (p Plan) Pays(e Effort, left time.Duration) bool {
+	return p.Gain() >= copyDrag && p.Saves(e, left) > 0
+}
+
 // Replaces reports whether a plan, made for what is asked for now, is to take
 // the place of one that is under way and needs so much longer. Both come into
 // force in the end; what differs is how long passes take until then. Now is the
--- a/internal/decide/remap/remap_test.go
+++ b/internal/decide/remap/remap_test.go
@@ -71,7 +71,7 @@
 
 func TestAPlanSavesNothingThatIsOutOfDateBeforeItIsInForce(t *testing.T) {
 	e := Effort{Copy: 400 * time.Millisecond, Rest: 100 * time.Millisecond}
-	p := Plan{Before: 1.5, After: 1.35, Most: 1} // Saves a tenth.
+	p := Plan{Before: 1.5, After: 1.2, Most: 1} // Saves a fifth.
 	for _, tc := range []struct {
 		name  string
 		still time.Duration
@@ -80,16 +80,24 @@
 	}{
 		{"demand stays for seconds", 0, 3 * time.Second, true},
 		{"it will have shifted", 0, 400 * time.Millisecond, false},
-		{"the copying costs more than is saved afterwards", 0, time.Second, false},
-		{"the group would stand still for it", 400 * time.Millisecond, 3 * time.Second, false},
+		{"the copying costs more than is saved afterwards", 0, 700 * time.Millisecond, false},
+		{"the group would stand still for it", 600 * time.Millisecond, 3 * time.Second, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			e.Still = tc.still
-			NewWithT(t).Expect(p.Saves(e, tc.left) > 0).To(Equal(tc.pays))
+			NewWithT(t).Expect(p.Pays(e, tc.left)).To(Equal(tc.pays))
 		})
 	}
 }
 
+func TestASmallGainIsNotWorthTheLongerPassesWhileCopying(t *testing.T) {
+	g := NewWithT(t)
+	e := Effort{Copy: 400 * time.Millisecond}
+	p := Plan{Before: 1.2, After: 1.08, Most: 1}
+	g.Expect(p.Saves(e, time.Minute)).To(BeNumerically(">", 0))
+	g.Expect(p.Pays(e, time.Minute)).To(BeFalse())
+}
+
 func TestAChangeUnderWayIsDroppedOnlyForWhatIsInForceSoonerOrGainsMore(t *testing.T) {
 	e := Effort{Copy: 400 * time.Millisecond, Rest: 100 * time.Millisecond}
 	p := Plan{Before: 2.5, After: 1.3, Most: 1}
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -130,12 +130,32 @@
 	case m.Hello != nil:
 		n.hear(*m.Hello)
 	case m.Load != nil:
+		if m.Load.Onward {
+			n.passOn(*m.Load)
+		}
 		n.g.Report(m.Load.Address, balance.Load{
 			Running: m.Load.Running, Waiting: m.Load.Waiting, Group: m.Load.Group, Closed: m.Load.Closed, Pace: m.Load.Pace, Pass: time.Duration(m.Load.PassMs) * time.Millisecond, At: time.Now(),
 		})
 	}
 }
 
+// passOn tells a load from another failure domain to the gateways of the own one.
+func (n *Neighbours) passOn(l peers.Load) {
+	l.Onward = false
+	n.mu.Lock()
+	to := make([]netip.AddrPort, 0, len(n.heard))
+	for a, other := range n.heard {
+		if other.domain != n.domain {
+			continue
+		}
+		if ap, err := netip.ParseAddrPort(a); err == nil {
+			to = append(to, ap)
+		}
+	}
+	n.mu.Unlock()
+	n.socket.SendAll(to, peers.Message{Load: &l})
+}
+
 func (n *Neighbours) hear(h peers.Hello) {
 	now := time.Now()
 	n.mu.Lock()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -43,6 +43,7 @@
 	Closed  bool    `json:"c,omitempty"`
 	Pace    float64 `json:"p,omitempty"`
 	PassMs  int     `json:"m,omitempty"` // Time of a pass, smoothed.
+	Onward  bool    `json:"o,omitempty"` // The receiver tells the other gateways of its failure domain.
 }
 
 // Lead tells that a sidecar leads its group.
@@ -88,14 +89,22 @@
 }
 
 // Send sends a message, which may be lost.
-func (s *Socket) Send(to netip.AddrPort, m Message) {
+func (s *Socket) Send(to netip.AddrPort, m Message) { s.SendAll([]netip.AddrPort{to}, m) }
+
+// SendAll sends a message to each of a list.
+func (s *Socket) SendAll(list []netip.AddrPort, m Message) {
+	if len(list) == 0 {
+		return
+	}
 	raw, err := json.Marshal(m)
 	if err != nil {
 		s.log.Error("message not sent", zap.String("error", err.Error()))
 		return
 	}
-	if _, err := s.conn.WriteToUDPAddrPort(raw, to); err != nil {
-		s.log.Debug("message not sent", zap.String("to", to.String()), zap.String("error", err.Error()))
+	for _, to := range list {
+		if _, err := s.conn.WriteToUDPAddrPort(raw, to); err != nil {
+			s.log.Debug("message not sent", zap.String("to", to.String()), zap.String("error", err.Error()))
+		}
 	}
 }
 
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -53,9 +53,6 @@
 	// firstChanges is for how many changes' time demand is expected to stay before any
 	// shift of it was seen.
 	firstChanges = 4
-	// leastGain is the part of a pass that a change must save at least: less is
-	// within what counts differ by from one second to the next.
-	leastGain = 0.03
 	// paysTimes is how many times its price a change must be worth, since what it
 	// gains is an estimate.
 	paysTimes = 1.5
@@ -196,7 +193,7 @@
 	saves := plan.Saves(l.effort(), left)
 	value := l.s.cfg.SkewPrice * l.pressure() * saves
 	cost := float64(plan.Copies) * l.shape.ExpertBytes / gigabyte * l.s.cfg.CopyPrice
-	return plan.Gain() >= leastGain && saves > 0 && value > paysTimes*cost
+	return plan.Pays(l.effort(), left) && value > paysTimes*cost
 }
 
 // begin has the ranks copy the experts of a plan.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -25,6 +25,7 @@
 // Config is the setting of a Sidecar.
 type Config struct {
 	Address   string // Of the engine.
+	Domain    string // Failure domain of the instance.
 	PeersPort int    // Of every sidecar.
 	SkewPrice float64
 	CopyPrice float64
@@ -53,8 +54,6 @@
 	// engineTimeout bounds a call to the own engine, which answers in about a
 	// millisecond.
 	engineTimeout = 400 * time.Millisecond
-	// subscribed is how long a gateway gets loads after its last hello.
-	subscribed = 4 * time.Second
 )
 
 // Sidecar stands beside one engine.
@@ -76,8 +75,8 @@
 	counts   rank.Counts
 	work     window
 	passes   passTimer
-	still    bool                         // The group makes no passes although it has requests.
-	gateways map[netip.AddrPort]time.Time // By the time of their last hello.
+	still    bool // The group makes no passes although it has requests.
+	gateways subscribers
 	lead     leadership
 	own      ownArming
 	leading  peers.Lead       // What this sidecar announces.
@@ -106,7 +105,7 @@
 func New(cfg Config, engine rank.Engine, dial func(string) rank.Engine, source follow.Source, socket *peers.Socket, log *zap.Logger, reg metrics.Registry) (s *Sidecar, cleanup func()) {
 	s = &Sidecar{
 		cfg: cfg, engine: engine, dial: dial, source: source, socket: socket, log: log,
-		gateways: map[netip.AddrPort]time.Time{}, maps: newShelf(), started: time.Now(),
+		gateways: newSubscribers(cfg.Domain), maps: newShelf(), started: time.Now(),
 		figures: figures{
 			switches: metrics.GetOrRegisterCounter("sidecar.maps-in-force", reg),
 			gaveUp:   metrics.GetOrRegisterCounter("sidecar.maps-given-up", reg),
@@ -157,7 +156,7 @@
 	switch {
 	case m.Hello != nil:
 		s.mu.Lock()
-		s.gateways[from] = time.Now()
+		s.gateways.hello(from, m.Hello.Domain, time.Now())
 		s.mu.Unlock()
 	case m.Lead != nil:
 		s.hearLead(*m.Lead)
@@ -175,18 +174,12 @@
 	s.mu.Lock()
 	load.PassMs = int(s.passes.pass.Milliseconds())
 	load.Closed = load.Closed || s.standsStill(r)
-	to := make([]netip.AddrPort, 0, len(s.gateways))
-	for a, at := range s.gateways {
-		if time.Since(at) > subscribed {
-			delete(s.gateways, a)
-			continue
-		}
-		to = append(to, a)
-	}
+	near, far := s.gateways.next(time.Now())
 	s.mu.Unlock()
-	for _, a := range to {
-		s.socket.Send(a, peers.Message{Load: load})
-	}
+	s.socket.SendAll(near, peers.Message{Load: load})
+	onward := *load
+	onward.Onward = true
+	s.socket.SendAll(far, peers.Message{Load: &onward})
 }
 
 // standsStill reports whether the group makes no passes although it has
--- /dev/null
+++ b/internal/sidecar/subscribers.go
@@ -0,0 +1,66 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package sidecar
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// subscribed is how long a gateway gets loads after its last hello.
+const subscribed = 4 * time.Second
+
+// subscriber is a gateway that wants loads.
+type subscriber struct {
+	address netip.AddrPort
+	domain  string
+	at      time.Time // Of its last hello.
+}
+
+// subscribers are the gateways that want loads. Those of the own failure domain are
+// all told; of each other domain one is, which tells the rest there, as bytes
+// between domains are dear. It is another one each time: when one is gone, the
+// others miss one load in so many, until its hellos have lapsed.
+type subscribers struct {
+	domain string
+	list   []subscriber // Invariant: ordered by domain, then by address.
+	turn   int
+}
+
+func newSubscribers(domain string) subscribers { return subscribers{domain: domain} }
+
+// hello takes in a gateway's hello.
+func (s *subscribers) hello(from netip.AddrPort, domain string, now time.Time) {
+	i, ok := slices.BinarySearchFunc(s.list, subscriber{address: from, domain: domain}, func(a, b subscriber) int {
+		return cmp.Or(cmp.Compare(a.domain, b.domain), a.address.Compare(b.address))
+	})
+	if !ok {
+		s.list = slices.Insert(s.list, i, subscriber{address: from, domain: domain})
+	}
+	s.list[i].at = now
+}
+
+// next returns whom to tell now: gateways that need not pass it on, and those that
+// do.
+func (s *subscribers) next(now time.Time) (near, far []netip.AddrPort) {
+	s.list = slices.DeleteFunc(s.list, func(g subscriber) bool { return now.Sub(g.at) > subscribed })
+	s.turn++
+	for first := 0; first < len(s.list); {
+		end := first
+		for end < len(s.list) && s.list[end].domain == s.list[first].domain {
+			end++
+		}
+		members := s.list[first:end]
+		if members[0].domain == s.domain || members[0].domain == "" {
+			for _, g := range members {
+				near = append(near, g.address)
+			}
+		} else {
+			far = append(far, members[s.turn%len(members)].address)
+		}
+		first = end
+	}
+	return near, far
+}
