internal/gateway: fewer hellos between failure domains

Gateways of other domains are greeted every second time; a gateway counts as there for longer than three of these.

--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -38,6 +38,10 @@
 	// sidecarsEvery is how many hellos to gateways come to one to sidecars, whose
 	// subscriptions last longer.
 	sidecarsEvery = 2
+	// farEvery is how many hellos to gateways of the own failure domain come to one to
+	// those of others: bytes between domains are dear, and a gateway counts as there
+	// for longer than three of these.
+	farEvery = 2
 	// borrowAge is the age of the configuration from which a neighbour is asked
 	// for it: the store's answers keep it below this while the store is there.
 	borrowAge = 2200 * time.Millisecond
@@ -221,6 +225,9 @@
 	n.mu.Unlock()
 	m := peers.Message{Hello: &peers.Hello{Name: n.name, Life: n.life, Address: n.self, Domain: n.domain, Blind: blind, Known: some(others, maxKnown), Leaving: leaving}}
 	to := slices.Clone(others)
+	if n.greeted++; !leaving && n.greeted%farEvery != 1 {
+		to = n.near(others)
+	}
 	for _, s := range n.seeds {
 		if s != n.self && !slices.Contains(to, s) {
 			to = append(to, s)
@@ -231,7 +238,7 @@
 			n.socket.Send(ap, m)
 		}
 	}
-	if n.greeted++; !leaving && n.greeted%sidecarsEvery != 1 {
+	if !leaving && n.greeted%sidecarsEvery != 1 {
 		return
 	}
 	m.Hello.Known = nil // Sidecars need no more than the address.
@@ -240,6 +247,17 @@
 	}
 }
 
+// near returns which of the gateways are in the own failure domain, or in one that
+// is not known yet.
+func (n *Neighbours) near(others []string) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(others), func(a string) bool {
+		d := n.heard[a].domain
+		return d != "" && d != n.domain
+	})
+}
+
 // some returns so many of list, drawn anew each time.
 func some(list []string, n int) []string {
 	drawn := slices.Clone(list)
