--- /dev/null
+++ b/internal/gateway/serve_test.go
@@ -0,0 +1,222 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/follow"
+)
+
+const (
+	streamEvents = 6
+	headerID     = "Call"
+	headerLast   = "Last"
+	slots        = 2
+	patienceOf   = 30 * time.Second // Long enough for a loaded machine.
+)
+
+// testCodec is a codec with names of its own.
+func testCodec() Codec {
+	return Codec{
+		ReadCall: func(h http.Header) fleet.Call { return fleet.Call{ID: h.Get(headerID)} },
+		EndpointHeader: func(in http.Header, s fleet.Stamp) http.Header {
+			out := in.Clone()
+			out.Set(headerLast, s.LastEvent)
+			return out
+		},
+		CallerHeader: func(in http.Header) http.Header { return in },
+		ReadAnswer: func(_ int, h http.Header) fleet.Answer {
+			return fleet.Answer{ID: h.Get(headerID), Signed: true}
+		},
+		MarkAnswer: func(h http.Header, id string) { h.Set(headerID, id) },
+	}
+}
+
+// streamer is an endpoint that streams events; one that begins with the first
+// stops before the event that halts, until it is let go on.
+type streamer struct {
+	halt   int // 0 for never.
+	going  chan struct{}
+	mu     sync.Mutex
+	begun  []int // First event of each stream.
+	halted chan struct{}
+}
+
+func newStreamer(halt int) *streamer {
+	return &streamer{halt: halt, going: make(chan struct{}), halted: make(chan struct{}, 8)}
+}
+
+func (s *streamer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	last, _ := strconv.Atoi(r.Header.Get(headerLast)) // None is the start.
+	s.mu.Lock()
+	s.begun = append(s.begun, last+1)
+	s.mu.Unlock()
+	w.Header().Set(headerID, r.Header.Get(headerID))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := last + 1; n <= streamEvents; n++ {
+		if n == s.halt && last == 0 {
+			s.halted <- struct{}{}
+			select {
+			case <-s.going:
+			case <-r.Context().Done():
+				return
+			}
+		}
+		fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
+		w.(http.Flusher).Flush()
+	}
+}
+
+func (s *streamer) firsts() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]int(nil), s.begun...)
+}
+
+// site is a gateway before a group of endpoints.
+type site struct {
+	*Gateway
+	url       string
+	addresses []string // Of the endpoints.
+}
+
+func newSite(t *testing.T, endpoints ...http.Handler) site {
+	view := follow.NewView()
+	gw, cleanup := New(Config{KeyAge: time.Hour, RetryWindow: time.Minute, RetrySpare: 1000}, testCodec(), view, zap.NewNop(), metrics.NewRegistry())
+	t.Cleanup(cleanup)
+	s := site{Gateway: gw}
+	snap := follow.Snapshot{Config: fleet.NewConfig(1,
+		[]fleet.Route{{
+			Name: "r", Host: "caller.test", PathPrefix: "/", Kind: fleet.Streaming, Resumable: true, Attempts: 2,
+			Timeout: 30 * time.Second, Target: 20 * time.Second, PauseLimit: 120 * time.Millisecond, Split: []fleet.Share{{Service: "s", Weight: 1}},
+		}},
+		[]fleet.Service{{Name: "s", Engine: &fleet.Engine{Slots: slots, StepTime: 5 * time.Millisecond, WriterTime: time.Millisecond, StepsInPass: 4, UsualAnswer: 4 * streamEvents}}},
+		nil, fleet.Limits{HeaderBytes: 1 << 16, BodyBytes: 1 << 16}), At: 1}
+	for i, h := range endpoints {
+		srv := httptest.NewServer(h)
+		t.Cleanup(srv.Close)
+		s.addresses = append(s.addresses, strings.TrimPrefix(srv.URL, "http://"))
+		snap.Endpoints = append(snap.Endpoints, fleet.Endpoint{ID: fmt.Sprint(i), Service: "s", Address: s.addresses[i], Slots: slots, Revision: 1, Made: 1})
+	}
+	view.Replace(snap, time.Now(), false)
+	srv := httptest.NewServer(gw.Handler())
+	t.Cleanup(srv.Close)
+	s.url = srv.URL
+	return s
+}
+
+// tell reports the load of one endpoint.
+func (s site) tell(i, running int, pace float64) {
+	s.Report(s.addresses[i], balance.Load{Running: running, Group: "g", Pass: 20 * time.Millisecond, Pace: pace, At: time.Now()})
+}
+
+// ask sends a caller's request and returns the answer.
+func (s site) ask(id string) (status int, retryAfter, body string, err error) {
+	r, err := http.NewRequest(http.MethodPost, s.url+"/", strings.NewReader("{}"))
+	if err != nil {
+		return 0, "", "", err
+	}
+	r.Host = "caller.test"
+	r.Header.Set(headerID, id)
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header.Get("Retry-After"), string(raw), err
+}
+
+// wholeStream is the body of a whole answer.
+func wholeStream() (s string) {
+	for n := 1; n <= streamEvents; n++ {
+		s += fmt.Sprintf("id: %d\ndata: x\n\n", n)
+	}
+	return s
+}
+
+func TestAStreamOnASlowRankGoesOnAtAnother(t *testing.T) {
+	g := NewWithT(t)
+	ranks := []*streamer{newStreamer(3), newStreamer(3)}
+	s := newSite(t, ranks[0], ranks[1])
+	s.tell(0, 0, 1)
+	s.tell(1, 0, 1)
+	var caller errgroup.Group
+	caller.Go(func() error {
+		status, _, body, err := s.ask("one")
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(status).To(Equal(http.StatusOK))
+		g.Expect(body).To(Equal(wholeStream()), "neither a gap nor a repeat")
+		return nil
+	})
+	slow := -1
+	g.Eventually(func() int {
+		for i, r := range ranks {
+			if len(r.halted) > 0 {
+				slow = i
+			}
+		}
+		return slow
+	}, patienceOf).Should(BeNumerically(">=", 0))
+	other := ranks[1-slow]
+	s.tell(slow, 1, 2)
+	g.Expect(s.figures.moved.Count()).To(BeZero(), "a little slow: it stays")
+	s.tell(slow, 1, 12)
+	g.Expect(caller.Wait()).To(Succeed())
+	g.Expect(ranks[slow].firsts()).To(Equal([]int{1}))
+	g.Expect(other.firsts()).To(Equal([]int{3}), "it went on after the last event that the caller had")
+	g.Expect(s.figures.moved.Count()).To(BeEquivalentTo(1))
+}
+
+func TestARequestWaitsForRoomThatComesInTime(t *testing.T) {
+	g := NewWithT(t)
+	only := newStreamer(2)
+	s := newSite(t, only)
+	s.tell(0, 0, 1)
+	full := func() { s.tell(0, slots, 1) }
+	full()
+	status, retryAfter, _, err := s.ask("too early")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable), "nothing is known of how soon room comes")
+	g.Expect(retryAfter).NotTo(BeEmpty())
+	g.Expect(only.firsts()).To(BeEmpty(), "what was refused did not run")
+
+	s.tell(0, 0, 1)
+	var callers errgroup.Group
+	ask := func(id string) {
+		callers.Go(func() error {
+			status, _, body, err := s.ask(id)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(status).To(Equal(http.StatusOK))
+			g.Expect(body).To(Equal(wholeStream()))
+			return nil
+		})
+	}
+	ask("first")
+	g.Eventually(only.halted, patienceOf).Should(Receive(), "its first event tells how soon one comes")
+	full()
+	ask("second")
+	g.Eventually(s.figures.waited.Count, patienceOf).Should(BeEquivalentTo(1))
+	g.Expect(only.firsts()).To(HaveLen(1))
+	s.tell(0, 0, 1)
+	g.Eventually(only.halted, patienceOf).Should(Receive())
+	close(only.going)
+	g.Expect(callers.Wait()).To(Succeed())
+	g.Expect(only.firsts()).To(Equal([]int{1, 1}))
+}
