internal/gateway: what moving needs of a request is kept apart; choosing a group in steps

vacate read a request's list of tries while the request's own goroutine could append to it (closing read). The place that a request takes now holds what is needed.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -74,52 +74,25 @@
 }
 
 // chooseGroup draws one of the groups that the ranks in list are in, by the room
-// that they have, and returns its ranks. A request that was sent
-// before goes on wherever it can: it has its place among those under way. The caller holds mu.
+// that they have, and returns its ranks. A request that was sent before goes on
+// wherever it can: it has its place among those under way. The caller holds mu.
 func (q *request) chooseGroup(list []balance.Candidate, now time.Time) (chosen []balance.Candidate, ok bool) {
-	var names []string
-	members := map[string][]balance.Candidate{}
-	for _, c := range list {
-		name := q.g.passes.Group(c.ID)
-		if _, known := members[name]; !known {
-			names = append(names, name)
-		}
-		members[name] = append(members[name], c)
-	}
-	slices.Sort(names)
+	names, members := q.byGroup(list)
 	offers := make([]passes.Offer, 0, len(names))
 	open := make([]string, 0, len(names))
-	limited := false
+	limited := false // Something is known of the passes of some group.
 	q.turnover = passes.Turnover{}
 	for _, name := range names {
 		ranks := members[name]
 		if q.g.table.Down(ranks, now) {
 			continue
 		}
-		limit, known := q.g.passes.Limit(name, now)
-		if !known {
-			// Nothing is known of its passes, as when it has just opened: until then a
-			// pass is given as much work as it makes without any request.
-			if limit = min(float64(ranks[0].Slots), float64(ranks[0].Base)); limit <= 0 {
-				return list, true // Nothing is known that limits it.
-			}
+		o, known := q.offer(name, ranks, now)
+		if o.Limit <= 0 {
+			return list, true // Nothing is known that limits it.
 		}
 		limited = limited || known
-		if q.again {
-			limit *= againShare
-		}
-		o := passes.Offer{Ranks: len(ranks), Limit: limit}
-		for _, c := range ranks {
-			o.Busy += q.g.table.Shared(c.ID, q.g.others, now)
-			if c.Near {
-				o.Near++
-			}
-		}
 		offers, open = append(offers, o), append(open, name)
-		if v, ok := q.g.passes.Turnover(name, limit, now); ok {
-			q.turnover.Rate += v.Rate * float64(o.Ranks)
-			q.turnover.First = max(q.turnover.First, v.First)
-		}
 	}
 	i, ok := passes.Choose(offers, random)
 	switch {
@@ -137,6 +110,46 @@
 	return nil, false
 }
 
+// byGroup returns the groups that the ranks in list are in, in the order of their
+// names, and the ranks of each. The caller holds mu.
+func (q *request) byGroup(list []balance.Candidate) (names []string, members map[string][]balance.Candidate) {
+	members = map[string][]balance.Candidate{}
+	for _, c := range list {
+		name := q.g.passes.Group(c.ID)
+		if _, known := members[name]; !known {
+			names = append(names, name)
+		}
+		members[name] = append(members[name], c)
+	}
+	slices.Sort(names)
+	return names, members
+}
+
+// offer says how many requests a group holds and may hold, and adds its turnover to
+// the request's. Known is false when nothing is known of its passes, as when it has
+// just opened: until then a pass is given as much work as it makes without any
+// request. The caller holds mu.
+func (q *request) offer(name string, ranks []balance.Candidate, now time.Time) (o passes.Offer, known bool) {
+	o.Ranks = len(ranks)
+	if o.Limit, known = q.g.passes.Limit(name, now); !known {
+		o.Limit = min(float64(ranks[0].Slots), float64(ranks[0].Base))
+	}
+	if v, ok := q.g.passes.Turnover(name, o.Limit, now); ok {
+		q.turnover.Rate += v.Rate * float64(o.Ranks)
+		q.turnover.First = max(q.turnover.First, v.First)
+	}
+	if q.again {
+		o.Limit *= againShare
+	}
+	for _, c := range ranks {
+		o.Busy += q.g.table.Shared(c.ID, q.g.others, now)
+		if c.Near {
+			o.Near++
+		}
+	}
+	return o, known
+}
+
 // shape returns the engines of a service as their passes are judged; ok is
 // false for a plain service.
 func (g *Gateway) shape(c *fleet.Config, service string) (s passes.Shape, ok bool) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,10 +60,10 @@
 	mu      sync.Mutex // Guards what follows.
 	table   *balance.Table
 	passes  *passes.Tracker
-	windows map[string]*retry.Window               // By service.
-	lines   map[string]*line.Line                  // By service.
-	at      map[string]map[*request]*upstream.Conn // Requests that may be moved, by endpoint.
-	others  int                                    // Gateways that are known besides this one.
+	windows map[string]*retry.Window      // By service.
+	lines   map[string]*line.Line         // By service.
+	at      map[string]map[*request]place // Requests that may be moved, by endpoint.
+	others  int                           // Gateways that are known besides this one.
 
 	shapesMu sync.Mutex // Guards what follows.
 	shapesOf *fleet.Config
@@ -90,7 +90,7 @@
 		passes:   passes.New(),
 		windows:  map[string]*retry.Window{},
 		lines:    map[string]*line.Line{},
-		at:       map[string]map[*request]*upstream.Conn{},
+		at:       map[string]map[*request]place{},
 	}
 	g.pool, cleanup = upstream.NewPool(cfg.Source, func() { g.figures.dialed.Inc(1) })
 	return g, cleanup
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -195,10 +195,10 @@
 func (q *request) exchange(e fleet.Endpoint, conn *upstream.Conn) result {
 	sentAt := time.Now()
 	q.sentAt = sentAt
+	q.tried = append(q.tried, e.ID)
 	if q.route.MayRepeat() && q.route.Kind == fleet.Streaming {
 		defer q.g.enter(e.ID, q, conn)()
 	}
-	q.tried = append(q.tried, e.ID)
 	out := &upstream.Request{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Body: q.body}
 	out.Header = q.g.codec.EndpointHeader(q.r.Header, q.stamp(e, sentAt))
 	x, err := conn.Send(out, q.final)
--- a/internal/gateway/vacate.go
+++ b/internal/gateway/vacate.go
@@ -11,15 +11,22 @@
 	"github.com/canvaspulley/canvaspulley/internal/upstream"
 )
 
+// place is where a request is that may be moved. The request's own fields are its
+// goroutine's, so what vacate needs of them is kept here.
+type place struct {
+	conn     *upstream.Conn
+	mayRetry bool // It may be sent to one more endpoint.
+}
+
 // enter notes that a request is at an endpoint, from which it may be moved. The
 // function takes it out again.
 func (g *Gateway) enter(id string, q *request, conn *upstream.Conn) (leave func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.at[id] == nil {
-		g.at[id] = map[*request]*upstream.Conn{}
+		g.at[id] = map[*request]place{}
 	}
-	g.at[id][q] = conn
+	g.at[id][q] = place{conn: conn, mayRetry: len(q.tried) < q.route.Attempts}
 	return func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -36,14 +43,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	for q, conn := range g.at[id] {
-		if len(q.tried) >= q.route.Attempts || q.moved || !g.window(q.service).Take(now) {
+	for q, at := range g.at[id] {
+		if !at.mayRetry || q.moved || !g.window(q.service).Take(now) {
 			continue
 		}
 		g.figures.moved.Inc(1)
 		q.moved = true
 		g.log.Info("request moved", zap.String("id", q.call.ID), zap.String("from", id))
-		conn.Close()
+		at.conn.Close()
 	}
 }
 
