internal/sidecar: only a rank that does not answer at all is absent

Cause: when a leader's sidecar has died its engine is asked past it each 0.7 s only; in the looks between, its rank was taken as absent, so the next leader made its machine anew at each look and never got beyond raising the fence. A rank is absent only when its engine was asked and did not answer either; else the look is passed over, as before.

--- a/internal/sidecar/ask.go
+++ b/internal/sidecar/ask.go
@@ -28,7 +28,7 @@
 			}
 			st, err := l.s.calls.rank(call, m.endpoint.Address, after)
 			if m.fresh = err == nil; m.fresh {
-				m.state, m.seen = st, time.Now()
+				m.state, m.seen, m.lost = st, time.Now(), false
 				return nil
 			}
 			l.s.log.Debug("sidecar not heard", zap.String("endpoint", m.endpoint.ID), zap.String("error", err.Error()))
@@ -49,7 +49,7 @@
 		if m != nil {
 			continue
 		}
-		if l.absent != cutover.None || !l.ledBefore(r, own) {
+		if l.absent != cutover.None || !l.ledBefore(r, own) || !l.engineLost(own) {
 			return false
 		}
 		l.absent = r
@@ -57,6 +57,19 @@
 	return true
 }
 
+// engineLost reports whether whoever is silent of the own group did not answer past
+// its sidecar either: where only the sidecar has died, its engine is asked now and
+// then, and nothing is to be ended without it.
+func (l *leader) engineLost(own rank.Report) bool {
+	for _, m := range l.all {
+		mayBeOurs := m.state.Report.Group == own.Group || m.state.Report.Group == ""
+		if !m.fresh && mayBeOurs && !m.lost {
+			return false
+		}
+	}
+	return true
+}
+
 // ledBefore reports whether a rank is the last other one that is known to have led
 // in this epoch.
 func (l *leader) ledBefore(r int, own rank.Report) bool {
@@ -89,7 +102,7 @@
 	call, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	r, err := l.s.dial(m.endpoint.Address).Report(call)
-	if err != nil {
+	if m.lost = err != nil; m.lost {
 		l.s.log.Info("rank not heard", zap.String("endpoint", m.endpoint.ID), zap.String("error", err.Error()))
 		return
 	}
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -72,6 +72,7 @@
 	seen     time.Time // Last answer.
 	fresh    bool      // It answered the newest look.
 	straight time.Time // Its engine was last asked past its sidecar.
+	lost     bool      // It did not answer then either.
 }
 
 // leader leads the group while its sidecar is the one that does so. Two at once
