internal/sidecar: a leader asks the endpoints of other groups each 2 s only

Cause (closing read): at each look a leader asked every endpoint of its service; with three groups of 24 that is 48 calls for nothing, 11 times a second, between failure domains. One that says that it is in another group is asked each 2 s, as the list is read. Sites with one group are not touched by it.

--- a/internal/sidecar/ask.go
+++ b/internal/sidecar/ask.go
@@ -13,12 +13,25 @@
 	"github.com/canvaspulley/canvaspulley/internal/rank"
 )
 
+// otherGroupEvery is the time between two questions to an endpoint of another group
+// of the service: it may have joined the own one.
+const otherGroupEvery = 2 * time.Second
+
+// inOtherGroup reports whether an endpoint lately said that it is in another group.
+func (m *member) inOtherGroup(own rank.Report, now time.Time) bool {
+	other := m.state.Report.Group
+	return other != "" && other != own.Group && now.Sub(m.seen) < otherGroupEvery
+}
+
 // ask asks every rank for its state; it reports whether all answered and the
 // group is complete, but perhaps for the rank that led before.
 func (l *leader) ask(ctx context.Context, own rank.Report) bool {
 	var g errgroup.Group
 	asked := l.askedForWork()
 	for i, m := range l.all {
+		if m.inOtherGroup(own, time.Now()) {
+			continue
+		}
 		g.Go(func() error {
 			call, cancel := context.WithTimeout(ctx, askTimeout)
 			defer cancel()
