internal/follow, internal/gateway: who starts listens to its seeds

Cause: at a start of everything at once each gateway read the store itself, every 0.2 s until a configuration was there and then as one of the few of its domain, since it had heard of no other.

Change: for the time in which it may not have heard of all others, a gateway that is no seed listens to its seeds, which tell it, too, that nothing is published yet. Readers follow changes from the first answer on. The absent configuration is looked for once more after the endpoints, since the answer that there is none has no revision to follow from.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -56,6 +56,9 @@
 	// gatherTime is waited after news, so that several changes in a row cost one
 	// call.
 	gatherTime = 40 * time.Millisecond
+	// startGatherTime takes its place while there is no configuration: all endpoints
+	// are published one after the other then, and nothing can be served yet.
+	startGatherTime = 200 * time.Millisecond
 )
 
 // Listener lets a process follow by another one's word, so that few read the
@@ -97,7 +100,7 @@
 // listens reports whether another process's word is to be followed now.
 func (f *Follower) listens() bool {
 	now := f.now()
-	if f.listener == nil || f.view.State().Config == nil || now.Before(f.ownUntil) {
+	if f.listener == nil || now.Before(f.ownUntil) {
 		return false
 	}
 	return !f.listener.Reads(f.blind.IsZero() || now.Sub(f.blind) > blindTime)
@@ -108,7 +111,7 @@
 func (f *Follower) listen(ctx context.Context) bool {
 	err := f.listener.Listen(ctx)
 	now := f.now()
-	age := f.view.Age(now)
+	age := f.view.CheckAge(now)
 	if ctx.Err() != nil || err == nil && age < listenAge {
 		f.heard = now.Add(-age)
 		return true
@@ -135,7 +138,7 @@
 			whole = true // What was heard does not say from where to read on.
 			if f.listen(ctx) {
 				changed()
-				wait.For(ctx, gatherTime)
+				wait.For(ctx, f.gather())
 				continue
 			}
 		}
@@ -150,13 +153,9 @@
 		}
 		if err == nil {
 			f.regain()
-			whole = f.view.State().Config == nil
+			whole = false
 			changed()
-			if whole {
-				wait.For(ctx, longestPause/2)
-				continue
-			}
-			wait.For(ctx, gatherTime)
+			wait.For(ctx, f.gather())
 			continue
 		}
 		if errors.Is(err, ErrForgotten) {
@@ -173,6 +172,14 @@
 	return nil
 }
 
+// gather is how long news are gathered before the next call.
+func (f *Follower) gather() time.Duration {
+	if f.view.State().Config == nil {
+		return startGatherTime
+	}
+	return gatherTime
+}
+
 func (f *Follower) snapshot(ctx context.Context) error {
 	asked := f.now()
 	ctx, cancel := context.WithTimeout(ctx, f.patience())
@@ -185,7 +192,7 @@
 	f.noteOutage()
 	f.view.Replace(snap, asked, f.holding())
 	s := f.view.State()
-	f.log.Info("view replaced", zap.Uint64("version", versionOf(s)), zap.Uint64("revision", snap.At), zap.Int("endpoints", len(s.Endpoints)))
+	f.log.Info("view replaced", zap.Uint64("version", s.version()), zap.Uint64("revision", snap.At), zap.Int("endpoints", len(s.Endpoints)))
 	return nil
 }
 
@@ -210,8 +217,8 @@
 
 func (f *Follower) logChanges(before *State, ch Changes, removed []string) {
 	after := f.view.State()
-	if versionOf(before) != versionOf(after) {
-		f.log.Info("configuration taken", zap.Uint64("version", versionOf(after)), zap.Uint64("from", versionOf(before)), zap.Uint64("revision", after.ConfigRevision))
+	if before.version() != after.version() {
+		f.log.Info("configuration taken", zap.Uint64("version", after.version()), zap.Uint64("from", before.version()), zap.Uint64("revision", after.ConfigRevision))
 	}
 	for _, e := range ch.Endpoints {
 		f.log.Info("endpoint listed", zap.String("endpoint", e.ID), zap.String("address", e.Address), zap.Bool("leaving", e.Leaving), zap.Uint64("revision", e.Revision))
@@ -221,13 +228,6 @@
 	}
 }
 
-func versionOf(s *State) uint64 {
-	if s.Config == nil {
-		return 0
-	}
-	return s.Config.Version()
-}
-
 func (f *Follower) report(bad []error) {
 	for _, err := range bad {
 		f.log.Warn("published entry left out", zap.String("error", err.Error()))
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -81,27 +81,38 @@
 // State returns the newest state.
 func (v *View) State() *State { return v.state.Load() }
 
+// never is the age of what was never confirmed.
+const never time.Duration = 1 << 62
+
 // Age returns how long ago the configuration was certainly the newest. It is
-// very large when it never was.
+// very large when it never was, or when there is none.
 func (v *View) Age(now time.Time) time.Duration {
+	if v.state.Load().Config == nil {
+		return never
+	}
+	return v.CheckAge(now)
+}
+
+// CheckAge returns how long ago the view was certainly complete, be it that
+// nothing was published yet. It is very large when it never was.
+func (v *View) CheckAge(now time.Time) time.Duration {
 	at := v.check.Load().at
 	if at.IsZero() {
-		return 1 << 62
+		return never
 	}
 	return now.Sub(at)
 }
 
 // Confirm notes that the configuration with this version was the newest at a
-// moment. It does nothing when the view holds another one.
+// moment, or that there was none for version 0. It does nothing when the view
+// holds another one.
 func (v *View) Confirm(version uint64, at time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	c := v.state.Load().Config
-	if c == nil || c.Version() != version || !at.After(v.check.Load().at) {
+	if v.state.Load().version() != version {
 		return
 	}
-	v.check.Store(&moment{at})
-	v.move()
+	v.confirm(at)
 }
 
 // set takes the next state, and notes what it changes. The caller holds mu.
@@ -126,7 +137,7 @@
 
 // confirm notes that the view held everything at a moment.
 func (v *View) confirm(at time.Time) {
-	if v.state.Load().Config != nil && at.After(v.check.Load().at) {
+	if at.After(v.check.Load().at) {
 		v.check.Store(&moment{at})
 		v.move()
 	}
@@ -144,6 +155,14 @@
 	return true
 }
 
+// version returns that of the configuration, 0 when there is none.
+func (s *State) version() uint64 {
+	if s.Config == nil {
+		return 0
+	}
+	return s.Config.Version()
+}
+
 // takeConfig changes s, which must be a copy. Versions never go back.
 func (s *State) takeConfig(c *fleet.Config, revision uint64) bool {
 	if c == nil || s.Config != nil && c.Version() <= s.Config.Version() {
@@ -186,7 +205,7 @@
 	next.group()
 	v.at = max(v.at, snap.At)
 	v.set(&next)
-	if snap.Config == nil || snap.Config.Version() == next.Config.Version() {
+	if snap.Config == nil || snap.Config.Version() == next.version() {
 		v.confirm(asked)
 	}
 }
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -59,6 +59,9 @@
 	if leaving {
 		return len(n.readers()) == 0
 	}
+	if n.settling(time.Now()) {
+		return false
+	}
 	readers, seeing := n.readersThat(able)
 	if !able && seeing {
 		return false
@@ -67,6 +70,15 @@
 	return before < readersPerDomain
 }
 
+// settling reports whether this gateway has started so lately that it has not
+// heard of all others yet. It listens to its seeds then: were it to go by whom it
+// has heard of, nearly all gateways would take themselves for one of the few at a
+// start of the whole system. Seeds read, and so does whoever hears nothing from
+// them.
+func (n *Neighbours) settling(now time.Time) bool {
+	return now.Sub(n.started) < heardFor && len(n.seeds) > 0 && !slices.Contains(n.seeds, n.self)
+}
+
 // readers returns the other gateways of the domain that read the store, in the
 // order in which they do.
 func (n *Neighbours) readers() []string {
@@ -101,11 +113,14 @@
 
 // Listen waits for news from a gateway that reads the store and takes it in.
 func (n *Neighbours) Listen(ctx context.Context) (err error) {
-	readers, _ := n.readersThat(false)
+	readers := n.seeds
+	if !n.settling(time.Now()) {
+		all, _ := n.readersThat(false)
+		readers = all[:min(len(all), readersPerDomain)]
+	}
 	if len(readers) == 0 {
 		return errNoReader
 	}
-	readers = readers[:min(len(readers), readersPerDomain)]
 	from := readers[int(n.life)%len(readers)] // Each keeps to one, and they are spread over all.
 	n.mu.Lock()
 	last := n.heardOf[from]
@@ -172,22 +187,25 @@
 	if q.life != n.life {
 		q.after = 0
 	}
-	if q.hold && q.after != 0 {
+	if q.hold {
 		n.awaitNews(r.Context(), q)
 	}
 	s := n.g.view.State()
-	if s.Config == nil {
+	if s.Config == nil && !q.hold {
 		http.Error(w, "nothing known yet", http.StatusServiceUnavailable)
 		return
 	}
-	p := published{Life: n.life, Version: s.Config.Version(), Revision: s.ConfigRevision, Told: n.g.view.Tell(q.after)}
+	p := published{Life: n.life, Revision: s.ConfigRevision, Told: n.g.view.Tell(q.after)}
+	if s.Config != nil {
+		p.Version = s.Config.Version()
+	}
 	if p.Version > q.version {
 		p.Config = s.Config.Raw()
 	}
 	// The age is taken after the state, and the time of holding before it: what is
 	// told may only be newer than it says.
 	p.Held = time.Since(began)
-	p.Age = n.g.view.Age(time.Now())
+	p.Age = n.g.view.CheckAge(time.Now())
 	httpjson.Reply(w, p)
 }
 
@@ -196,7 +214,7 @@
 func (n *Neighbours) awaitNews(ctx context.Context, q question) {
 	moved := n.g.view.Moved()
 	s := n.g.view.State()
-	if s.Config == nil || s.Config.Version() > q.version || n.g.view.ChangedSince(q.after) {
+	if s.Config != nil && s.Config.Version() > q.version || n.g.view.ChangedSince(q.after) {
 		return
 	}
 	timer := time.NewTimer(holdTime)
--- a/internal/gateway/listen_test.go
+++ b/internal/gateway/listen_test.go
@@ -139,6 +139,29 @@
 	})
 }
 
+// At a start of everything at once only the seeds read the store; the others hear
+// from them, also that nothing is published yet.
+func TestWhoStartsListensToItsSeeds(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	seed, starter := newStation(t, 7), newStation(t, 9)
+	seed.seeds, starter.seeds = []string{seed.self}, []string{seed.self}
+	g.Expect(seed.Reads(true)).To(BeTrue())
+	g.Expect(starter.Reads(true)).To(BeFalse())
+
+	seed.view.Replace(follow.Snapshot{At: 1}, time.Now(), false)
+	g.Expect(starter.Listen(ctx)).To(Succeed())
+	g.Expect(starter.view.CheckAge(time.Now())).To(BeNumerically("<", 30*time.Second), "there is nothing yet, which is news")
+	g.Expect(starter.view.Age(time.Now())).To(BeNumerically(">", time.Hour), "of no configuration")
+	seed.view.Replace(follow.Snapshot{Config: configOf(3), Endpoints: []fleet.Endpoint{endpointAt("one", 2)}, At: 3}, time.Now(), false)
+	g.Expect(starter.Listen(ctx)).To(Succeed())
+	g.Expect(starter.view.State().Config.Version()).To(BeEquivalentTo(3))
+	g.Expect(starter.view.State().Endpoints).To(HaveKey("one"))
+
+	starter.started = time.Now().Add(-2 * heardFor)
+	g.Expect(starter.Reads(true)).To(BeTrue(), "it has heard of no other one of its domain")
+}
+
 func TestHellosNameSomeGatewaysDrawnAnew(t *testing.T) {
 	g := NewWithT(t)
 	list := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -76,6 +76,7 @@
 	client  *http.Client
 	self    string
 	life    int64
+	started time.Time
 	name    string
 	seeds   []string
 	port    int // Of sidecars.
@@ -115,7 +116,7 @@
 	}
 	n = &Neighbours{
 		g: g, socket: socket, log: log, decode: cfg.Decode, client: &http.Client{Transport: t},
-		self: cfg.Address, life: time.Now().UnixMilli(), name: cfg.Name, domain: cfg.Domain, seeds: cfg.Seeds, port: cfg.SidecarsPort,
+		self: cfg.Address, life: time.Now().UnixMilli(), started: time.Now(), name: cfg.Name, domain: cfg.Domain, seeds: cfg.Seeds, port: cfg.SidecarsPort,
 		heard: map[string]neighbour{}, heardOf: listenedTo{},
 	}
 	return n, t.CloseIdleConnections
@@ -290,7 +291,7 @@
 // borrow asks a neighbour for what is published, if the store has not told for
 // a while.
 func (n *Neighbours) borrow(ctx context.Context) {
-	age := n.g.view.Age(time.Now())
+	age := n.g.view.CheckAge(time.Now())
 	if age < borrowAge {
 		n.borrows = false
 		return
