internal/sidecar, internal/decide/demand: a leader asks and orders by a tree of sidecars

Cause: the leader of 129 ranks called each of them itself. Counts of a third of them filled its link of 6 Mbit/s for half a second, so that a shift of demand was never noticed in 28 s (counts of 0.7 of the ranks, none older than three looks, were never there), and preparing took 0.26 s a failure domain.

Change: the leader lays a tree out over the list, names in the question whom to call, and whoever is called calls a few of its part. Counts go up as sums, maps and orders go down. Nothing is remembered or agreed on; who was silent is asked apart the next time. Counts take a third of the link at most, which the settings tell. The calls for maps, states and orders by rank are gone.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -280,6 +280,7 @@
 		SkewPrice: p.set.SkewPrice,
 		CopyPrice: p.set.CopyPrice,
 		Fences:    p.set.Fences,
+		LinkRate:  p.set.LinkRate,
 	}, engine, p.otherEngine, store.Source(), socket, p.log, p.reg)
 	defer closeSidecar()
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/decide/demand/demand.go
+++ b/internal/decide/demand/demand.go
@@ -35,29 +35,15 @@
 	// Memory is the time over which counts are smoothed: long against the time
 	// between two prompts, short against the time of a request.
 	Memory time.Duration
-	// Life is how long a rank's newest counts say what is asked for now, where
-	// passes are not so long that there are no newer ones.
-	Life time.Duration
 }
 
-const (
-	// lifePasses is for how many passes a rank's newest counts hold at least.
-	lifePasses = 3
-	// judged is the part of the ranks whose counts must be there for a shift to be
-	// judged by them: ranks differ in what their requests are about.
-	judged = 0.7
-)
-
-// window is the newest counts of one rank.
-type window struct {
-	counts []uint64 // Set by set; nil without any.
-	at     time.Time
-}
+// judged is the part of the ranks whose counts must be there for a shift to be
+// judged by them: ranks differ in what their requests are about.
+const judged = 0.7
 
 // Follower follows the demand of one group.
 type Follower struct {
 	cfg     Config
-	newest  []window    // By rank.
 	load    [][]float64 // Smoothed counts by set and expert; nil before the first.
 	at      time.Time   // When load was last brought up to date.
 	since   time.Time   // When demand became as it is.
@@ -69,33 +55,23 @@
 
 // New returns a follower that has heard nothing.
 func New(cfg Config) *Follower {
-	return &Follower{cfg: cfg, newest: make([]window, cfg.Ranks), usual: noDistance}
+	return &Follower{cfg: cfg, usual: noDistance}
 }
 
-// Hear takes in the newest counts of a rank, which must be of the configured
-// size; it reports whether they are.
-func (f *Follower) Hear(r int, counts []uint64, now time.Time) bool {
-	if len(counts) != f.cfg.Sets*f.cfg.Experts {
-		return false
-	}
-	f.newest[r] = window{counts: counts, at: now}
-	return true
-}
-
-// Learn brings the smoothed counts up to date with what was heard, in a group
-// whose passes take so long. It reports whether demand is now known to have
-// shifted.
-func (f *Follower) Learn(pass time.Duration, now time.Time) (shifted bool) {
-	newest, heard := f.sum(max(f.cfg.Life, lifePasses*pass), now)
-	if heard == 0 {
+// Learn brings the smoothed counts up to date with the newest ones, set by set,
+// which are the sum of those of so many ranks. It reports whether demand is now
+// known to have shifted. Counts of another size than configured are left out.
+func (f *Follower) Learn(counts []uint64, ranks int, now time.Time) (shifted bool) {
+	if ranks == 0 || len(counts) != f.cfg.Sets*f.cfg.Experts {
 		return false
 	}
+	newest := f.bySet(counts)
 	if f.load == nil {
 		f.load, f.at, f.since = newest, now, now
 		return false
 	}
 	d := distance(newest, f.load)
-	far := d > shiftRatio*f.usual && float64(heard) >= judged*float64(f.cfg.Ranks)
+	far := d > shiftRatio*f.usual && float64(ranks) >= judged*float64(f.cfg.Ranks)
 	switch {
 	case far && f.suspect:
 		f.suspect = false
@@ -116,24 +92,16 @@
 	return false
 }
 
-// sum adds the newest counts of all ranks, but for old ones: they count together,
-// as ranks differ in what their requests are about. It returns how many were
-// added.
-func (f *Follower) sum(life time.Duration, now time.Time) (newest [][]float64, heard int) {
-	newest = make([][]float64, f.cfg.Sets)
-	for k := range newest {
-		newest[k] = make([]float64, f.cfg.Experts)
-	}
-	for _, w := range f.newest {
-		if w.counts == nil || now.Sub(w.at) > life {
-			continue
-		}
-		heard++
-		for i, n := range w.counts {
-			newest[i/f.cfg.Experts][i%f.cfg.Experts] += float64(n)
+// bySet returns counts by set and expert.
+func (f *Follower) bySet(counts []uint64) [][]float64 {
+	list := make([][]float64, f.cfg.Sets)
+	for k := range list {
+		list[k] = make([]float64, f.cfg.Experts)
+		for x := range list[k] {
+			list[k][x] = float64(counts[k*f.cfg.Experts+x])
 		}
 	}
-	return newest, heard
+	return list
 }
 
 // smooth mixes the newest counts in. Soon after a shift all counts since weigh
--- a/internal/decide/demand/demand_test.go
+++ b/internal/decide/demand/demand_test.go
@@ -48,6 +48,17 @@
 	return flat
 }
 
+// passOf returns the sum of the counts of so many ranks in one pass.
+func (s *source) passOf(n int) []uint64 {
+	sum := make([]uint64, sets*experts)
+	for range n {
+		for i, c := range s.pass() {
+			sum[i] += c
+		}
+	}
+	return sum
+}
+
 // script feeds a follower with one pass a look and returns the time of each
 // shift that it noticed, from the start.
 func script(f *Follower, s *source, looks int, shiftAt ...int) (noticed []time.Duration) {
@@ -59,10 +70,7 @@
 			}
 		}
 		now := start.Add(time.Duration(n) * look)
-		for r := range ranks {
-			f.Hear(r, s.pass(), now)
-		}
-		if f.Learn(0, now) {
+		if f.Learn(s.passOf(ranks), ranks, now) {
 			noticed = append(noticed, now.Sub(start))
 		}
 	}
@@ -70,7 +78,7 @@
 }
 
 func newFollower() *Follower {
-	return New(Config{Sets: sets, Experts: experts, Ranks: ranks, Memory: 450 * time.Millisecond, Life: 3 * look})
+	return New(Config{Sets: sets, Experts: experts, Ranks: ranks, Memory: 450 * time.Millisecond})
 }
 
 func TestShiftsAreNoticedAndNothingElse(t *testing.T) {
@@ -94,15 +102,9 @@
 	now := time.Unix(1000, 0).Add(60 * look)
 	odd := newSource(4)
 	odd.shift()
-	for r := range ranks {
-		f.Hear(r, odd.pass(), now)
-	}
-	g.Expect(f.Learn(0, now)).To(BeFalse())
+	g.Expect(f.Learn(odd.passOf(ranks), ranks, now)).To(BeFalse())
 	g.Expect(f.Suspect()).To(BeTrue())
-	for r := range ranks {
-		f.Hear(r, s.pass(), now.Add(look))
-	}
-	g.Expect(f.Learn(0, now.Add(look))).To(BeFalse())
+	g.Expect(f.Learn(s.passOf(ranks), ranks, now.Add(look))).To(BeFalse())
 	g.Expect(f.Suspect()).To(BeFalse())
 }
 
@@ -147,33 +149,24 @@
 func TestCountsOfAnotherShapeAreLeftOut(t *testing.T) {
 	g := NewWithT(t)
 	f := newFollower()
-	g.Expect(f.Hear(0, make([]uint64, 3), time.Unix(1000, 0))).To(BeFalse())
-	g.Expect(f.Learn(0, time.Unix(1000, 0))).To(BeFalse())
+	g.Expect(f.Learn(make([]uint64, 3), ranks, time.Unix(1000, 0))).To(BeFalse())
 	g.Expect(f.Load()).To(BeNil())
 }
 
 func TestFewRanksDoNotTellOfAShift(t *testing.T) {
 	for _, tc := range []struct {
-		name string
-		pass time.Duration
-		want bool
-	}{
-		{"the counts of the others are old", 0, false},
-		{"passes are long, so their counts hold for longer", 2 * look, true},
-	} {
+		name  string
+		heard int
+		want  bool
+	}{{"one of four", 1, false}, {"two of four", 2, false}, {"three of four", 3, true}} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
 			f, s := newFollower(), newSource(4)
 			script(f, s, 60)
 			s.shift()
 			now := time.Unix(1000, 0).Add(60 * look)
-			for r := range ranks {
-				f.Hear(r, s.pass(), now)
-			}
-			g.Expect(f.Learn(tc.pass, now)).To(BeFalse(), "it may be one odd window")
-			now = now.Add(5 * look)
-			f.Hear(0, s.pass(), now)
-			g.Expect(f.Learn(tc.pass, now)).To(Equal(tc.want))
+			g.Expect(f.Learn(s.passOf(tc.heard), tc.heard, now)).To(BeFalse(), "it may be one odd window")
+			g.Expect(f.Learn(s.passOf(tc.heard), tc.heard, now.Add(look))).To(Equal(tc.want))
 		})
 	}
 }
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -1,7 +1,8 @@
 // Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
 
-// Package httpjson answers calls between processes with JSON. It is not for
-// callers of models, whose answers are streamed.
+// Package httpjson answers calls between processes with JSON, or with bytes that
+// the caller made where JSON would be too long. It is not for callers of models,
+// whose answers are streamed.
 package httpjson
 
 import (
@@ -20,3 +21,9 @@
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(raw) // Whoever asks sees an answer that is cut.
 }
+
+// Binary answers with bytes.
+func Binary(w http.ResponseWriter, raw []byte) {
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(raw) // Whoever asks sees an answer that is cut.
+}
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -13,28 +13,28 @@
 
 // Report is what an engine says about itself.
 type Report struct {
-	Group    string  `json:"group"` // "" when it is in none.
-	Epoch    uint64  `json:"epoch"` // Of the group; rises each time it opens anew.
-	Rank     int     `json:"rank"`
-	Size     int     `json:"size"` // Ranks of the group.
-	Open     bool    `json:"open"`
-	Step     uint64  `json:"step"`     // Newest pass that began.
-	Map      uint64  `json:"map"`      // Version in force.
-	Prepared uint64  `json:"prepared"` // Version whose experts have been copied; 0 for none.
-	Armed    Arming  `json:"armed"`
-	Held     uint64  `json:"held"` // Pass that it will not begin; 0 for none.
-	Copying  bool    `json:"copying"`
-	Running  int     `json:"running"`
-	Waiting  int     `json:"waiting"`
-	Used     int     `json:"used"` // Tokens of memory that cannot give way.
-	Total    int     `json:"total"`
-	Pace     float64 `json:"pace"` // Above 1 when it is slow.
+	Group    string  `json:"group" cbor:"1,keyasint,omitempty"` // "" when it is in none.
+	Epoch    uint64  `json:"epoch" cbor:"2,keyasint,omitempty"` // Of the group; rises each time it opens anew.
+	Rank     int     `json:"rank" cbor:"3,keyasint,omitempty"`
+	Size     int     `json:"size" cbor:"4,keyasint,omitempty"` // Ranks of the group.
+	Open     bool    `json:"open" cbor:"5,keyasint,omitempty"`
+	Step     uint64  `json:"step" cbor:"6,keyasint,omitempty"`     // Newest pass that began.
+	Map      uint64  `json:"map" cbor:"7,keyasint,omitempty"`      // Version in force.
+	Prepared uint64  `json:"prepared" cbor:"8,keyasint,omitempty"` // Version whose experts have been copied; 0 for none.
+	Armed    Arming  `json:"armed" cbor:"9,keyasint,omitempty"`
+	Held     uint64  `json:"held" cbor:"10,keyasint,omitempty"` // Pass that it will not begin; 0 for none.
+	Copying  bool    `json:"copying" cbor:"11,keyasint,omitempty"`
+	Running  int     `json:"running" cbor:"12,keyasint,omitempty"`
+	Waiting  int     `json:"waiting" cbor:"13,keyasint,omitempty"`
+	Used     int     `json:"used" cbor:"14,keyasint,omitempty"` // Tokens of memory that cannot give way.
+	Total    int     `json:"total" cbor:"15,keyasint,omitempty"`
+	Pace     float64 `json:"pace" cbor:"16,keyasint,omitempty"` // Above 1 when it is slow.
 }
 
 // Arming is a version that comes into force as a pass begins.
 type Arming struct {
-	Version uint64 `json:"version"` // 0 for none.
-	Step    uint64 `json:"step"`
+	Version uint64 `json:"version" cbor:"1,keyasint,omitempty"` // 0 for none.
+	Step    uint64 `json:"step" cbor:"2,keyasint,omitempty"`
 }
 
 // Counts is how often the requests of a rank chose each expert since its
@@ -66,12 +66,12 @@
 
 // Order is one order to a rank.
 type Order struct {
-	Op      Op        `json:"op"`
-	Fence   uint64    `json:"fence"`
-	Epoch   uint64    `json:"epoch"`
-	Version uint64    `json:"version,omitempty"`
-	Step    uint64    `json:"step,omitempty"`
-	Map     [][][]int `json:"map,omitempty"` // By set and rank, the experts; of Prepare.
+	Op      Op        `json:"op" cbor:"1,keyasint,omitempty"`
+	Fence   uint64    `json:"fence" cbor:"2,keyasint,omitempty"`
+	Epoch   uint64    `json:"epoch" cbor:"3,keyasint,omitempty"`
+	Version uint64    `json:"version,omitempty" cbor:"4,keyasint,omitempty"`
+	Step    uint64    `json:"step,omitempty" cbor:"5,keyasint,omitempty"`
+	Map     [][][]int `json:"map,omitempty" cbor:"6,keyasint,omitempty"` // By set and rank, the experts; of Prepare.
 }
 
 // Result is what became of an order.
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -50,6 +50,8 @@
 	LogLevel    string
 	LogPerSec   int // Lines on requests that went well, a second.
 	MemoryLimit int // Megabytes that the process may hold; 0 for no bound.
+
+	LinkRate float64 // Bytes a second that the instance's link carries; 0 when not known.
 }
 
 // RoleOf returns the role that a settings file names, "" when it names none.
@@ -74,6 +76,9 @@
 	return ParseFleet(name, raw)
 }
 
+// bytesInMegabit turns the unit in which links are told into bytes.
+const bytesInMegabit = 1e6 / 8
+
 // ParseFleet checks the text of a settings file.
 func ParseFleet(name string, raw []byte) (s *Fleet, err error) {
 	f, err := inifile.Parse(name, raw)
@@ -85,6 +90,7 @@
 	s.Domain = f.Required("instance", "domain")
 	s.Role = FleetRole(f.Required("instance", "role"))
 	s.MemoryLimit = f.Int("instance", "memory-mb", 0, 0, 1<<20)
+	s.LinkRate = bytesInMegabit * f.Float("instance", "link-mbps", 0, 0, 1e6)
 	if s.Role != "" && s.Role != Gateway && s.Role != Sidecar {
 		f.Fault("instance", "role", "%q is neither gateway nor sidecar", s.Role)
 	}
--- a/internal/sidecar/ask.go
+++ b/internal/sidecar/ask.go
@@ -13,50 +13,153 @@
 	"github.com/canvaspulley/canvaspulley/internal/rank"
 )
 
-// otherGroupEvery is the time between two questions to an endpoint of another group
-// of the service: it may have joined the own one.
-const otherGroupEvery = 2 * time.Second
+const (
+	// otherGroupEvery is the time between two questions to an endpoint of another
+	// group of the service: it may have joined the own one.
+	otherGroupEvery = 2 * time.Second
+	// countsShare is the part of the link that counts of experts may take: the rest is
+	// for orders, maps and whatever else the instance sends.
+	countsShare = 1.0 / 3
+)
 
 // inOtherGroup reports whether an endpoint lately said that it is in another group.
 func (m *member) inOtherGroup(own rank.Report, now time.Time) bool {
-	other := m.state.Report.Group
+	other := m.report.Group
 	return other != "" && other != own.Group && now.Sub(m.seen) < otherGroupEvery
 }
 
-// ask asks every rank for its state; it reports whether all answered and the
+// ask asks every rank for its report; it reports whether all answered and the
 // group is complete, but perhaps for the rank that led before.
 func (l *leader) ask(ctx context.Context, own rank.Report) bool {
+	began := time.Now()
+	heard, silent := l.toAsk(own, began)
 	var g errgroup.Group
-	asked := l.askedForWork()
-	for i, m := range l.all {
-		if m.inOtherGroup(own, time.Now()) {
-			continue
-		}
+	for _, m := range silent {
 		g.Go(func() error {
-			call, cancel := context.WithTimeout(ctx, askTimeout)
-			defer cancel()
-			after := uint64(noWork)
-			if asked(i) {
-				after = m.state.Window
-			}
-			st, err := l.s.calls.rank(call, m.endpoint.Address, after)
-			if m.fresh = err == nil; m.fresh {
-				m.state, m.seen, m.lost = st, time.Now(), false
-				return nil
-			}
-			l.s.log.Debug("sidecar not heard", zap.String("endpoint", m.endpoint.ID), zap.String("error", err.Error()))
-			l.askStraight(ctx, m)
+			l.askSilent(ctx, m)
 			return nil
 		})
 	}
+	l.askHeard(ctx, own, heard)
 	_ = g.Wait() // No function returns an error: a rank that is not heard shows below.
+	l.s.figures.looks.UpdateSince(began)
+	l.place(own)
+	return l.complete(own)
+}
+
+// toAsk returns the other ranks that are to be asked: those that are asked down the
+// tree, and those that did not answer last time, which are asked apart so that none
+// below them is missed.
+func (l *leader) toAsk(own rank.Report, now time.Time) (heard, silent []*member) {
+	for _, m := range l.all {
+		switch {
+		case m.endpoint.Address == l.s.cfg.Address || m.inOtherGroup(own, now):
+		case m.missed:
+			silent = append(silent, m)
+		default:
+			heard = append(heard, m)
+		}
+	}
+	return heard, silent
+}
+
+// askHeard puts a question to this rank and, down the tree, to others.
+func (l *leader) askHeard(ctx context.Context, own rank.Report, list []*member) {
+	q := l.question(list)
+	if now := time.Now(); now.Sub(l.countsAt) >= l.countsPause {
+		q.Group, l.countsAt = own.Group, now
+	}
+	q.Limit = askTimeout + time.Duration(depth(len(list), q.Fan))*stepTime
+	call, cancel := context.WithTimeout(ctx, q.Limit)
+	defer cancel()
+	a := l.s.askTree(call, q)
+	for _, m := range list {
+		m.fresh, m.missed = false, true
+	}
+	now := time.Now()
+	for _, r := range a.Ranks {
+		if r.Place < 0 || r.Place > len(list) || r.Report == nil {
+			continue
+		}
+		m := l.self
+		if r.Place > 0 {
+			m = list[r.Place-1]
+		}
+		m.hear(*r.Report, now)
+	}
+	l.heard = a
+	if a.Summed > 0 && l.s.cfg.LinkRate > 0 {
+		bytes := float64(min(q.Fan, len(list)) * len(a.Counts))
+		l.countsPause = time.Duration(bytes / (countsShare * l.s.cfg.LinkRate) * float64(time.Second))
+	}
+}
+
+// hear takes in a rank's word.
+func (m *member) hear(r rank.Report, now time.Time) {
+	m.report, m.seen = r, now
+	m.fresh, m.missed, m.lost = true, false, false
+}
+
+// question returns what is put to this rank and to others down a tree: of counts
+// or maps where the group is large, and to all at once where it is not.
+func (l *leader) question(list []*member) question {
+	q := question{Engines: []string{l.s.cfg.Address}, Fan: fanHeavy}
+	for _, m := range list {
+		q.Engines = append(q.Engines, m.endpoint.Address)
+	}
+	if len(list) < fanFlat {
+		q.Fan = fanFlat
+	}
+	return q
+}
+
+// askSilent asks a rank that was not heard last time, or its engine.
+func (l *leader) askSilent(ctx context.Context, m *member) {
+	call, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	a, err := l.s.below(call, question{Engines: []string{m.endpoint.Address}, Fan: 1, Limit: askTimeout})
+	if err == nil && len(a.Ranks) == 1 && a.Ranks[0].Report != nil {
+		m.hear(*a.Ranks[0].Report, time.Now())
+		return
+	}
+	m.fresh = false
+	if err != nil {
+		l.s.log.Debug("sidecar not heard", zap.String("endpoint", m.endpoint.ID), zap.String("error", err.Error()))
+	}
+	l.askStraight(ctx, m)
+}
+
+// askStraight asks an engine whose sidecar does not answer: it may have died
+// while its engine held the group. Such calls are priced, so they are few.
+func (l *leader) askStraight(ctx context.Context, m *member) {
+	if time.Since(m.straight) < straightEvery {
+		return
+	}
+	m.straight = time.Now()
+	call, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	r, err := l.s.dial(m.endpoint.Address).Report(call)
+	if m.lost = err != nil; m.lost {
+		l.s.log.Info("rank not heard", zap.String("endpoint", m.endpoint.ID), zap.String("error", err.Error()))
+		return
+	}
+	m.report, m.seen, m.fresh = r, time.Now(), true
+}
+
+// place puts the members that were heard in their places.
+func (l *leader) place(own rank.Report) {
 	l.byRank = make([]*member, own.Size)
 	for _, m := range l.all {
-		r := m.state.Report
+		r := m.report
 		if m.fresh && r.Group == own.Group && r.Epoch == own.Epoch && r.Open && r.Rank >= 0 && r.Rank < own.Size {
 			l.byRank[r.Rank] = m
 		}
 	}
+}
+
+// complete reports whether all ranks are in their places, but perhaps for the one
+// that led before, which is then the absent one.
+func (l *leader) complete(own rank.Report) bool {
 	l.absent = cutover.None
 	for r, m := range l.byRank {
 		if m != nil {
@@ -75,7 +178,7 @@
 // then, and nothing is to be ended without it.
 func (l *leader) engineLost(own rank.Report) bool {
 	for _, m := range l.all {
-		mayBeOurs := m.state.Report.Group == own.Group || m.state.Report.Group == ""
+		mayBeOurs := m.report.Group == own.Group || m.report.Group == ""
 		if !m.fresh && mayBeOurs && !m.lost {
 			return false
 		}
@@ -92,42 +195,12 @@
 	return led.Group == own.Group && led.Epoch == own.Epoch && led.Rank == r && r != own.Rank
 }
 
-// askedForWork returns which places in all are asked for their counts in this
-// look.
-func (l *leader) askedForWork() func(place int) bool {
-	n := len(l.all)
-	part := n
-	if n > wholeLook {
-		part = max(n/partLook, wholeLook)
-	}
-	first := l.turn
-	l.turn = (first + part) % max(n, 1)
-	return func(place int) bool { return (place-first+n)%n < part }
-}
-
-// askStraight asks an engine whose sidecar does not answer: it may have died
-// while its engine held the group. Such calls are priced, so they are few.
-func (l *leader) askStraight(ctx context.Context, m *member) {
-	if time.Since(m.straight) < straightEvery {
-		return
-	}
-	m.straight = time.Now()
-	call, cancel := context.WithTimeout(ctx, engineTimeout)
-	defer cancel()
-	r, err := l.s.dial(m.endpoint.Address).Report(call)
-	if m.lost = err != nil; m.lost {
-		l.s.log.Info("rank not heard", zap.String("endpoint", m.endpoint.ID), zap.String("error", err.Error()))
-		return
-	}
-	m.state.Report, m.seen, m.fresh = r, time.Now(), true
-}
-
 // reports returns the newest reports by rank.
 func (l *leader) reports() []rank.Report {
 	list := make([]rank.Report, len(l.byRank))
 	for r, m := range l.byRank {
 		if m != nil {
-			list[r] = m.state.Report
+			list[r] = m.report
 		}
 	}
 	return list
--- a/internal/sidecar/ask_test.go
+++ b/internal/sidecar/ask_test.go
@@ -19,14 +19,14 @@
 		silent member
 		want   bool
 	}{
-		{"its sidecar has died", member{state: state{Report: ours}}, false},
-		{"its instance is frozen", member{state: state{Report: ours}, lost: true}, true},
+		{"its sidecar has died", member{report: ours}, false},
+		{"its instance is frozen", member{report: ours, lost: true}, true},
 		{"frozen, and never heard before", member{lost: true}, true},
 		{"not asked past its sidecar yet", member{}, false},
-		{"of another group", member{state: state{Report: theirs}}, true},
+		{"of another group", member{report: theirs}, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			l := &leader{all: []*member{{state: state{Report: ours}, fresh: true}, &tc.silent}}
+			l := &leader{all: []*member{{report: ours, fresh: true}, &tc.silent}}
 			NewWithT(t).Expect(l.engineLost(ours)).To(Equal(tc.want))
 		})
 	}
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -8,10 +8,8 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
-	"math"
 	"net"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,28 +20,19 @@
 	"github.com/canvaspulley/canvaspulley/internal/rank"
 )
 
-// Paths of the calls between sidecars.
-const (
-	pathRank  = "/v1/rank"
-	pathOrder = "/v1/orders"
-)
+// pathOrder is the call that gives the leader's own engine an order; pathTree is that
+// for all others.
+const pathOrder = "/v1/orders"
 
 // maxPeerAnswer bounds what is read of a call between sidecars: the counts or
 // the map of the largest group.
 const maxPeerAnswer = 4 << 20
 
-// state is what a sidecar tells the leader of its group.
-type state struct {
-	Report rank.Report `json:"report"`
-	Window uint64      `json:"window"` // Number of the newest window.
-	Work   []byte      `json:"work"`   // Its counts as varints, when it is newer than the one asked for.
-}
-
-// orderCall is an order as one sidecar sends it to another.
+// orderCall is an order that a leader has another sidecar give to the leader's own
+// engine.
 type orderCall struct {
 	rank.Order
-	MapFrom []string `json:"map-from,omitempty"` // Engines beside which the map is to be had; of Prepare.
-	Engine  string   `json:"engine,omitempty"`   // That the order is for, if not the own one: the leader's, to be armed for it.
+	Engine string `json:"engine"`
 }
 
 // answer is what became of an order.
@@ -55,65 +44,38 @@
 // Handler serves the calls of other sidecars.
 func (s *Sidecar) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+pathRank, s.serveRank)
+	mux.HandleFunc("POST "+pathTree, s.serveTree)
 	mux.HandleFunc("POST "+pathOrder, s.serveOrder)
-	mux.HandleFunc("GET "+pathMap, s.serveMap)
 	return mux
 }
 
-// noWork asks for no counts.
-const noWork = math.MaxUint64
-
-func (s *Sidecar) serveRank(w http.ResponseWriter, r *http.Request) {
-	after := uint64(noWork)
-	if text := r.URL.Query().Get("after"); text != "" {
-		n, err := strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			http.Error(w, "after: not a number", http.StatusBadRequest)
-			return
-		}
-		after = n
-	}
-	ctx, cancel := context.WithTimeout(r.Context(), engineTimeout)
-	defer cancel()
-	rep, err := s.engine.Report(ctx)
-	s.noteReport(rep, err)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadGateway)
-		return
-	}
-	st := state{Report: rep}
-	s.mu.Lock()
-	st.Window = s.work.number
-	if after != noWork && s.work.number != after && s.work.epoch == rep.Epoch {
-		st.Work = pack(s.work.flat)
-	}
-	s.mu.Unlock()
-	httpjson.Reply(w, st)
-}
-
 func (s *Sidecar) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var o orderCall
 	raw, err := io.ReadAll(io.LimitReader(r.Body, maxPeerAnswer))
 	if err == nil {
 		err = json.Unmarshal(raw, &o)
 	}
+	if err == nil && o.Engine == "" {
+		err = errors.New("engine: missing")
+	}
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	if o.Engine != "" {
-		httpjson.Reply(w, s.armFor(r.Context(), o.Engine, o.Order))
-		return
-	}
+	httpjson.Reply(w, s.armFor(r.Context(), o.Engine, o.Order))
+}
+
+// carryOutMap gives an order to the own engine, with the map that packMap wrote if
+// it is one to prepare.
+func (s *Sidecar) carryOutMap(ctx context.Context, o rank.Order, text []byte) (a answer) {
 	if o.Op == rank.Prepare {
-		if o.Map, err = s.fetchMap(r.Context(), keyOf(o.Order), o.MapFrom); err != nil {
-			s.log.Warn("map not had", zap.Uint64("version", o.Version), zap.Strings("from", o.MapFrom), zap.String("error", err.Error()))
-			httpjson.Reply(w, answer{Result: rank.Lost, Error: err.Error()})
-			return
+		var err error
+		if o.Map, err = unpackMap(text); err != nil {
+			s.log.Warn("map not read", zap.Uint64("version", o.Version), zap.String("error", err.Error()))
+			return answer{Result: rank.Lost, Error: err.Error()}
 		}
 	}
-	httpjson.Reply(w, s.carryOut(r.Context(), o.Order))
+	return s.carryOut(ctx, o)
 }
 
 // carryOut gives an order to the own engine. One that is not answered is given
@@ -175,18 +137,7 @@
 	return &peerClient{client: &http.Client{Transport: t}, port: cfg.PeersPort}, t.CloseIdleConnections
 }
 
-// rank asks a sidecar for its state, with the work of a window that is newer
-// than after; none for noWork.
-func (c *peerClient) rank(ctx context.Context, engine string, after uint64) (st state, err error) {
-	path := pathRank
-	if after != noWork {
-		path += "?after=" + strconv.FormatUint(after, 10)
-	}
-	err = c.call(ctx, http.MethodGet, engine, path, nil, &st)
-	return st, err
-}
-
-// order has a sidecar give its engine an order.
+// order has a sidecar give the leader's engine an order.
 func (c *peerClient) order(ctx context.Context, engine string, o orderCall) (a answer, err error) {
 	raw, err := json.Marshal(o)
 	if err != nil {
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -14,12 +14,13 @@
 	"github.com/canvaspulley/canvaspulley/internal/decide/rebalance"
 	"github.com/canvaspulley/canvaspulley/internal/decide/remap"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/rank"
 )
 
 // planner follows the demand for experts and makes maps for it.
 type planner struct {
 	follower *demand.Follower // Nil until the group's shape is known.
-	taken    []uint64         // Numbers of the windows that were taken in, by rank.
+	taken    uint64           // Number of the own window when counts were last taken in.
 	current  rebalance.Map
 	version  uint64 // Of current; meaningful only when known is set.
 	known    bool
@@ -45,9 +46,6 @@
 	memoryShare = 0.45
 	// usualMemory smooths the counts where answers' usual length is not published.
 	usualMemory = 450 * time.Millisecond
-	// lifeLooks is how many looks long a rank's newest counts say what is asked for
-	// now: an answer may be lost, and a new one may not be ready at each look.
-	lifeLooks = 3
 	// noticeLooks is how many looks a shift takes to be seen and confirmed.
 	noticeLooks = 2
 	// firstChanges is for how many changes' time demand is expected to stay before any
@@ -85,31 +83,27 @@
 	return min(max(part, leastPressure), 1)
 }
 
-// learn takes in the windows that are new. It reports whether demand is now
-// known to have shifted.
+// learn takes in the counts of the newest look, if passes were made since the last
+// ones.
 func (l *leader) learn() {
 	p := &l.planner
-	if l.shape == nil || l.shape.Sets == 0 {
+	l.s.mu.Lock()
+	p.pass = l.s.passes.pass
+	l.s.mu.Unlock()
+	if l.shape == nil || l.shape.Sets == 0 || l.heard.Summed == 0 || l.heard.Epoch != l.epoch || l.heard.Window == p.taken {
 		return
 	}
 	if p.follower == nil {
 		p.follower = demand.New(l.demandConfig())
-		p.taken = make([]uint64, len(l.byRank))
 	}
-	now, heard := time.Now(), false
-	for r, m := range l.byRank {
-		if m.state.Window == p.taken[r] || len(m.state.Work) == 0 {
-			continue
-		}
-		p.taken[r] = m.state.Window
-		flat, err := unpack(m.state.Work)
-		if err != nil || !p.follower.Hear(r, flat, now) {
-			l.s.log.Warn("counts left out", zap.Int("rank", r), zap.Int("numbers", len(flat)))
-			continue
-		}
-		heard = true
+	p.taken = l.heard.Window
+	now := time.Now()
+	flat, err := unpack(l.heard.Counts)
+	if err != nil || len(flat) != l.shape.Sets*l.shape.Experts {
+		l.s.log.Warn("counts left out", zap.Int("ranks", l.heard.Summed), zap.Int("numbers", len(flat)), zap.Error(err))
+		return
 	}
-	if heard && p.follower.Learn(p.pass, now) {
+	if p.follower.Learn(flat, l.heard.Summed, now) {
 		l.s.log.Info("demand has shifted", zap.Int("shifts", p.follower.Shifts()), zap.Duration("expected-for", p.follower.Left(now)))
 	}
 }
@@ -121,10 +115,7 @@
 		step := e.StepTime + time.Duration(e.Slots)*e.WriterTime/2
 		memory = time.Duration(memoryShare * e.UsualAnswer * float64(step))
 	}
-	return demand.Config{
-		Sets: e.Sets, Experts: e.Experts, Ranks: len(l.byRank),
-		Memory: memory, Life: lifeLooks * (l.lookPause() + passPoll),
-	}
+	return demand.Config{Sets: e.Sets, Experts: e.Experts, Ranks: len(l.byRank), Memory: memory}
 }
 
 // group returns the group as package remap sees it.
@@ -207,8 +198,8 @@
 	now := time.Now()
 	p.pending = &pending{plan: plan, version: version, began: now, due: now.Add(l.copyTime(plan.Most)), shifts: p.follower.Shifts(), speeds: l.speeds()}
 	m.Begin(version, layout)
-	l.s.maps.put(mapKey{epoch: m.Epoch, fence: m.Fence, version: version}, packMap(layout))
-	l.drive(ctx, prepareLimit)
+	l.mapText = packMap(layout)
+	l.drive(ctx, prepareTries*l.orderLimit(rank.Order{Op: rank.Prepare}, len(l.byRank)-1))
 	if m.Phase == cutover.Preparing {
 		l.abandon("orders not answered")
 	}
@@ -295,7 +286,7 @@
 func (l *leader) nextStep() uint64 {
 	step := uint64(0)
 	for _, m := range l.byRank {
-		step = max(step, m.state.Report.Step)
+		step = max(step, m.report.Step)
 	}
 	return step + uint64(min(l.passesAhead(), mostAhead))
 }
@@ -322,7 +313,7 @@
 func (l *leader) running() []int {
 	list := make([]int, len(l.byRank))
 	for r, m := range l.byRank {
-		list[r] = m.state.Report.Running + m.state.Report.Waiting
+		list[r] = m.report.Running + m.report.Waiting
 	}
 	return list
 }
@@ -333,7 +324,7 @@
 	alike := true
 	for r, m := range l.byRank {
 		speed[r] = 1
-		if pace := m.state.Report.Pace; pace > 1 {
+		if pace := m.report.Pace; pace > 1 {
 			speed[r] = 1 / pace
 			alike = false
 		}
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -3,8 +3,10 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,14 +42,9 @@
 const (
 	// lookEvery is the least time between two looks at the group.
 	lookEvery = 70 * time.Millisecond
-	// lookPerRank is what one rank adds to it, so that the leader of a large group
-	// is not busy with looking only: a call takes it about 0.2 ms of a core.
-	lookPerRank = time.Millisecond
-	// wholeLook and partLook bound the ranks that are asked for their counts in one
-	// look: all of a small group, a part of a large one in turn, since counts are
-	// long and the leader's link is narrow.
-	wholeLook = 20
-	partLook  = 3
+	// lookPerCall is what each call adds to it, so that the leader is not busy with
+	// looking only: a call takes it about 0.2 ms of a core.
+	lookPerCall = time.Millisecond
 	// askTimeout bounds a call to another sidecar: some round trips between
 	// failure domains, and the time that a small processor share may add.
 	askTimeout = 250 * time.Millisecond
@@ -68,9 +65,10 @@
 // member is one rank of the group as the leader sees it.
 type member struct {
 	endpoint fleet.Endpoint
-	state    state
+	report   rank.Report
 	seen     time.Time // Last answer.
 	fresh    bool      // It answered the newest look.
+	missed   bool      // It did not answer, by way of its sidecar, when it was last asked.
 	straight time.Time // Its engine was last asked past its sidecar.
 	lost     bool      // It did not answer then either.
 }
@@ -85,7 +83,8 @@
 	// allows; 0 when there is none.
 	pauseLimit time.Duration
 	listed     time.Time
-	all        []*member // Every endpoint of the service.
+	all        []*member // Every endpoint of the service, those of a failure domain together.
+	self       *member   // Of all, the own one.
 	byRank     []*member // Of the own group; nil before the first look, and nil for the absent one.
 	absent     int       // Rank that led before, if it alone does not answer; cutover.None otherwise.
 	machine    *cutover.Machine
@@ -94,9 +93,14 @@
 	arming     time.Duration // Smoothed time that the orders of a switch took.
 	handing    time.Duration // Smoothed time by which changes took longer than their copies: to hand out the map, and to see the copies.
 	switched   time.Time     // When the last switch was brought about.
-	turn       int           // First of the ranks that are asked for counts next.
-	epoch      uint64
-	openedAt   time.Time // When this epoch was first seen.
+	mapText    []byte        // Of the change under way, as packMap writes it.
+	heard      answers       // To the newest question down the tree.
+	countsAt   time.Time     // When counts were last asked for.
+	// countsPause is the time between two questions for counts, so that they take
+	// countsShare of the link.
+	countsPause time.Duration
+	epoch       uint64
+	openedAt    time.Time // When this epoch was first seen.
 }
 
 func newLeader(s *Sidecar) *leader { return &leader{s: s, absent: cutover.None} }
@@ -112,7 +116,16 @@
 
 // lookPause is the time between two looks while nothing is awaited.
 func (l *leader) lookPause() time.Duration {
-	return lookEvery + time.Duration(len(l.byRank))*lookPerRank
+	return lookEvery + l.calls()*lookPerCall
+}
+
+// calls is how many calls a look takes.
+func (l *leader) calls() time.Duration {
+	n := max(len(l.byRank)-1, 0)
+	if n >= fanFlat {
+		n = fanHeavy
+	}
+	return time.Duration(n)
 }
 
 // untilLook is the time until the next look: copies that are due are looked for
@@ -128,7 +141,7 @@
 	if left := p.due.Sub(now); left > 0 {
 		return min(left, l.lookPause())
 	}
-	return copiedEvery + time.Duration(len(l.byRank))*lookPerRank/2
+	return copiedEvery + l.calls()*lookPerCall/2
 }
 
 // look leads for one round, where this sidecar is the leader.
@@ -152,7 +165,12 @@
 	l.outbid(own)
 	l.refresh(ctx)
 	l.s.setLeading(l.all, peers.Lead{Group: own.Group, Epoch: own.Epoch, Rank: own.Rank, Fence: l.fence})
-	if !l.ask(ctx, own) {
+	if l.self == nil {
+		return // The list does not name the own endpoint, or was not read yet.
+	}
+	complete := l.ask(ctx, own)
+	l.learn()
+	if !complete {
 		return
 	}
 	if !l.leads(own) { // Asking takes long when a rank is silent; a lower one may have begun.
@@ -240,7 +258,7 @@
 	for _, m := range l.all {
 		known[m.endpoint.ID] = m
 	}
-	l.all = l.all[:0:0]
+	l.all, l.self = l.all[:0:0], nil
 	for _, e := range snap.Endpoints {
 		if e.Service != l.service {
 			continue
@@ -251,7 +269,13 @@
 		}
 		m.endpoint = e
 		l.all = append(l.all, m)
+		if e.Address == l.s.cfg.Address {
+			l.self = m
+		}
 	}
+	slices.SortFunc(l.all, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(a.endpoint.Domain, b.endpoint.Domain), cmp.Compare(a.endpoint.Address, b.endpoint.Address))
+	})
 }
 
 // setLeading tells the duty that announces the leader whom to tell what; it is
@@ -299,10 +323,6 @@
 		l.drive(ctx, recoverLimit)
 		return
 	}
-	l.s.mu.Lock()
-	l.planner.pass = l.s.passes.pass
-	l.s.mu.Unlock()
-	l.learn()
 	switch {
 	case m.Phase != cutover.Ready:
 		l.drive(ctx, recoverLimit)
@@ -320,9 +340,9 @@
 const (
 	// recoverLimit bounds one round of cleaning up; the next look goes on.
 	recoverLimit = 400 * time.Millisecond
-	// prepareLimit bounds the orders to copy experts, without the copying: all of
-	// them are lost a few times at most.
-	prepareLimit = 2 * prepareTimeout
+	// prepareTries is how often the orders to copy experts are given at most: all of
+	// them are lost a few times.
+	prepareTries = 2
 	// overdue is how much later than twice the expected time copies may be: as long
 	// as the looks for them may take.
 	overdue = 2 * askTimeout
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -12,20 +13,22 @@
 	"github.com/canvaspulley/canvaspulley/internal/rank"
 )
 
-// round sends the orders of the present phase and takes in the results.
+// round sends the orders of the present phase and takes in the results. What is
+// alike for most ranks goes down the tree.
 func (l *leader) round(ctx context.Context) {
 	orders := l.machine.Next()
 	results := make([]rank.Result, len(orders))
+	alike, single := l.sortOrders(orders)
 	var g errgroup.Group
-	for r, o := range orders {
-		if o.Op == "" {
-			continue
-		}
+	for _, r := range single {
 		g.Go(func() error {
-			results[r] = l.send(ctx, r, o)
+			results[r] = l.send(ctx, r, orders[r])
 			return nil
 		})
 	}
+	if len(alike) > 0 {
+		l.sendTree(ctx, alike, orders[alike[0]], results)
+	}
 	_ = g.Wait() // No function returns an error: results tell what became of each.
 	phase := l.machine.Phase
 	for r, o := range orders {
@@ -35,6 +38,81 @@
 	}
 }
 
+// sortOrders returns the ranks whose order is the same and goes by way of their
+// sidecars, and those that get theirs each for itself.
+func (l *leader) sortOrders(orders []rank.Order) (alike, single []int) {
+	for r, o := range orders {
+		switch {
+		case o.Op == "":
+		case r == l.machine.Self || l.holds(r):
+			single = append(single, r)
+		case len(alike) > 0 && !sameOrder(o, orders[alike[0]]):
+			single = append(single, r)
+		default:
+			alike = append(alike, r)
+		}
+	}
+	return alike, single
+}
+
+// sameOrder reports whether two orders of one phase are the same. Their maps are
+// the same if their versions are.
+func sameOrder(a, b rank.Order) bool {
+	return a.Op == b.Op && a.Fence == b.Fence && a.Epoch == b.Epoch && a.Version == b.Version && a.Step == b.Step
+}
+
+// sendTree gives ranks the same order down the tree. Who does not answer so is given
+// it apart.
+func (l *leader) sendTree(ctx context.Context, ranks []int, o rank.Order, results []rank.Result) {
+	list := make([]*member, len(ranks))
+	for i, r := range ranks {
+		list[i] = l.byRank[r]
+	}
+	sent := o
+	sent.Map = nil // Goes as text.
+	q := l.question(list)
+	q.Engines, q.Order, q.Limit = q.Engines[1:], &sent, l.orderLimit(o, len(list))
+	if o.Op == rank.Prepare {
+		q.Map = l.mapText
+	} else if len(list) >= fanFlat {
+		q.Fan = fanLight
+	}
+	call, cancel := context.WithTimeout(ctx, q.Limit)
+	defer cancel()
+	answered := l.s.spread(call, q)
+	for _, a := range answered.Ranks {
+		if a.Place >= 0 && a.Place < len(ranks) {
+			results[ranks[a.Place]] = a.Result
+		}
+	}
+	var g errgroup.Group
+	for _, r := range ranks {
+		if results[r] != "" {
+			continue
+		}
+		g.Go(func() error {
+			results[r] = l.send(ctx, r, o)
+			return nil
+		})
+	}
+	_ = g.Wait() // No function returns an error: results tell what became of each.
+}
+
+// orderLimit is how long an order to so many ranks may take until it is answered.
+func (l *leader) orderLimit(o rank.Order, ranks int) time.Duration {
+	limit := orderTries*orderTimeout + askTimeout
+	fan := fanFlat
+	if ranks >= fanFlat {
+		fan = fanHeavy
+	}
+	steps := time.Duration(depth(ranks, fan))
+	if o.Op == rank.Prepare && l.s.cfg.LinkRate > 0 {
+		sent := float64(min(fan, ranks)*len(l.mapText)) / l.s.cfg.LinkRate
+		limit += steps * time.Duration(sent*float64(time.Second))
+	}
+	return limit + steps*stepTime
+}
+
 // send gives a rank an order through the sidecar beside it, or straight when
 // that does not answer.
 func (l *leader) send(ctx context.Context, r int, o rank.Order) rank.Result {
@@ -43,22 +121,22 @@
 		return l.sendForOwn(ctx, o)
 	case r == l.machine.Self:
 		return l.s.carryOut(ctx, o).Result
-	}
-	address := l.byRank[r].endpoint.Address
-	if l.holds(r) {
+	case l.holds(r):
 		return l.sendStraight(ctx, r, o)
 	}
-	limit, sent := orderTries*orderTimeout+askTimeout, orderCall{Order: o}
+	sent := o
+	sent.Map = nil
+	q := question{Engines: []string{l.byRank[r].endpoint.Address}, Fan: 1, Order: &sent, Limit: l.orderLimit(o, 1)}
 	if o.Op == rank.Prepare {
-		limit, sent.Map, sent.MapFrom = prepareTimeout, nil, l.mapSources(r)
+		q.Map = l.mapText
 	}
-	call, cancel := context.WithTimeout(ctx, limit)
+	call, cancel := context.WithTimeout(ctx, q.Limit)
 	defer cancel()
-	a, err := l.s.calls.order(call, address, sent)
-	if err == nil {
-		return a.Result
+	a, err := l.s.below(call, q)
+	if err == nil && len(a.Ranks) == 1 {
+		return a.Ranks[0].Result
 	}
-	l.s.log.Warn("order sent straight", zap.Int("rank", r), zap.String("op", string(o.Op)), zap.String("error", err.Error()))
+	l.s.log.Warn("order sent straight", zap.Int("rank", r), zap.String("op", string(o.Op)), zap.Error(err))
 	return l.sendStraight(ctx, r, o)
 }
 
--- a/internal/sidecar/readmap.go
+++ b/internal/sidecar/readmap.go
@@ -14,7 +14,7 @@
 // any other was made here, or is read from the ranks' engines.
 func (l *leader) readMap(ctx context.Context) bool {
 	p := &l.planner
-	version := l.byRank[0].state.Report.Map
+	version := l.byRank[0].report.Map
 	if p.known && p.version == version {
 		return true
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -29,7 +29,8 @@
 	PeersPort int    // Of every sidecar.
 	SkewPrice float64
 	CopyPrice float64
-	Fences    bool // Engines refuse orders under a lower fence.
+	Fences    bool    // Engines refuse orders under a lower fence.
+	LinkRate  float64 // Bytes a second that the instance's link carries; 0 when not known.
 }
 
 // Times of a sidecar.
@@ -65,7 +66,8 @@
 	socket *peers.Socket
 	log    *zap.Logger
 	calls  *peerClient
-	maps   *shelf
+	// below puts a question to the sidecar beside its first engine.
+	below func(ctx context.Context, q question) (answers, error)
 
 	started time.Time
 
@@ -94,26 +96,33 @@
 
 // figures are the counters of a sidecar.
 type figures struct {
+	looks    metrics.Timer // Of a leader's questions to all ranks.
 	switches metrics.Counter
 	gaveUp   metrics.Counter
 	orders   metrics.Counter
 	copies   metrics.Counter
 }
 
+func newFigures(reg metrics.Registry) figures {
+	return figures{
+		looks:    metrics.GetOrRegisterTimer("sidecar.looks", reg),
+		switches: metrics.GetOrRegisterCounter("sidecar.maps-in-force", reg),
+		gaveUp:   metrics.GetOrRegisterCounter("sidecar.maps-given-up", reg),
+		orders:   metrics.GetOrRegisterCounter("sidecar.orders", reg),
+		copies:   metrics.GetOrRegisterCounter("sidecar.expert-copies", reg),
+	}
+}
+
 // New returns the sidecar of an engine. Dial makes the client of another
 // rank's engine; source tells the published state.
 func New(cfg Config, engine rank.Engine, dial func(string) rank.Engine, source follow.Source, socket *peers.Socket, log *zap.Logger, reg metrics.Registry) (s *Sidecar, cleanup func()) {
 	s = &Sidecar{
 		cfg: cfg, engine: engine, dial: dial, source: source, socket: socket, log: log,
-		gateways: newSubscribers(cfg.Domain), maps: newShelf(), started: time.Now(),
-		figures: figures{
-			switches: metrics.GetOrRegisterCounter("sidecar.maps-in-force", reg),
-			gaveUp:   metrics.GetOrRegisterCounter("sidecar.maps-given-up", reg),
-			orders:   metrics.GetOrRegisterCounter("sidecar.orders", reg),
-			copies:   metrics.GetOrRegisterCounter("sidecar.expert-copies", reg),
-		},
+		gateways: newSubscribers(cfg.Domain), started: time.Now(),
+		figures: newFigures(reg),
 	}
 	s.calls, cleanup = newPeerClient(cfg)
+	s.below = s.calls.tree
 	return s, cleanup
 }
 
