internal/sidecar, internal/decide/remap: maps go as changes, counts in a byte, copies are judged together

A plan stopped at the first copy that gained less than its price by itself: with 129 ranks many are loaded nearly alike, so that no single copy gains much.

Change: a map goes as a change of one that the ranks know by its fingerprint (0.7 to 0.8 kB), whole to who lacks that; counts take a byte at most, Huffman coded (3.0 kB of 4,128 counts); no counts while copies are awaited; looks are paced from their start. Plans are judged whole, by what they save less the price of all their copies; copying drags a pass only by the part of it that it takes.

--- a/internal/decide/rebalance/improve.go
+++ b/internal/decide/rebalance/improve.go
@@ -6,9 +6,8 @@
 
 // Bounds limit what one improvement may change.
 type Bounds struct {
-	Spare   int     // Experts that a rank may take on in a layer, 0 for no bound.
-	PerRank int     // Experts that a rank may take on in all layers, 0 for no bound.
-	Least   float64 // Share of a layer's mean load that one copy must gain at least.
+	Spare   int // Experts that a rank may take on in a layer, 0 for no bound.
+	PerRank int // Experts that a rank may take on in all layers, 0 for no bound.
 }
 
 // Improvement is a changed map. Skews are loads of the slowest rank to the mean,
@@ -77,8 +76,7 @@
 	if i.means[l] <= 0 {
 		return
 	}
-	c, ok := i.editors[l].best()
-	if ok && c.gain >= i.bounds.Least*i.means[l]*float64(c.cost) {
+	if c, ok := i.editors[l].best(); ok {
 		i.best[l] = c
 	}
 }
--- a/internal/decide/remap/remap.go
+++ b/internal/decide/remap/remap.go
@@ -27,6 +27,15 @@
 	Rest time.Duration // Of all else: noticing, planning, orders.
 	// Still is how long the group stands still for the switch.
 	Still time.Duration
+	// Pass is how long a pass takes now; 0 when not known.
+	Pass time.Duration
+}
+
+// Price says what changes are worth, in one unit.
+type Price struct {
+	Second float64       // Of passes, as far as they are saved.
+	Copy   float64       // Of one expert.
+	Left   time.Duration // For which demand is expected to stay as it is.
 }
 
 // copyDrag is the part by which passes take longer while experts are copied, as
@@ -65,12 +74,14 @@
 func (g Group) passTime(skew float64) float64 { return 1 - g.ExpertShare + g.ExpertShare*skew }
 
 // Make plans a map for a demand. A rank copies one expert more only as long as
-// what the plan gains a second rises by it: where copies are slow, two small
-// changes one after the other gain sooner than one large; where they are quick,
-// the effort of a change is mostly not in them. Yield is called now and then, as
-// planning is long work.
-func Make(g Group, current rebalance.Map, demand [][]float64, e Effort, least float64, yield func()) (best Plan) {
-	i := rebalance.NewImprover(g.Shape, current, demand, g.Speed, rebalance.Bounds{Spare: g.Spare, PerRank: 1, Least: least})
+// what the plan gains a second rises by it, and what it is worth after its price:
+// where copies are slow, two small changes one after the other gain sooner than one
+// large; where they are quick, the effort of a change is mostly not in them. Copies
+// are judged all together: with many ranks, several are loaded nearly alike, and a
+// copy that unloads only one of them gains nothing by itself. Yield is called now
+// and then, as planning is long work.
+func Make(g Group, current rebalance.Map, demand [][]float64, e Effort, price Price, yield func()) (best Plan) {
+	i := rebalance.NewImprover(g.Shape, current, demand, g.Speed, rebalance.Bounds{Spare: g.Spare, PerRank: 1})
 	for k := 1; ; k++ {
 		i.Allow(k)
 		for n := 1; i.Step(); n++ {
@@ -80,7 +91,7 @@
 		}
 		r := i.Result()
 		p := Plan{Map: r.Map, Copies: r.Copies, Most: r.Most, Before: g.passTime(r.Before), After: g.passTime(r.After)}
-		if k > 1 && p.rate(e) <= best.rate(e) {
+		if k > 1 && (p.rate(e) <= best.rate(e) || p.Net(e, price) <= best.Net(e, price)) {
 			return best
 		}
 		best = p
@@ -108,12 +119,26 @@
 	return p.Gain()*(left-e.takes(p.Most)).Seconds() - drag - e.Still.Seconds()
 }
 
-// Pays reports whether a plan is worth the time that it takes: it saves some until
-// demand shifts, and a pass is shorter by it than copying makes passes longer
-// meanwhile. Streams are late by their longest pass, so what is saved later does
-// not make up for one.
-func (p Plan) Pays(e Effort, left time.Duration) bool {
-	return p.Gain() >= copyDrag && p.Saves(e, left) > 0
+// Net returns what a plan is worth after the price of its copies.
+func (p Plan) Net(e Effort, price Price) float64 {
+	return price.Second*p.Saves(e, price.Left) - price.Copy*float64(p.Copies)
+}
+
+// Pays reports whether a plan is worth its copies and the time that it takes, and a
+// pass is shorter by it than copying makes one longer meanwhile. Streams are late by
+// their longest pass, so what is saved later does not make up for one.
+func (p Plan) Pays(e Effort, price Price) bool {
+	return p.Gain() >= p.drag(e) && p.Saves(e, price.Left) > 0 && p.Net(e, price) > 0
+}
+
+// drag is the part by which copying makes the longest pass longer: a pass that is
+// longer than the copying is dragged for a part of it only.
+func (p Plan) drag(e Effort) float64 {
+	copying := time.Duration(p.Most) * e.Copy
+	if copying >= e.Pass {
+		return copyDrag
+	}
+	return copyDrag * copying.Seconds() / e.Pass.Seconds()
 }
 
 // Replaces reports whether a plan, made for what is asked for now, is to take
--- a/internal/sidecar/ask.go
+++ b/internal/sidecar/ask.go
@@ -20,6 +20,9 @@
 	// countsShare is the part of the link that counts of experts may take: the rest is
 	// for orders, maps and whatever else the instance sends.
 	countsShare = 1.0 / 3
+	// awaitingCounts is how many usual looks pass until counts are asked for although
+	// something is awaited: copies may take much longer than expected.
+	awaitingCounts = 4
 )
 
 // inOtherGroup reports whether an endpoint lately said that it is in another group.
@@ -43,6 +46,8 @@
 	l.askHeard(ctx, own, heard)
 	_ = g.Wait() // No function returns an error: a rank that is not heard shows below.
 	l.s.figures.looks.UpdateSince(began)
+	l.s.log.Debug("look", zap.Duration("took", time.Since(began)), zap.Int("asked", len(heard)), zap.Int("silent", len(silent)),
+		zap.Int("summed", l.heard.Summed), zap.Int("bytes-of-counts", len(l.heard.Counts)))
 	l.place(own)
 	return l.complete(own)
 }
@@ -66,7 +71,7 @@
 // askHeard puts a question to this rank and, down the tree, to others.
 func (l *leader) askHeard(ctx context.Context, own rank.Report, list []*member) {
 	q := l.question(list)
-	if now := time.Now(); now.Sub(l.countsAt) >= l.countsPause {
+	if now := time.Now(); now.Sub(l.countsAt) >= l.untilCounts(now) {
 		q.Group, l.countsAt = own.Group, now
 	}
 	q.Limit = askTimeout + time.Duration(depth(len(list), q.Fan))*stepTime
@@ -94,6 +99,15 @@
 	}
 }
 
+// untilCounts is the time between two questions for counts. While something is
+// awaited that is looked for often, counts would make each look long.
+func (l *leader) untilCounts(now time.Time) time.Duration {
+	if l.awaits(now) {
+		return awaitingCounts * l.lookPause()
+	}
+	return l.countsPause
+}
+
 // hear takes in a rank's word.
 func (m *member) hear(r rank.Report, now time.Time) {
 	m.report, m.seen = r, now
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/binary"
 	"encoding/json"
 	"io"
 	"net"
@@ -65,17 +64,19 @@
 	httpjson.Reply(w, s.armFor(r.Context(), o.Engine, o.Order))
 }
 
-// carryOutMap gives an order to the own engine, with the map that packMap wrote if
-// it is one to prepare.
-func (s *Sidecar) carryOutMap(ctx context.Context, o rank.Order, text []byte) (a answer) {
-	if o.Op == rank.Prepare {
-		var err error
-		if o.Map, err = unpackMap(text); err != nil {
-			s.log.Warn("map not read", zap.Uint64("version", o.Version), zap.String("error", err.Error()))
-			return answer{Result: rank.Lost, Error: err.Error()}
+// carryOutMap gives an order to the own engine, with its map if it is one to
+// prepare.
+func (s *Sidecar) carryOutMap(ctx context.Context, o rank.Order, text *mapText) (done answered) {
+	if o.Op == rank.Prepare && text != nil {
+		m, err := s.maps.read(*text)
+		if err != nil {
+			s.log.Info("map not read", zap.Uint64("version", o.Version), zap.String("error", err.Error()))
+			return answered{Result: rank.Lost, Error: err.Error(), NoBase: errors.Is(err, errNoBase)}
 		}
+		o.Map = m
 	}
-	return s.carryOut(ctx, o)
+	a := s.carryOut(ctx, o)
+	return answered{Result: a.Result, Error: a.Error}
 }
 
 // carryOut gives an order to the own engine. One that is not answered is given
@@ -103,28 +104,6 @@
 	return a
 }
 
-// pack writes numbers as varints.
-func pack(flat []uint64) []byte {
-	raw := make([]byte, 0, 2*len(flat))
-	for _, n := range flat {
-		raw = binary.AppendUvarint(raw, n)
-	}
-	return raw
-}
-
-// unpack reads what pack wrote.
-func unpack(raw []byte) (flat []uint64, err error) {
-	for len(raw) > 0 {
-		n, size := binary.Uvarint(raw)
-		if size <= 0 {
-			return nil, errors.New("counts: not a varint")
-		}
-		flat = append(flat, n)
-		raw = raw[size:]
-	}
-	return flat, nil
-}
-
 // peerClient calls other sidecars.
 type peerClient struct {
 	client *http.Client
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -14,7 +14,6 @@
 	"github.com/canvaspulley/canvaspulley/internal/decide/rebalance"
 	"github.com/canvaspulley/canvaspulley/internal/decide/remap"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
-	"github.com/canvaspulley/canvaspulley/internal/rank"
 )
 
 // planner follows the demand for experts and makes maps for it.
@@ -98,7 +97,7 @@
 	}
 	p.taken = l.heard.Window
 	now := time.Now()
-	flat, err := unpack(l.heard.Counts)
+	flat, err := unpackCounts(l.heard.Counts)
 	if err != nil || len(flat) != l.shape.Sets*l.shape.Experts {
 		l.s.log.Warn("counts left out", zap.Int("ranks", l.heard.Summed), zap.Int("numbers", len(flat)), zap.Error(err))
 		return
@@ -138,6 +137,7 @@
 		Copy:  l.copyTime(1),
 		Rest:  noticeLooks*l.lookPause() + l.handing + l.arming,
 		Still: max(l.arming-mostAhead*l.planner.pass, 0),
+		Pass:  l.planner.pass,
 	}
 }
 
@@ -147,9 +147,9 @@
 	if p.follower == nil || p.follower.Load() == nil || p.follower.Suspect() || !l.readMap(ctx) {
 		return
 	}
-	left := l.left(time.Now())
-	plan := l.plan(left)
-	if !l.pays(plan, left) {
+	price := l.price(l.left(time.Now()))
+	plan := l.plan(price)
+	if !plan.Pays(l.effort(), price) {
 		return
 	}
 	l.begin(ctx, plan)
@@ -168,43 +168,54 @@
 	return max(f.Left(now), firstChanges*(e.Copy+e.Rest))
 }
 
-// plan makes a map for what is asked for now.
-func (l *leader) plan(left time.Duration) remap.Plan {
-	p, g := &l.planner, l.group()
-	value := l.s.cfg.SkewPrice * left.Seconds() * l.pressure() * g.ExpertShare / float64(l.shape.Sets) // Of a set's mean load.
-	least := 1.0
-	if value > 0 {
-		least = l.shape.ExpertBytes / gigabyte * l.s.cfg.CopyPrice / value
+// price says what changes are worth while demand stays for so long.
+func (l *leader) price(left time.Duration) remap.Price {
+	return remap.Price{
+		Second: l.s.cfg.SkewPrice * l.pressure(),
+		Copy:   paysTimes * l.shape.ExpertBytes / gigabyte * l.s.cfg.CopyPrice,
+		Left:   left,
 	}
-	return remap.Make(g, p.current, p.follower.Load(), l.effort(), least, pause)
 }
 
-// pays reports whether a plan is worth its copies and the time that they take.
-func (l *leader) pays(plan remap.Plan, left time.Duration) bool {
-	saves := plan.Saves(l.effort(), left)
-	value := l.s.cfg.SkewPrice * l.pressure() * saves
-	cost := float64(plan.Copies) * l.shape.ExpertBytes / gigabyte * l.s.cfg.CopyPrice
-	return plan.Pays(l.effort(), left) && value > paysTimes*cost
+// plan makes a map for what is asked for now.
+func (l *leader) plan(price remap.Price) remap.Plan {
+	return remap.Make(l.group(), l.planner.current, l.planner.follower.Load(), l.effort(), price, pause)
 }
 
 // begin has the ranks copy the experts of a plan.
 func (l *leader) begin(ctx context.Context, plan remap.Plan) {
 	p, m := &l.planner, l.machine
 	version := (m.Newest/versionsPerRank+1)*versionsPerRank + uint64(m.Self)
-	layout := make([][][]int, len(plan.Map))
-	for k, layer := range plan.Map {
-		layout[k] = layer.Rows(len(l.byRank))
-	}
+	layout := rows(plan.Map, len(l.byRank))
 	now := time.Now()
 	p.pending = &pending{plan: plan, version: version, began: now, due: now.Add(l.copyTime(plan.Most)), shifts: p.follower.Shifts(), speeds: l.speeds()}
 	m.Begin(version, layout)
-	l.mapText = packMap(layout)
-	l.drive(ctx, prepareTries*l.orderLimit(rank.Order{Op: rank.Prepare}, len(l.byRank)-1))
+	l.writeMap(layout)
+	l.drive(ctx, prepareTries*l.orderLimit(&l.whole, len(l.byRank)-1))
+	l.countsAt = time.Now() // The copies are looked for first.
 	if m.Phase == cutover.Preparing {
 		l.abandon("orders not answered")
 	}
 }
 
+// rows returns a map as ranks are told it.
+func rows(m rebalance.Map, ranks int) (all layout) {
+	for _, layer := range m {
+		all = append(all, layer.Rows(ranks))
+	}
+	return all
+}
+
+// writeMap writes the map of a change that begins.
+func (l *leader) writeMap(next layout) {
+	base := rows(l.planner.current, len(l.byRank))
+	experts := l.shape.Experts
+	l.whole = mapText{Experts: experts, Text: packMap(next)}
+	l.changed = mapText{Base: fingerprint(base), Experts: experts, Text: packChange(base, next)}
+	l.s.maps.put(next) // Its own orders do not come as text.
+	l.s.log.Debug("map written", zap.Int("whole", len(l.whole.Text)), zap.Int("change", len(l.changed.Text)))
+}
+
 // abandon drops the change that is under way.
 func (l *leader) abandon(cause string) {
 	p := &l.planner
@@ -232,11 +243,11 @@
 // place of the one under way.
 func (l *leader) reconsider(ctx context.Context, now time.Time) {
 	p, g := &l.planner, l.group()
-	left := l.left(now)
-	plan := l.plan(left)
+	price := l.price(l.left(now))
+	plan := l.plan(price)
 	soon := g.PassTime(p.pending.plan.Map, p.follower.Load())
 	remaining := max(p.pending.due.Sub(now), 0)
-	if !l.pays(plan, left) || !plan.Replaces(l.effort(), remaining, plan.Before, soon) {
+	if !plan.Pays(l.effort(), price) || !plan.Replaces(l.effort(), remaining, plan.Before, soon) {
 		p.pending.shifts, p.pending.speeds = p.follower.Shifts(), l.speeds()
 		return
 	}
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -42,6 +42,9 @@
 const (
 	// lookEvery is the least time between two looks at the group.
 	lookEvery = 70 * time.Millisecond
+	// leastPause is the time from the end of a look to the next one at least, so that
+	// other duties have their turn.
+	leastPause = 10 * time.Millisecond
 	// lookPerCall is what each call adds to it, so that the leader is not busy with
 	// looking only: a call takes it about 0.2 ms of a core.
 	lookPerCall = time.Millisecond
@@ -93,7 +96,8 @@
 	arming     time.Duration // Smoothed time that the orders of a switch took.
 	handing    time.Duration // Smoothed time by which changes took longer than their copies: to hand out the map, and to see the copies.
 	switched   time.Time     // When the last switch was brought about.
-	mapText    []byte        // Of the change under way, as packMap writes it.
+	whole      mapText       // The map of the change under way.
+	changed    mapText       // The same, as a change of the map in force.
 	heard      answers       // To the newest question down the tree.
 	countsAt   time.Time     // When counts were last asked for.
 	// countsPause is the time between two questions for counts, so that they take
@@ -107,14 +111,17 @@
 
 // run looks at the group until ctx ends.
 func (l *leader) run(ctx context.Context) error {
+	began := time.Now()
 	for ctx.Err() == nil {
-		wait.For(ctx, l.untilLook(time.Now()))
+		now := time.Now()
+		wait.For(ctx, max(l.untilLook(now)-now.Sub(began), leastPause))
+		began = time.Now()
 		l.look(ctx)
 	}
 	return nil
 }
 
-// lookPause is the time between two looks while nothing is awaited.
+// lookPause is the time from one look to the next while nothing is awaited.
 func (l *leader) lookPause() time.Duration {
 	return lookEvery + l.calls()*lookPerCall
 }
@@ -128,20 +135,24 @@
 	return time.Duration(n)
 }
 
-// untilLook is the time until the next look: copies that are due are looked for
-// at once, and then more often, and so is the pass from which on a map is in force.
+// untilLook is the time until the next look.
 func (l *leader) untilLook(now time.Time) time.Duration {
-	p := l.planner.pending
-	if now.Sub(l.switched) < settleTime && l.machine != nil && l.machine.Phase == cutover.Settling {
-		return copiedEvery
+	if l.awaits(now) {
+		return copiedEvery + l.calls()*lookPerCall/2
 	}
-	if p == nil {
-		return l.lookPause()
+	if p := l.planner.pending; p != nil {
+		return min(max(p.due.Sub(now), 0), l.lookPause())
 	}
-	if left := p.due.Sub(now); left > 0 {
-		return min(left, l.lookPause())
+	return l.lookPause()
+}
+
+// awaits reports whether something is due that is looked for at once and then often:
+// copies, or the pass from which on a map is in force.
+func (l *leader) awaits(now time.Time) bool {
+	if p := l.planner.pending; p != nil && !now.Before(p.due) {
+		return true
 	}
-	return copiedEvery + l.calls()*lookPerCall/2
+	return now.Sub(l.switched) < settleTime && l.machine != nil && l.machine.Phase == cutover.Settling
 }
 
 // look leads for one round, where this sidecar is the leader.
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -64,26 +64,13 @@
 // sendTree gives ranks the same order down the tree. Who does not answer so is given
 // it apart.
 func (l *leader) sendTree(ctx context.Context, ranks []int, o rank.Order, results []rank.Result) {
-	list := make([]*member, len(ranks))
-	for i, r := range ranks {
-		list[i] = l.byRank[r]
+	text := &l.changed
+	if o.Op != rank.Prepare {
+		text = nil
 	}
-	sent := o
-	sent.Map = nil // Goes as text.
-	q := l.question(list)
-	q.Engines, q.Order, q.Limit = q.Engines[1:], &sent, l.orderLimit(o, len(list))
-	if o.Op == rank.Prepare {
-		q.Map = l.mapText
-	} else if len(list) >= fanFlat {
-		q.Fan = fanLight
-	}
-	call, cancel := context.WithTimeout(ctx, q.Limit)
-	defer cancel()
-	answered := l.s.spread(call, q)
-	for _, a := range answered.Ranks {
-		if a.Place >= 0 && a.Place < len(ranks) {
-			results[ranks[a.Place]] = a.Result
-		}
+	if lacking := l.spreadOrder(ctx, ranks, o, text, results); len(lacking) > 0 {
+		l.s.log.Info("map sent whole", zap.Int("ranks", len(lacking)), zap.Uint64("version", o.Version))
+		l.spreadOrder(ctx, lacking, o, &l.whole, results)
 	}
 	var g errgroup.Group
 	for _, r := range ranks {
@@ -98,16 +85,45 @@
 	_ = g.Wait() // No function returns an error: results tell what became of each.
 }
 
-// orderLimit is how long an order to so many ranks may take until it is answered.
-func (l *leader) orderLimit(o rank.Order, ranks int) time.Duration {
+// spreadOrder sends an order down the tree once and notes the results; those of who
+// did not answer stay as they are. It returns the ranks that lack the map of which
+// the order's is a change.
+func (l *leader) spreadOrder(ctx context.Context, ranks []int, o rank.Order, text *mapText, results []rank.Result) (lacking []int) {
+	list := make([]*member, len(ranks))
+	for i, r := range ranks {
+		list[i] = l.byRank[r]
+	}
+	o.Map = nil // Goes as text.
+	q := l.question(list)
+	q.Engines, q.Order, q.Map, q.Limit = q.Engines[1:], &o, text, l.orderLimit(text, len(list))
+	if text == nil && len(list) >= fanFlat {
+		q.Fan = fanLight
+	}
+	call, cancel := context.WithTimeout(ctx, q.Limit)
+	defer cancel()
+	for _, a := range l.s.spread(call, q).Ranks {
+		switch {
+		case a.Place < 0 || a.Place >= len(ranks):
+		case a.NoBase:
+			lacking = append(lacking, ranks[a.Place])
+		default:
+			results[ranks[a.Place]] = a.Result
+		}
+	}
+	return lacking
+}
+
+// orderLimit is how long an order to so many ranks may take until it is answered,
+// with the text of a map or without.
+func (l *leader) orderLimit(text *mapText, ranks int) time.Duration {
 	limit := orderTries*orderTimeout + askTimeout
 	fan := fanFlat
 	if ranks >= fanFlat {
 		fan = fanHeavy
 	}
 	steps := time.Duration(depth(ranks, fan))
-	if o.Op == rank.Prepare && l.s.cfg.LinkRate > 0 {
-		sent := float64(min(fan, ranks)*len(l.mapText)) / l.s.cfg.LinkRate
+	if text != nil && l.s.cfg.LinkRate > 0 {
+		sent := float64(min(fan, ranks)*len(text.Text)) / l.s.cfg.LinkRate
 		limit += steps * time.Duration(sent*float64(time.Second))
 	}
 	return limit + steps*stepTime
@@ -125,11 +141,12 @@
 		return l.sendStraight(ctx, r, o)
 	}
 	sent := o
-	sent.Map = nil
-	q := question{Engines: []string{l.byRank[r].endpoint.Address}, Fan: 1, Order: &sent, Limit: l.orderLimit(o, 1)}
+	sent.Map = nil // Goes as text.
+	q := question{Engines: []string{l.byRank[r].endpoint.Address}, Fan: 1, Order: &sent}
 	if o.Op == rank.Prepare {
-		q.Map = l.mapText
+		q.Map = &l.whole
 	}
+	q.Limit = l.orderLimit(q.Map, 1)
 	call, cancel := context.WithTimeout(ctx, q.Limit)
 	defer cancel()
 	a, err := l.s.below(call, q)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -66,6 +66,7 @@
 	socket *peers.Socket
 	log    *zap.Logger
 	calls  *peerClient
+	maps   shelf
 	// below puts a question to the sidecar beside its first engine.
 	below func(ctx context.Context, q question) (answers, error)
 
--- a/internal/sidecar/tree.go
+++ b/internal/sidecar/tree.go
@@ -51,7 +51,7 @@
 	Limit   time.Duration // In which the answer must be there.
 	Group   string        // Whose counts are wanted; "" for none.
 	Order   *rank.Order   // To be carried out by each, without its map; nil to ask for reports only.
-	Map     []byte        // Of an order to prepare, as packMap writes it.
+	Map     *mapText      // Of an order to prepare.
 }
 
 // answered is what became of the question at one rank.
@@ -61,13 +61,14 @@
 	Report *rank.Report // Nil where an order was given.
 	Result rank.Result  // Of the order.
 	Error  string
+	NoBase bool // The order's map is a change of one that the rank does not know: nothing was done.
 }
 
 // answers goes up the tree.
 type answers struct {
 	_      struct{} `cbor:",toarray"`
 	Ranks  []answered
-	Counts []byte // Sum of the newest windows of so many ranks, as pack writes it; empty for none.
+	Counts []byte // Sum of the newest windows of so many ranks, as packCounts writes it; empty for none.
 	Summed int
 	Window uint64 // Number of the first rank's window.
 	Epoch  uint64 // Of the windows.
@@ -171,8 +172,7 @@
 // answerOwn answers a question for the own rank.
 func (s *Sidecar) answerOwn(ctx context.Context, q question) (a answers) {
 	if q.Order != nil {
-		done := s.carryOutMap(ctx, *q.Order, q.Map)
-		a.Ranks = []answered{{Result: done.Result, Error: done.Error}}
+		a.Ranks = []answered{s.carryOutMap(ctx, *q.Order, q.Map)}
 		return a
 	}
 	rep, err := s.engine.Report(ctx)
@@ -184,9 +184,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a.Window = s.work.number
-	if q.Group != "" && q.Group == rep.Group && s.work.epoch == rep.Epoch && len(s.work.flat) > 0 {
-		a.Counts, a.Summed, a.Epoch = pack(s.work.flat), 1, rep.Epoch
+	if q.Group == "" || q.Group != rep.Group || s.work.epoch != rep.Epoch || len(s.work.flat) == 0 {
+		return a
+	}
+	if a.Counts, err = packCounts(s.work.flat); err != nil {
+		s.log.Warn("counts left out", zap.String("error", err.Error()))
+		return a
 	}
+	a.Summed, a.Epoch = 1, rep.Epoch
 	return a
 }
 
@@ -204,7 +209,7 @@
 		sum.Counts, sum.Summed, sum.Epoch = from.Counts, from.Summed, from.Epoch
 		return
 	}
-	both, err := addPacked(sum.Counts, from.Counts)
+	both, err := addCounts(sum.Counts, from.Counts)
 	if err != nil || sum.Epoch != from.Epoch {
 		s.log.Debug("counts left out", zap.Int("ranks", from.Summed), zap.Uint64("epoch", from.Epoch), zap.Error(err))
 		return
@@ -213,25 +218,6 @@
 	sum.Summed += from.Summed
 }
 
-// addPacked adds two lists of counts that pack wrote.
-func addPacked(a, b []byte) (sum []byte, err error) {
-	left, err := unpack(a)
-	if err != nil {
-		return nil, err
-	}
-	right, err := unpack(b)
-	if err != nil {
-		return nil, err
-	}
-	if len(left) != len(right) {
-		return nil, errors.Newf("counts: %d and %d numbers", len(left), len(right))
-	}
-	for i, n := range right {
-		left[i] += n
-	}
-	return pack(left), nil
-}
-
 // depth is how many steps a question takes down a tree of so many ranks below its
 // root.
 func depth(ranks, fan int) (steps int) {
