internal/sidecar, internal/gateway: the leader of a large group tells all loads at once; datagrams in CBOR

Cause: 129 sidecars told each gateway their loads one by one, each 0.5 s: loads were half a second old, and told most of the bytes between failure domains.

Change: the leader, which has just asked all ranks, tells their loads to one gateway of each failure domain, 80 ranks a packet, where that is sooner than each tells its own; that gateway passes them on. Endpoints are found by their address. At the first start of the whole system gateways wait until their seeds are up.

--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -53,7 +53,8 @@
 	ConfigRevision uint64
 	Endpoints      map[string]fleet.Endpoint   // By id.
 	ByService      map[string][]fleet.Endpoint // In no order.
-	Missing        map[string]time.Time        // Endpoints whose entry may only have lapsed, by the time it was missed.
+	ByAddress      map[string]fleet.Endpoint
+	Missing        map[string]time.Time // Endpoints whose entry may only have lapsed, by the time it was missed.
 }
 
 // View is what a process knows.
@@ -318,7 +319,7 @@
 			newest[e.Address] = e
 		}
 	}
-	s.ByService = map[string][]fleet.Endpoint{}
+	s.ByService, s.ByAddress = map[string][]fleet.Endpoint{}, newest
 	for _, e := range newest {
 		s.ByService[e.Service] = append(s.ByService[e.Service], e)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,21 +141,20 @@
 // more of the endpoint beside it.
 func (g *Gateway) Report(address string, l balance.Load) {
 	s := g.view.State()
-	for id, e := range s.Endpoints {
-		if e.Address != address || s.Config == nil {
-			continue
-		}
-		shape, ranked := g.shape(s.Config, e.Service)
-		g.mu.Lock()
-		g.table.Report(id, l)
-		if ranked {
-			g.passes.Report(id, l.Group, shape, passes.Rank{Running: l.Running, Pass: l.Pass, Pace: l.Pace, Closed: l.Closed, At: l.At})
-		}
-		vacate := ranked && g.passes.Vacate(id, l.At)
-		g.mu.Unlock()
-		if vacate {
-			g.vacate(id)
-		}
+	e, ok := s.ByAddress[address]
+	if !ok || s.Config == nil {
+		return
+	}
+	shape, ranked := g.shape(s.Config, e.Service)
+	g.mu.Lock()
+	g.table.Report(e.ID, l)
+	if ranked {
+		g.passes.Report(e.ID, l.Group, shape, passes.Rank{Running: l.Running, Pass: l.Pass, Pace: l.Pace, Closed: l.Closed, At: l.At})
+	}
+	vacate := ranked && g.passes.Vacate(e.ID, l.At)
+	g.mu.Unlock()
+	if vacate {
+		g.vacate(e.ID)
 	}
 }
 
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -15,6 +15,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
+	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
 // Few gateways of a failure domain read the store, and the others wait for news
@@ -34,6 +35,9 @@
 	// out after so long, which must lie well below the time in which a new
 	// configuration is to be in force (2 s).
 	listenTimeout = holdTime + 200*time.Millisecond
+	// startSpread is the time within which all processes are up when the whole system
+	// starts: the platform starts them within 0.3 s, and a start takes some time.
+	startSpread = 600 * time.Millisecond
 )
 
 // errNoReader means that no gateway is known that reads the store.
@@ -122,6 +126,9 @@
 		return errNoReader
 	}
 	from := readers[int(n.life)%len(readers)] // Each keeps to one, and they are spread over all.
+	if n.first && time.Since(n.started) < startSpread {
+		wait.For(ctx, startSpread-time.Since(n.started)) // The seed may not be up yet.
+	}
 	n.mu.Lock()
 	last := n.heardOf[from]
 	n.mu.Unlock()
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -77,6 +77,7 @@
 	self    string
 	life    int64
 	started time.Time
+	first   bool // The whole system starts for the first time.
 	name    string
 	seeds   []string
 	port    int // Of sidecars.
@@ -102,6 +103,7 @@
 	Domain       string
 	Address      string // Peer listener of this gateway.
 	Seeds        []string
+	First        bool // The whole system starts for the first time.
 	SidecarsPort int
 	Decode       func(raw []byte) (*fleet.Config, error) // Reads a configuration's text.
 }
@@ -116,7 +118,7 @@
 	}
 	n = &Neighbours{
 		g: g, socket: socket, log: log, decode: cfg.Decode, client: &http.Client{Transport: t},
-		self: cfg.Address, life: time.Now().UnixMilli(), started: time.Now(), name: cfg.Name, domain: cfg.Domain, seeds: cfg.Seeds, port: cfg.SidecarsPort,
+		self: cfg.Address, life: time.Now().UnixMilli(), started: time.Now(), first: cfg.First, name: cfg.Name, domain: cfg.Domain, seeds: cfg.Seeds, port: cfg.SidecarsPort,
 		heard: map[string]neighbour{}, heardOf: listenedTo{},
 	}
 	return n, t.CloseIdleConnections
@@ -135,18 +137,44 @@
 	case m.Hello != nil:
 		n.hear(*m.Hello)
 	case m.Load != nil:
-		if m.Load.Onward {
-			n.passOn(*m.Load)
+		n.takeLoad(*m.Load)
+	case m.Loads != nil:
+		n.takeLoads(*m.Loads)
+	}
+}
+
+// takeLoad takes in the load of one engine, and passes it on if asked to.
+func (n *Neighbours) takeLoad(l peers.Load) {
+	if l.Onward {
+		l.Onward = false
+		n.passOn(peers.Message{Load: &l})
+	}
+	n.g.Report(l.Address, balance.Load{
+		Running: l.Running, Waiting: l.Waiting, Group: l.Group, Closed: l.Closed, Pace: l.Pace, Pass: time.Duration(l.PassMs) * time.Millisecond, At: time.Now(),
+	})
+}
+
+// takeLoads takes in the loads of ranks of a group, and passes them on if asked to.
+func (n *Neighbours) takeLoads(l peers.Loads) {
+	if l.Onward {
+		l.Onward = false
+		n.passOn(peers.Message{Loads: &l})
+	}
+	now := time.Now()
+	for _, r := range l.Ranks {
+		a, err := r.Engine()
+		if err != nil {
+			n.log.Warn("load left out", zap.String("group", l.Group), zap.String("error", err.Error()))
+			continue
 		}
-		n.g.Report(m.Load.Address, balance.Load{
-			Running: m.Load.Running, Waiting: m.Load.Waiting, Group: m.Load.Group, Closed: m.Load.Closed, Pace: m.Load.Pace, Pass: time.Duration(m.Load.PassMs) * time.Millisecond, At: time.Now(),
+		n.g.Report(a.String(), balance.Load{
+			Running: r.Running, Waiting: r.Waiting, Group: l.Group, Closed: l.Closed, Pace: float64(r.Pace), Pass: time.Duration(l.PassMs) * time.Millisecond, At: now,
 		})
 	}
 }
 
-// passOn tells a load from another failure domain to the gateways of the own one.
-func (n *Neighbours) passOn(l peers.Load) {
-	l.Onward = false
+// passOn tells loads to the other gateways of the own failure domain.
+func (n *Neighbours) passOn(m peers.Message) {
 	n.mu.Lock()
 	to := make([]netip.AddrPort, 0, len(n.heard))
 	for a, other := range n.heard {
@@ -158,7 +186,7 @@
 		}
 	}
 	n.mu.Unlock()
-	n.socket.SendAll(to, peers.Message{Load: &l})
+	n.socket.SendAll(to, m)
 }
 
 func (n *Neighbours) hear(h peers.Hello) {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -7,51 +7,80 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 )
 
-// Message is one datagram. Exactly one of the pointers is set.
+// Message is one datagram, in CBOR. Exactly one of the pointers is set.
 type Message struct {
-	Hello *Hello `json:"hello,omitempty"`
-	Load  *Load  `json:"load,omitempty"`
-	Lead  *Lead  `json:"lead,omitempty"`
+	Hello *Hello `cbor:"1,keyasint,omitempty"`
+	Load  *Load  `cbor:"2,keyasint,omitempty"`
+	Lead  *Lead  `cbor:"3,keyasint,omitempty"`
+	Loads *Loads `cbor:"4,keyasint,omitempty"`
 }
 
 // Hello tells that a gateway is there. Sidecars answer it with loads; other
 // gateways learn whom they may ask.
 type Hello struct {
-	Name    string   `json:"n"`
-	Life    int64    `json:"l"` // Start of the process, Unix milliseconds.
-	Address string   `json:"a"` // Peer listener.
-	Domain  string   `json:"d,omitempty"`
-	Blind   bool     `json:"b,omitempty"` // The store does not answer it.
-	Known   []string `json:"k,omitempty"` // Other gateways that it hears.
-	Leaving bool     `json:"x,omitempty"`
+	Name    string   `cbor:"1,keyasint"`
+	Life    int64    `cbor:"2,keyasint"` // Start of the process, Unix milliseconds.
+	Address string   `cbor:"3,keyasint"` // Peer listener.
+	Domain  string   `cbor:"4,keyasint,omitempty"`
+	Blind   bool     `cbor:"5,keyasint,omitempty"` // The store does not answer it.
+	Known   []string `cbor:"6,keyasint,omitempty"` // Other gateways that it hears.
+	Leaving bool     `cbor:"7,keyasint,omitempty"`
 }
 
 // Load tells the load of an engine.
 type Load struct {
-	Address string  `json:"a"` // Of the engine.
-	Running int     `json:"r"`
-	Waiting int     `json:"w"`
-	Group   string  `json:"g,omitempty"`
-	Closed  bool    `json:"c,omitempty"`
-	Pace    float64 `json:"p,omitempty"`
-	PassMs  int     `json:"m,omitempty"` // Time of a pass, smoothed.
-	Onward  bool    `json:"o,omitempty"` // The receiver tells the other gateways of its failure domain.
+	Address string  `cbor:"1,keyasint"` // Of the engine.
+	Running int     `cbor:"2,keyasint,omitempty"`
+	Waiting int     `cbor:"3,keyasint,omitempty"`
+	Group   string  `cbor:"4,keyasint,omitempty"`
+	Closed  bool    `cbor:"5,keyasint,omitempty"`
+	Pace    float64 `cbor:"6,keyasint,omitempty"`
+	PassMs  int     `cbor:"7,keyasint,omitempty"` // Time of a pass, smoothed.
+	Onward  bool    `cbor:"8,keyasint,omitempty"` // The receiver tells the other gateways of its failure domain.
+}
+
+// Loads tells the loads of ranks of one group, as its leader has just seen them.
+type Loads struct {
+	Group  string     `cbor:"1,keyasint"`
+	Closed bool       `cbor:"2,keyasint,omitempty"`
+	PassMs int        `cbor:"3,keyasint,omitempty"`
+	Onward bool       `cbor:"4,keyasint,omitempty"` // As in Load.
+	Ranks  []RankLoad `cbor:"5,keyasint"`           // MostRanks at most.
+}
+
+// MostRanks is how many ranks one Loads names: it stays within a packet of 1,400
+// bytes.
+const MostRanks = 80
+
+// RankLoad is the load of one rank.
+type RankLoad struct {
+	_       struct{} `cbor:",toarray"`
+	Address []byte   // Of the engine: IP number and port, as netip.AddrPort writes them.
+	Running int
+	Waiting int
+	Pace    float32 // Above 1 when it is slow.
+}
+
+// Engine returns the address of a rank's engine.
+func (l RankLoad) Engine() (a netip.AddrPort, err error) {
+	err = a.UnmarshalBinary(l.Address)
+	return a, errors.Wrap(err, "load of a rank")
 }
 
 // Lead tells that a sidecar leads its group.
 type Lead struct {
-	Group string `json:"g"`
-	Epoch uint64 `json:"e"`
-	Rank  int    `json:"r"`
-	Fence uint64 `json:"f"`
+	Group string `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+	Rank  int    `cbor:"3,keyasint"`
+	Fence uint64 `cbor:"4,keyasint"`
 }
 
 // Beside returns the address of the sidecar beside an engine, which listens on
@@ -96,7 +125,7 @@
 	if len(list) == 0 {
 		return
 	}
-	raw, err := json.Marshal(m)
+	raw, err := cbor.Marshal(m)
 	if err != nil {
 		s.log.Error("message not sent", zap.String("error", err.Error()))
 		return
@@ -126,7 +155,7 @@
 			continue
 		}
 		var m Message
-		if err := json.Unmarshal(buf[:n], &m); err != nil {
+		if err := cbor.Unmarshal(buf[:n], &m); err != nil {
 			s.log.Warn("message left out", zap.String("from", from.String()), zap.String("error", err.Error()))
 			continue
 		}
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -35,6 +35,7 @@
 
 	Store     string   // IP:PORT of the platform's store.
 	Seeds     []string // Peer addresses of gateways, which may be down.
+	First     bool     // The whole system starts for the first time.
 	Engine    string   // IP:PORT of the engine beside a sidecar.
 	PeersPort int      // Port on which sidecars listen, alike everywhere.
 
@@ -124,6 +125,7 @@
 func (s *Fleet) readStore(f *inifile.File) {
 	const section = "platform"
 	s.Store = address(f, section, "store", true)
+	s.First = f.Bool("instance", "first-start", false)
 	s.Engine = address(f, section, "engine", s.Role == Sidecar)
 	for _, seed := range f.Words(section, "seeds") {
 		if _, err := netip.ParseAddrPort(seed); err != nil {
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -96,6 +96,7 @@
 	arming     time.Duration // Smoothed time that the orders of a switch took.
 	handing    time.Duration // Smoothed time by which changes took longer than their copies: to hand out the map, and to see the copies.
 	switched   time.Time     // When the last switch was brought about.
+	toldAt     time.Time     // When gateways were last told the loads of all ranks.
 	whole      mapText       // The map of the change under way.
 	changed    mapText       // The same, as a change of the map in force.
 	heard      answers       // To the newest question down the tree.
@@ -180,6 +181,7 @@
 		return // The list does not name the own endpoint, or was not read yet.
 	}
 	complete := l.ask(ctx, own)
+	l.tellLoads(own)
 	l.learn()
 	if !complete {
 		return
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -131,7 +131,7 @@
 func (s *Sidecar) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.socket.Run(ctx, s.receive) })
-	g.Go(func() error { return s.pacedBySize(ctx, reportEvery, perRank, s.readReport) })
+	g.Go(func() error { return s.tellReports(ctx) })
 	g.Go(func() error { return every(ctx, passPoll, s.watchPasses) })
 	g.Go(func() error { return every(ctx, leadEvery, s.tellLead) })
 	g.Go(func() error { return newLeader(s).run(ctx) })
@@ -152,12 +152,11 @@
 	}
 }
 
-// pacedBySize calls do until ctx ends, the less often the larger the group is.
-func (s *Sidecar) pacedBySize(ctx context.Context, least, each time.Duration, do func(ctx context.Context)) error {
+// tellReports tells the own engine's load until ctx ends.
+func (s *Sidecar) tellReports(ctx context.Context) error {
 	for ctx.Err() == nil {
-		r, _ := s.Report()
-		wait.For(ctx, max(least, time.Duration(r.Size)*each))
-		do(ctx)
+		wait.For(ctx, s.reportPause(time.Now()))
+		s.readReport(ctx)
 	}
 	return nil
 }
--- a/internal/sidecar/subscribers.go
+++ b/internal/sidecar/subscribers.go
@@ -45,6 +45,29 @@
 // next returns whom to tell now: gateways that need not pass it on, and those that
 // do.
 func (s *subscribers) next(now time.Time) (near, far []netip.AddrPort) {
+	s.eachDomain(now, func(domain string, members []subscriber) {
+		if domain != s.domain && domain != "" {
+			far = append(far, members[s.turn%len(members)].address)
+			return
+		}
+		for _, g := range members {
+			near = append(near, g.address)
+		}
+	})
+	return near, far
+}
+
+// onePerDomain returns a gateway of each failure domain, which passes on what it is
+// told.
+func (s *subscribers) onePerDomain(now time.Time) (list []netip.AddrPort) {
+	s.eachDomain(now, func(_ string, members []subscriber) {
+		list = append(list, members[s.turn%len(members)].address)
+	})
+	return list
+}
+
+// eachDomain forgets who fell silent and hands over the others, domain by domain.
+func (s *subscribers) eachDomain(now time.Time, do func(domain string, members []subscriber)) {
 	s.list = slices.DeleteFunc(s.list, func(g subscriber) bool { return now.Sub(g.at) > subscribed })
 	s.turn++
 	for first := 0; first < len(s.list); {
@@ -52,15 +75,7 @@
 		for end < len(s.list) && s.list[end].domain == s.list[first].domain {
 			end++
 		}
-		members := s.list[first:end]
-		if members[0].domain == s.domain || members[0].domain == "" {
-			for _, g := range members {
-				near = append(near, g.address)
-			}
-		} else {
-			far = append(far, members[s.turn%len(members)].address)
-		}
+		do(s.list[first].domain, s.list[first:end])
 		first = end
 	}
-	return near, far
 }
--- a/internal/sidecar/subscribers_test.go
+++ b/internal/sidecar/subscribers_test.go
@@ -66,3 +66,18 @@
 	g.Expect(near).To(HaveLen(2))
 	g.Expect(far).To(BeEmpty())
 }
+
+func TestOneGatewayOfEveryDomainIsToldOfAllLoads(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	s := threeDomains(now)
+	told := map[netip.AddrPort]int{}
+	for range 3 {
+		list := s.onePerDomain(now)
+		g.Expect(list).To(HaveLen(3))
+		for _, a := range list {
+			told[a]++
+		}
+	}
+	g.Expect(told).To(HaveLen(9), "another one each time")
+}
