internal/follow, internal/gateway, internal/decide/room: turns to read the store, places shared by chance

(2) What a gateway had sent since a report was taken 149 times as what all had sent: one request of its own filled the group.

Changes: (1) who hears nothing new reads in its turn, spread over the time in which a configuration must be in force, and not at all if news come before; who reads finds a lost answer out sooner and then asks without waiting; a reader that does not answer is passed over for the other one.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -204,6 +204,7 @@
 		Domain:       p.set.Domain,
 		Address:      p.set.Peers,
 		Seeds:        p.set.Seeds,
+		InForce:      p.set.InForce,
 		First:        p.set.First,
 		SidecarsPort: p.set.PeersPort,
 		Decode:       platform.DecodeConfig,
--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -122,18 +122,6 @@
 // Busy estimates the requests at an endpoint.
 func (t *Table) Busy(id string, now time.Time) int { return t.of(id).busy(now) }
 
-// Shared estimates the requests at an endpoint which so many other processes
-// send to as well: what this one has sent since the last report, each of them is
-// taken to have sent too, since all see the same.
-func (t *Table) Shared(id string, others int, now time.Time) int {
-	e := t.of(id)
-	busy := e.busy(now)
-	if now.Sub(e.load.At) > reportAge {
-		return busy
-	}
-	return busy + others*max(e.own-e.ownThen, 0)
-}
-
 // Down reports whether every candidate whose load is known serves nothing now.
 func (t *Table) Down(list []Candidate, now time.Time) bool {
 	known := false
--- a/internal/decide/passes/passes.go
+++ b/internal/decide/passes/passes.go
@@ -69,6 +69,8 @@
 type group struct {
 	shape    Shape
 	ranks    map[string]Rank
+	words    int           // Of ranks since round.
+	round    time.Time     // When as many words as there are ranks had last come.
 	gap      time.Duration // Smoothed pause between events of streams here; 0 before the first.
 	gapAt    time.Time
 	first    time.Duration // Smoothed time from sending a request to its first event; 0 before the first.
@@ -100,6 +102,9 @@
 	t.member[id] = name
 	g.shape = s
 	g.ranks[id] = r
+	if g.words++; g.words >= len(g.ranks) {
+		g.words, g.round = 0, r.At
+	}
 }
 
 // Gap takes in the pause before an event of a stream here: it is a pass, seen
@@ -175,6 +180,15 @@
 // Group returns the group of an endpoint, "" when it is not known.
 func (t *Tracker) Group(id string) string { return t.member[id] }
 
+// Round returns the time by which as many words as a group has ranks had come once
+// more: what is known of it is no older than that, but for words that were lost.
+func (t *Tracker) Round(name string) (at time.Time) {
+	if g := t.groups[name]; g != nil {
+		at = g.round
+	}
+	return at
+}
+
 // work returns how much a request adds to a pass, in seconds: the time of a pass
 // by the requests at a rank, with those that its empty part equals.
 func (g *group) work(now time.Time) (seconds float64, ok bool) {
@@ -266,8 +280,8 @@
 	Near  int     // Ranks in the failure domain of the process.
 }
 
-// room is how many more requests the group may take.
-func (o Offer) room() float64 { return o.Limit*float64(o.Ranks) - float64(o.Busy) }
+// Room is how many more requests the group may take.
+func (o Offer) Room() float64 { return o.Limit*float64(o.Ranks) - float64(o.Busy) }
 
 // nearWeight is how much more often a group is drawn if all its ranks are near:
 // bytes between failure domains are dear, yet groups must fill alike.
@@ -279,11 +293,11 @@
 	weights := make([]int, len(offers))
 	sum := 0
 	for i, o := range offers {
-		if o.room() < 1 {
+		if o.Room() < 1 {
 			continue
 		}
 		near := 1 + (nearWeight-1)*float64(o.Near)/float64(max(o.Ranks, 1))
-		weights[i] = max(int(o.room()*near*weightUnit), 1)
+		weights[i] = max(int(o.Room()*near*weightUnit), 1)
 		sum += weights[i]
 	}
 	if sum == 0 {
--- a/internal/decide/passes/passes_test.go
+++ b/internal/decide/passes/passes_test.go
@@ -171,3 +171,21 @@
 		})
 	}
 }
+
+func TestARoundIsOverWhenAllRanksHaveTold(t *testing.T) {
+	g := NewWithT(t)
+	tr := New()
+	g.Expect(tr.Round("g")).To(BeZero())
+	rounds := map[time.Time]bool{}
+	for n := range 10 {
+		for i, id := range []string{"a", "b", "c"} {
+			at := time.Unix(1000, 0).Add(time.Duration(10*n+i) * time.Millisecond)
+			tr.Report(id, "g", Shape{}, Rank{At: at})
+			g.Expect(tr.Round("g")).To(BeTemporally("<=", at))
+			if n > 0 { // All three are known.
+				rounds[tr.Round("g")] = true
+			}
+		}
+	}
+	g.Expect(rounds).To(HaveLen(9))
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -26,8 +26,9 @@
 	// on that age; a shorter one costs calls.
 	waitTime = 1 * time.Second
 	// answerTime is how long an answer may take beyond the waiting: the source
-	// answers in milliseconds, and in about 0.3 s when it is slow.
-	answerTime = 700 * time.Millisecond
+	// answers in milliseconds, and in about 0.3 s when it is slow. Others listen to
+	// who reads, so a lost answer is to be found out soon.
+	answerTime = 450 * time.Millisecond
 	// slowAnswerTime is for calls after a failed one, so that a source that is
 	// slower than usual is still read.
 	slowAnswerTime = 1500 * time.Millisecond
@@ -45,8 +46,9 @@
 	// which the configuration is not trusted for refusals.
 	listenAge = 2 * time.Second
 	// ownTime is how long a process that heard nothing new enough reads the
-	// source itself before it listens again.
-	ownTime = 4 * time.Second
+	// source itself before it listens again: whoever died is not taken for one that
+	// reads any more by then.
+	ownTime = 2500 * time.Millisecond
 	// ownPause is how long a process that the source failed listens to another one
 	// again, though that one's word is old: most likely the source is down for all.
 	ownPause = 2500 * time.Millisecond
@@ -69,6 +71,11 @@
 	Reads func(able bool) bool
 	// Listen waits for news from one of the few and takes it into the view.
 	Listen func(ctx context.Context) error
+	// Turn is this process's place, from 0 up to 1, among those that listen: where
+	// what all hear is too old, they read the source one after the other.
+	Turn func() float64
+	// Spread is the time within which all have read then.
+	Spread time.Duration
 }
 
 // Follower keeps a view up to date.
@@ -84,6 +91,7 @@
 
 	listener *Listener // Nil where every process reads the source.
 	ownUntil time.Time // Until then it reads the source itself.
+	oldSince time.Time // When what it hears was first too old; zero while it is not.
 	ownAfter time.Time // Until then it goes on listening, though what it hears is old.
 	blind    time.Time // When the source last failed.
 }
@@ -109,16 +117,25 @@
 // listen follows another process's word once; it reports whether that was new
 // enough to go on so.
 func (f *Follower) listen(ctx context.Context) bool {
-	err := f.listener.Listen(ctx)
+	call, cancel := f.untilTurn(ctx)
+	err := f.listener.Listen(call)
+	cancel()
 	now := f.now()
 	age := f.view.CheckAge(now)
 	if ctx.Err() != nil || err == nil && age < listenAge {
-		f.heard = now.Add(-age)
+		f.heard, f.oldSince = now.Add(-age), time.Time{}
 		return true
 	}
 	if err == nil && now.Before(f.ownAfter) {
 		return true
 	}
+	if f.oldSince.IsZero() {
+		f.oldSince = now
+	}
+	if err == nil && now.Before(f.turn()) {
+		return true // Whoever reads may soon have an answer again.
+	}
+	f.oldSince = time.Time{}
 	cause := "too old"
 	if err != nil {
 		cause = err.Error()
@@ -128,6 +145,23 @@
 	return false
 }
 
+// turn is when this process reads the source itself, if what it hears stays too old.
+func (f *Follower) turn() time.Time {
+	if f.listener.Turn == nil {
+		return f.oldSince
+	}
+	return f.oldSince.Add(time.Duration(f.listener.Turn() * float64(f.listener.Spread)))
+}
+
+// untilTurn bounds a call to another process while what that says is too old: by
+// this one's turn, nothing new is waited for any longer.
+func (f *Follower) untilTurn(ctx context.Context) (context.Context, context.CancelFunc) {
+	if f.oldSince.IsZero() {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, max(f.turn().Sub(f.now()), firstPause))
+}
+
 // Run follows until ctx ends. The function changed is called after each
 // change of the view.
 func (f *Follower) Run(ctx context.Context, changed func()) error {
@@ -198,10 +232,14 @@
 
 func (f *Follower) changes(ctx context.Context) error {
 	asked := f.now()
-	ctx, cancel := context.WithTimeout(ctx, waitTime+f.patience())
+	wait := waitTime
+	if f.failed > 0 {
+		wait = 0 // What is known is old already.
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+f.patience())
 	defer cancel()
 	before := f.view.State()
-	ch, err := f.source.Changes(ctx, f.view.revision(), waitTime)
+	ch, err := f.source.Changes(ctx, f.view.revision(), wait)
 	if err != nil {
 		return err
 	}
--- a/internal/follow/view_test.go
+++ b/internal/follow/view_test.go
@@ -181,3 +181,49 @@
 	g.Expect(calls).To(Equal(3))
 	g.Expect(heard).To(BeNumerically(">=", 3))
 }
+
+// Where all that listen hear of nothing new, they read the source one after the
+// other, and not at all if news come before their turn.
+func TestListenersTakeTurns(t *testing.T) {
+	const spread = time.Second
+	for _, tc := range []struct {
+		name   string
+		turn   float64
+		backIn time.Duration // Until what is heard is new again.
+		reads  bool
+	}{
+		{"the first reads at once", 0, spread, true},
+		{"one in the middle, at its turn", 0.5, spread, true},
+		{"news come before its turn", 0.5, 300 * time.Millisecond, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			v := NewView()
+			v.Replace(Snapshot{Config: version(1), At: 1}, at(0), false)
+			f := NewFollower(v, Source{}, zap.NewNop())
+			now := at(listenAge)
+			f.now = func() time.Time { return now }
+			f.ListenTo(Listener{
+				Reads: func(bool) bool { return false },
+				Listen: func(context.Context) error {
+					if now.Sub(at(listenAge)) >= tc.backIn {
+						v.Confirm(1, now)
+					}
+					return nil
+				},
+				Turn: func() float64 { return tc.turn }, Spread: spread,
+			})
+			read := false
+			for range 20 {
+				if read = !f.listen(context.Background()); read {
+					break
+				}
+				now = now.Add(100 * time.Millisecond)
+			}
+			g.Expect(read).To(Equal(tc.reads))
+			if read {
+				g.Expect(now.Sub(at(listenAge))).To(BeNumerically("~", tc.turn*float64(spread), 100*float64(time.Millisecond)))
+			}
+		})
+	}
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -4,11 +4,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
 	"github.com/canvaspulley/canvaspulley/internal/decide/passes"
+	"github.com/canvaspulley/canvaspulley/internal/decide/room"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 )
 
@@ -96,7 +98,7 @@
 	}
 	i, ok := passes.Choose(offers, random)
 	switch {
-	case ok:
+	case ok && q.takes(open[i], offers[i]):
 		return members[open[i]], true
 	case q.begun || len(q.tried) > 0 || !limited:
 		return list, true
@@ -110,6 +112,22 @@
 	return nil, false
 }
 
+// takes reports whether the request takes one of the free places of a group, for
+// which other gateways have requests, too. The caller holds mu.
+func (q *request) takes(group string, o passes.Offer) bool {
+	s := q.g.shares[group]
+	if s == nil {
+		s = &room.Share{}
+		q.g.shares[group] = s
+	}
+	s.Report(q.g.passes.Round(group))
+	if q.asked.group == group && !s.Newest().After(q.asked.at) {
+		return false // It was not let in by what is known.
+	}
+	q.asked.group, q.asked.at = group, s.Newest()
+	return s.Take(o.Room(), q.g.others, rand.Float64)
+}
+
 // byGroup returns the groups that the ranks in list are in, in the order of their
 // names, and the ranks of each. The caller holds mu.
 func (q *request) byGroup(list []balance.Candidate) (names []string, members map[string][]balance.Candidate) {
@@ -142,7 +160,7 @@
 		o.Limit *= againShare
 	}
 	for _, c := range ranks {
-		o.Busy += q.g.table.Shared(c.ID, q.g.others, now)
+		o.Busy += q.g.table.Busy(c.ID, now)
 		if c.Near {
 			o.Near++
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/decide/line"
 	"github.com/canvaspulley/canvaspulley/internal/decide/passes"
 	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
+	"github.com/canvaspulley/canvaspulley/internal/decide/room"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/upstream"
@@ -62,6 +63,7 @@
 	passes  *passes.Tracker
 	windows map[string]*retry.Window      // By service.
 	lines   map[string]*line.Line         // By service.
+	shares  map[string]*room.Share        // By group.
 	at      map[string]map[*request]place // Requests that may be moved, by endpoint.
 	others  int                           // Gateways that are known besides this one.
 
@@ -90,6 +92,7 @@
 		passes:   passes.New(),
 		windows:  map[string]*retry.Window{},
 		lines:    map[string]*line.Line{},
+		shares:   map[string]*room.Share{},
 		at:       map[string]map[*request]place{},
 	}
 	g.pool, cleanup = upstream.NewPool(cfg.Source, func() { g.figures.dialed.Inc(1) })
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -115,20 +115,46 @@
 	return list, seeing
 }
 
-// Listen waits for news from a gateway that reads the store and takes it in.
+// Listen waits for news from a gateway that reads the store and takes it in. When
+// that does not answer, the other ones are asked, too.
 func (n *Neighbours) Listen(ctx context.Context) (err error) {
+	if n.first && time.Since(n.started) < startSpread {
+		wait.For(ctx, startSpread-time.Since(n.started)) // The seeds may not be up yet.
+	}
+	err = errNoReader
+	for _, from := range n.listenable() {
+		if err = n.listenTo(ctx, from); err == nil || ctx.Err() != nil {
+			return err
+		}
+		n.log.Info("not heard", zap.String("from", from), zap.String("error", err.Error()))
+	}
+	return err
+}
+
+// listenable returns whom to listen to, in the order of trial: the one that answered
+// last, else each begins with another one.
+func (n *Neighbours) listenable() []string {
 	readers := n.seeds
 	if !n.settling(time.Now()) {
 		all, _ := n.readersThat(false)
 		readers = all[:min(len(all), readersPerDomain)]
 	}
 	if len(readers) == 0 {
-		return errNoReader
+		return nil
 	}
-	from := readers[int(n.life)%len(readers)] // Each keeps to one, and they are spread over all.
-	if n.first && time.Since(n.started) < startSpread {
-		wait.For(ctx, startSpread-time.Since(n.started)) // The seed may not be up yet.
+	first := int(n.life) % len(readers)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i, a := range readers {
+		if _, heard := n.heardOf[a]; heard {
+			first = i
+		}
 	}
+	return slices.Concat(readers[first:], readers[:first])
+}
+
+// listenTo waits for news from one gateway and takes it in.
+func (n *Neighbours) listenTo(ctx context.Context, from string) (err error) {
 	n.mu.Lock()
 	last := n.heardOf[from]
 	n.mu.Unlock()
@@ -233,7 +259,20 @@
 	}
 }
 
+// turnMargin is what a gateway's turn to read the store itself keeps from the time
+// in which a configuration must be in force: that after which it notices that it
+// hears nothing new, and that of reading.
+const turnMargin = listenTimeout + 300*time.Millisecond
+
 // Follow returns what makes a follower listen to these neighbours.
 func (n *Neighbours) Follow() follow.Listener {
-	return follow.Listener{Reads: n.Reads, Listen: n.Listen}
+	return follow.Listener{Reads: n.Reads, Listen: n.Listen, Turn: n.turn, Spread: n.spread}
+}
+
+// turn returns this gateway's place among those of its domain, in the order in which
+// they read the store: 0 for the first.
+func (n *Neighbours) turn() float64 {
+	list, _ := n.readersThat(true)
+	before, _ := slices.BinarySearch(list, n.self)
+	return float64(before) / float64(len(list)+1)
 }
--- a/internal/gateway/listen_test.go
+++ b/internal/gateway/listen_test.go
@@ -162,6 +162,24 @@
 	g.Expect(starter.Reads(true)).To(BeTrue(), "it has heard of no other one of its domain")
 }
 
+func TestWhoDoesNotAnswerIsNotTheOnlyOneListenedTo(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	dead, reader, listener := newStation(t, 7), newStation(t, 8), newStation(t, 9)
+	dead.self = "127.0.0.1:1" // Refuses.
+	listener.hear(hello(dead, "a", false))
+	listener.hear(hello(reader, "a", false))
+	reader.view.Replace(follow.Snapshot{Config: configOf(3), At: 6}, time.Now(), false)
+	for range 2 {
+		g.Expect(listener.Listen(ctx)).To(Succeed())
+		g.Expect(listener.view.State().Config.Version()).To(BeEquivalentTo(3))
+		g.Expect(listener.listenable()[0]).To(Equal(reader.self), "the one that answered comes first from then on")
+	}
+	listener.heard = map[string]neighbour{}
+	listener.hear(hello(dead, "a", false))
+	g.Expect(listener.Listen(ctx)).NotTo(Succeed())
+}
+
 func TestHellosNameSomeGatewaysDrawnAnew(t *testing.T) {
 	g := NewWithT(t)
 	list := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -77,7 +77,8 @@
 	self    string
 	life    int64
 	started time.Time
-	first   bool // The whole system starts for the first time.
+	spread  time.Duration // Within which all read the store, where what they hear is old.
+	first   bool          // The whole system starts for the first time.
 	name    string
 	seeds   []string
 	port    int // Of sidecars.
@@ -103,7 +104,8 @@
 	Domain       string
 	Address      string // Peer listener of this gateway.
 	Seeds        []string
-	First        bool // The whole system starts for the first time.
+	InForce      time.Duration // In which a new configuration must be in force.
+	First        bool          // The whole system starts for the first time.
 	SidecarsPort int
 	Decode       func(raw []byte) (*fleet.Config, error) // Reads a configuration's text.
 }
@@ -118,7 +120,7 @@
 	}
 	n = &Neighbours{
 		g: g, socket: socket, log: log, decode: cfg.Decode, client: &http.Client{Transport: t},
-		self: cfg.Address, life: time.Now().UnixMilli(), started: time.Now(), first: cfg.First, name: cfg.Name, domain: cfg.Domain, seeds: cfg.Seeds, port: cfg.SidecarsPort,
+		self: cfg.Address, life: time.Now().UnixMilli(), started: time.Now(), first: cfg.First, spread: max(cfg.InForce-turnMargin, 0), name: cfg.Name, domain: cfg.Domain, seeds: cfg.Seeds, port: cfg.SidecarsPort,
 		heard: map[string]neighbour{}, heardOf: listenedTo{},
 	}
 	return n, t.CloseIdleConnections
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -42,6 +42,7 @@
 	turnover  passes.Turnover // Of all groups, as last looked at.
 	waited    time.Duration   // For room.
 	inLine    bool            // It waits for room.
+	asked     lastAsked       // When it last wanted a place.
 	sentAt    time.Time       // When it was last sent to an endpoint.
 	moved     bool            // Its try was ended by vacate, which took a repeat for it; guarded by the gateway's mu.
 	paid      bool            // The next try's repeat is taken already.
@@ -59,6 +60,13 @@
 	endpoint  string // That served it.
 }
 
+// lastAsked is the group in which a request wanted a place, and the time of the
+// newest report that was known then.
+type lastAsked struct {
+	group string
+	at    time.Time
+}
+
 // outcome says how a request ended.
 type outcome string
 
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -33,7 +33,7 @@
 	}
 	w := line.Waiter{ID: g.lastWaiter.Add(1), Again: q.again, Until: until}
 	g.mu.Lock()
-	joined := g.line(q.service).Join(w, q.turnover.Rate/float64(g.others+1), now)
+	joined := g.line(q.service).Join(w, q.turnover.Rate, g.others, now)
 	g.mu.Unlock()
 	if !joined {
 		return e, false
@@ -43,7 +43,7 @@
 	defer func() {
 		q.inLine = false
 		g.mu.Lock()
-		g.line(q.service).Leave(w.ID)
+		g.line(q.service).Leave(w.ID, time.Now())
 		g.mu.Unlock()
 	}()
 	for now.Before(until) && q.ctx.Err() == nil {
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -40,6 +40,7 @@
 	PeersPort int      // Port on which sidecars listen, alike everywhere.
 
 	Revocation  time.Duration // After which a key that was taken away must not count anywhere.
+	InForce     time.Duration // In which a new configuration must be in force.
 	Grace       time.Duration // From the signal to stop until the process is killed.
 	RetryShare  float64       // Repeats by requests, in RetryWindow.
 	RetryWindow time.Duration
@@ -138,6 +139,7 @@
 func (s *Fleet) readBounds(f *inifile.File) {
 	const section = "bounds"
 	s.Revocation = f.Duration(section, "revocation", 5*time.Second)
+	s.InForce = f.Duration(section, "in-force", 2*time.Second)
 	s.Grace = f.Duration(section, "grace", 8*time.Second)
 	s.RetryShare = f.Float(section, "retry-share", 0.2, 0, 10)
 	s.RetryWindow = f.Duration(section, "retry-window", 10*time.Second)
@@ -146,7 +148,7 @@
 	for _, one := range []struct {
 		key   string
 		value time.Duration
-	}{{"revocation", s.Revocation}, {"grace", s.Grace}, {"retry-window", s.RetryWindow}} {
+	}{{"revocation", s.Revocation}, {"in-force", s.InForce}, {"grace", s.Grace}, {"retry-window", s.RetryWindow}} {
 		if one.value <= 0 {
 			f.Fault(section, one.key, "must be above 0")
 		}
