internal/sidecar, internal/decide/estimate: orders are given again sooner, switches lie as far ahead as nearly all take

Change: an answer of the own engine is waited for as long as nearly all take (12 to 40 ms), and the order is given again for 120 ms; one to an engine of another instance for 30 ms. A switch lies as many passes ahead as the orders of nearly all switches took (mean and deviation, as gateways already estimate times to a first event: decide/estimate serves both).

--- a/internal/decide/passes/passes.go
+++ b/internal/decide/passes/passes.go
@@ -7,7 +7,11 @@
 // and chance come in as arguments, and the caller serialises access.
 package passes
 
-import "time"
+import (
+	"time"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/estimate"
+)
 
 // Shape is what is published of the engines of a group and of what their callers
 // want.
@@ -38,11 +42,9 @@
 	// gapWeight is the weight of the newest pause: a pass is seen in those of all
 	// streams here, one after the other.
 	gapWeight = 0.4
-	// firstWeight is the weight of the newest time to a first event, and firstOffs how
-	// many deviations above the mean are allowed for: as in the usual estimate of
-	// round trips.
+	// firstWeight is the weight of the newest time to a first event: as in the usual
+	// estimate of round trips.
 	firstWeight = 0.125
-	firstOffs   = 2
 	// fillShare is the part of the longest pause that a pass may last by what is
 	// known: the rest is for prompts that come together and for requests that other
 	// gateways let in meanwhile.
@@ -67,14 +69,13 @@
 
 // group is what is known of one group.
 type group struct {
-	shape    Shape
-	ranks    map[string]Rank
-	words    int           // Of ranks since round.
-	round    time.Time     // When as many words as there are ranks had last come.
-	gap      time.Duration // Smoothed pause between events of streams here; 0 before the first.
-	gapAt    time.Time
-	first    time.Duration // Smoothed time from sending a request to its first event; 0 before the first.
-	firstOff time.Duration // Its smoothed deviation.
+	shape Shape
+	ranks map[string]Rank
+	words int           // Of ranks since round.
+	round time.Time     // When as many words as there are ranks had last come.
+	gap   time.Duration // Smoothed pause between events of streams here; 0 before the first.
+	gapAt time.Time
+	first estimate.Time // From sending a request to its first event.
 }
 
 // Tracker follows the passes of groups.
@@ -96,7 +97,7 @@
 	}
 	g := t.groups[name]
 	if g == nil {
-		g = &group{ranks: map[string]Rank{}}
+		g = &group{ranks: map[string]Rank{}, first: estimate.New(firstWeight)}
 		t.groups[name] = g
 	}
 	t.member[id] = name
@@ -127,12 +128,7 @@
 	if g == nil {
 		return
 	}
-	if g.first == 0 {
-		g.first = d
-	}
-	off := d - g.first
-	g.first += time.Duration(firstWeight * float64(off))
-	g.firstOff += time.Duration(firstWeight * float64(off.Abs()-g.firstOff))
+	g.first.Add(d)
 }
 
 // Turnover is how soon a group takes and answers requests.
@@ -145,7 +141,7 @@
 // false when it is not known.
 func (t *Tracker) Turnover(name string, perRank float64, now time.Time) (v Turnover, ok bool) {
 	g := t.groups[name]
-	if g == nil || g.shape.Passes <= 0 || g.first == 0 {
+	if g == nil || g.shape.Passes <= 0 || !g.first.Known() {
 		return v, false
 	}
 	work, ok := g.work(now)
@@ -153,7 +149,7 @@
 		return v, false
 	}
 	pass := work * (g.shape.Base + perRank)
-	return Turnover{Rate: perRank / (g.shape.Passes * pass), First: g.first + firstOffs*g.firstOff}, true
+	return Turnover{Rate: perRank / (g.shape.Passes * pass), First: g.first.Most()}, true
 }
 
 // Forget drops what is known of endpoints that are no longer listed.
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -17,6 +17,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
+	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
 // pathOrder is the call that gives the leader's own engine an order; pathTree is that
@@ -82,22 +83,38 @@
 // carryOut gives an order to the own engine. One that is not answered is given
 // again: that does no harm, and waiting for it would hold up the group.
 func (s *Sidecar) carryOut(ctx context.Context, o rank.Order) (a answer) {
-	for range orderTries {
-		if a = s.carryOutOnce(ctx, o); a.Result != rank.Lost || ctx.Err() != nil {
-			break
+	for began := time.Now(); ; {
+		tried := time.Now()
+		if a = s.carryOutOnce(ctx, o); a.Result != rank.Lost || ctx.Err() != nil || time.Since(began) >= orderTime {
+			return a
 		}
+		wait.For(ctx, leastOrderTimeout-time.Since(tried)) // An engine that is gone refuses at once.
 	}
-	return a
+}
+
+// orderPause is how long an answer of the own engine is waited for.
+func (s *Sidecar) orderPause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.answers.Known() {
+		return orderTimeout
+	}
+	return min(max(orderPatience*s.answers.Most(), leastOrderTimeout), orderTimeout)
 }
 
 func (s *Sidecar) carryOutOnce(ctx context.Context, o rank.Order) (a answer) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.orderPause())
 	defer cancel()
+	began := time.Now()
 	result, err := s.engine.Order(ctx, o)
 	s.figures.orders.Inc(1)
 	a.Result = result
 	if err != nil {
 		a.Error = err.Error()
+	} else {
+		s.mu.Lock()
+		s.answers.Add(time.Since(began))
+		s.mu.Unlock()
 	}
 	s.log.Info("order", zap.String("op", string(o.Op)), zap.Uint64("version", o.Version), zap.Uint64("step", o.Step),
 		zap.Uint64("fence", o.Fence), zap.Uint64("epoch", o.Epoch), zap.String("result", string(result)), zap.String("error", a.Error))
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -135,8 +135,8 @@
 func (l *leader) effort() remap.Effort {
 	return remap.Effort{
 		Copy:  l.copyTime(1),
-		Rest:  noticeLooks*l.lookPause() + l.handing + l.arming,
-		Still: max(l.arming-mostAhead*l.planner.pass, 0),
+		Rest:  noticeLooks*l.lookPause() + l.handing + l.arming.Mean(),
+		Still: max(l.arming.Most()-mostAhead*l.planner.pass, 0),
 		Pass:  l.planner.pass,
 	}
 }
@@ -271,7 +271,7 @@
 	if done {
 		// One that came to nothing says how long an answer did not come, as from a
 		// frozen instance, and not how long orders take.
-		l.arming += time.Duration(armingWeight * float64(took-l.arming))
+		l.arming.Add(took)
 		p.current, p.version = change.plan.Map, change.version
 		l.s.figures.switches.Inc(1)
 		l.s.figures.copies.Inc(int64(change.plan.Copies))
@@ -302,14 +302,15 @@
 	return step + uint64(min(l.passesAhead(), mostAhead))
 }
 
-// passesAhead is how many passes the orders of a switch take, as the last ones
-// did.
+// passesAhead is how many passes the orders of a switch take, as nearly all of the
+// last ones did: a group that reaches the pass sooner stands still, and the pause of
+// all its streams is longer by that.
 func (l *leader) passesAhead() int {
 	pass := l.planner.pass
 	if pass <= 0 {
 		return leastAhead
 	}
-	return max(leastAhead, int(l.arming/pass)+leastAhead)
+	return max(leastAhead, int(l.arming.Most()/pass)+leastAhead)
 }
 
 // copyTime returns how long a rank takes for so many copies.
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/cutover"
+	"github.com/canvaspulley/canvaspulley/internal/decide/estimate"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
@@ -58,9 +59,9 @@
 	// straightEvery is the least time between two calls to an engine past its
 	// sidecar: each is priced, and one to a frozen instance keeps a look waiting.
 	straightEvery = 700 * time.Millisecond
-	// straightTimeout bounds one order to another rank's engine: what one to the own
-	// engine may take, and a new connection between failure domains.
-	straightTimeout = orderTimeout + 20*time.Millisecond
+	// straightTimeout bounds one order to another rank's engine: some round trips of a
+	// new connection between failure domains, and what an engine takes.
+	straightTimeout = 30 * time.Millisecond
 	// fenceStep is added to a fence that a rank refused.
 	fenceStep = 1 << 20
 )
@@ -93,7 +94,7 @@
 	machine    *cutover.Machine
 	fence      uint64
 	planner    planner
-	arming     time.Duration // Smoothed time that the orders of a switch took.
+	arming     estimate.Time // That the orders of a switch took.
 	handing    time.Duration // Smoothed time by which changes took longer than their copies: to hand out the map, and to see the copies.
 	switched   time.Time     // When the last switch was brought about.
 	toldAt     time.Time     // When gateways were last told the loads of all ranks.
@@ -108,7 +109,9 @@
 	openedAt    time.Time // When this epoch was first seen.
 }
 
-func newLeader(s *Sidecar) *leader { return &leader{s: s, absent: cutover.None} }
+func newLeader(s *Sidecar) *leader {
+	return &leader{s: s, absent: cutover.None, arming: estimate.New(armingWeight)}
+}
 
 // run looks at the group until ctx ends.
 func (l *leader) run(ctx context.Context) error {
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -116,7 +116,7 @@
 // orderLimit is how long an order to so many ranks may take until it is answered,
 // with the text of a map or without.
 func (l *leader) orderLimit(text *mapText, ranks int) time.Duration {
-	limit := orderTries*orderTimeout + askTimeout
+	limit := orderTime + orderTimeout + askTimeout
 	fan := fanFlat
 	if ranks >= fanFlat {
 		fan = fanHeavy
@@ -159,7 +159,7 @@
 
 // sendForOwn has the rank that holds passes arm the own one.
 func (l *leader) sendForOwn(ctx context.Context, o rank.Order) rank.Result {
-	ctx, cancel := context.WithTimeout(ctx, straightTimeout+askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, orderTime+askTimeout)
 	defer cancel()
 	holder := l.byRank[cutover.Holder(l.machine.Self)].endpoint.Address
 	a, err := l.s.calls.order(ctx, holder, orderCall{Order: o, Engine: l.s.cfg.Address})
@@ -186,7 +186,7 @@
 // without an answer is given again, as sidecars do: the group may be standing.
 func (l *leader) sendStraight(ctx context.Context, r int, o rank.Order) (result rank.Result) {
 	var err error
-	for range orderTries {
+	for began := time.Now(); time.Since(began) < orderTime; {
 		if result, err = l.s.orderStraight(ctx, l.byRank[r].endpoint.Address, o); result != rank.Lost || ctx.Err() != nil {
 			break
 		}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/canvaspulley/canvaspulley/internal/decide/estimate"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
@@ -45,13 +46,22 @@
 	// perRank is what one rank adds to the time between two reports: so many more
 	// loads reach each gateway.
 	perRank = 4 * time.Millisecond
-	// orderTimeout bounds an order to the own engine, which answers in about a
-	// millisecond. Some answers never come; an order that is sent again does no
-	// harm, waiting holds up the group.
+	// orderTimeout bounds an order to the own engine as long as it is not known how
+	// long answers take. Some never come; an order that is sent again does no harm,
+	// waiting holds up the group.
 	orderTimeout = 40 * time.Millisecond
-	// orderTries is how often an order without an answer is given before the
-	// leader hears that it was lost. One in three may be.
-	orderTries = 3
+	// leastOrderTimeout is the shortest such bound, some times what an engine on the
+	// same instance takes, and orderPatience how many times longer than nearly all
+	// answers one is waited for.
+	leastOrderTimeout = 12 * time.Millisecond
+	orderPatience     = 3
+	// orderTime is how long an order without an answer is given again before the
+	// leader hears that it was lost: where one answer in three is lost, hardly one
+	// rank of a thousand is without any by then.
+	orderTime = 120 * time.Millisecond
+	// answerWeight is the weight of the newest time of an answer, as in the usual
+	// estimate of round trips.
+	answerWeight = 0.125
 	// engineTimeout bounds a call to the own engine, which answers in about a
 	// millisecond.
 	engineTimeout = 400 * time.Millisecond
@@ -82,6 +92,7 @@
 	gateways subscribers
 	lead     leadership
 	own      ownArming
+	answers  estimate.Time    // Of the own engine, to orders.
 	leading  peers.Lead       // What this sidecar announces.
 	tellTo   []netip.AddrPort // Whom; nil while it does not lead.
 
@@ -119,7 +130,7 @@
 func New(cfg Config, engine rank.Engine, dial func(string) rank.Engine, source follow.Source, socket *peers.Socket, log *zap.Logger, reg metrics.Registry) (s *Sidecar, cleanup func()) {
 	s = &Sidecar{
 		cfg: cfg, engine: engine, dial: dial, source: source, socket: socket, log: log,
-		gateways: newSubscribers(cfg.Domain), started: time.Now(),
+		gateways: newSubscribers(cfg.Domain), answers: estimate.New(answerWeight), started: time.Now(),
 		figures: newFigures(reg),
 	}
 	s.calls, cleanup = newPeerClient(cfg)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/canvaspulley/canvaspulley/internal/decide/estimate"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
@@ -197,3 +198,38 @@
 		})
 	}
 }
+
+func TestAnOrderIsWaitedForAsLongAsAnswersTake(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		took []time.Duration
+		want time.Duration
+	}{
+		{"nothing known", nil, orderTimeout},
+		{"a quick engine", []time.Duration{time.Millisecond}, leastOrderTimeout},
+		{"one that takes longer", []time.Duration{10 * time.Millisecond}, orderPatience * 10 * time.Millisecond},
+		{"one that takes very long", []time.Duration{time.Second}, orderTimeout},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &Sidecar{answers: estimate.New(answerWeight)}
+			for _, d := range tc.took {
+				s.answers.Add(d)
+			}
+			NewWithT(t).Expect(s.orderPause()).To(Equal(tc.want))
+		})
+	}
+}
+
+func TestAnOrderIsGivenAgainUntilItIsAnswered(t *testing.T) {
+	g := NewWithT(t)
+	asked := 0
+	s := &Sidecar{log: zap.NewNop(), answers: estimate.New(answerWeight), figures: newFigures(metrics.NewRegistry())}
+	s.engine.Order = func(ctx context.Context, _ rank.Order) (rank.Result, error) {
+		if asked++; asked < 4 {
+			return rank.Lost, errors.New("no answer")
+		}
+		return rank.Done, nil
+	}
+	g.Expect(s.carryOut(context.Background(), rank.Order{Op: rank.Arm}).Result).To(Equal(rank.Done))
+	g.Expect(asked).To(Equal(4))
+}
