--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -119,6 +119,12 @@
 	return max(e.load.Running+e.load.Waiting+e.own-e.ownThen, e.own)
 }
 
+// Age returns how long ago an endpoint's load was told; ok is false when it never was.
+func (t *Table) Age(id string, now time.Time) (age time.Duration, ok bool) {
+	at := t.of(id).load.At
+	return now.Sub(at), !at.IsZero()
+}
+
 // Busy estimates the requests at an endpoint.
 func (t *Table) Busy(id string, now time.Time) int { return t.of(id).busy(now) }
 
@@ -189,9 +195,6 @@
 	e.gone = true
 }
 
-// Group returns the group that an endpoint's last report names.
-func (t *Table) Group(id string) string { return t.of(id).load.Group }
-
 // Forget drops what is known of endpoints that are no longer listed.
 func (t *Table) Forget(listed func(id string) bool) {
 	for id, e := range t.by {
--- a/internal/decide/passes/passes.go
+++ b/internal/decide/passes/passes.go
@@ -20,7 +20,6 @@
 	Slots  int           // Requests that a rank runs at once.
 	Empty  time.Duration // Pass without any request, at an even load.
 	Pause  time.Duration // Longest pause between two events that is in time; 0 for none.
-	Answer time.Duration // Unhurried time of a usual answer.
 	Passes float64       // That a usual answer takes.
 }
 
--- a/internal/decide/passes/passes_test.go
+++ b/internal/decide/passes/passes_test.go
@@ -12,7 +12,7 @@
 
 var (
 	at    = time.Unix(1000, 0)
-	shape = Shape{Base: 5, Slots: 12, Empty: 18 * time.Millisecond, Pause: 120 * time.Millisecond, Answer: time.Second, Passes: 24}
+	shape = Shape{Base: 5, Slots: 12, Empty: 18 * time.Millisecond, Pause: 120 * time.Millisecond, Passes: 24}
 )
 
 const (
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -20,7 +20,15 @@
 	startRetry = 400 * time.Millisecond // A start takes some hundred milliseconds.
 	staleRetry = 1 * time.Second        // Another gateway may be asked by then.
 	stopRetry  = 50 * time.Millisecond  // Another gateway is there.
-	emptyRetry = 700 * time.Millisecond // No endpoint: one may be listed by then.
+	// emptyRetry is for a service of which no endpoint is listed, or none that may be
+	// used: processes start anew within seconds.
+	emptyRetry = 2 * time.Second
+	// aloneRetry is for what only this gateway cannot do, as it hears of nobody: the
+	// caller reaches another one then.
+	aloneRetry = 200 * time.Millisecond
+	// outageRetry is for configuration that is too old for keys at all gateways: the
+	// store is away for all, which takes seconds.
+	outageRetry = 2500 * time.Millisecond
 	// groupRetry is for a group that is down: what its ranks wait for takes
 	// seconds, and callers wait for at most a third of the time they have left.
 	groupRetry = 2500 * time.Millisecond
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -188,13 +188,11 @@
 }
 
 func shapeOf(e *fleet.Engine, pause time.Duration) passes.Shape {
-	step := e.StepTime + time.Duration(e.Slots)*e.WriterTime/2
 	return passes.Shape{
 		Base:   max(float64(e.StepTime)/float64(e.WriterTime), 1),
 		Slots:  e.Slots,
 		Empty:  e.StepTime * time.Duration(e.StepsInPass),
 		Pause:  pause,
-		Answer: time.Duration(e.UsualAnswer * float64(step)),
 		Passes: e.UsualAnswer / float64(max(e.StepsInPass, 1)),
 	}
 }
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -17,6 +17,7 @@
 	moved   metrics.Counter   // Requests moved away from slow ranks.
 	resumed metrics.Counter   // Streams that went on at another endpoint.
 	first   metrics.Histogram // Milliseconds to the answer or its first event.
+	loadAge metrics.Histogram // Milliseconds since an endpoint's load was told, when a request goes there.
 }
 
 // histogramSize is how many samples a histogram keeps.
@@ -30,6 +31,7 @@
 		waited:  metrics.GetOrRegisterCounter("gateway.waited", reg),
 		moved:   metrics.GetOrRegisterCounter("gateway.moved", reg),
 		resumed: metrics.GetOrRegisterCounter("gateway.resumed", reg),
+		loadAge: metrics.GetOrRegisterHistogram("gateway.load-age", reg, metrics.NewUniformSample(histogramSize)),
 		first:   metrics.GetOrRegisterHistogram("gateway.first-ms", reg, metrics.NewUniformSample(histogramSize)),
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,6 +66,7 @@
 	shares  map[string]*room.Share        // By group.
 	at      map[string]map[*request]place // Requests that may be moved, by endpoint.
 	others  int                           // Gateways that are known besides this one.
+	heardAt time.Time                     // When one of them was last heard.
 
 	shapesMu sync.Mutex // Guards what follows.
 	shapesOf *fleet.Config
@@ -165,14 +166,26 @@
 func (g *Gateway) groupOf(id string) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.table.Group(id)
+	return g.passes.Group(id)
 }
 
-// SetOthers tells how many other gateways there are.
-func (g *Gateway) SetOthers(n int) {
+// alone reports whether no other gateway was heard lately although there were some:
+// this one is cut off.
+func (g *Gateway) alone() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.others = n
+	return !g.heardAt.IsZero() && time.Since(g.heardAt) > aloneAfter
+}
+
+// aloneAfter is how long nothing is heard of any other gateway by one that is cut
+// off: some hellos.
+const aloneAfter = 3 * helloEvery
+
+// SetOthers tells how many other gateways there are, and when one was last heard.
+func (g *Gateway) SetOthers(n int, heard time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.others, g.heardAt = n, heard
 	for _, w := range g.windows {
 		w.SetSpare(g.spare())
 	}
--- a/internal/gateway/loads_test.go
+++ b/internal/gateway/loads_test.go
@@ -45,7 +45,6 @@
 	n.Receive(netip.AddrPort{}, m)
 	for r := range peers.MostRanks {
 		g.Expect(n.g.table.Busy(fmt.Sprint(r), time.Now())).To(Equal(r))
-		g.Expect(n.g.table.Group(fmt.Sprint(r))).To(Equal("g"))
 	}
 }
 
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -85,10 +85,12 @@
 	domain  string
 	mu      sync.Mutex
 	heard   map[string]neighbour // Gateways by address.
-	borrows bool
-	greeted int        // Hellos so far; of the duty that greets.
-	blind   bool       // As the follower last said; others do not listen to this gateway then.
-	heardOf listenedTo // What the last answers to listening were.
+	// heardLast is when another gateway was last heard, also one that is forgotten.
+	heardLast time.Time
+	borrows   bool
+	greeted   int        // Hellos so far; of the duty that greets.
+	blind     bool       // As the follower last said; others do not listen to this gateway then.
+	heardOf   listenedTo // What the last answers to listening were.
 }
 
 // neighbour is another gateway.
@@ -227,6 +229,22 @@
 	return list
 }
 
+// lastHeard returns when another gateway was last heard; zero when none ever was.
+func (n *Neighbours) lastHeard() (at time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, other := range n.heard {
+		if other.domain != "" && other.at.After(at) {
+			at = other.at
+		}
+	}
+	if at.IsZero() {
+		return n.heardLast
+	}
+	n.heardLast = at
+	return at
+}
+
 // Run greets other processes and borrows until ctx ends.
 func (n *Neighbours) Run(ctx context.Context) error {
 	hello := time.NewTicker(helloEvery)
@@ -249,7 +267,7 @@
 // greet says hello to sidecars and gateways.
 func (n *Neighbours) greet() {
 	others := n.others()
-	n.g.SetOthers(len(others))
+	n.g.SetOthers(len(others), n.lastHeard())
 	leaving, _ := n.g.leaving(time.Now())
 	n.mu.Lock()
 	blind := n.blind
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -38,6 +38,7 @@
 	kept      *keptAnswer // Nil until an endpoint failed by itself.
 	groupDown bool        // A group of ranks turned it away as a whole.
 	downGroup string
+	tooOld    bool            // The configuration is too old for the request's key.
 	full      bool            // No endpoint can take it now.
 	turnover  passes.Turnover // Of all groups, as last looked at.
 	waited    time.Duration   // For room.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -49,6 +49,7 @@
 		}
 		if !q.keyFresh() {
 			q.note("configuration too old for keys")
+			q.tooOld = true
 			q.giveUp(last, false)
 			return
 		}
@@ -107,6 +108,10 @@
 	switch {
 	case q.groupDown:
 		return groupRetry
+	case q.tooOld && q.g.alone():
+		return aloneRetry
+	case q.tooOld:
+		return outageRetry
 	case q.full:
 		return fullRetry + time.Duration(random(int(fullSpread)))
 	}
@@ -146,6 +151,9 @@
 func (q *request) try(e fleet.Endpoint) result {
 	g := q.g
 	g.mu.Lock()
+	if age, ok := g.table.Age(e.ID, time.Now()); ok {
+		g.figures.loadAge.Update(age.Milliseconds())
+	}
 	g.table.Start(e.ID)
 	g.mu.Unlock()
 	defer func() {
@@ -275,7 +283,7 @@
 		q.g.table.Misplaced(e.ID, time.Now())
 	}
 	if a.AtFault != "" {
-		q.downGroup, q.groupDown = q.g.table.Group(e.ID), true
+		q.downGroup, q.groupDown = q.g.passes.Group(e.ID), true
 	}
 }
 
--- a/internal/sidecar/ask.go
+++ b/internal/sidecar/ask.go
@@ -93,6 +93,8 @@
 		m.hear(*r.Report, now)
 	}
 	l.heard = a
+	l.s.figures.missed.Inc(int64(len(list) + 1 - len(a.Ranks)))
+	l.s.figures.bytes.Update(int64(len(a.Counts)))
 	if a.Summed > 0 && l.s.cfg.LinkRate > 0 {
 		bytes := float64(min(q.Fan, len(list)) * len(a.Counts))
 		l.countsPause = time.Duration(bytes / (countsShare * l.s.cfg.LinkRate) * float64(time.Second))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -108,7 +108,9 @@
 
 // figures are the counters of a sidecar.
 type figures struct {
-	looks    metrics.Timer // Of a leader's questions to all ranks.
+	looks    metrics.Timer   // Of a leader's questions to all ranks.
+	missed   metrics.Counter // Ranks that did not answer one.
+	bytes    metrics.Gauge   // Of the newest sums of counts.
 	switches metrics.Counter
 	gaveUp   metrics.Counter
 	orders   metrics.Counter
@@ -118,6 +120,8 @@
 func newFigures(reg metrics.Registry) figures {
 	return figures{
 		looks:    metrics.GetOrRegisterTimer("sidecar.looks", reg),
+		missed:   metrics.GetOrRegisterCounter("sidecar.ranks-missed", reg),
+		bytes:    metrics.GetOrRegisterGauge("sidecar.counts-bytes", reg),
 		switches: metrics.GetOrRegisterCounter("sidecar.maps-in-force", reg),
 		gaveUp:   metrics.GetOrRegisterCounter("sidecar.maps-given-up", reg),
 		orders:   metrics.GetOrRegisterCounter("sidecar.orders", reg),
