--- /dev/null
+++ b/internal/gateway/loads.go
@@ -0,0 +1,59 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
+	"github.com/canvaspulley/canvaspulley/internal/peers"
+)
+
+// takeLoad takes in the load of one engine, and passes it on if asked to.
+func (n *Neighbours) takeLoad(l peers.Load) {
+	if l.Onward {
+		l.Onward = false
+		n.passOn(peers.Message{Load: &l})
+	}
+	n.g.Report(l.Address, balance.Load{
+		Running: l.Running, Waiting: l.Waiting, Group: l.Group, Closed: l.Closed, Pace: l.Pace, Pass: time.Duration(l.PassMs) * time.Millisecond, At: time.Now(),
+	})
+}
+
+// takeLoads takes in the loads of ranks of a group, and passes them on if asked to.
+func (n *Neighbours) takeLoads(l peers.Loads) {
+	if l.Onward {
+		l.Onward = false
+		n.passOn(peers.Message{Loads: &l})
+	}
+	now := time.Now()
+	for _, r := range l.Ranks {
+		a, err := r.Engine()
+		if err != nil {
+			n.log.Warn("load left out", zap.String("group", l.Group), zap.String("error", err.Error()))
+			continue
+		}
+		n.g.Report(a.String(), balance.Load{
+			Running: r.Running, Waiting: r.Waiting, Group: l.Group, Closed: l.Closed, Pace: float64(r.Pace), Pass: time.Duration(l.PassMs) * time.Millisecond, At: now,
+		})
+	}
+}
+
+// passOn tells loads to the other gateways of the own failure domain.
+func (n *Neighbours) passOn(m peers.Message) {
+	n.mu.Lock()
+	to := make([]netip.AddrPort, 0, len(n.heard))
+	for a, other := range n.heard {
+		if other.domain != n.domain {
+			continue
+		}
+		if ap, err := netip.ParseAddrPort(a); err == nil {
+			to = append(to, ap)
+		}
+	}
+	n.mu.Unlock()
+	n.socket.SendAll(to, m)
+}
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -3,24 +3,17 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
-	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
-	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 )
 
@@ -52,20 +45,6 @@
 	maxPublished = 16 << 20
 )
 
-// pathPublished is the call between gateways for what is published.
-const pathPublished = "/v1/published"
-
-// published is a gateway's view as it tells it to another one.
-type published struct {
-	Life     int64         `json:"life"` // Of the process: its numbers of changes hold for it only.
-	Age      time.Duration `json:"age"`
-	Held     time.Duration `json:"held"` // How long the call was held until there was news.
-	Version  uint64        `json:"version"`
-	Revision uint64        `json:"revision"`         // Of the configuration.
-	Config   []byte        `json:"config,omitempty"` // Text of the version, when it is newer than the one asked for.
-	follow.Told
-}
-
 // Neighbours finds other gateways, tells sidecars and gateways of this one, and
 // borrows the published state from a neighbour while the store does not answer.
 type Neighbours struct {
@@ -147,52 +126,6 @@
 	}
 }
 
-// takeLoad takes in the load of one engine, and passes it on if asked to.
-func (n *Neighbours) takeLoad(l peers.Load) {
-	if l.Onward {
-		l.Onward = false
-		n.passOn(peers.Message{Load: &l})
-	}
-	n.g.Report(l.Address, balance.Load{
-		Running: l.Running, Waiting: l.Waiting, Group: l.Group, Closed: l.Closed, Pace: l.Pace, Pass: time.Duration(l.PassMs) * time.Millisecond, At: time.Now(),
-	})
-}
-
-// takeLoads takes in the loads of ranks of a group, and passes them on if asked to.
-func (n *Neighbours) takeLoads(l peers.Loads) {
-	if l.Onward {
-		l.Onward = false
-		n.passOn(peers.Message{Loads: &l})
-	}
-	now := time.Now()
-	for _, r := range l.Ranks {
-		a, err := r.Engine()
-		if err != nil {
-			n.log.Warn("load left out", zap.String("group", l.Group), zap.String("error", err.Error()))
-			continue
-		}
-		n.g.Report(a.String(), balance.Load{
-			Running: r.Running, Waiting: r.Waiting, Group: l.Group, Closed: l.Closed, Pace: float64(r.Pace), Pass: time.Duration(l.PassMs) * time.Millisecond, At: now,
-		})
-	}
-}
-
-// passOn tells loads to the other gateways of the own failure domain.
-func (n *Neighbours) passOn(m peers.Message) {
-	n.mu.Lock()
-	to := make([]netip.AddrPort, 0, len(n.heard))
-	for a, other := range n.heard {
-		if other.domain != n.domain {
-			continue
-		}
-		if ap, err := netip.ParseAddrPort(a); err == nil {
-			to = append(to, ap)
-		}
-	}
-	n.mu.Unlock()
-	n.socket.SendAll(to, m)
-}
-
 func (n *Neighbours) hear(h peers.Hello) {
 	now := time.Now()
 	n.mu.Lock()
@@ -335,95 +268,3 @@
 	}
 	return list
 }
-
-// borrow asks a neighbour for what is published, if the store has not told for
-// a while.
-func (n *Neighbours) borrow(ctx context.Context) {
-	age := n.g.view.CheckAge(time.Now())
-	if age < borrowAge {
-		n.borrows = false
-		return
-	}
-	others := n.others()
-	for _, s := range n.seeds {
-		if s != n.self && !slices.Contains(others, s) {
-			others = append(others, s)
-		}
-	}
-	if len(others) == 0 {
-		return
-	}
-	from := others[random(len(others))]
-	asked := time.Now()
-	p, err := n.ask(ctx, from)
-	if err != nil {
-		n.log.Debug("nothing borrowed", zap.String("from", from), zap.String("error", err.Error()))
-		return
-	}
-	if err := n.take(p, asked); err != nil {
-		n.log.Warn("nothing borrowed", zap.String("from", from), zap.String("error", err.Error()))
-		return
-	}
-	if !n.borrows {
-		n.borrows = true
-		n.log.Info("borrows what is published", zap.String("from", from), zap.Uint64("version", p.Version), zap.Duration("its-age", p.Age), zap.Duration("own-age", age))
-	}
-}
-
-// ask asks a neighbour for all that it knows.
-func (n *Neighbours) ask(ctx context.Context, from string) (p published, err error) {
-	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
-	defer cancel()
-	return n.call(ctx, from, "")
-}
-
-// call asks a neighbour for what it knows.
-func (n *Neighbours) call(ctx context.Context, from, query string) (p published, err error) {
-	defer func() { err = errors.Wrapf(err, "gateway %s", from) }()
-	version := uint64(0)
-	if c := n.g.view.State().Config; c != nil {
-		version = c.Version()
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+from+pathPublished+"?version="+strconv.FormatUint(version, 10)+query, nil)
-	if err != nil {
-		return p, err
-	}
-	resp, err := n.client.Do(r)
-	if err != nil {
-		return p, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxPublished))
-	if err != nil {
-		return p, err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return p, errors.Newf("status %d: %s", resp.StatusCode, bytes.TrimSpace(raw))
-	}
-	return p, json.Unmarshal(raw, &p)
-}
-
-// take puts a neighbour's view into the own one, with its age as seen from the
-// moment before it was asked. Nothing is removed by it, since the neighbour may
-// be further behind than the own view, and nothing that may have lapsed is taken.
-func (n *Neighbours) take(p published, asked time.Time) error {
-	if err := n.takeConfig(p); err != nil {
-		return err
-	}
-	there := slices.DeleteFunc(p.Endpoints, func(e fleet.Endpoint) bool { return slices.Contains(p.Missing, e.ID) })
-	n.g.view.Merge(follow.Changes{Endpoints: there})
-	n.g.view.Confirm(p.Version, asked.Add(p.Held-p.Age))
-	return nil
-}
-
-func (n *Neighbours) takeConfig(p published) error {
-	if len(p.Config) == 0 {
-		return nil
-	}
-	c, err := n.decode(p.Config)
-	if err != nil {
-		return err
-	}
-	n.g.view.Offer(c, p.Revision)
-	return nil
-}
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -175,12 +175,3 @@
 	}
 	return raw, nil
 }
-
-// leadEvery and leadLapse are the times of leadership: a leader tells of itself
-// several times before the others take it as gone.
-const (
-	leadEvery = 200 * time.Millisecond
-	leadLapse = 900 * time.Millisecond
-	// leadStagger keeps the next ranks from taking over at once together.
-	leadStagger = 120 * time.Millisecond
-)
