--- a/internal/sidecar/counts.go
+++ b/internal/sidecar/counts.go
@@ -37,7 +37,7 @@
 // writers are used again, since each holds tables of some kilobytes.
 var writers = sync.Pool{New: func() any {
 	w, err := flate.NewWriter(nil, flate.HuffmanOnly)
-	return writer{w, err}
+	return &writer{w, err}
 }}
 
 // writer is a compressor, or why there is none.
@@ -47,7 +47,7 @@
 }
 
 func deflate(raw []byte) (packed []byte, err error) {
-	w := writers.Get().(writer)
+	w := writers.Get().(*writer)
 	defer writers.Put(w)
 	if w.err != nil {
 		return nil, w.err
