internal/gateway: a request's first question for a place is always put

Found at the closing read: ranks that have not told their group are in one without a name, and so was the last question of a request that had put none; beside a group that is known such a request would have been refused unasked.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -121,10 +121,10 @@
 		q.g.shares[group] = s
 	}
 	s.Report(q.g.passes.Round(group))
-	if q.asked.group == group && !s.Newest().After(q.asked.at) {
+	if last := q.asked; last != nil && last.group == group && !s.Newest().After(last.at) {
 		return false // It was not let in by what is known.
 	}
-	q.asked.group, q.asked.at = group, s.Newest()
+	q.asked = &lastAsked{group: group, at: s.Newest()}
 	return s.Take(o.Room(), q.g.others, rand.Float64)
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -43,7 +43,7 @@
 	turnover  passes.Turnover // Of all groups, as last looked at.
 	waited    time.Duration   // For room.
 	inLine    bool            // It waits for room.
-	asked     lastAsked       // When it last wanted a place.
+	asked     *lastAsked      // When it last wanted a place; nil before.
 	sentAt    time.Time       // When it was last sent to an endpoint.
 	moved     bool            // Its try was ended by vacate, which took a repeat for it; guarded by the gateway's mu.
 	paid      bool            // The next try's repeat is taken already.
