--- a/internal/sidecar/ask.go
+++ b/internal/sidecar/ask.go
@@ -47,7 +47,7 @@
 	_ = g.Wait() // No function returns an error: a rank that is not heard shows below.
 	l.s.figures.looks.UpdateSince(began)
 	l.s.log.Debug("look", zap.Duration("took", time.Since(began)), zap.Int("asked", len(heard)), zap.Int("silent", len(silent)),
-		zap.Int("summed", l.heard.Summed), zap.Int("bytes-of-counts", len(l.heard.Counts)))
+		zap.Int("summed", l.newest.Summed), zap.Int("bytes-of-counts", len(l.newest.Counts)))
 	l.place(own)
 	return l.complete(own)
 }
@@ -92,7 +92,7 @@
 		}
 		m.hear(*r.Report, now)
 	}
-	l.heard = a
+	l.newest = a
 	l.s.figures.missed.Inc(int64(len(list) + 1 - len(a.Ranks)))
 	l.s.figures.bytes.Update(int64(len(a.Counts)))
 	if a.Summed > 0 && l.s.cfg.LinkRate > 0 {
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -96,10 +96,10 @@
 func (s *Sidecar) orderPause() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.answers.Known() {
+	if !s.orderTook.Known() {
 		return orderTimeout
 	}
-	return min(max(orderPatience*s.answers.Most(), leastOrderTimeout), orderTimeout)
+	return min(max(orderPatience*s.orderTook.Most(), leastOrderTimeout), orderTimeout)
 }
 
 func (s *Sidecar) carryOutOnce(ctx context.Context, o rank.Order) (a answer) {
@@ -113,7 +113,7 @@
 		a.Error = err.Error()
 	} else {
 		s.mu.Lock()
-		s.answers.Add(time.Since(began))
+		s.orderTook.Add(time.Since(began))
 		s.mu.Unlock()
 	}
 	s.log.Info("order", zap.String("op", string(o.Op)), zap.Uint64("version", o.Version), zap.Uint64("step", o.Step),
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -89,20 +89,20 @@
 	l.s.mu.Lock()
 	p.pass = l.s.passes.pass
 	l.s.mu.Unlock()
-	if l.shape == nil || l.shape.Sets == 0 || l.heard.Summed == 0 || l.heard.Epoch != l.epoch || l.heard.Window == p.taken {
+	if l.shape == nil || l.shape.Sets == 0 || l.newest.Summed == 0 || l.newest.Epoch != l.epoch || l.newest.Window == p.taken {
 		return
 	}
 	if p.follower == nil {
 		p.follower = demand.New(l.demandConfig())
 	}
-	p.taken = l.heard.Window
+	p.taken = l.newest.Window
 	now := time.Now()
-	flat, err := unpackCounts(l.heard.Counts)
+	flat, err := unpackCounts(l.newest.Counts)
 	if err != nil || len(flat) != l.shape.Sets*l.shape.Experts {
-		l.s.log.Warn("counts left out", zap.Int("ranks", l.heard.Summed), zap.Int("numbers", len(flat)), zap.Error(err))
+		l.s.log.Warn("counts left out", zap.Int("ranks", l.newest.Summed), zap.Int("numbers", len(flat)), zap.Error(err))
 		return
 	}
-	if p.follower.Learn(flat, l.heard.Summed, now) {
+	if p.follower.Learn(flat, l.newest.Summed, now) {
 		l.s.log.Info("demand has shifted", zap.Int("shifts", p.follower.Shifts()), zap.Duration("expected-for", p.follower.Left(now)))
 	}
 }
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -83,7 +83,7 @@
 	toldAt     time.Time     // When gateways were last told the loads of all ranks.
 	whole      mapText       // The map of the change under way.
 	changed    mapText       // The same, as a change of the map in force.
-	heard      answers       // To the newest question down the tree.
+	newest     answers       // To the last question down the tree.
 	countsAt   time.Time     // When counts were last asked for.
 	// countsPause is the time between two questions for counts, so that they take
 	// countsShare of the link.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -82,19 +82,19 @@
 
 	started time.Time
 
-	mu       sync.Mutex // Guards what follows.
-	report   rank.Report
-	reportAt time.Time // Zero when the engine does not answer.
-	counts   rank.Counts
-	work     window
-	passes   passTimer
-	still    bool // The group makes no passes although it has requests.
-	gateways subscribers
-	lead     leadership
-	own      ownArming
-	answers  estimate.Time    // Of the own engine, to orders.
-	leading  peers.Lead       // What this sidecar announces.
-	tellTo   []netip.AddrPort // Whom; nil while it does not lead.
+	mu        sync.Mutex // Guards what follows.
+	report    rank.Report
+	reportAt  time.Time // Zero when the engine does not answer.
+	counts    rank.Counts
+	work      window
+	passes    passTimer
+	still     bool // The group makes no passes although it has requests.
+	gateways  subscribers
+	lead      leadership
+	own       ownArming
+	orderTook estimate.Time    // Until the own engine answered an order.
+	leading   peers.Lead       // What this sidecar announces.
+	tellTo    []netip.AddrPort // Whom; nil while it does not lead.
 
 	figures figures
 }
@@ -134,7 +134,7 @@
 func New(cfg Config, engine rank.Engine, dial func(string) rank.Engine, source follow.Source, socket *peers.Socket, log *zap.Logger, reg metrics.Registry) (s *Sidecar, cleanup func()) {
 	s = &Sidecar{
 		cfg: cfg, engine: engine, dial: dial, source: source, socket: socket, log: log,
-		gateways: newSubscribers(cfg.Domain), answers: estimate.New(answerWeight), started: time.Now(),
+		gateways: newSubscribers(cfg.Domain), orderTook: estimate.New(answerWeight), started: time.Now(),
 		figures: newFigures(reg),
 	}
 	s.calls, cleanup = newPeerClient(cfg)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -211,9 +211,9 @@
 		{"one that takes very long", []time.Duration{time.Second}, orderTimeout},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			s := &Sidecar{answers: estimate.New(answerWeight)}
+			s := &Sidecar{orderTook: estimate.New(answerWeight)}
 			for _, d := range tc.took {
-				s.answers.Add(d)
+				s.orderTook.Add(d)
 			}
 			NewWithT(t).Expect(s.orderPause()).To(Equal(tc.want))
 		})
@@ -223,7 +223,7 @@
 func TestAnOrderIsGivenAgainUntilItIsAnswered(t *testing.T) {
 	g := NewWithT(t)
 	asked := 0
-	s := &Sidecar{log: zap.NewNop(), answers: estimate.New(answerWeight), figures: newFigures(metrics.NewRegistry())}
+	s := &Sidecar{log: zap.NewNop(), orderTook: estimate.New(answerWeight), figures: newFigures(metrics.NewRegistry())}
 	s.engine.Order = func(ctx context.Context, _ rank.Order) (rank.Result, error) {
 		if asked++; asked < 4 {
 			return rank.Lost, errors.New("no answer")
