--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -65,7 +65,7 @@
 		return errors.Wrap(err, "log level")
 	}
 	if set.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryLimit) * (1 << 20)))
+		debug.SetMemoryLimit(int64(memoryShare * set.MemoryLimit * (1 << 20)))
 	}
 	p := &fleetProcess{set: set, file: file, log: logger, reg: metrics.NewRegistry()}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -182,7 +182,7 @@
 		KeyAge:      p.set.Revocation - keyMargin,
 		RetryShare:  p.set.RetryShare,
 		RetryWindow: p.set.RetryWindow,
-		RetrySpare:  float64(p.set.RetrySpare),
+		RetrySpare:  p.set.RetrySpare,
 	}, platformCodec(), view, p.log, p.reg)
 	defer closeGateway()
 
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -44,14 +44,14 @@
 	Grace       time.Duration // From the signal to stop until the process is killed.
 	RetryShare  float64       // Repeats by requests, in RetryWindow.
 	RetryWindow time.Duration
-	RetrySpare  int // Repeats of all gateways together that need no request, in RetryWindow.
+	RetrySpare  float64 // Repeats of all gateways together that need no request, in RetryWindow.
 	Fences      bool
 
 	SkewPrice   float64 // Worth of one second's whole group time, in the unit of the other prices.
 	CopyPrice   float64 // Of a gigabyte of copied experts.
 	LogLevel    string
-	LogPerSec   int // Lines on requests that went well, a second.
-	MemoryLimit int // Megabytes that the process may hold; 0 for no bound.
+	LogPerSec   int     // Lines on requests that went well, a second.
+	MemoryLimit float64 // Megabytes that the process may hold; 0 for no bound.
 
 	LinkRate float64 // Bytes a second that the instance's link carries; 0 when not known.
 }
@@ -91,7 +91,7 @@
 	s.Name = f.Required("instance", "name")
 	s.Domain = f.Required("instance", "domain")
 	s.Role = FleetRole(f.Required("instance", "role"))
-	s.MemoryLimit = f.Int("instance", "memory-mb", 0, 0, 1<<20)
+	s.MemoryLimit = f.Float("instance", "memory-mb", 0, 0, 1<<20)
 	s.LinkRate = bytesInMegabit * f.Float("instance", "link-mbps", 0, 0, 1e6)
 	if s.Role != "" && s.Role != Gateway && s.Role != Sidecar {
 		f.Fault("instance", "role", "%q is neither gateway nor sidecar", s.Role)
@@ -143,7 +143,7 @@
 	s.Grace = f.Duration(section, "grace", 8*time.Second)
 	s.RetryShare = f.Float(section, "retry-share", 0.2, 0, 10)
 	s.RetryWindow = f.Duration(section, "retry-window", 10*time.Second)
-	s.RetrySpare = f.Int(section, "retry-spare", 0, 0, 1000000)
+	s.RetrySpare = f.Float(section, "retry-spare", 0, 0, 1000000)
 	s.Fences = f.Bool(section, "fences", true)
 	for _, one := range []struct {
 		key   string
