internal/sidecar, internal/decide/room: one copy of the fan by size and of the first map

Closing read: how many sidecars one calls was decided in three places, the map of a group that has just opened was made in two, questions were built with an engine that orders cut off again, and the chance of a place had a case that its general form holds already. Behaviour is the same.

--- a/internal/decide/room/room.go
+++ b/internal/decide/room/room.go
@@ -45,9 +45,6 @@
 	if places < 1 {
 		return false
 	}
-	want := max(s.usual, s.wants) // In a surge the usual number tells too little.
-	if others > 0 {
-		want = max(s.usual*float64(others+1), want)
-	}
+	want := max(s.usual*float64(others+1), s.wants) // In a surge the usual number tells too little.
 	return places >= want || random()*want < places
 }
--- a/internal/sidecar/ask.go
+++ b/internal/sidecar/ask.go
@@ -70,7 +70,8 @@
 
 // askHeard puts a question to this rank and, down the tree, to others.
 func (l *leader) askHeard(ctx context.Context, own rank.Report, list []*member) {
-	q := l.question(list)
+	q := questionTo(list)
+	q.Engines = append([]string{l.s.cfg.Address}, q.Engines...)
 	if now := time.Now(); now.Sub(l.countsAt) >= l.untilCounts(now) {
 		q.Group, l.countsAt = own.Group, now
 	}
@@ -116,16 +117,13 @@
 	m.fresh, m.missed, m.lost = true, false, false
 }
 
-// question returns what is put to this rank and to others down a tree: of counts
-// or maps where the group is large, and to all at once where it is not.
-func (l *leader) question(list []*member) question {
-	q := question{Engines: []string{l.s.cfg.Address}, Fan: fanHeavy}
+// questionTo returns a question to ranks: down a tree where they are many, and to
+// all at once where they are not.
+func questionTo(list []*member) question {
+	q := question{Fan: fanFor(len(list))}
 	for _, m := range list {
 		q.Engines = append(q.Engines, m.endpoint.Address)
 	}
-	if len(list) < fanFlat {
-		q.Fan = fanFlat
-	}
 	return q
 }
 
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -115,11 +115,8 @@
 
 // calls is how many calls a look takes.
 func (l *leader) calls() time.Duration {
-	n := max(len(l.byRank)-1, 0)
-	if n >= fanFlat {
-		n = fanHeavy
-	}
-	return time.Duration(n)
+	others := max(len(l.byRank)-1, 0)
+	return time.Duration(min(others, fanFor(others)))
 }
 
 // untilLook is the time until the next look.
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -94,8 +94,8 @@
 		list[i] = l.byRank[r]
 	}
 	o.Map = nil // Goes as text.
-	q := l.question(list)
-	q.Engines, q.Order, q.Map, q.Limit = q.Engines[1:], &o, text, l.orderLimit(text, len(list))
+	q := questionTo(list)
+	q.Order, q.Map, q.Limit = &o, text, l.orderLimit(text, len(list))
 	if text == nil && len(list) >= fanFlat {
 		q.Fan = fanLight
 	}
@@ -117,10 +117,7 @@
 // with the text of a map or without.
 func (l *leader) orderLimit(text *mapText, ranks int) time.Duration {
 	limit := orderTime + orderTimeout + askTimeout
-	fan := fanFlat
-	if ranks >= fanFlat {
-		fan = fanHeavy
-	}
+	fan := fanFor(ranks)
 	steps := time.Duration(depth(ranks, fan))
 	if text != nil && l.s.cfg.LinkRate > 0 {
 		sent := float64(min(fan, ranks)*len(text.Text)) / l.s.cfg.LinkRate
--- a/internal/sidecar/readmap.go
+++ b/internal/sidecar/readmap.go
@@ -20,15 +20,7 @@
 	}
 	ranks := len(l.byRank)
 	if version == 0 {
-		p.current = make(rebalance.Map, l.shape.Sets)
-		for k := range p.current {
-			p.current[k] = make(rebalance.Layer, l.shape.Experts)
-			for x := range p.current[k] {
-				p.current[k][x] = []int{x % ranks}
-			}
-		}
-		p.version, p.known = 0, true
-		return true
+		return l.takeMap(version, dealt(l.shape.Sets, ranks, l.shape.Experts))
 	}
 	rows := make([][][]int, ranks)
 	for r, m := range l.byRank {
@@ -40,19 +32,28 @@
 		}
 		rows[r] = h.Sets
 	}
-	current := make(rebalance.Map, l.shape.Sets)
-	for k := range current {
-		bySet := make([][]int, ranks)
+	bySet := make(layout, l.shape.Sets)
+	for k := range bySet {
+		bySet[k] = make([][]int, ranks)
 		for r := range rows {
-			bySet[r] = rows[r][k]
+			bySet[k][r] = rows[r][k]
 		}
-		layer, ok := rebalance.FromRows(bySet, l.shape.Experts)
+	}
+	return l.takeMap(version, bySet)
+}
+
+// takeMap takes a map as the one in force; it reports whether it fits its shape.
+func (l *leader) takeMap(version uint64, m layout) bool {
+	current := make(rebalance.Map, len(m))
+	for k, rows := range m {
+		layer, ok := rebalance.FromRows(rows, l.shape.Experts)
 		if !ok {
 			l.s.log.Warn("map in force does not fit its shape", zap.Uint64("version", version), zap.Int("set", k))
 			return false
 		}
 		current[k] = layer
 	}
+	p := &l.planner
 	p.current, p.version, p.known = current, version, true
 	return true
 }
--- a/internal/sidecar/tree.go
+++ b/internal/sidecar/tree.go
@@ -74,6 +74,15 @@
 	Epoch  uint64 // Of the windows.
 }
 
+// fanFor returns how many sidecars one calls to reach so many ranks where each call
+// takes some kilobytes.
+func fanFor(ranks int) int {
+	if ranks < fanFlat {
+		return fanFlat
+	}
+	return fanHeavy
+}
+
 // split divides a list into parts of like size, at most so many.
 func split[T any](list []T, parts int) (all [][]T) {
 	parts = min(parts, len(list))
