internal/gateway: the log tells what ended an answer

Cause: an answer that more than one endpoint gave ended as 'served' with the status of the last one; the line did not tell the head that the caller had, how its body was ended, nor what the last endpoint sent. Change: fields head, head-from, broken-off, last-run-* on such answers; counters gateway.answers-after-head and gateway.stream-end.*. No decision changes.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -66,12 +66,25 @@
 // answer sends an answer of the gateway's own.
 func (q *request) answer(status int) {
 	q.status = status
+	q.noteHead("", status)
 	h := q.w.Header()
 	q.g.codec.MarkAnswer(h, q.call.ID)
 	h.Set("Content-Length", "0")
 	q.w.WriteHeader(status)
 }
 
+// endFields tell what the caller saw of an answer that was not simply relayed, and
+// what ended it: whose head it has, whether its body was ended in order, and what
+// the last endpoint sent, how that was framed and how many events came of it.
+func (q *request) endFields() []zap.Field {
+	return []zap.Field{
+		zap.Int("head", q.head), zap.String("head-from", q.headFrom), zap.Bool("broken-off", q.brokenOff()),
+		zap.String("last-run", q.lastRun.endpoint), zap.Int("last-run-status", q.lastRun.status),
+		zap.Bool("last-run-framed", q.lastRun.framed), zap.Int("last-run-events", q.lastRun.events),
+		zap.Int64("last-event-id", q.lastID),
+	}
+}
+
 // maxNotes bounds what is kept of a request for the log.
 const maxNotes = 8
 
@@ -114,6 +127,9 @@
 	if q.events > 0 {
 		fields = append(fields, zap.Int("events", q.events), zap.Int64("pause-ms", q.pause.Milliseconds()))
 	}
+	if q.brokenOff() || len(q.tried) > 1 {
+		fields = append(fields, q.endFields()...)
+	}
 	if q.retryIn > 0 {
 		fields = append(fields, zap.Duration("retry-after", q.retryIn))
 	}
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -10,14 +10,15 @@
 
 // figures are the counters and histograms of a gateway.
 type figures struct {
-	reg     metrics.Registry
-	dialed  metrics.Counter   // New connections to endpoints.
-	repeats metrics.Counter   // Requests sent to a further endpoint.
-	waited  metrics.Counter   // Requests that waited for room.
-	moved   metrics.Counter   // Requests moved away from slow ranks.
-	resumed metrics.Counter   // Streams that went on at another endpoint.
-	first   metrics.Histogram // Milliseconds to the answer or its first event.
-	loadAge metrics.Histogram // Milliseconds since an endpoint's load was told, when a request goes there.
+	reg       metrics.Registry
+	dialed    metrics.Counter   // New connections to endpoints.
+	repeats   metrics.Counter   // Requests sent to a further endpoint.
+	waited    metrics.Counter   // Requests that waited for room.
+	moved     metrics.Counter   // Requests moved away from slow ranks.
+	resumed   metrics.Counter   // Streams that went on at another endpoint.
+	afterHead metrics.Counter   // Answers that were passed on although a head had gone out.
+	first     metrics.Histogram // Milliseconds to the answer or its first event.
+	loadAge   metrics.Histogram // Milliseconds since an endpoint's load was told, when a request goes there.
 }
 
 // histogramSize is how many samples a histogram keeps.
@@ -25,14 +26,15 @@
 
 func newFigures(reg metrics.Registry) *figures {
 	return &figures{
-		reg:     reg,
-		dialed:  metrics.GetOrRegisterCounter("gateway.connections", reg),
-		repeats: metrics.GetOrRegisterCounter("gateway.repeats", reg),
-		waited:  metrics.GetOrRegisterCounter("gateway.waited", reg),
-		moved:   metrics.GetOrRegisterCounter("gateway.moved", reg),
-		resumed: metrics.GetOrRegisterCounter("gateway.resumed", reg),
-		loadAge: metrics.GetOrRegisterHistogram("gateway.load-age", reg, metrics.NewUniformSample(histogramSize)),
-		first:   metrics.GetOrRegisterHistogram("gateway.first-ms", reg, metrics.NewUniformSample(histogramSize)),
+		reg:       reg,
+		dialed:    metrics.GetOrRegisterCounter("gateway.connections", reg),
+		repeats:   metrics.GetOrRegisterCounter("gateway.repeats", reg),
+		waited:    metrics.GetOrRegisterCounter("gateway.waited", reg),
+		moved:     metrics.GetOrRegisterCounter("gateway.moved", reg),
+		resumed:   metrics.GetOrRegisterCounter("gateway.resumed", reg),
+		afterHead: metrics.GetOrRegisterCounter("gateway.answers-after-head", reg),
+		loadAge:   metrics.GetOrRegisterHistogram("gateway.load-age", reg, metrics.NewUniformSample(histogramSize)),
+		first:     metrics.GetOrRegisterHistogram("gateway.first-ms", reg, metrics.NewUniformSample(histogramSize)),
 	}
 }
 
@@ -41,4 +43,17 @@
 	metrics.GetOrRegisterCounter("gateway.outcome."+string(o), f.reg).Inc(1)
 }
 
+// streamEnd counts by what a stream was taken as whole: the end that its framing
+// tells, the end of a connection without framing, or a run without any event.
+func (f *figures) streamEnd(r run) {
+	how := "framed"
+	switch {
+	case r.events == 0:
+		how = "empty"
+	case !r.framed:
+		how = "unframed"
+	}
+	metrics.GetOrRegisterCounter("gateway.stream-end."+how, f.reg).Inc(1)
+}
+
 func (f *figures) firstByte(d time.Duration) { f.first.Update(d.Milliseconds()) }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -49,6 +49,9 @@
 	paid      bool            // The next try's repeat is taken already.
 	again     bool            // The caller was refused before.
 	begun     bool            // The head of an answer has gone to the caller.
+	head      int             // Status of that head, 0 before; what follows cannot change it.
+	headFrom  string          // Endpoint whose head it is, "" for one of the gateway's own.
+	lastRun   run             // What the last endpoint whose answer was read sent.
 	lastID    int64           // Id of the last event that went to the caller.
 	hasID     bool
 	firstAt   time.Time // When the answer or its first event went out.
@@ -109,11 +112,15 @@
 		q.run()
 	}
 	q.finish()
-	if q.begun && q.outcome != served {
+	if q.brokenOff() {
 		panic(http.ErrAbortHandler) // The connection ends, so that the answer does not look whole.
 	}
 }
 
+// brokenOff reports whether the caller's answer has begun and cannot be ended as
+// whole.
+func (q *request) brokenOff() bool { return q.begun && q.outcome != served }
+
 // admit finds the route and the customer; it reports false when the request
 // has its final answer.
 func (q *request) admit() bool {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -233,6 +233,7 @@
 		q.bad(e, 1, fmt.Sprintf("status %d without signature", resp.StatusCode))
 		return unknown
 	}
+	q.lastRun = run{endpoint: e.ID, status: resp.StatusCode, framed: x.Framed()}
 	if q.route.Kind == fleet.Streaming && resp.StatusCode == http.StatusOK {
 		return q.relayStream(e, x, resp)
 	}
@@ -337,6 +338,14 @@
 	return over
 }
 
+// run is what an endpoint sent in answer to a request, for the log.
+type run struct {
+	endpoint string
+	status   int
+	framed   bool // Its answer told where it ends.
+	events   int  // That went to the caller.
+}
+
 // keptAnswer is an endpoint's own failure, which is passed on when no other
 // endpoint does better.
 type keptAnswer struct {
@@ -362,6 +371,10 @@
 func (q *request) passOn(e fleet.Endpoint, resp *http.Response, body []byte) {
 	q.endpoint, q.status, q.outcome, q.begun = e.ID, resp.StatusCode, served, true
 	q.firstAt = time.Now()
+	if q.head != 0 {
+		q.g.figures.afterHead.Inc(1)
+	}
+	q.noteHead(e.ID, resp.StatusCode)
 	q.copyHead(resp)
 	q.w.Header().Set("Content-Length", fmt.Sprint(len(body)))
 	q.w.WriteHeader(resp.StatusCode)
@@ -371,6 +384,13 @@
 	}
 }
 
+// noteHead keeps the first head that goes to the caller.
+func (q *request) noteHead(from string, status int) {
+	if q.head == 0 {
+		q.head, q.headFrom = status, from
+	}
+}
+
 func (q *request) copyHead(resp *http.Response) {
 	h := q.w.Header()
 	for name, values := range q.g.codec.CallerHeader(resp.Header) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -94,6 +94,7 @@
 		q.begun = true
 		q.endpoint, q.status = e.ID, resp.StatusCode
 		q.firstAt = time.Now()
+		q.noteHead(e.ID, resp.StatusCode)
 		q.copyHead(resp)
 		q.w.WriteHeader(resp.StatusCode)
 	}
@@ -104,6 +105,7 @@
 	q.noteTime(e, now)
 	q.lastAt = now
 	q.events++
+	q.lastRun.events++
 	if ev.hasID {
 		q.lastID, q.hasID = ev.id, true
 	}
@@ -132,6 +134,7 @@
 		q.bad(e, 1, "a stream without events")
 		return unknown
 	}
+	q.g.figures.streamEnd(q.lastRun)
 	x.Done(q.g.pool)
 	q.good(e)
 	q.outcome = served
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -143,6 +143,11 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
+// Framed reports whether the answer, whose head has come, tells its own end. The
+// end of one that does not is that of its connection, which says as well that the
+// endpoint's process ended.
+func (x *Exchange) Framed() bool { return framed(x.resp) }
+
 // Done gives the connection back after a body that was read to its end, or
 // closes it when the endpoint will, or when the request was not read whole.
 func (x *Exchange) Done(p *Pool) {
