platform, internal/fleet: the version of the weights that made an answer, and that one is asked for

Answers name it in their head, events at which it changes in a line; a request may ask for one. The gateway needs both to join two runs of a stream.

--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -23,8 +23,9 @@
 	EndpointID string // The only endpoint that may run it.
 	Customer   string // "" when the route is public.
 	Left       time.Duration
-	Priority   int // 0 is the most urgent; -1 for none.
-	LastEvent  string
+	Priority   int    // 0 is the most urgent; -1 for none.
+	LastEvent  string // Id after which a stream goes on; "" for what the caller said.
+	Weights    string // Version of the weights that may run it; "" for any.
 }
 
 // Answer is what an endpoint's answer says about itself, besides its status
@@ -36,4 +37,5 @@
 	Endpoint string // Of the endpoint that answered, when told.
 	AtFault  string // Endpoint that a group's refusal is blamed on, when told.
 	Encoded  bool   // The body is not in the form that callers expect.
+	Weights  string // Version of the weights that made it, when told.
 }
