internal/gateway, internal/daemon: one writer of a caller's answer, and an end only where it was seen

Cause: passOn wrote an endpoint's own failure over a stream that had begun; its head came to nothing, and the server ends whatever a handler leaves behind in order. Class: something other than the end of a stream seen whole ends an answer as complete. Change: reply is the only writer of the answer to a caller and knows its state; close breaks off what was not ended as whole. cursor says what may follow what the caller has. An end without framing counts if the endpoint still takes connections. Answers to HTTP/1.0 callers reset their connection until the end was seen, also when the process is killed. A stream's empty run is whole for a caller that names its last event, if framed. The HTTP server's own warnings go to the log (they told of the second head, and were thrown away). Conclusion: the class cannot be written any more at this place.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/canvaspulley/canvaspulley/internal/callerconn"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/gateway"
 	"github.com/canvaspulley/canvaspulley/internal/oplog"
@@ -56,6 +57,8 @@
 	file string
 	log  *zap.Logger
 	reg  metrics.Registry
+
+	serverLog *log.Logger // Of what HTTP servers say themselves.
 }
 
 // runFleet serves until a planned stop is complete.
@@ -67,7 +70,11 @@
 	if set.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * set.MemoryLimit * (1 << 20)))
 	}
-	p := &fleetProcess{set: set, file: file, log: logger, reg: metrics.NewRegistry()}
+	serverLog, err := zap.NewStdLogAt(logger.Named("http"), zap.WarnLevel)
+	if err != nil {
+		return errors.Wrap(err, "log of the servers")
+	}
+	p := &fleetProcess{set: set, file: file, log: logger, serverLog: serverLog, reg: metrics.NewRegistry()}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	logging, stopLog := context.WithCancel(context.Background())
@@ -107,13 +114,15 @@
 	return socket, calls, func() { closeSocket(); _ = calls.Close() }, nil
 }
 
-// httpServer returns a server of the process.
-func httpServer(h http.Handler) *http.Server {
+// httpServer returns a server of the process. What the server itself has to say, such
+// as a second head that a handler wrote, goes to the process's log: it is the only
+// sign of a fault in a handler. Callers that break off are not among it.
+func (p *fleetProcess) httpServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: callersHeaderTime,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          log.New(io.Discard, "", 0), // Callers that break off are told in the request's own line.
+		ErrorLog:          p.serverLog,
 	}
 }
 
@@ -221,11 +230,12 @@
 	group.Go(func() error { return g.Run(ctx) })
 	group.Go(func() error { return socket.Run(ctx, neighbours.Receive) })
 	group.Go(func() error { return neighbours.Run(ctx) })
-	group.Go(func() error { return serveOn(ctx, httpServer(neighbours.Handler()), calls) })
-	srv := httpServer(g.Handler())
+	group.Go(func() error { return serveOn(ctx, p.httpServer(neighbours.Handler()), calls) })
+	srv := p.httpServer(g.Handler())
 	srv.ConnState = g.ConnState()
+	srv.ConnContext = callerconn.Context
 	group.Go(func() error { return serveOn(ctx, srv, callers) })
-	group.Go(func() error { return serveOn(ctx, httpServer(g.ReadinessHandler()), readiness) })
+	group.Go(func() error { return serveOn(ctx, p.httpServer(g.ReadinessHandler()), readiness) })
 	p.serveMetrics(ctx, group)
 	group.Go(func() error {
 		defer cancel()
@@ -288,7 +298,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return p.signals(ctx, cancel, cancel) })
 	group.Go(func() error { return s.Run(ctx) })
-	group.Go(func() error { return serveOn(ctx, httpServer(s.Handler()), calls) })
+	group.Go(func() error { return serveOn(ctx, p.httpServer(s.Handler()), calls) })
 	p.serveMetrics(ctx, group)
 	return group.Wait()
 }
@@ -307,6 +317,7 @@
 		CallerHeader:   platform.CallerHeader,
 		ReadAnswer:     platform.ReadAnswer,
 		MarkAnswer:     platform.MarkAnswer,
+		EventWeights:   platform.EventWeights,
 	}
 }
 
@@ -326,5 +337,5 @@
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 		metrics.WriteOnce(p.reg, w)
 	})
-	group.Go(func() error { return serveOn(ctx, httpServer(mux), l) })
+	group.Go(func() error { return serveOn(ctx, p.httpServer(mux), l) })
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -42,7 +42,7 @@
 func (q *request) refuse(cause string, after time.Duration) {
 	q.note(cause)
 	q.outcome, q.retryIn = refused, after
-	q.w.Header().Set("Retry-After", strconv.FormatFloat(math.Ceil(after.Seconds()*100)/100, 'f', -1, 64))
+	q.reply.setHeader("Retry-After", strconv.FormatFloat(math.Ceil(after.Seconds()*100)/100, 'f', -1, 64))
 	q.answer(http.StatusServiceUnavailable)
 }
 
@@ -65,23 +65,25 @@
 
 // answer sends an answer of the gateway's own.
 func (q *request) answer(status int) {
-	q.status = status
-	q.noteHead("", status)
-	h := q.w.Header()
+	h := http.Header{}
 	q.g.codec.MarkAnswer(h, q.call.ID)
-	h.Set("Content-Length", "0")
-	q.w.WriteHeader(status)
+	if err := q.reply.sendWhole(replyHead{status: status, header: h}, nil); err != nil {
+		q.note("caller: " + err.Error())
+	}
 }
 
-// endFields tell what the caller saw of an answer that was not simply relayed, and
-// what ended it: whose head it has, whether its body was ended in order, and what
-// the last endpoint sent, how that was framed and how many events came of it.
+// closeAfter tells the caller that its connection ends after the answer.
+func (q *request) closeAfter() { q.reply.setHeader("Connection", "close") }
+
+// endFields tell what ended an answer that was not simply relayed: whether it was
+// left without its end, and what the last endpoint sent, how that was framed and how
+// many events came of it.
 func (q *request) endFields() []zap.Field {
 	return []zap.Field{
-		zap.Int("head", q.head), zap.String("head-from", q.headFrom), zap.Bool("broken-off", q.brokenOff()),
+		zap.Bool("broken-off", q.reply.brokenOff()),
 		zap.String("last-run", q.lastRun.endpoint), zap.Int("last-run-status", q.lastRun.status),
 		zap.Bool("last-run-framed", q.lastRun.framed), zap.Int("last-run-events", q.lastRun.events),
-		zap.Int64("last-event-id", q.lastID),
+		zap.Int64("last-event-id", q.cursor.id),
 	}
 }
 
@@ -104,7 +106,7 @@
 	}
 	fields := make([]zap.Field, 0, 16)
 	fields = append(fields,
-		zap.String("id", q.call.ID), zap.String("outcome", string(q.outcome)), zap.Int("status", q.status),
+		zap.String("id", q.call.ID), zap.String("outcome", string(q.outcome)), zap.Int("status", q.reply.status),
 		zap.Int64("ms", now.Sub(q.arrived).Milliseconds()), zap.Int64("age-ms", q.age.Milliseconds()))
 	if q.config != nil {
 		fields = append(fields, zap.Uint64("version", q.config.Version()))
@@ -127,7 +129,7 @@
 	if q.events > 0 {
 		fields = append(fields, zap.Int("events", q.events), zap.Int64("pause-ms", q.pause.Milliseconds()))
 	}
-	if q.brokenOff() || len(q.tried) > 1 {
+	if q.reply.brokenOff() || len(q.tried) > 1 {
 		fields = append(fields, q.endFields()...)
 	}
 	if q.retryIn > 0 {
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -100,7 +100,7 @@
 	switch {
 	case ok && q.takes(open[i], offers[i]):
 		return members[open[i]], true
-	case q.begun || len(q.tried) > 0 || !limited:
+	case q.reply.begun() || len(q.tried) > 0 || !limited:
 		return list, true
 	}
 	for k, o := range offers {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 	CallerHeader   func(in http.Header) http.Header
 	ReadAnswer     func(status int, h http.Header) fleet.Answer
 	MarkAnswer     func(h http.Header, callID string)
+	EventWeights   func(line []byte) (version string, ok bool) // Of a line of an event.
 }
 
 // Config is the setting of a Gateway.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -19,7 +19,7 @@
 type request struct {
 	g        *Gateway
 	ctx      context.Context // Ends when the caller leaves.
-	w        http.ResponseWriter
+	reply    reply
 	r        *http.Request
 	call     fleet.Call
 	config   *fleet.Config // The version that decided.
@@ -48,20 +48,15 @@
 	moved     bool            // Its try was ended by vacate, which took a repeat for it; guarded by the gateway's mu.
 	paid      bool            // The next try's repeat is taken already.
 	again     bool            // The caller was refused before.
-	begun     bool            // The head of an answer has gone to the caller.
-	head      int             // Status of that head, 0 before; what follows cannot change it.
-	headFrom  string          // Endpoint whose head it is, "" for one of the gateway's own.
 	lastRun   run             // What the last endpoint whose answer was read sent.
-	lastID    int64           // Id of the last event that went to the caller.
-	hasID     bool
-	firstAt   time.Time // When the answer or its first event went out.
+	cursor    cursor          // What the caller has of a stream.
+	firstAt   time.Time       // When the answer or its first event went out.
 	events    int
 	lastAt    time.Time     // When the last event went out.
 	pause     time.Duration // Longest between two events.
 	outcome   outcome
-	status    int
 	retryIn   time.Duration
-	endpoint  string // That served it.
+	endpoint  string // Whose head the caller has.
 }
 
 // lastAsked is the group in which a request wanted a place, and the time of the
@@ -100,10 +95,10 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.busy.Add(1)
 	defer g.busy.Add(-1)
-	q := &request{g: g, ctx: r.Context(), w: w, r: r, arrived: time.Now(), call: g.codec.ReadCall(r.Header)}
+	q := &request{g: g, ctx: r.Context(), reply: reply{w: w, r: r}, r: r, arrived: time.Now(), call: g.codec.ReadCall(r.Header)}
 	begun, closed := g.leaving(q.arrived)
 	if begun {
-		w.Header().Set("Connection", "close")
+		q.closeAfter()
 	}
 	switch {
 	case closed:
@@ -112,15 +107,9 @@
 		q.run()
 	}
 	q.finish()
-	if q.brokenOff() {
-		panic(http.ErrAbortHandler) // The connection ends, so that the answer does not look whole.
-	}
+	q.reply.close()
 }
 
-// brokenOff reports whether the caller's answer has begun and cannot be ended as
-// whole.
-func (q *request) brokenOff() bool { return q.begun && q.outcome != served }
-
 // admit finds the route and the customer; it reports false when the request
 // has its final answer.
 func (q *request) admit() bool {
@@ -157,6 +146,9 @@
 		q.again = q.g.patience.again(q.route.Name, patience)
 	}
 	q.final = q.arrived.Add(min(patience, q.route.Timeout))
+	if q.route.Kind == fleet.Streaming {
+		q.cursor = cursorFrom(q.call.LastEvent)
+	}
 	return true
 }
 
@@ -211,7 +203,7 @@
 	}
 	q.config, q.route = c, route
 	if !slices.ContainsFunc(route.Split, func(s fleet.Share) bool { return s.Service == q.service && s.Weight > 0 }) {
-		if q.begun {
+		if q.reply.begun() {
 			return "route moved", false
 		}
 		q.service = q.pickService()
@@ -245,11 +237,11 @@
 		limit = fallbackBody
 	}
 	if q.r.ContentLength > limit {
-		q.w.Header().Set("Connection", "close")
+		q.closeAfter()
 		q.reject(http.StatusRequestEntityTooLarge, "body too large")
 		return false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(q.reply.w, q.r.Body, limit))
 	if err == nil {
 		q.body = body
 		return true
@@ -261,7 +253,7 @@
 	}
 	q.note("body: " + err.Error())
 	q.outcome = left
-	q.w.Header().Set("Connection", "close")
+	q.closeAfter()
 	q.answer(http.StatusBadRequest)
 	return false
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -73,7 +73,7 @@
 		q.paid = q.takeMoved()
 		if last == unknown {
 			q.mayRun = true
-			if !q.route.MayRepeat() {
+			if !q.mayGoOn() {
 				q.giveUp(last, false)
 				return
 			}
@@ -81,12 +81,18 @@
 	}
 }
 
+// mayGoOn reports whether a request that may have run may be sent again: a stream of
+// which the caller has a part only to where it can go on after that.
+func (q *request) mayGoOn() bool {
+	return q.route.MayRepeat() && (!q.reply.begun() || q.cursor.resumable())
+}
+
 // giveUp gives the final answer of a request that nothing more is tried for.
 func (q *request) giveUp(last result, late bool) {
 	switch {
 	case q.ctx.Err() != nil:
 		q.outcome = left
-	case q.begun:
+	case q.reply.begun():
 		q.outcome = cutStream
 	case q.kept != nil:
 		q.passOn(q.kept.from, q.kept.resp, q.kept.body)
@@ -234,10 +240,18 @@
 		return unknown
 	}
 	q.lastRun = run{endpoint: e.ID, status: resp.StatusCode, framed: x.Framed()}
-	if q.route.Kind == fleet.Streaming && resp.StatusCode == http.StatusOK {
+	if q.reply.begun() {
+		if err := q.fits(resp, answer); err != nil {
+			return q.notJoined(e, x, fault(resp.StatusCode), err)
+		}
+	}
+	if q.isStream(resp) {
+		if answer.Weights != "" {
+			q.cursor.weights = answer.Weights
+		}
 		return q.relayStream(e, x, resp)
 	}
-	return q.relayWhole(e, x, resp, sentAt)
+	return q.relayWhole(e, x, resp)
 }
 
 // stamp is what the endpoint is told besides the caller's headers.
@@ -246,12 +260,21 @@
 	if q.customer != nil {
 		s.Customer = q.customer.Name
 	}
-	if q.hasID {
-		s.LastEvent = fmt.Sprint(q.lastID)
+	s.LastEvent = q.cursor.lastEvent()
+	if q.reply.begun() {
+		s.Weights = q.cursor.weights
 	}
 	return s
 }
 
+// fault is the weight with which an answer's status counts against its endpoint.
+func fault(status int) float64 {
+	if status >= http.StatusInternalServerError {
+		return 1
+	}
+	return 0
+}
+
 // broken judges a connection that failed before the head of an answer.
 func (q *request) broken(e fleet.Endpoint, x *upstream.Exchange, err error) result {
 	if q.ctx.Err() != nil {
@@ -280,7 +303,7 @@
 	q.bad(e, 0, fmt.Sprintf("turned away: %d %s", status, a.AtFault)) // Being full is no fault.
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	if status == http.StatusMisdirectedRequest {
+	if status == http.StatusMisdirectedRequest && !q.reply.begun() { // Else it may have other weights.
 		q.g.table.Misplaced(e.ID, time.Now())
 	}
 	if a.AtFault != "" {
@@ -313,7 +336,7 @@
 
 // relayWhole reads an answer to its end and only then passes it on, so that
 // nothing goes out of one that is not whole.
-func (q *request) relayWhole(e fleet.Endpoint, x *upstream.Exchange, resp *http.Response, sentAt time.Time) result {
+func (q *request) relayWhole(e fleet.Endpoint, x *upstream.Exchange, resp *http.Response) result {
 	body, err := x.ReadWhole(maxAnswer)
 	if err != nil {
 		x.Abort()
@@ -325,6 +348,10 @@
 		return unknown
 	}
 	x.Done(q.g.pool)
+	if !q.sawEnd(e, x) {
+		q.bad(e, 1, errUnsureEnd.Error())
+		return unknown
+	}
 	if resp.StatusCode >= 500 {
 		q.bad(e, 1, fmt.Sprintf("status %d", resp.StatusCode))
 		if q.mayAskAnother() {
@@ -369,34 +396,19 @@
 
 // passOn sends a whole answer to the caller.
 func (q *request) passOn(e fleet.Endpoint, resp *http.Response, body []byte) {
-	q.endpoint, q.status, q.outcome, q.begun = e.ID, resp.StatusCode, served, true
+	q.endpoint, q.outcome = e.ID, served
 	q.firstAt = time.Now()
-	if q.head != 0 {
-		q.g.figures.afterHead.Inc(1)
-	}
-	q.noteHead(e.ID, resp.StatusCode)
-	q.copyHead(resp)
-	q.w.Header().Set("Content-Length", fmt.Sprint(len(body)))
-	q.w.WriteHeader(resp.StatusCode)
-	if _, err := q.w.Write(body); err != nil {
+	if err := q.reply.sendWhole(q.headOf(resp), body); err != nil {
 		q.note("caller: " + err.Error())
 		q.outcome = left
 	}
 }
 
-// noteHead keeps the first head that goes to the caller.
-func (q *request) noteHead(from string, status int) {
-	if q.head == 0 {
-		q.head, q.headFrom = status, from
-	}
-}
-
-func (q *request) copyHead(resp *http.Response) {
-	h := q.w.Header()
-	for name, values := range q.g.codec.CallerHeader(resp.Header) {
-		h[name] = values
-	}
+// headOf returns the head of an endpoint's answer as the caller gets it.
+func (q *request) headOf(resp *http.Response) replyHead {
+	h := q.g.codec.CallerHeader(resp.Header)
 	if begun, _ := q.g.leaving(time.Now()); begun {
 		h.Set("Connection", "close")
 	}
+	return replyHead{status: resp.StatusCode, header: h}
 }
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -44,7 +44,8 @@
 		ReadAnswer: func(_ int, h http.Header) fleet.Answer {
 			return fleet.Answer{ID: h.Get(headerID), Signed: true}
 		},
-		MarkAnswer: func(h http.Header, id string) { h.Set(headerID, id) },
+		MarkAnswer:   func(h http.Header, id string) { h.Set(headerID, id) },
+		EventWeights: func([]byte) (string, bool) { return "", false },
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -21,16 +22,21 @@
 
 // event is one whole event of a stream, with the blank line that ends it.
 type event struct {
-	raw   []byte
-	id    int64
-	hasID bool
+	raw     []byte
+	id      int64
+	hasID   bool
+	hasData bool
+	weights string // Version of the weights from here on; "" when it does not change.
 }
 
-// errPartial means that a stream ended within an event.
-var errPartial = errors.New("the stream ended within an event")
+// Errors of streams that end before their end.
+var (
+	errPartial   = errors.New("the stream ended within an event")
+	errUnsureEnd = errors.New("the connection ended, and with it perhaps the endpoint's process")
+)
 
 // readEvent reads one event into buf, io.EOF when the stream ended before it.
-func readEvent(br *bufio.Reader, buf []byte) (ev event, err error) {
+func (g *Gateway) readEvent(br *bufio.Reader, buf []byte) (ev event, err error) {
 	ev.raw = buf[:0]
 	for {
 		line, err := br.ReadSlice('\n')
@@ -50,22 +56,78 @@
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return ev, nil
 		}
-		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			if ev.id, err = strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64); err != nil {
-				return ev, errors.Wrap(err, "event id")
-			}
-			ev.hasID = true
+		if err := g.readField(&ev, line); err != nil {
+			return ev, err
 		}
 	}
 }
 
+// readField takes in one line of an event.
+func (g *Gateway) readField(ev *event, line []byte) (err error) {
+	if v, ok := g.codec.EventWeights(line); ok {
+		ev.weights = v
+		return nil
+	}
+	if bytes.HasPrefix(line, []byte("data:")) {
+		ev.hasData = true
+		return nil
+	}
+	v, ok := bytes.CutPrefix(line, []byte("id:"))
+	if !ok {
+		return nil
+	}
+	if ev.id, err = strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64); err != nil {
+		return errors.Wrap(err, "event id")
+	}
+	ev.hasID = true
+	return nil
+}
+
+// eventStream is the media type of streams.
+const eventStream = "text/event-stream"
+
+// isStream reports whether an answer is a stream of events; all else is passed on
+// when it is whole.
+func (q *request) isStream(resp *http.Response) bool {
+	if q.route.Kind != fleet.Streaming || resp.StatusCode != http.StatusOK {
+		return false
+	}
+	media, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	return err == nil && media == eventStream
+}
+
+// fits returns why an answer cannot go on with a stream that has begun. Its head
+// cannot reach the caller any more, so nothing but a stream of the same weights may
+// follow: the body of an endpoint's own failure would end the caller's answer as if
+// the stream were whole.
+func (q *request) fits(resp *http.Response, a fleet.Answer) error {
+	switch {
+	case !q.isStream(resp):
+		return errors.Newf("status %d where a stream goes on", resp.StatusCode)
+	case a.Weights != "" && q.cursor.weights != "" && a.Weights != q.cursor.weights:
+		return errors.Newf("weights %s where a stream of weights %s goes on", a.Weights, q.cursor.weights)
+	}
+	return nil
+}
+
+// notJoined drops an answer, or the rest of one, that cannot go on with the stream.
+// The endpoint is at fault for a failure of its own and for events out of order, but
+// not for a request that it does not take.
+func (q *request) notJoined(e fleet.Endpoint, x *upstream.Exchange, weight float64, why error) result {
+	x.Abort()
+	q.g.figures.notJoined.Inc(1)
+	q.bad(e, weight, why.Error())
+	return unknown
+}
+
 // relayStream passes events on as they come. Only whole events go out, so that
 // another endpoint can go on after the last one.
 func (q *request) relayStream(e fleet.Endpoint, x *upstream.Exchange, resp *http.Response) result {
+	joined := q.reply.begun()
 	br := x.Reader()
 	var buf []byte
 	for {
-		ev, err := readEvent(br, buf)
+		ev, err := q.g.readEvent(br, buf)
 		buf = ev.raw
 		if errors.Is(err, io.EOF) {
 			return q.endStream(e, x, resp)
@@ -74,10 +136,9 @@
 			x.Abort()
 			return q.brokenStream(e, err)
 		}
-		if ev.hasID && q.hasID && ev.id <= q.lastID {
-			x.Abort()
-			q.bad(e, 1, "event id "+strconv.FormatInt(ev.id, 10)+" came again")
-			return unknown
+		first := q.lastRun.events == 0
+		if err := q.cursor.check(ev, joined && first); err != nil {
+			return q.notJoined(e, x, 1, err)
 		}
 		if err := q.sendEvent(e, resp, ev, br.Buffered() == 0); err != nil {
 			x.Abort()
@@ -85,34 +146,32 @@
 			q.outcome = left
 			return over
 		}
+		q.cursor.pass(ev, first)
 	}
 }
 
 // sendEvent passes one event on; flush is set when no further one is at hand.
 func (q *request) sendEvent(e fleet.Endpoint, resp *http.Response, ev event, flush bool) error {
-	if !q.begun {
-		q.begun = true
-		q.endpoint, q.status = e.ID, resp.StatusCode
+	var h replyHead
+	if !q.reply.begun() {
+		h = q.headOf(resp)
+		q.endpoint = e.ID
 		q.firstAt = time.Now()
-		q.noteHead(e.ID, resp.StatusCode)
-		q.copyHead(resp)
-		q.w.WriteHeader(resp.StatusCode)
 	}
-	if _, err := q.w.Write(ev.raw); err != nil {
+	if err := q.reply.sendEvent(h, ev.raw); err != nil {
 		return err
 	}
-	now := time.Now()
-	q.noteTime(e, now)
-	q.lastAt = now
-	q.events++
-	q.lastRun.events++
-	if ev.hasID {
-		q.lastID, q.hasID = ev.id, true
+	if ev.hasData {
+		now := time.Now()
+		q.noteTime(e, now)
+		q.lastAt = now
+		q.events++
+		q.lastRun.events++
 	}
 	if !flush {
 		return nil
 	}
-	return http.NewResponseController(q.w).Flush()
+	return q.reply.flush()
 }
 
 // noteTime tells what the time of an event says of the passes of its group.
@@ -129,18 +188,59 @@
 
 // endStream ends a stream that its endpoint ended as whole.
 func (q *request) endStream(e fleet.Endpoint, x *upstream.Exchange, resp *http.Response) result {
-	if !q.begun {
+	if !q.reply.begun() {
+		return q.endEmpty(e, x, resp)
+	}
+	x.Done(q.g.pool)
+	if !q.sawEnd(e, x) {
+		return q.brokenStream(e, errUnsureEnd)
+	}
+	if err := q.reply.endStream(); err != nil {
+		q.note(err.Error())
+		q.outcome = cutStream
+		return over
+	}
+	q.g.figures.streamEnd(q.lastRun)
+	q.good(e)
+	q.outcome = served
+	return over
+}
+
+// endEmpty ends a stream of which no event came. It is whole for a caller that has
+// had events before, if its framing says so: it had the last one.
+func (q *request) endEmpty(e fleet.Endpoint, x *upstream.Exchange, resp *http.Response) result {
+	if !q.cursor.known || !x.Framed() {
 		x.Abort()
 		q.bad(e, 1, "a stream without events")
 		return unknown
 	}
-	q.g.figures.streamEnd(q.lastRun)
 	x.Done(q.g.pool)
+	q.g.figures.streamEnd(q.lastRun)
 	q.good(e)
-	q.outcome = served
+	q.passOn(e, resp, nil)
 	return over
 }
 
+// sawEnd reports whether the end of a body that was read is the end of the answer. A
+// body without framing ends with its connection, which a process that ends closes in
+// order as well. It counts if the endpoint still takes connections, and for a stream
+// if it brought an event; the new connection is kept for the next request.
+func (q *request) sawEnd(e fleet.Endpoint, x *upstream.Exchange) bool {
+	if x.Framed() {
+		return true
+	}
+	if q.reply.begun() && q.lastRun.events == 0 {
+		return false
+	}
+	conn, err := q.g.pool.Get(q.ctx, e.ID, e.Address, onceIdle)
+	if err != nil {
+		q.note(e.ID + ": after an answer without a length: " + err.Error())
+		return false
+	}
+	q.g.pool.Put(conn)
+	return true
+}
+
 // brokenStream judges a stream that broke off.
 func (q *request) brokenStream(e fleet.Endpoint, err error) result {
 	if q.ctx.Err() != nil {
@@ -150,9 +250,9 @@
 	if !q.moving(e) {
 		q.bad(e, 1, "stream: "+err.Error())
 	}
-	if q.begun {
+	if q.reply.begun() {
 		// What came whole is the caller's, whatever becomes of the rest.
-		if err := http.NewResponseController(q.w).Flush(); err != nil {
+		if err := q.reply.flush(); err != nil {
 			q.note("caller: " + err.Error())
 		}
 		q.g.figures.resumed.Inc(1)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -76,7 +76,7 @@
 	}{
 		{
 			name: "a request that may have run is sent again", file: "../gateway/run.go",
-			from: "if !q.route.MayRepeat() {\n\t\t\t\tq.giveUp(last, false)\n\t\t\t\treturn\n\t\t\t}", to: "",
+			from: "if !q.mayGoOn() {\n\t\t\t\tq.giveUp(last, false)\n\t\t\t\treturn\n\t\t\t}", to: "",
 			finds: "may run once, ran at", seed: 24,
 		},
 		{
