--- /dev/null
+++ b/internal/daemon/gateway.go
@@ -0,0 +1,134 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/callerconn"
+	"github.com/canvaspulley/canvaspulley/internal/follow"
+	"github.com/canvaspulley/canvaspulley/internal/gateway"
+	"github.com/canvaspulley/canvaspulley/platform"
+)
+
+// Times of a planned stop.
+const (
+	// stopLinger is how long new connections may still come after the signal:
+	// the platform asks for readiness each second and stops after two misses.
+	stopLinger = 3500 * time.Millisecond
+	// stopMargin is kept from the end of the grace period.
+	stopMargin = 700 * time.Millisecond
+)
+
+// keyMargin is kept from the time after which a key that was taken away must
+// not count: it covers the way of a request to its endpoint.
+const keyMargin = 900 * time.Millisecond
+
+// gateway runs a gateway.
+func (p *fleetProcess) gateway(ctx context.Context) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	store, closeStore := platform.NewStore(p.set.Store, p.set.Source)
+	defer closeStore()
+	view := follow.NewView()
+	g, closeGateway := gateway.New(gateway.Config{
+		Domain:      p.set.Domain,
+		Source:      p.set.Source,
+		KeyAge:      p.set.Revocation - keyMargin,
+		RetryShare:  p.set.RetryShare,
+		RetryWindow: p.set.RetryWindow,
+		RetrySpare:  p.set.RetrySpare,
+	}, platformCodec(), view, p.log, p.reg)
+	defer closeGateway()
+
+	callers, err := listenTCP(p.set.Callers)
+	if err != nil {
+		return err
+	}
+	readiness, err := listenTCP(p.set.Readiness)
+	if err != nil {
+		return err
+	}
+	socket, calls, closePeers, err := p.listenPeers()
+	if err != nil {
+		return err
+	}
+	defer closePeers()
+	neighbours, closeNeighbours := gateway.NewNeighbours(gateway.NeighboursConfig{
+		Name:         p.set.Name,
+		Domain:       p.set.Domain,
+		Address:      p.set.Peers,
+		Seeds:        p.set.Seeds,
+		InForce:      p.set.InForce,
+		First:        p.set.First,
+		SidecarsPort: p.set.PeersPort,
+		Decode:       platform.DecodeConfig,
+	}, g, socket, p.log)
+	defer closeNeighbours()
+	group, ctx := errgroup.WithContext(ctx)
+	stop := make(chan struct{})
+	group.Go(func() error {
+		return p.signals(ctx, func() { g.Stop(); close(stop) }, cancel)
+	})
+	follower := follow.NewFollower(view, store.Source(), p.log)
+	follower.ListenTo(neighbours.Follow())
+	group.Go(func() error { return follower.Run(ctx, g.Changed) })
+	group.Go(func() error { return g.Run(ctx) })
+	group.Go(func() error { return socket.Run(ctx, neighbours.Receive) })
+	group.Go(func() error { return neighbours.Run(ctx) })
+	group.Go(func() error { return serveOn(ctx, p.httpServer(neighbours.Handler()), calls) })
+	srv := p.httpServer(g.Handler())
+	srv.ConnState = g.ConnState()
+	srv.ConnContext = callerconn.Context
+	group.Go(func() error { return serveOn(ctx, srv, callers) })
+	group.Go(func() error { return serveOn(ctx, p.httpServer(g.ReadinessHandler()), readiness) })
+	p.serveMetrics(ctx, group)
+	group.Go(func() error {
+		defer cancel()
+		p.drain(ctx, stop, g.Busy)
+		return nil
+	})
+	return group.Wait()
+}
+
+// drain waits for the signal to stop and then for what runs.
+func (p *fleetProcess) drain(ctx context.Context, stop <-chan struct{}, busy func() int) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-stop:
+	}
+	began := time.Now()
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			after := now.Sub(began)
+			if after > p.set.Grace-stopMargin {
+				p.log.Warn("stopped with requests at work", zap.Int("requests", busy()))
+				return
+			}
+			if after > stopLinger && busy() == 0 {
+				return
+			}
+		}
+	}
+}
+
+func platformCodec() gateway.Codec {
+	return gateway.Codec{
+		ReadCall:       platform.ReadCall,
+		EndpointHeader: platform.EndpointHeader,
+		CallerHeader:   platform.CallerHeader,
+		ReadAnswer:     platform.ReadAnswer,
+		MarkAnswer:     platform.MarkAnswer,
+		EventWeights:   platform.EventWeights,
+	}
+}
--- /dev/null
+++ b/internal/daemon/sidecar.go
@@ -0,0 +1,51 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package daemon
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/rank"
+	"github.com/canvaspulley/canvaspulley/internal/sidecar"
+	"github.com/canvaspulley/canvaspulley/platform"
+)
+
+// sidecar runs a sidecar.
+func (p *fleetProcess) sidecar(ctx context.Context) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	store, closeStore := platform.NewStore(p.set.Store, p.set.Source)
+	defer closeStore()
+	engine, closeEngine := platform.NewEngine(p.set.Engine, p.set.Source)
+	defer closeEngine()
+	socket, calls, closePeers, err := p.listenPeers()
+	if err != nil {
+		return err
+	}
+	defer closePeers()
+	s, closeSidecar := sidecar.New(sidecar.Config{
+		Address:   p.set.Engine,
+		Domain:    p.set.Domain,
+		PeersPort: p.set.PeersPort,
+		SkewPrice: p.set.SkewPrice,
+		CopyPrice: p.set.CopyPrice,
+		Fences:    p.set.Fences,
+		LinkRate:  p.set.LinkRate,
+	}, engine, p.otherEngine, store.Source(), socket, p.log, p.reg)
+	defer closeSidecar()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return p.signals(ctx, cancel, cancel) })
+	group.Go(func() error { return s.Run(ctx) })
+	group.Go(func() error { return serveOn(ctx, p.httpServer(s.Handler()), calls) })
+	p.serveMetrics(ctx, group)
+	return group.Wait()
+}
+
+// otherEngine makes a client of another rank's engine. It is used now and then
+// only, so its connections are not kept.
+func (p *fleetProcess) otherEngine(address string) rank.Engine {
+	e, _ := platform.NewEngine(address, p.set.Source)
+	return e
+}
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -45,7 +45,7 @@
 
 // streamEnd counts by what a stream was taken as whole: the end that its framing
 // tells, the end of a connection without framing, or a run without any event.
-func (f *figures) streamEnd(r run) {
+func (f *figures) streamEnd(r endpointRun) {
 	how := "framed"
 	switch {
 	case r.events == 0:
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -48,7 +48,7 @@
 	moved     bool            // Its try was ended by vacate, which took a repeat for it; guarded by the gateway's mu.
 	paid      bool            // The next try's repeat is taken already.
 	again     bool            // The caller was refused before.
-	lastRun   run             // What the last endpoint whose answer was read sent.
+	lastRun   endpointRun     // What the last endpoint whose answer was read sent.
 	cursor    cursor          // What the caller has of a stream.
 	firstAt   time.Time       // When the answer or its first event went out.
 	events    int
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,12 +3,9 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
 	"io"
 	"mime"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,72 +14,12 @@
 	"github.com/canvaspulley/canvaspulley/internal/upstream"
 )
 
-// maxEvent bounds one event of a stream.
-const maxEvent = 1 << 20
-
-// event is one whole event of a stream, with the blank line that ends it.
-type event struct {
-	raw     []byte
-	id      int64
-	hasID   bool
-	hasData bool
-	weights string // Version of the weights from here on; "" when it does not change.
-}
-
 // Errors of streams that end before their end.
 var (
 	errPartial   = errors.New("the stream ended within an event")
 	errUnsureEnd = errors.New("the connection ended, and with it perhaps the endpoint's process")
 )
 
-// readEvent reads one event into buf, io.EOF when the stream ended before it.
-func (g *Gateway) readEvent(br *bufio.Reader, buf []byte) (ev event, err error) {
-	ev.raw = buf[:0]
-	for {
-		line, err := br.ReadSlice('\n')
-		ev.raw = append(ev.raw, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(ev.raw) < maxEvent {
-			continue
-		}
-		if errors.Is(err, io.EOF) && len(ev.raw) > 0 {
-			return ev, errPartial
-		}
-		if err != nil {
-			return ev, err
-		}
-		if len(ev.raw) > maxEvent {
-			return ev, errors.Newf("an event of more than %d bytes", maxEvent)
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return ev, nil
-		}
-		if err := g.readField(&ev, line); err != nil {
-			return ev, err
-		}
-	}
-}
-
-// readField takes in one line of an event.
-func (g *Gateway) readField(ev *event, line []byte) (err error) {
-	if v, ok := g.codec.EventWeights(line); ok {
-		ev.weights = v
-		return nil
-	}
-	if bytes.HasPrefix(line, []byte("data:")) {
-		ev.hasData = true
-		return nil
-	}
-	v, ok := bytes.CutPrefix(line, []byte("id:"))
-	if !ok {
-		return nil
-	}
-	if ev.id, err = strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64); err != nil {
-		return errors.Wrap(err, "event id")
-	}
-	ev.hasID = true
-	return nil
-}
-
 // eventStream is the media type of streams.
 const eventStream = "text/event-stream"
 
@@ -221,26 +158,6 @@
 	return over
 }
 
-// sawEnd reports whether the end of a body that was read is the end of the answer. A
-// body without framing ends with its connection, which a process that ends closes in
-// order as well. It counts if the endpoint still takes connections, and for a stream
-// if it brought an event; the new connection is kept for the next request.
-func (q *request) sawEnd(e fleet.Endpoint, x *upstream.Exchange) bool {
-	if x.Framed() {
-		return true
-	}
-	if q.reply.begun() && q.lastRun.events == 0 {
-		return false
-	}
-	conn, err := q.g.pool.Get(q.ctx, e.ID, e.Address, onceIdle)
-	if err != nil {
-		q.note(e.ID + ": after an answer without a length: " + err.Error())
-		return false
-	}
-	q.g.pool.Put(conn)
-	return true
-}
-
 // brokenStream judges a stream that broke off.
 func (q *request) brokenStream(e fleet.Endpoint, err error) result {
 	if q.ctx.Err() != nil {
--- /dev/null
+++ b/internal/gateway/try.go
@@ -0,0 +1,208 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/upstream"
+)
+
+// onceIdle and repeatIdle are how long a connection may have been idle for a
+// request. One that may not run twice gets a new one, since what a kept
+// connection swallowed may have run.
+const (
+	onceIdle   = 0
+	repeatIdle = 30 * time.Second
+)
+
+func (q *request) maxIdle() time.Duration {
+	if q.route.MayRepeat() {
+		return repeatIdle
+	}
+	return onceIdle
+}
+
+// try sends the request to one endpoint and relays its answer.
+func (q *request) try(e fleet.Endpoint) result {
+	g := q.g
+	g.mu.Lock()
+	if age, ok := g.table.Age(e.ID, time.Now()); ok {
+		g.figures.loadAge.Update(age.Milliseconds())
+	}
+	g.table.Start(e.ID)
+	g.mu.Unlock()
+	defer func() {
+		g.mu.Lock()
+		g.table.End(e.ID)
+		g.mu.Unlock()
+	}()
+	conn, err := g.pool.Get(q.ctx, e.ID, e.Address, q.maxIdle())
+	if err != nil {
+		if q.ctx.Err() == nil {
+			q.bad(e, 1, "unreached: "+err.Error())
+		}
+		q.unsent = append(q.unsent, e.ID)
+		return unreached
+	}
+	stop := context.AfterFunc(q.ctx, conn.Close)
+	defer stop()
+	if !q.mayStillSend(e) {
+		conn.Close()
+		q.unsent = append(q.unsent, e.ID)
+		return unreached
+	}
+	if len(q.tried) == 0 {
+		g.mu.Lock()
+		g.window(q.service).Request(time.Now())
+		g.mu.Unlock()
+	}
+	return q.exchange(e, conn)
+}
+
+// mayStillSend looks once more, right before the send, whether the endpoint
+// takes anything new and the configuration still counts: the process may have
+// been stopped since.
+func (q *request) mayStillSend(e fleet.Endpoint) bool {
+	now, ok := q.g.view.State().Endpoints[e.ID]
+	if !ok || now.Leaving || now.Address != e.Address {
+		q.note(e.ID + " leaves")
+		return false
+	}
+	if _, ok := q.recheck(); !ok || !q.keyFresh() {
+		return false // The loop looks again and says why.
+	}
+	return time.Now().Before(q.final)
+}
+
+// exchange sends the request on a connection and relays the answer.
+func (q *request) exchange(e fleet.Endpoint, conn *upstream.Conn) result {
+	sentAt := time.Now()
+	q.sentAt = sentAt
+	q.tried = append(q.tried, e.ID)
+	if q.route.MayRepeat() && q.route.Kind == fleet.Streaming {
+		defer q.g.enter(e.ID, q, conn)()
+	}
+	out := &upstream.Request{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Body: q.body}
+	out.Header = q.g.codec.EndpointHeader(q.r.Header, q.stamp(e, sentAt))
+	x, err := conn.Send(out, q.final)
+	if err != nil {
+		conn.Close()
+		return q.broken(e, x, err)
+	}
+	var answer fleet.Answer
+	resp, err := x.Head(out, func(status int, h http.Header) bool {
+		answer = q.g.codec.ReadAnswer(status, h)
+		return answer.ID == q.call.ID || answer.ID == "" && answer.NotRun
+	})
+	if err != nil {
+		conn.Close()
+		return q.broken(e, x, err)
+	}
+	if answer.NotRun {
+		q.turnedAway(e, resp.StatusCode, answer)
+		x.Abort()
+		return notRun
+	}
+	if !answer.Signed || answer.Encoded {
+		x.Abort()
+		q.bad(e, 1, fmt.Sprintf("status %d without signature", resp.StatusCode))
+		return unknown
+	}
+	q.lastRun = endpointRun{endpoint: e.ID, status: resp.StatusCode, framed: x.Framed()}
+	if q.reply.begun() {
+		if err := q.fits(resp, answer); err != nil {
+			return q.notJoined(e, x, fault(resp.StatusCode), err)
+		}
+	}
+	if q.isStream(resp) {
+		if answer.Weights != "" {
+			q.cursor.weights = answer.Weights
+		}
+		return q.relayStream(e, x, resp)
+	}
+	return q.relayWhole(e, x, resp)
+}
+
+// stamp is what the endpoint is told besides the caller's headers.
+func (q *request) stamp(e fleet.Endpoint, now time.Time) fleet.Stamp {
+	s := fleet.Stamp{EndpointID: e.ID, Left: q.final.Sub(now), Priority: q.priority()}
+	if q.customer != nil {
+		s.Customer = q.customer.Name
+	}
+	s.LastEvent = q.cursor.lastEvent()
+	if q.reply.begun() {
+		s.Weights = q.cursor.weights
+	}
+	return s
+}
+
+// fault is the weight with which an answer's status counts against its endpoint.
+func fault(status int) float64 {
+	if status >= http.StatusInternalServerError {
+		return 1
+	}
+	return 0
+}
+
+// broken judges a connection that failed before the head of an answer.
+func (q *request) broken(e fleet.Endpoint, x *upstream.Exchange, err error) result {
+	if q.ctx.Err() != nil {
+		q.outcome = left
+		return over
+	}
+	if x.Progress() == upstream.Unsent {
+		q.tried = q.tried[:len(q.tried)-1]
+		q.unsent = append(q.unsent, e.ID)
+		q.bad(e, 1, "unsent: "+err.Error())
+		return unreached
+	}
+	if q.moving(e) {
+		return unknown
+	}
+	weight := 1.0
+	if x.Conn().Reused() {
+		weight = 0.5 // It may just have closed an idle connection.
+	}
+	q.bad(e, weight, err.Error())
+	return unknown
+}
+
+// turnedAway notes an answer that says that the request was not run.
+func (q *request) turnedAway(e fleet.Endpoint, status int, a fleet.Answer) {
+	q.bad(e, 0, fmt.Sprintf("turned away: %d %s", status, a.AtFault)) // Being full is no fault.
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	if status == http.StatusMisdirectedRequest && !q.reply.begun() { // Else it may have other weights.
+		q.g.table.Misplaced(e.ID, time.Now())
+	}
+	if a.AtFault != "" {
+		q.downGroup, q.groupDown = q.g.passes.Group(e.ID), true
+	}
+}
+
+// bad notes a failure of an endpoint.
+func (q *request) bad(e fleet.Endpoint, weight float64, text string) {
+	q.note(e.ID + ": " + text)
+	if weight == 0 {
+		return
+	}
+	q.g.mu.Lock()
+	out, ok := q.g.table.Bad(e.ID, weight, time.Now())
+	q.g.mu.Unlock()
+	if ok {
+		q.g.log.Warn("endpoint taken out", zap.String("endpoint", e.ID), zap.String("cause", text), zap.Duration("for", out))
+	}
+}
+
+func (q *request) good(e fleet.Endpoint) {
+	q.g.mu.Lock()
+	q.g.table.Good(e.ID, time.Now())
+	q.g.mu.Unlock()
+}
--- /dev/null
+++ b/internal/gateway/whole.go
@@ -0,0 +1,114 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/upstream"
+)
+
+// maxAnswer bounds an answer that is not a stream.
+const maxAnswer = 16 << 20
+
+// relayWhole reads an answer to its end and only then passes it on, so that
+// nothing goes out of one that is not whole.
+func (q *request) relayWhole(e fleet.Endpoint, x *upstream.Exchange, resp *http.Response) result {
+	body, err := x.ReadWhole(maxAnswer)
+	if err != nil {
+		x.Abort()
+		if q.ctx.Err() != nil {
+			q.outcome = left
+			return over
+		}
+		q.bad(e, 1, err.Error())
+		return unknown
+	}
+	x.Done(q.g.pool)
+	if !q.sawEnd(e, x) {
+		q.bad(e, 1, errUnsureEnd.Error())
+		return unknown
+	}
+	if resp.StatusCode >= 500 {
+		q.bad(e, 1, fmt.Sprintf("status %d", resp.StatusCode))
+		if q.mayAskAnother() {
+			q.kept = &keptAnswer{e, resp, body}
+			return unknown
+		}
+	} else {
+		q.good(e)
+	}
+	q.passOn(e, resp, body)
+	return over
+}
+
+// endpointRun is what an endpoint sent in answer to a request, for the log.
+type endpointRun struct {
+	endpoint string
+	status   int
+	framed   bool // Its answer told where it ends.
+	events   int  // That went to the caller.
+}
+
+// keptAnswer is an endpoint's own failure, which is passed on when no other
+// endpoint does better.
+type keptAnswer struct {
+	from fleet.Endpoint
+	resp *http.Response
+	body []byte
+}
+
+// mayAskAnother reports whether the request could be sent to a further
+// endpoint.
+func (q *request) mayAskAnother() bool {
+	if !q.route.MayRepeat() || len(q.tried) >= q.route.Attempts {
+		return false
+	}
+	now := time.Now()
+	if _, ok := q.choose(now); !ok {
+		return false
+	}
+	return now.Before(q.final)
+}
+
+// passOn sends a whole answer to the caller.
+func (q *request) passOn(e fleet.Endpoint, resp *http.Response, body []byte) {
+	q.endpoint, q.outcome = e.ID, served
+	q.firstAt = time.Now()
+	if err := q.reply.sendWhole(q.headOf(resp), body); err != nil {
+		q.note("caller: " + err.Error())
+		q.outcome = left
+	}
+}
+
+// headOf returns the head of an endpoint's answer as the caller gets it.
+func (q *request) headOf(resp *http.Response) replyHead {
+	h := q.g.codec.CallerHeader(resp.Header)
+	if begun, _ := q.g.leaving(time.Now()); begun {
+		h.Set("Connection", "close")
+	}
+	return replyHead{status: resp.StatusCode, header: h}
+}
+
+// sawEnd reports whether the end of a body that was read is the end of the answer. A
+// body without framing ends with its connection, which a process that ends closes in
+// order as well. It counts if the endpoint still takes connections, and for a stream
+// if it brought an event; the new connection is kept for the next request.
+func (q *request) sawEnd(e fleet.Endpoint, x *upstream.Exchange) bool {
+	if x.Framed() {
+		return true
+	}
+	if q.reply.begun() && q.lastRun.events == 0 {
+		return false
+	}
+	conn, err := q.g.pool.Get(q.ctx, e.ID, e.Address, onceIdle)
+	if err != nil {
+		q.note(e.ID + ": after an answer without a length: " + err.Error())
+		return false
+	}
+	q.g.pool.Put(conn)
+	return true
+}
