--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -332,3 +332,51 @@
 	got := b.send(wire.Envelope{Kind: wire.KindStream, Customer: "c"}, `{"prompt":"p","max_tokens":2}`)
 	g.Expect(got.err).To(gomega.HaveOccurred(), "a short answer must not look whole")
 }
+
+func TestOnlyTheEnginesLastEventEndsAStream(t *testing.T) {
+	for _, one := range []struct {
+		name string
+		last func(id string) string // What the engine sends after one token.
+	}{
+		{"an event that is no token, then the end", func(id string) string {
+			return frame(id, 1, "error", `{"error":"out of memory"}`) + frame(id, 2, wire.EventEnd, "{}")
+		}},
+		{"an event that is no token, then the end in its place", func(id string) string {
+			return frame(id, 1, "error", `{"error":"out of memory"}`) + frame(id, 1, wire.EventEnd, "{}")
+		}},
+		{"an agent's own event, then the end", func(id string) string {
+			return frame(id, 1, wire.EventAlive, "{}") + frame(id, 2, wire.EventEnd, "{}")
+		}},
+		{"an end out of its place", func(id string) string { return frame(id, 2, wire.EventEnd, "{}") }},
+		{"another request's end", func(string) string { return frame("another~1", 1, wire.EventEnd, "{}") }},
+		{"an end without an id", func(string) string { return "event: end\ndata: {}\n\n" }},
+		{"half an end", func(id string) string { return strings.TrimSuffix(frame(id, 1, wire.EventEnd, "{}"), "\n") }},
+		{"an end inside a token", func(id string) string {
+			return "id: " + id + "/engine/1\ndata: \"b\"\ndata:\ndata: id: " + id + "/engine/2\ndata: event: end\ndata: data: {}\n\n"
+		}},
+	} {
+		t.Run(one.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			b := newBench(t, nil, engineOf(func(q adapter.Generate) string {
+				return frame(q.ID, 0, "", `"a"`) + one.last(q.ID)
+			}), nil)
+			got := b.send(wire.Envelope{Kind: wire.KindStream, Customer: "c"}, `{"prompt":"p","max_tokens":2}`)
+			g.Expect(got.err).To(gomega.HaveOccurred(), "a short answer must not look whole")
+			frames := wire.NewFrameReader(strings.NewReader(got.body))
+			for f, err := frames.Next(); err == nil; f, err = frames.Next() {
+				g.Expect(f.Event).NotTo(gomega.Equal(wire.EventEnd))
+			}
+		})
+	}
+}
+
+func TestWhatComesAfterTheEnginesEndIsDropped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	b := newBench(t, nil, engineOf(func(q adapter.Generate) string {
+		return frame(q.ID, 0, "", `"a"`) + frame(q.ID, 1, wire.EventEnd, "{}") + frame(q.ID, 1, "", `"late"`) + frame(q.ID, 1, wire.EventEnd, "{}")
+	}), nil)
+	got := b.send(wire.Envelope{Kind: wire.KindStream, Customer: "c"}, `{"prompt":"p","max_tokens":2}`)
+	g.Expect(got.err).NotTo(gomega.HaveOccurred())
+	g.Expect(strings.Count(got.body, "event: end")).To(gomega.Equal(1))
+	g.Expect(got.body).NotTo(gomega.ContainSubstring("late"))
+}
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -37,6 +37,7 @@
 	rank   string // Endpoint of the newest token.
 	ids    []string
 	end    wire.Refusal
+	marker bool // The last line of a whole answer was read.
 }
 
 // open starts a stream and reads its first tokens.
@@ -71,7 +72,11 @@
 			event = name
 		}
 		data, ok := strings.CutPrefix(line, "data: ")
-		if !ok || data == "[DONE]" {
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			o.marker = true
 			continue
 		}
 		if event == "outcome" {
@@ -99,6 +104,9 @@
 	}
 	Expect(o.text.String()).To(Equal(standin.Answer("user: "+content+"\n", tokens)), "every token once and in order")
 	Expect(o.end.Outcome).To(Equal(wire.Done))
+	Expect(o.lines.Err()).NotTo(HaveOccurred())
+	Expect(o.marker).To(BeTrue())
+	Expect(o.resp.Trailer.Get(wire.HeaderOutcome)).To(Equal(string(wire.Done)))
 }
 
 func (s *site) agentOf(endpoint string) example.Process {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,6 +5,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -67,3 +71,31 @@
 	g.Expect(fr.Event).To(gomega.Equal(EventEnd))
 	g.Expect(fr.ID).To(gomega.Equal("r/e/7"))
 }
+
+func TestDataWithLineBreaksStaysOneFrame(t *testing.T) {
+	for _, data := range []string{"a\nb", "a\n\nid: r/e/8\nevent: end\ndata: {}", "a\nevent: end"} {
+		g := gomega.NewWithT(t)
+		frames := NewFrameReader(bytes.NewReader(AppendFrame(nil, EventID{"r", "e", 7}, "", []byte(data))))
+		fr, err := frames.Next()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(fr.Event).To(gomega.BeEmpty())
+		g.Expect(string(fr.Data)).To(gomega.Equal(data))
+		_, err = frames.Next()
+		g.Expect(err).To(gomega.MatchError(io.EOF), "one frame")
+	}
+}
+
+func TestARefusalHasALength(t *testing.T) {
+	long := strings.Repeat("x", 4000)
+	for name, r := range map[string]*Refusal{
+		"refusal":            Doubt(http.StatusBadGateway, long),
+		"answer given again": {Outcome: Done, Status: http.StatusOK, Repeat: &Repeat{Type: "text/plain", Body: []byte(long)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			w := httptest.NewRecorder()
+			r.Write(w)
+			g.Expect(w.Header().Get("Content-Length")).To(gomega.Equal(strconv.Itoa(w.Body.Len())))
+		})
+	}
+}
