internal/adapter, node, wire, agent, httpjson: only what shows to be whole is taken as whole

Cause: an answer with neither a length nor chunks ends with its connection, also when its process ended; bodies were cut at a bound without a word (a KV cache at 8 MiB, a peer's value at its bound); an engine's event that is no token was passed on as one, so that a failure became a part of a whole answer; data with line breaks could look like another frame, such as the end.

The agent ends a stream as whole at the engine's last event only and breaks it off at an event it does not know. A frame's data gets a field for each line. Refusals and JSON answers go out with their length.

Conclusion: a plain service that answers without a length and without chunks gets no call to done any more: its calls are unknown.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -113,12 +113,40 @@
 		return nil, classify(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
-		return nil, err
-	}
+	return readOK(resp)
+}
+
+// statusText is how much of an unexpected answer is quoted, in bytes.
+const statusText = 200
+
+// readOK reads the whole body of an answer with the expected status.
+func readOK(resp *http.Response) (raw []byte, err error) {
 	if resp.StatusCode != http.StatusOK {
-		return nil, &statusError{resp.StatusCode, string(raw[:min(len(raw), 200)])}
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, statusText)) // The status says enough.
+		return nil, &statusError{resp.StatusCode, string(text)}
+	}
+	return ReadWhole(resp, maxAnswer)
+}
+
+// ReadWhole reads the body of an answer that is at most limit bytes long. An
+// answer with neither a length nor chunks ends where its connection ends, also
+// when the process that gave it has died: nothing shows that it is whole, so it
+// is taken as cut.
+func ReadWhole(resp *http.Response, limit int) (raw []byte, err error) {
+	raw, err = io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
+	switch {
+	case err != nil:
+		return nil, err
+	case len(raw) > limit:
+		return nil, errors.Newf("answer is larger than %d bytes", limit)
+	case !framed(resp):
+		return nil, errors.New("answer has neither a length nor chunks")
 	}
 	return raw, nil
 }
+
+// framed reports whether the end of an answer's body shows by itself.
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.ProtoMajor > 1 ||
+		resp.Request != nil && resp.Request.Method == http.MethodHead
+}
--- a/internal/adapter/engine.go
+++ b/internal/adapter/engine.go
@@ -120,13 +120,10 @@
 		return classify(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	body, err := readOK(resp)
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode != http.StatusOK {
-		return &statusError{resp.StatusCode, string(body[:min(len(body), 200)])}
-	}
 	return json.Unmarshal(body, reply)
 }
 
@@ -148,7 +145,7 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer func() { _ = resp.Body.Close() }()
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, 200))
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, statusText))
 		return nil, &statusError{resp.StatusCode, string(text)}
 	}
 	return resp.Body, nil
--- a/internal/adapter/service.go
+++ b/internal/adapter/service.go
@@ -71,12 +71,9 @@
 		return r, classify(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	raw, err := ReadWhole(resp, maxAnswer)
 	if err != nil {
 		return r, err
 	}
-	if len(raw) > maxAnswer {
-		return r, errors.Newf("answer is larger than %d bytes", maxAnswer)
-	}
 	return Reply{Status: resp.StatusCode, Type: resp.Header.Get("Content-Type"), Body: raw}, nil
 }
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
+	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
 
@@ -152,8 +153,13 @@
 			continue
 		}
 		data := f.Data
-		if f.Event == wire.EventEnd {
+		switch f.Event {
+		case "":
+		case wire.EventEnd:
 			data = []byte(wire.EncodeLoad(j.agent.Load()))
+		default: // Passed on, an engine's failure would count as a token.
+			j.agent.node.Trail().Add(audit.StrayAnswer, j.name, "engine sent the event "+f.Event)
+			return false
 		}
 		if err := out.write(next, f.Event, data); err != nil {
 			return false
@@ -190,5 +196,5 @@
 		http.Error(w, err.Error(), http.StatusNotFound)
 		return
 	}
-	_, _ = w.Write(cache) // The peer may be gone.
+	httpjson.Binary(w, cache)
 }
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -8,6 +8,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 )
 
 // Reply answers with v. A value that cannot be written is a fault of the
@@ -18,12 +19,18 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_, _ = w.Write(raw) // Whoever asks sees an answer that is cut.
+	Bytes(w, "application/json", raw)
 }
 
 // Binary answers with bytes.
 func Binary(w http.ResponseWriter, raw []byte) {
-	w.Header().Set("Content-Type", "application/octet-stream")
-	_, _ = w.Write(raw) // Whoever asks sees an answer that is cut.
+	Bytes(w, "application/octet-stream", raw)
+}
+
+// Bytes answers with a body of the type given. The length goes out first, so
+// that whoever asks sees an answer that is cut, also in HTTP/1.0.
+func Bytes(w http.ResponseWriter, contentType string, raw []byte) {
+	w.Header().Set("Content-Type", contentType)
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	_, _ = w.Write(raw) // Whoever asks may be gone.
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -5,11 +5,11 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/spread"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
@@ -99,10 +99,10 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err = io.ReadAll(io.LimitReader(resp.Body, published.MaxValueBytes+1))
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = errors.Newf("%s: %s", path, resp.Status)
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("%s: %s", path, resp.Status)
 	}
+	raw, err = adapter.ReadWhole(resp, published.MaxValueBytes)
 	n.count("peer.bytes-in", int64(len(raw)))
 	return raw, err
 }
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
@@ -184,14 +185,15 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, 2*published.MaxValueBytes)) // A value in JSON grows by a third.
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 200)) // The status says enough.
+		return errors.Newf("%s: %s", resp.Status, text)
+	}
+	body, err := adapter.ReadWhole(resp, 2*published.MaxValueBytes) // A value in JSON grows by a third.
 	if err != nil {
 		return err
 	}
 	n.count("peer.bytes-in", int64(len(body)))
-	if resp.StatusCode != http.StatusOK {
-		return errors.Newf("%s: %.200s", resp.Status, body)
-	}
 	if reply == nil {
 		return nil
 	}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"bytes"
 	"net/http"
 	"net/http/pprof"
 	"time"
@@ -74,8 +75,9 @@
 		_, _ = w.Write([]byte("ready\n")) // The reader may be gone.
 	})
 	mux.HandleFunc("GET "+PathMetrics, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		metrics.WriteJSONOnce(n.reg, w)
+		var text bytes.Buffer
+		metrics.WriteJSONOnce(n.reg, &text)
+		httpjson.Bytes(w, "application/json", text.Bytes())
 	})
 	mux.HandleFunc("GET "+PathAudit, func(w http.ResponseWriter, _ *http.Request) {
 		records, dropped := n.trail.Records()
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -87,7 +87,7 @@
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
 			if begun {
-				f.Data = fr.data
+				f.Data = bytes.TrimSuffix(fr.data, []byte("\n"))
 				return f, nil
 			}
 			continue
@@ -108,18 +108,16 @@
 	case "event":
 		f.Event = string(value)
 	case "data":
-		if len(fr.data) > 0 {
-			fr.data = append(fr.data, '\n')
-		}
-		fr.data = append(fr.data, value...)
+		fr.data = append(append(fr.data, value...), '\n')
 	}
-	if len(fr.data) > MaxFrame {
+	if len(fr.data)-1 > MaxFrame { // Without the last line break.
 		return errors.Newf("frame is larger than %d bytes", MaxFrame)
 	}
 	return nil
 }
 
-// AppendFrame appends the text of a frame to dst.
+// AppendFrame appends the text of a frame to dst. Each line of data gets a field
+// of its own, so that no text can look like another frame, such as an end.
 func AppendFrame(dst []byte, id EventID, event string, data []byte) []byte {
 	dst = append(dst, "id: "...)
 	dst = append(dst, id.Request...)
@@ -131,7 +129,9 @@
 		dst = append(dst, "\nevent: "...)
 		dst = append(dst, event...)
 	}
-	dst = append(dst, "\ndata: "...)
-	dst = append(dst, data...)
+	for line := range bytes.SplitSeq(data, []byte("\n")) {
+		dst = append(dst, "\ndata: "...)
+		dst = append(dst, line...)
+	}
 	return append(dst, "\n\n"...)
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -158,23 +158,25 @@
 	return &Refusal{Outcome: Unknown, Reason: reason, Status: status}
 }
 
-// Write sends r as a whole HTTP answer.
+// Write sends r as a whole HTTP answer, with its length.
 func (r *Refusal) Write(w http.ResponseWriter) {
 	h := w.Header()
 	h.Set(HeaderOutcome, string(r.Outcome))
 	h.Set(HeaderReason, r.Reason)
+	contentType, body := "application/json", []byte(nil)
 	if r.Repeat != nil {
-		h.Set("Content-Type", r.Repeat.Type)
-		w.WriteHeader(r.Status)
-		_, _ = w.Write(r.Repeat.Body) // The reader may be gone.
-		return
+		contentType, body = r.Repeat.Type, r.Repeat.Body
+	} else {
+		body, _ = json.Marshal(r) // A Refusal always has a JSON form.
+		body = append(body, '\n')
 	}
-	h.Set("Content-Type", "application/json")
 	if r.RetryAfterMS > 0 {
 		h.Set("Retry-After", strconv.FormatInt((r.RetryAfterMS+999)/1000, 10))
 	}
+	h.Set("Content-Type", contentType)
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(r.Status)
-	_ = json.NewEncoder(w).Encode(r) // The caller may be gone.
+	_, _ = w.Write(body) // The caller may be gone.
 }
 
 // ValuesRequest asks a peer for published values by their hashes.
