internal/entry: one writer of an answer, which only a whole answer ends as complete

In HTTP/1.0 every end of the connection is an end of the answer. An agent's body could set the status of a refusal to 200 or 100. An endpoint's event that is no token, or a token that is no text, counted as one.

Change: answer (internal/entry/answer.go) holds the response writer and the state (unsent, begun, ended). Only an answer of known length and the end of a stream seen whole, written and flushed, make it ended; close aborts the connection in every other state, also when a handler gave no answer at all. A given-up stream still gets its outcome event, flushed before the abort. Streams to HTTP/1.0 arm a reset (internal/callerconn) from the head to the end seen whole. Refusals have a failure's status; a frame that is no token breaks the attempt.

Two literals in entry_test.go name the writer's new field; what they check is the same.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/agent"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
+	"github.com/canvaspulley/canvaspulley/internal/callerconn"
 	"github.com/canvaspulley/canvaspulley/internal/entry"
 	"github.com/canvaspulley/canvaspulley/internal/node"
 	"github.com/canvaspulley/canvaspulley/internal/settings"
@@ -201,6 +202,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          log.New(io.Discard, "", 0), // Refusals are audited; the rest is noise of peers that went.
 		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ConnContext:       callerconn.Context,
 	}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -84,13 +84,10 @@
 			list = append(list, model{s.Model, "model"})
 		}
 	}
-	req.w.Header().Set(wire.HeaderOutcome, string(wire.Done))
-	req.w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(req.w).Encode(struct {
+	return req.out.json(struct {
 		Object string  `json:"object"`
 		Data   []model `json:"data"`
-	}{"list", list}) // The caller may be gone.
-	return nil
+	}{"list", list})
 }
 
 // chat takes a request to a model.
@@ -177,8 +174,7 @@
 		refusal = s.attempt(c)
 		if refusal == nil {
 			s.entry.succeeded(s.req, s.chat.Model)
-			s.out.end()
-			return nil
+			return s.out.end()
 		}
 		avoid[c.Endpoint] = true
 		if !s.goOn(c, refusal) {
@@ -187,12 +183,12 @@
 	}
 }
 
-// giveUp gives the caller the final answer, at once.
+// giveUp returns the final answer.
 func (s *stream) giveUp(refusal *wire.Refusal) *wire.Refusal {
 	if s.next > 0 && refusal.Outcome == wire.NotRun {
 		refusal.Outcome = wire.Unknown // Tokens were given: the request as a whole did run.
 	}
-	return s.out.fail(refusal)
+	return refusal
 }
 
 // target chooses the endpoint for the next attempt. When all others were
@@ -286,12 +282,16 @@
 			}
 			continue
 		}
-		if f.Event == wire.EventEnd {
+		if f.Event == wire.EventEnd { // In its place: every token before it was given.
 			if l, ok := wire.ParseLoad(string(f.Data)); ok {
 				s.entry.tracker.report(c.Endpoint, l)
 			}
 			return nil
 		}
+		if f.Event != "" || !isText(f.Data) {
+			// Counted as a token, an endpoint's failure would be a part of a whole answer.
+			return wire.Doubt(http.StatusBadGateway, "endpoint sent something other than a token")
+		}
 		if err := s.out.token(wire.EventID{Request: s.req.id, Endpoint: c.Endpoint, Offset: s.next}, f.Data); err != nil {
 			return wire.Doubt(http.StatusBadGateway, "caller has gone")
 		}
@@ -299,6 +299,9 @@
 	}
 }
 
+// isText reports whether a token's data is a text in JSON.
+func isText(data []byte) bool { return len(data) > 0 && data[0] == '"' && json.Valid(data) }
+
 // reasonLeaving is what policies see when work may move off a leaving endpoint.
 const reasonLeaving = "endpoint is leaving"
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -92,7 +92,7 @@
 // request is one caller's request, as far as all kinds share it.
 type request struct {
 	id       string
-	w        http.ResponseWriter
+	out      *answer
 	r        *http.Request
 	cfg      *published.Config
 	customer *published.Customer
@@ -110,30 +110,32 @@
 		defer e.live.Add(-1)
 		id := ident.New()
 		w.Header().Set(wire.HeaderRequest, id)
-		req, refusal := e.admit(id, w, r)
+		out := newAnswer(w, r)
+		req, refusal := e.admit(id, out)
 		if refusal == nil {
 			refusal = handle(req)
 		}
 		if refusal != nil {
 			e.count("callers." + string(refusal.Outcome))
-			refusal.Write(w)
-			return
+			out.refuse(refusal)
+		} else {
+			e.count("callers.answered")
 		}
-		e.count("callers.answered")
+		out.close()
 	}
 }
 
 // admit finds out who calls and whether the limits allow it.
-func (e *Entry) admit(id string, w http.ResponseWriter, r *http.Request) (req *request, refusal *wire.Refusal) {
+func (e *Entry) admit(id string, out *answer) (req *request, refusal *wire.Refusal) {
 	if refusal := e.node.Refusal(); refusal != nil {
-		w.Header().Set("Connection", "close")
+		out.w.Header().Set("Connection", "close")
 		return nil, refusal
 	}
 	cfg, ok := e.node.Config()
 	if !ok {
 		return nil, wire.Refuse(http.StatusServiceUnavailable, time.Second, "no configuration yet")
 	}
-	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	token, ok := strings.CutPrefix(out.r.Header.Get("Authorization"), "Bearer ")
 	if !ok {
 		return nil, wire.Refuse(http.StatusUnauthorized, 0, "Authorization: Bearer KEY is missing")
 	}
@@ -142,7 +144,7 @@
 	if !ok {
 		return nil, wire.Refuse(http.StatusUnauthorized, 0, "key is not known")
 	}
-	req = &request{id: id, w: w, r: r, cfg: cfg, customer: cust, policy: cfg.Policy(cust.Policy)}
+	req = &request{id: id, out: out, r: out.r, cfg: cfg, customer: cust, policy: cfg.Policy(cust.Policy)}
 	if refusal := req.readHeaders(time.Now()); refusal != nil {
 		return nil, refusal
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -34,7 +34,7 @@
 	t.Helper()
 	rec := httptest.NewRecorder()
 	r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", nil)
-	req := &request{id: "mine", w: rec, r: r, customer: &published.Customer{Name: "c"}, policy: &published.Policy{}}
+	req := &request{id: "mine", out: newAnswer(rec, r), r: r, customer: &published.Customer{Name: "c"}, policy: &published.Policy{}}
 	s := &stream{entry: e, req: req, chat: chatRequest{Model: "m", MaxTokens: 3}, out: newSSEWriter(req, "m")}
 	s.env.ID = "mine~2"
 	resp := &http.Response{Body: io.NopCloser(strings.NewReader(frames))}
@@ -120,7 +120,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		w := &deadlines{ResponseRecorder: httptest.NewRecorder()}
-		s := newSSEWriter(&request{id: "mine", w: w}, "m")
+		r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", nil)
+		s := newSSEWriter(&request{id: "mine", out: newAnswer(w, r)}, "m")
 		for n := range 5 {
 			g.Expect(s.token(wire.EventID{Request: "mine", Endpoint: "r0", Offset: n}, []byte(`"x"`))).To(gomega.Succeed())
 			g.Expect(time.Until(w.at)).To(gomega.BeNumerically(">=", writeTimeout/2), "at token %d", n)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
 	"github.com/canvaspulley/canvaspulley/internal/ident"
 	"github.com/canvaspulley/canvaspulley/internal/published"
@@ -49,17 +50,13 @@
 	if !ok {
 		return wire.Refuse(http.StatusServiceUnavailable, time.Second, "no endpoint is there")
 	}
-	req.w.Header().Set(wire.HeaderOutcome, string(wire.Done))
-	minted := struct {
+	return req.out.json(struct {
 		Key string `json:"key"`
-	}{ident.NewKey(c.Endpoint).String()}
-	req.w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(req.w).Encode(minted) // The caller may be gone.
-	return nil
+	}{ident.NewKey(c.Endpoint).String()})
 }
 
 func readBody(req *request) (raw []byte, refusal *wire.Refusal) {
-	raw, err := io.ReadAll(http.MaxBytesReader(req.w, req.r.Body, wire.MaxBody))
+	raw, err := io.ReadAll(http.MaxBytesReader(req.out.w, req.r.Body, wire.MaxBody))
 	if err != nil {
 		return nil, wire.Refuse(http.StatusRequestEntityTooLarge, 0,
 			"body was not read whole; the limit is "+strconv.Itoa(wire.MaxBody)+" bytes")
@@ -170,16 +167,11 @@
 	if resp.Header.Get(wire.HeaderOutcome) != string(wire.Done) {
 		return readRefusal(resp)
 	}
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, wire.MaxBody+1))
-	if err != nil || len(raw) > wire.MaxBody {
+	raw, err := adapter.ReadWhole(resp, wire.MaxBody)
+	if err != nil {
 		return wire.Doubt(http.StatusBadGateway, "answer came only in part")
 	}
-	h := req.w.Header()
-	h.Set(wire.HeaderOutcome, string(wire.Done))
-	h.Set("Content-Type", resp.Header.Get("Content-Type"))
-	h.Set("Content-Length", strconv.Itoa(len(raw)))
-	req.w.WriteHeader(resp.StatusCode)
-	_, _ = req.w.Write(raw) // The caller may be gone.
+	req.out.whole(resp.StatusCode, resp.Header.Get("Content-Type"), raw)
 	return nil
 }
 
--- a/internal/entry/send.go
+++ b/internal/entry/send.go
@@ -92,7 +92,7 @@
 func readRefusal(resp *http.Response) *wire.Refusal {
 	raw, _ := io.ReadAll(io.LimitReader(resp.Body, wire.MaxEnvelope)) // Half a refusal is judged by its header.
 	r := &wire.Refusal{}
-	if json.Unmarshal(raw, r) != nil || r.Status == 0 {
+	if json.Unmarshal(raw, r) != nil || !isFailure(r.Status) {
 		r = wire.Doubt(http.StatusBadGateway, "endpoint answered "+resp.Status)
 	}
 	if resp.Header.Get(wire.HeaderOutcome) != string(wire.NotRun) {
@@ -104,6 +104,12 @@
 	return r
 }
 
+// isFailure reports whether a status may be a refusal's. With another one the
+// refusal would look like an answer to its caller, or be none.
+func isFailure(status int) bool {
+	return status >= http.StatusBadRequest && status < 600
+}
+
 // wait pauses between attempts; it reports false when the caller has gone.
 func wait(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -4,9 +4,7 @@
 
 import (
 	"encoding/json"
-	"net/http"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,24 +16,15 @@
 	// token gives the next token; data is its text as JSON.
 	token(id wire.EventID, data []byte) error
 	// end closes a whole answer.
-	end()
-	// fail ends an answer that is not whole. It returns the refusal when
-	// nothing was written yet, so that it can be sent as an answer of its own.
-	fail(r *wire.Refusal) *wire.Refusal
+	end() *wire.Refusal
 }
 
-// writeTimeout bounds one write to a caller that does not read.
-const writeTimeout = 30 * time.Second
-
 // sseWriter streams each token as a server-sent event.
 type sseWriter struct {
-	req    *request
-	head   []byte // JSON before the text of a token.
-	tail   []byte // JSON after it.
-	rc     *http.ResponseController
-	buf    []byte
-	begun  bool
-	dueSet time.Time // When the write deadline was last moved.
+	out  *answer
+	head []byte // JSON before the text of a token.
+	tail []byte // JSON after it.
+	buf  []byte
 }
 
 func newSSEWriter(req *request, model string) *sseWriter {
@@ -48,31 +37,14 @@
 		panic(err) // Three strings.
 	}
 	return &sseWriter{
-		req:  req,
+		out:  req.out,
 		head: append(head[:len(head)-1], `,"choices":[{"index":0,"delta":{"content":`...),
 		tail: []byte(`}}]}`),
-		rc:   http.NewResponseController(req.w),
-	}
-}
-
-// begin sends the headers. The outcome of a stream is known at its end and
-// comes in the trailer and in the last event.
-func (s *sseWriter) begin() {
-	if s.begun {
-		return
 	}
-	s.begun = true
-	h := s.req.w.Header()
-	h.Set("Content-Type", "text/event-stream")
-	h.Set("Cache-Control", "no-store")
-	h.Set("Trailer", wire.HeaderOutcome)
-	s.req.w.WriteHeader(http.StatusOK)
 }
 
 func (s *sseWriter) token(id wire.EventID, data []byte) (err error) {
-	defer func() { err = errors.Wrap(err, "write to caller") }()
-	s.begin()
-	s.extend(time.Now())
+	s.out.begin()
 	s.buf = append(s.buf[:0], "id: "...)
 	s.buf = append(s.buf, id.String()...)
 	s.buf = append(s.buf, "\ndata: "...)
@@ -80,50 +52,12 @@
 	s.buf = append(s.buf, data...)
 	s.buf = append(s.buf, s.tail...)
 	s.buf = append(s.buf, "\n\n"...)
-	if _, err := s.req.w.Write(s.buf); err != nil {
-		return err
-	}
-	return s.rc.Flush()
-}
-
-// extend moves the write deadline when a part of it is over, so that a caller
-// who does not read is cut off, and one who waits long for a token is not.
-func (s *sseWriter) extend(now time.Time) {
-	if now.Sub(s.dueSet) < writeTimeout/4 {
-		return
-	}
-	s.dueSet = now
-	_ = s.rc.SetWriteDeadline(now.Add(writeTimeout)) // Not every connection has deadlines.
+	return s.out.event(s.buf)
 }
 
-func (s *sseWriter) end() {
-	s.begin()
-	s.finish(wire.Done, nil)
-	_, _ = s.req.w.Write([]byte("data: [DONE]\n\n")) // The caller may be gone.
-}
-
-// finish writes the outcome as an event and as the trailer.
-func (s *sseWriter) finish(o wire.Outcome, r *wire.Refusal) {
-	s.dueSet = time.Time{}
-	s.extend(time.Now())
-	defer func() { _ = s.rc.SetWriteDeadline(time.Time{}) }() // The connection may be used again.
-	s.req.w.Header().Set(wire.HeaderOutcome, string(o))
-	last := wire.Refusal{Outcome: o}
-	if r != nil {
-		last = *r
-	}
-	raw, err := json.Marshal(last)
-	if err != nil {
-		return // A Refusal always has a JSON form.
-	}
-	_, _ = s.req.w.Write([]byte("event: outcome\ndata: " + string(raw) + "\n\n")) // The caller may be gone.
-}
-
-func (s *sseWriter) fail(r *wire.Refusal) *wire.Refusal {
-	if !s.begun {
-		return r
-	}
-	s.finish(r.Outcome, r)
+func (s *sseWriter) end() *wire.Refusal {
+	s.out.begin()
+	s.out.end()
 	return nil
 }
 
@@ -145,7 +79,7 @@
 	return nil
 }
 
-func (w *wholeWriter) end() {
+func (w *wholeWriter) end() *wire.Refusal {
 	type choice struct {
 		Index        int         `json:"index"`
 		Message      chatMessage `json:"message"`
@@ -154,9 +88,7 @@
 	type usage struct {
 		CompletionTokens int `json:"completion_tokens"`
 	}
-	w.req.w.Header().Set(wire.HeaderOutcome, string(wire.Done))
-	w.req.w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w.req.w).Encode(struct {
+	return w.req.out.json(struct {
 		ID      string   `json:"id"`
 		Object  string   `json:"object"`
 		Model   string   `json:"model"`
@@ -166,7 +98,5 @@
 		w.req.id, "chat.completion", w.model,
 		[]choice{{0, chatMessage{"assistant", w.text.String()}, "stop"}},
 		usage{w.tokens},
-	}) // The caller may be gone.
+	})
 }
-
-func (w *wholeWriter) fail(r *wire.Refusal) *wire.Refusal { return r }
