internal/load: a complete framing is a claim, which outcome, marker and trailer must bear out

Change: it reads to the end of the body. Framed as complete, an answer must be done, with marker and trailer, or it is wrong; broken off after 'done', it has no outcome. A stream cut after its last token is resumed, as docs/CALLERS.md says.

--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -48,7 +48,7 @@
 	NotRun  int `json:"not_run"`
 	Unknown int `json:"unknown"`
 	Broken  int `json:"broken"` // Ended without an outcome.
-	Wrong   int `json:"wrong"`  // Not whole, out of order or somebody else's, yet called done.
+	Wrong   int `json:"wrong"`  // Not whole, out of order or somebody else's, yet called done or framed as complete.
 
 	FirstToken *hdrhistogram.Histogram `json:"-"` // Microseconds.
 	Between    *hdrhistogram.Histogram `json:"-"`
@@ -185,7 +185,8 @@
 	})
 }
 
-// wrong marks an answer that was called done and was not right.
+// wrong marks an answer that was called done or framed as complete and was not
+// right.
 const wrong wire.Outcome = "wrong"
 
 func (r *runner) note(f func(*Result)) {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -111,6 +111,7 @@
 
 		{"short, framed as whole", func(e entry) { e.upTo(2) }, Result{Wrong: 1}},
 		{"short, framed as whole, not done", func(e entry) { e.upTo(2); e.trailer(wire.Unknown); e.outcome(wire.Unknown) }, Result{Wrong: 1}},
+		{"ends inside an event, framed as whole", func(e entry) { e.upTo(2); e.write("id: r/e/2\ndata: ") }, Result{Wrong: 1}},
 		{"empty, framed as whole", func(entry) {}, Result{Wrong: 1}},
 		{"short, called done", func(e entry) { e.upTo(2); e.trailer(wire.Done); e.outcome(wire.Done); e.marker() }, Result{Wrong: 1}},
 		{"no marker", func(e entry) { e.upTo(tokens); e.trailer(wire.Done); e.outcome(wire.Done) }, Result{Wrong: 1}},
--- a/internal/load/requests.go
+++ b/internal/load/requests.go
@@ -58,7 +58,7 @@
 			req.Header.Set(wire.HeaderResume, f.last)
 		}
 		o = f.follow(req)
-		if o == wire.Done || o == wrong || f.next >= r.cfg.Tokens {
+		if o == wire.Done || o == wrong {
 			break
 		}
 	}
@@ -95,26 +95,54 @@
 	if resp.StatusCode != http.StatusOK {
 		return wire.Outcome(resp.Header.Get(wire.HeaderOutcome))
 	}
-	frames := wire.NewFrameReader(resp.Body)
+	body := &endReader{r: resp.Body}
+	frames := wire.NewFrameReader(body)
+	var last wire.Refusal
+	marker := false // The event after which nothing comes.
 	for {
 		fr, err := frames.Next()
-		if err != nil {
-			return "" // No outcome was given.
-		}
-		if fr.Event == "outcome" {
-			var last wire.Refusal
-			_ = json.Unmarshal(fr.Data, &last) // An outcome that cannot be read counts as none.
+		switch {
+		case err != nil && body.orderly:
+			return complete(resp, last.Outcome, marker)
+		case err != nil && last.Outcome == wire.Done:
+			return "" // The end did not come, so that "done" is not proven.
+		case err != nil:
 			return last.Outcome
-		}
-		if fr.ID == "" {
-			continue
-		}
-		if !f.take(fr) {
+		case marker:
+			return wrong
+		case last.Outcome == wire.Done && fr.ID == "" && fr.Event == "" && string(fr.Data) == "[DONE]":
+			marker = true
+		case last.Outcome != "":
+			return wrong // After an outcome there is only the marker.
+		case fr.Event == "outcome":
+			_ = json.Unmarshal(fr.Data, &last) // An outcome that cannot be read counts as none.
+		case !f.take(fr):
 			return wrong
 		}
 	}
 }
 
+// complete judges a stream whose framing is complete: that claims a whole answer,
+// and everything else must say the same.
+func complete(resp *http.Response, o wire.Outcome, marker bool) wire.Outcome {
+	if o != wire.Done || !marker || resp.Trailer.Get(wire.HeaderOutcome) != string(wire.Done) {
+		return wrong
+	}
+	return wire.Done
+}
+
+// endReader notes whether what it reads ended in order.
+type endReader struct {
+	r       io.Reader
+	orderly bool
+}
+
+func (e *endReader) Read(p []byte) (n int, err error) {
+	n, err = e.r.Read(p)
+	e.orderly = err == io.EOF
+	return n, err
+}
+
 // take checks one token: the right text at the right place.
 func (f *follower) take(fr wire.Frame) bool {
 	var c chunk
