--- a/internal/e2e/ends_test.go
+++ b/internal/e2e/ends_test.go
@@ -115,4 +115,16 @@
 			})
 		})
 	}
+
+	It("goes on elsewhere with a stream whose agent ends at a second signal", func() {
+		s := startSite(example.Archive, pair)
+		o := s.open(s.Entries[0], "ended agent", 400, "")
+		Expect(o.read(20)).To(BeTrue())
+		first := s.agentOf(o.rank)
+		s.signal(first.Name, syscall.SIGTERM)
+		Eventually(func() int { return s.readiness(first) }, patience, "1ms").Should(Equal(http.StatusServiceUnavailable))
+		s.signal(first.Name, syscall.SIGINT)
+		o.expectWhole("ended agent", 400)
+		Expect(o.rank).NotTo(Equal(first.Endpoint))
+	})
 })
