--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -104,6 +104,8 @@
 		ReadHeaderTimeout: callersHeaderTime,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          p.serverLog,
+		// An empty success of the server's own is none of an endpoint's.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -28,6 +28,11 @@
 // not count: it covers the way of a request to its endpoint.
 const keyMargin = 900 * time.Millisecond
 
+// endSettle is how long an endpoint must be seen to live on after a stream without
+// framing. A process that exits closes all it has within milliseconds, tens on a busy
+// instance; the caller has every event by then and waits only for the end.
+const endSettle = 60 * time.Millisecond
+
 // gateway runs a gateway.
 func (p *fleetProcess) gateway(ctx context.Context) (err error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -42,6 +47,7 @@
 		RetryShare:  p.set.RetryShare,
 		RetryWindow: p.set.RetryWindow,
 		RetrySpare:  p.set.RetrySpare,
+		EndSettle:   endSettle,
 	}, platformCodec(), view, p.log, p.reg)
 	defer closeGateway()
 
--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -10,7 +10,8 @@
 	ID           string // Of this try of the caller; "" when it sent none.
 	Key          string // Customer's key; "" when it sent none.
 	Patience     time.Duration
-	HasPatience  bool // Patience was sent.
+	HasPatience  bool   // Patience was sent.
+	Weights      string // Version of the weights that it asks for; "" for any.
 	LastEvent    string
 	PromptTokens int
 	AnswerTokens int    // The most that it wants.
--- a/internal/gateway/cursor.go
+++ b/internal/gateway/cursor.go
@@ -34,8 +34,9 @@
 	return cursor{id: id, known: true}
 }
 
-// resumable reports whether another run may go on after the last event.
-func (c *cursor) resumable() bool { return c.known && !c.unnamed }
+// resumable reports whether another run may go on after the last event, or begin if
+// there was none.
+func (c *cursor) resumable() bool { return !c.unnamed }
 
 // lastEvent is the id after which a run goes on; "" for the beginning.
 func (c *cursor) lastEvent() string {
@@ -46,7 +47,7 @@
 }
 
 // check reports whether an event may follow. Joined is set for the first event of a
-// run that goes on with a stream of which the caller has a part: nothing but its id
+// run that goes on with a stream of which the caller has events: nothing but its id
 // then says that it is the next one.
 func (c *cursor) check(ev event, joined bool) error {
 	switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,9 @@
 	RetryShare  float64       // Repeats by requests of a service, in RetryWindow.
 	RetryWindow time.Duration
 	RetrySpare  float64 // Repeats of all gateways together that need no request.
+	// EndSettle is how long an endpoint must live on after a stream without framing,
+	// so that the end of its connection counts as the stream's.
+	EndSettle time.Duration
 }
 
 // Gateway serves callers.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -146,7 +146,7 @@
 		q.again = q.g.patience.again(q.route.Name, patience)
 	}
 	q.final = q.arrived.Add(min(patience, q.route.Timeout))
-	if q.route.Kind == fleet.Streaming {
+	if q.route.Kind == fleet.Streaming && q.route.Resumable {
 		q.cursor = cursorFrom(q.call.LastEvent)
 	}
 	return true
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -57,10 +57,19 @@
 	return unknown
 }
 
+// joinFault is the weight with which events out of order count against an endpoint:
+// nothing when all that is known of their order is what the caller claims to have.
+func (q *request) joinFault() float64 {
+	if q.events == 0 {
+		return 0
+	}
+	return 1
+}
+
 // relayStream passes events on as they come. Only whole events go out, so that
 // another endpoint can go on after the last one.
 func (q *request) relayStream(e fleet.Endpoint, x *upstream.Exchange, resp *http.Response) result {
-	joined := q.reply.begun()
+	joined := q.events > 0
 	br := x.Reader()
 	var buf []byte
 	for {
@@ -75,7 +84,7 @@
 		}
 		first := q.lastRun.events == 0
 		if err := q.cursor.check(ev, joined && first); err != nil {
-			return q.notJoined(e, x, 1, err)
+			return q.notJoined(e, x, q.joinFault(), err)
 		}
 		if err := q.sendEvent(e, resp, ev, br.Buffered() == 0); err != nil {
 			x.Abort()
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -179,7 +179,7 @@
 	q.bad(e, 0, fmt.Sprintf("turned away: %d %s", status, a.AtFault)) // Being full is no fault.
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	if status == http.StatusMisdirectedRequest && !q.reply.begun() { // Else it may have other weights.
+	if status == http.StatusMisdirectedRequest && a.Endpoint != e.ID && !q.asksForWeights() {
 		q.g.table.Misplaced(e.ID, time.Now())
 	}
 	if a.AtFault != "" {
@@ -187,6 +187,12 @@
 	}
 }
 
+// asksForWeights reports whether the request may be turned away because of the
+// endpoint's weights, by its caller's wish or since a stream goes on under them.
+func (q *request) asksForWeights() bool {
+	return q.call.Weights != "" || q.reply.begun() && q.cursor.weights != ""
+}
+
 // bad notes a failure of an endpoint.
 func (q *request) bad(e fleet.Endpoint, weight float64, text string) {
 	q.note(e.ID + ": " + text)
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -9,6 +9,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/upstream"
+	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
 // maxAnswer bounds an answer that is not a stream.
@@ -61,6 +62,14 @@
 	body []byte
 }
 
+// leaves reports whether an endpoint is known to end soon, or is not listed any more.
+func (q *request) leaves(e fleet.Endpoint) bool {
+	s := q.g.view.State()
+	_, missing := s.Missing[e.ID]
+	now, listed := s.Endpoints[e.ID]
+	return missing || !listed || now.Leaving
+}
+
 // mayAskAnother reports whether the request could be sent to a further
 // endpoint.
 func (q *request) mayAskAnother() bool {
@@ -95,15 +104,20 @@
 
 // sawEnd reports whether the end of a body that was read is the end of the answer. A
 // body without framing ends with its connection, which a process that ends closes in
-// order as well. It counts if the endpoint still takes connections, and for a stream
-// if it brought an event; the new connection is kept for the next request.
+// order as well. It counts if the endpoint still takes connections, and for a stream,
+// which a process may end in the middle of, if it brought an event and its endpoint
+// is not leaving and still takes them a while later. The new connection is kept for
+// the next request.
 func (q *request) sawEnd(e fleet.Endpoint, x *upstream.Exchange) bool {
 	if x.Framed() {
 		return true
 	}
-	if q.reply.begun() && q.lastRun.events == 0 {
+	if q.reply.begun() && (q.lastRun.events == 0 || q.leaves(e)) {
 		return false
 	}
+	if q.reply.begun() {
+		wait.For(q.ctx, q.g.cfg.EndSettle)
+	}
 	conn, err := q.g.pool.Get(q.ctx, e.ID, e.Address, onceIdle)
 	if err != nil {
 		q.note(e.ID + ": after an answer without a length: " + err.Error())
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -127,13 +127,16 @@
 			x.resp, x.progress = resp, Answered
 			return resp, nil
 		}
-		if framed(resp) {
-			if _, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxSurplusBody)); err != nil {
-				return nil, err
-			}
-			continue
+		if !framed(resp) {
+			break
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSurplusBody+1))
+		if err != nil {
+			return nil, err
+		}
+		if n > maxSurplusBody {
+			break // The next answer would be read from within its body.
 		}
-		break
 	}
 	return nil, errors.New("it belongs to another request")
 }
@@ -146,7 +149,12 @@
 // Framed reports whether the answer, whose head has come, tells its own end. The
 // end of one that does not is that of its connection, which says as well that the
 // endpoint's process ended.
-func (x *Exchange) Framed() bool { return framed(x.resp) }
+func (x *Exchange) Framed() bool { return framed(x.resp) || bodyless(x.resp) }
+
+// bodyless reports whether an answer has no body by its kind, whatever its head says.
+func bodyless(resp *http.Response) bool {
+	return resp.Request.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+}
 
 // Done gives the connection back after a body that was read to its end, or
 // closes it when the endpoint will, or when the request was not read whole.
