--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -71,6 +71,7 @@
 }{
 	{246, FirstKinds, 0, "a second SIGTERM in a planned stop ended the process at once and cut requests off"},
 	{121, FirstKinds, 0, "the soak judged runs by a move of the route that had not come yet"},
+	{105275, AllKinds, manyCallers, "a stream that was cut off was ended as whole: by the next endpoint's failure, and for HTTP/1.0 by an orderly end"},
 }
 
 func TestShortSoak(t *testing.T) {
