internal/gateway: nothing of a request's reaches a connection that it has handed back, nor moves a stream that can go on nowhere

Cause: the connection of an answer was in the pool while the closing with its caller, and vacate, could still find it: a caller that left while its answer was written cut another request off. And vacate moved streams whose last event has no id, which are then broken off. Change: handBack ends both before the connection goes to the pool; a stream leaves its place before an event without an id goes out.

--- a/internal/gateway/event.go
+++ b/internal/gateway/event.go
@@ -23,6 +23,10 @@
 	weights string // Version of the weights from here on; "" when it does not change.
 }
 
+// placed reports whether an event leaves a place behind it at which another run can
+// go on.
+func (ev *event) placed() bool { return ev.hasID || !ev.hasData }
+
 // readEvent reads one event into buf, io.EOF when the stream ended before it.
 func (g *Gateway) readEvent(br *bufio.Reader, buf []byte) (ev event, err error) {
 	ev.raw = buf[:0]
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -86,6 +86,10 @@
 		if err := q.cursor.check(ev, joined && first); err != nil {
 			return q.notJoined(e, x, q.joinFault(), err)
 		}
+		if !ev.placed() && !q.stays() {
+			x.Abort()
+			return unknown
+		}
 		if err := q.sendEvent(e, resp, ev, br.Buffered() == 0); err != nil {
 			x.Abort()
 			q.note("caller: " + err.Error())
@@ -96,6 +100,15 @@
 	}
 }
 
+// stays keeps the request from being moved, since after an event without an id it
+// can go on nowhere else. It reports false if it is being moved already.
+func (q *request) stays() bool {
+	q.leavePlace()
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	return !q.moved
+}
+
 // sendEvent passes one event on; flush is set when no further one is at hand.
 func (q *request) sendEvent(e fleet.Endpoint, resp *http.Response, ev event, flush bool) error {
 	var h replyHead
@@ -137,7 +150,7 @@
 	if !q.reply.begun() {
 		return q.endEmpty(e, x, resp)
 	}
-	x.Done(q.g.pool)
+	q.handBack(x)
 	if !q.sawEnd(e, x) {
 		return q.brokenStream(e, errUnsureEnd)
 	}
@@ -160,7 +173,7 @@
 		q.bad(e, 1, "a stream without events")
 		return unknown
 	}
-	x.Done(q.g.pool)
+	q.handBack(x)
 	q.g.figures.streamEnd(q.lastRun)
 	q.good(e)
 	q.passOn(e, resp, nil)
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -51,8 +51,7 @@
 		q.unsent = append(q.unsent, e.ID)
 		return unreached
 	}
-	stop := context.AfterFunc(q.ctx, conn.Close)
-	defer stop()
+	defer q.hold(conn)()
 	if !q.mayStillSend(e) {
 		conn.Close()
 		q.unsent = append(q.unsent, e.ID)
@@ -66,6 +65,25 @@
 	return q.exchange(e, conn)
 }
 
+// hold ends the connection with the caller, for as long as the request uses it. The
+// function ends that; a connection that is handed back is another request's.
+func (q *request) hold(conn *upstream.Conn) (release func()) {
+	stop := context.AfterFunc(q.ctx, conn.Close)
+	q.unhold = stop
+	return func() { stop() }
+}
+
+// handBack gives the connection of an answer that was read to its end to the pool.
+// Nothing that ends this request's connection may then find it any more.
+func (q *request) handBack(x *upstream.Exchange) {
+	q.leavePlace()
+	if !q.unhold() {
+		x.Abort() // The caller has left, and the connection is being closed.
+		return
+	}
+	x.Done(q.g.pool)
+}
+
 // mayStillSend looks once more, right before the send, whether the endpoint
 // takes anything new and the configuration still counts: the process may have
 // been stopped since.
@@ -87,7 +105,8 @@
 	q.sentAt = sentAt
 	q.tried = append(q.tried, e.ID)
 	if q.route.MayRepeat() && q.route.Kind == fleet.Streaming {
-		defer q.g.enter(e.ID, q, conn)()
+		q.leavePlace = q.g.enter(e.ID, q, conn)
+		defer q.leavePlace()
 	}
 	out := &upstream.Request{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Body: q.body}
 	out.Header = q.g.codec.EndpointHeader(q.r.Header, q.stamp(e, sentAt))
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -28,7 +28,7 @@
 		q.bad(e, 1, err.Error())
 		return unknown
 	}
-	x.Done(q.g.pool)
+	q.handBack(x)
 	if !q.sawEnd(e, x) {
 		q.bad(e, 1, errUnsureEnd.Error())
 		return unknown
