--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -87,10 +88,7 @@
 	group.Go(func() error { return socket.Run(ctx, neighbours.Receive) })
 	group.Go(func() error { return neighbours.Run(ctx) })
 	group.Go(func() error { return serveOn(ctx, p.httpServer(neighbours.Handler()), calls) })
-	srv := p.httpServer(g.Handler())
-	srv.ConnState = g.ConnState()
-	srv.ConnContext = callerconn.Context
-	group.Go(func() error { return serveOn(ctx, srv, callers) })
+	group.Go(func() error { return serveOn(ctx, p.callersServer(g), callers) })
 	group.Go(func() error { return serveOn(ctx, p.httpServer(g.ReadinessHandler()), readiness) })
 	p.serveMetrics(ctx, group)
 	group.Go(func() error {
@@ -101,6 +99,14 @@
 	return group.Wait()
 }
 
+// callersServer returns the server that takes callers.
+func (p *fleetProcess) callersServer(g *gateway.Gateway) *http.Server {
+	srv := p.httpServer(g.Handler())
+	srv.ConnState = g.ConnState()
+	srv.ConnContext = callerconn.Context // Without it a stream cut short looks whole to HTTP/1.0.
+	return srv
+}
+
 // drain waits for the signal to stop and then for what runs.
 func (p *fleetProcess) drain(ctx context.Context, stop <-chan struct{}, busy func() int) {
 	select {
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -4,13 +4,21 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/canvaspulley/canvaspulley/internal/callerconn"
+	"github.com/canvaspulley/canvaspulley/internal/follow"
+	"github.com/canvaspulley/canvaspulley/internal/gateway"
 )
 
 // The server answers nothing by itself with success: a caller would take that for
@@ -33,3 +41,24 @@
 	defer func() { _ = resp.Body.Close() }()
 	g.Expect(resp.StatusCode).To(Equal(http.StatusTeapot))
 }
+
+// Callers' connections can be armed, so that an answer without framing that is cut
+// short ends in a reset.
+func TestTheCallersServerLetsAnswersEndInAReset(t *testing.T) {
+	g := NewWithT(t)
+	p := &fleetProcess{log: zap.NewNop(), reg: metrics.NewRegistry()}
+	gw, cleanup := gateway.New(gateway.Config{}, platformCodec(), follow.NewView(), p.log, p.reg)
+	t.Cleanup(cleanup)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = l.Close() })
+	caller, err := net.Dial("tcp4", l.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = caller.Close() }()
+	c, err := l.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+	callerconn.Arm(p.callersServer(gw).ConnContext(context.Background(), c))
+	g.Expect(c.Close()).To(Succeed())
+	_, err = caller.Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(syscall.ECONNRESET))
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,7 +30,7 @@
 		return false
 	}
 	media, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
-	return err == nil && media == eventStream
+	return (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter)) && media == eventStream
 }
 
 // fits returns why an answer cannot go on with a stream that has begun. Its head
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -123,6 +123,10 @@
 		q.note(e.ID + ": after an answer without a length: " + err.Error())
 		return false
 	}
+	if q.maxIdle() == 0 {
+		conn.Close() // No request of this kind would use it.
+		return true
+	}
 	q.g.pool.Put(conn)
 	return true
 }
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -73,3 +74,29 @@
 		})
 	}
 }
+
+// A connection that is handed back serves the next request, whatever time the last
+// one had.
+func TestAKeptConnectionOutlivesItsLastRequestsTime(t *testing.T) {
+	g := NewWithT(t)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") }))
+	t.Cleanup(srv.Close)
+	opened := 0
+	p, cleanup := NewPool("", func() { opened++ })
+	t.Cleanup(cleanup)
+	const lifetime = 2 * time.Second // Of each request; long enough to be answered in.
+	for range 2 {
+		c, err := p.Get(context.Background(), "e", srv.Listener.Addr().String(), time.Minute)
+		g.Expect(err).NotTo(HaveOccurred())
+		deadline := time.Now().Add(lifetime)
+		x, err := c.Send(&Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}, deadline)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = x.Head(&Request{Method: http.MethodGet}, func(int, http.Header) bool { return true })
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = x.ReadWhole(1 << 10)
+		g.Expect(err).NotTo(HaveOccurred())
+		x.Done(p)
+		time.Sleep(time.Until(deadline) + time.Millisecond)
+	}
+	g.Expect(opened).To(Equal(1))
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -128,6 +128,10 @@
 		c.Close() // Bytes that belong to no request.
 		return
 	}
+	if err := c.nc.SetDeadline(time.Time{}); err != nil { // That of the last request says nothing of the next.
+		c.Close()
+		return
+	}
 	c.idleAt = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
