--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -152,6 +152,20 @@
 	return s
 }
 
+// haltedRank waits until a rank has stopped within a stream, and returns which.
+func haltedRank(g *WithT, ranks []*streamer) (which int) {
+	which = -1
+	g.Eventually(func() int {
+		for i, r := range ranks {
+			if len(r.halted) > 0 {
+				which = i
+			}
+		}
+		return which
+	}, patienceOf).Should(BeNumerically(">=", 0))
+	return which
+}
+
 func TestAStreamOnASlowRankGoesOnAtAnother(t *testing.T) {
 	g := NewWithT(t)
 	ranks := []*streamer{newStreamer(3), newStreamer(3)}
@@ -166,15 +180,7 @@
 		g.Expect(body).To(Equal(wholeStream()), "neither a gap nor a repeat")
 		return nil
 	})
-	slow := -1
-	g.Eventually(func() int {
-		for i, r := range ranks {
-			if len(r.halted) > 0 {
-				slow = i
-			}
-		}
-		return slow
-	}, patienceOf).Should(BeNumerically(">=", 0))
+	slow := haltedRank(g, ranks)
 	other := ranks[1-slow]
 	s.tell(slow, 1, 2)
 	g.Expect(s.figures.moved.Count()).To(BeZero(), "a little slow: it stays")
--- a/internal/gateway/short_stream_test.go
+++ b/internal/gateway/short_stream_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
 )
 
 // breaking is an endpoint that sends the first events of a stream and then breaks
@@ -56,3 +57,37 @@
 	}
 	t.Fatal("no request began at the endpoint that breaks off")
 }
+
+// failsLater is a streamer that fails by itself where a stream goes on.
+type failsLater struct{ *streamer }
+
+func (f failsLater) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get(headerLast) != "" {
+		failing(w, r)
+		return
+	}
+	f.streamer.ServeHTTP(w, r)
+}
+
+// The gateway itself ends a sound run when it moves a stream off a slow rank; the
+// next endpoint's failure must not end the caller's answer either.
+func TestAMovedStreamIsNeverEndedByAnEndpointsFailure(t *testing.T) {
+	g := NewWithT(t)
+	ranks := []*streamer{newStreamer(3), newStreamer(3)} // Chance says which is asked first.
+	s := newSite(t, failsLater{ranks[0]}, failsLater{ranks[1]})
+	s.tell(0, 0, 1)
+	s.tell(1, 0, 1)
+	var caller errgroup.Group
+	caller.Go(func() error {
+		status, _, body, err := s.ask("one")
+		g.Expect(status).To(Equal(http.StatusOK))
+		g.Expect(err).To(HaveOccurred(), "an answer of %q looked whole", body)
+		g.Expect(body).To(Equal("id: 1\ndata: x\n\nid: 2\ndata: x\n\n"))
+		return nil
+	})
+	slow := haltedRank(g, ranks)
+	s.tell(slow, 1, 2)
+	s.tell(slow, 1, 12)
+	g.Expect(caller.Wait()).To(Succeed())
+	g.Expect(s.figures.moved.Count()).To(BeEquivalentTo(1))
+}
