--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -125,6 +125,12 @@
 			finds: `a stream that ended as whole after event \d+ of 12.*, over (kept connections|Connection: close)`,
 			seed:  105275, kinds: AllKinds, callers: manyCallers,
 		},
+		{
+			name:  "a broken answer ends in order for callers of HTTP/1.0",
+			edits: []edit{{"../callerconn/callerconn.go", "if !ok || c.SetLinger(lingerReset) != nil {", "if !ok || c != nil {"}},
+			finds: `a stream that ended as whole after event \d+ of 12, over HTTP/1.0`,
+			seed:  105275, kinds: AllKinds,
+		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
