internal/daemon: signals are caught before anything else

Change: catchSignals is the first that a gateway or sidecar does; what comes before it serves is acted on afterwards. The runtime's own start stays open. The tests of signals use the same function in place of a guard of their own.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -39,11 +39,12 @@
 	log  *zap.Logger
 	reg  metrics.Registry
 
-	serverLog *log.Logger // Of what HTTP servers say themselves.
+	serverLog *log.Logger      // Of what HTTP servers say themselves.
+	caught    <-chan os.Signal // Signals since the start.
 }
 
 // runFleet serves until a planned stop is complete.
-func runFleet(file string, set *settings.Fleet, out io.Writer) (err error) {
+func runFleet(file string, set *settings.Fleet, caught <-chan os.Signal, out io.Writer) (err error) {
 	logger, lines, err := oplog.New(out, set.LogLevel, set.LogPerSec)
 	if err != nil {
 		return errors.Wrap(err, "log level")
@@ -55,7 +56,7 @@
 	if err != nil {
 		return errors.Wrap(err, "log of the servers")
 	}
-	p := &fleetProcess{set: set, file: file, log: logger, serverLog: serverLog, reg: metrics.NewRegistry()}
+	p := &fleetProcess{set: set, file: file, log: logger, serverLog: serverLog, caught: caught, reg: metrics.NewRegistry()}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	logging, stopLog := context.WithCancel(context.Background())
@@ -119,20 +120,29 @@
 	return nil
 }
 
+// signalQueue is how many signals wait until they are acted on; whoever sends more at
+// once repeats itself.
+const signalQueue = 4
+
+// catchSignals keeps the signals that come from now on. It is the first that a process
+// does, since a SIGHUP that nobody has asked for ends it, also in the midst of its start.
+func catchSignals() (caught <-chan os.Signal, cleanup func()) {
+	c := make(chan os.Signal, signalQueue)
+	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return c, func() { signal.Stop(c) }
+}
+
 // signals calls stop at the first signal to stop and reload at each SIGHUP. A
 // further SIGTERM changes nothing, since whoever stops instances in turn may send
 // it twice and nothing may be cut; a further SIGINT, from a person, ends the
 // process at once.
 func (p *fleetProcess) signals(ctx context.Context, stop, end func()) error {
-	c := make(chan os.Signal, 4)
-	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(c)
 	stopped := false
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case s := <-c:
+		case s := <-p.caught:
 			switch {
 			case s == syscall.SIGHUP:
 				p.reload()
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -25,13 +24,13 @@
 func signalled(t *testing.T, list ...syscall.Signal) (stops, ends int32) {
 	g := NewWithT(t)
 	core, lines := observer.New(zap.InfoLevel)
-	p := &fleetProcess{log: zap.New(core)}
+	caught, cleanup := catchSignals()
+	defer cleanup()
+	p := &fleetProcess{log: zap.New(core), caught: caught}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var stop, end atomic.Int32
 	var group errgroup.Group
-	guard := make(chan os.Signal, 8) // Keeps the signals from ending the test.
-	defer notify(guard)()
 	group.Go(func() error {
 		return p.signals(ctx, func() { stop.Add(1) }, func() { end.Add(1) })
 	})
@@ -66,10 +65,3 @@
 		})
 	}
 }
-
-// notify delivers the signals of the tests to c as well, until the function is
-// called.
-func notify(c chan os.Signal) (stop func()) {
-	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
-	return func() { signal.Stop(c) }
-}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -70,6 +70,8 @@
 
 // mainFleet runs a gateway or a sidecar and returns the exit code.
 func mainFleet(o options, stderr io.Writer) int {
+	caught, cleanup := catchSignals()
+	defer cleanup()
 	set, err := settings.LoadFleet(o.Config)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -78,7 +80,7 @@
 	if o.Check {
 		return exitOK
 	}
-	if err := runFleet(o.Config, set, os.Stdout); err != nil {
+	if err := runFleet(o.Config, set, caught, os.Stdout); err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitFailed
 	}
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -62,3 +62,15 @@
 	_, err = caller.Read(make([]byte, 1))
 	g.Expect(err).To(MatchError(syscall.ECONNRESET))
 }
+
+// A signal that comes before the process serves is acted on once it does.
+func TestSignalsOfTheStartAreKept(t *testing.T) {
+	g := NewWithT(t)
+	caught, cleanup := catchSignals()
+	t.Cleanup(cleanup)
+	g.Expect(syscall.Kill(syscall.Getpid(), syscall.SIGTERM)).To(Succeed())
+	p := &fleetProcess{log: zap.NewNop(), caught: caught}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.Expect(p.signals(ctx, cancel, func() { t.Error("it ended at once") })).To(Succeed())
+}
