--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -124,6 +124,12 @@
 		conn.Close()
 		return q.broken(e, x, err)
 	}
+	return q.relay(e, x, resp, answer)
+}
+
+// relay judges an answer, whose head has come, by what it says of itself, and passes
+// on what is the caller's.
+func (q *request) relay(e fleet.Endpoint, x *upstream.Exchange, resp *http.Response, answer fleet.Answer) result {
 	if answer.NotRun {
 		q.turnedAway(e, resp.StatusCode, answer)
 		x.Abort()
