--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -112,10 +112,10 @@
 	if x.Framed() {
 		return true
 	}
-	if q.reply.begun() && (q.lastRun.events == 0 || q.leaves(e)) {
-		return false
-	}
-	if q.reply.begun() {
+	if q.reply.begun() { // A stream; other answers are sent on later.
+		if q.lastRun.events == 0 || q.leaves(e) {
+			return false
+		}
 		wait.For(q.ctx, q.g.cfg.EndSettle)
 	}
 	conn, err := q.g.pool.Get(q.ctx, e.ID, e.Address, onceIdle)
