internal/decide/cutover: a rank that starts again in the search

Cause: a rank may start again under its id, at any moment of a map switch. Change: the search also has one rank start again in every state, with orders of the old epoch still on their way and leaders that notice late. Conclusion: orders that name their epoch suffice; the machine needs no change.

--- a/internal/decide/cutover/search_test.go
+++ b/internal/decide/cutover/search_test.go
@@ -20,6 +20,15 @@
 	held     uint64
 }
 
+// restart says whether a rank may start again under its id, which it does once.
+type restart int
+
+const (
+	never     restart = iota
+	forgets           // The whole group forgets its maps and armings, as is published.
+	remembers         // The other ranks do not: a fault of the engines.
+)
+
 // late is an order whose answer was lost and that may still be carried out.
 type late struct {
 	rank  int
@@ -32,6 +41,8 @@
 	ranks   []engineModel
 	late    []late // Invariant: at most maxLate.
 	leaders []*Machine
+	epoch   uint64
+	restart restart
 	asleep  bool // The first leader's instance is frozen: its engine is not reached either.
 	own     ownArming
 	budget  int    // Faults left.
@@ -79,6 +90,9 @@
 // execute carries an order out at an engine.
 func (w *world) execute(r int, o rank.Order) rank.Result {
 	e := &w.ranks[r]
+	if o.Epoch != w.epoch {
+		return rank.Conflict
+	}
 	if o.Fence < e.fence {
 		return rank.Fenced
 	}
@@ -160,7 +174,7 @@
 func (w *world) reports() []rank.Report {
 	list := make([]rank.Report, len(w.ranks))
 	for r, e := range w.ranks {
-		list[r] = rank.Report{Open: true, Epoch: 1, Step: w.step, Map: e.mapNow, Prepared: e.prepared, Armed: e.armed, Held: e.held}
+		list[r] = rank.Report{Open: true, Epoch: w.epoch, Step: w.step, Map: e.mapNow, Prepared: e.prepared, Armed: e.armed, Held: e.held}
 	}
 	return list
 }
@@ -185,9 +199,9 @@
 }
 
 func (w *world) key() string {
-	s := fmt.Sprint(w.step, w.ranks, w.late, w.asleep, w.own, w.budget, w.began, w.newest)
+	s := fmt.Sprint(w.step, w.epoch, w.restart, w.ranks, w.late, w.asleep, w.own, w.budget, w.began, w.newest)
 	for _, m := range w.leaders {
-		s += fmt.Sprint(m.Self, m.absence, m.Fence, m.Phase, m.Version, m.Step, m.Newest, m.done, m.clear, m.held, m.spent)
+		s += fmt.Sprint(m.Self, m.Epoch, m.absence, m.Fence, m.Phase, m.Version, m.Step, m.Newest, m.done, m.clear, m.held, m.spent)
 	}
 	return s
 }
@@ -209,9 +223,29 @@
 	for i := range w.leaders {
 		list = append(list, w.act(i, spoil)...)
 	}
+	for r := 0; w.restart != never && r < len(w.ranks); r++ {
+		c := w.clone()
+		c.startAgain(r)
+		list = append(list, c)
+	}
 	return list
 }
 
+// startAgain has a rank die and start again under its id. The group opens in a new
+// epoch, with nothing in force, prepared, armed or held; the rank has forgotten its
+// fence, the others have not.
+func (w *world) startAgain(r int) {
+	w.epoch++
+	for i := range w.ranks {
+		if w.restart == forgets {
+			w.ranks[i] = engineModel{fence: w.ranks[i].fence}
+		}
+	}
+	w.ranks[r] = engineModel{}
+	w.restart = never
+	w.own = ownArming{}
+}
+
 // act returns what a leader may do next.
 func (w *world) act(i int, spoil func(m *Machine, orders []rank.Order)) (list []*world) {
 	if w.leaders[i].Phase == Deposed {
@@ -220,12 +254,12 @@
 	if w.budget > 0 && i == 0 && len(w.leaders) == 1 { // It stops for a while and another one takes over.
 		c := w.clone()
 		c.budget--
-		c.leaders = append(c.leaders, New(searchRanks, second, Nobody, 1, c.leaders[0].Fence+10))
+		c.leaders = append(c.leaders, New(searchRanks, second, Nobody, w.leaders[0].Epoch, c.leaders[0].Fence+10))
 		list = append(list, c)
 		c = w.clone() // The same with its instance, which another one notices.
 		c.budget--
 		c.asleep, c.own.closed = true, true
-		c.leaders = append(c.leaders, New(searchRanks, second, c.own.absence(), 1, c.leaders[0].Fence+10))
+		c.leaders = append(c.leaders, New(searchRanks, second, c.own.absence(), w.leaders[0].Epoch, c.leaders[0].Fence+10))
 		list = append(list, c)
 	}
 	if i == 0 && w.asleep {
@@ -233,9 +267,14 @@
 		c.asleep = false
 		return []*world{c}
 	}
+	if m := w.leaders[i]; m.Epoch != w.epoch { // It sees the new epoch at some time, and goes on until then.
+		c := w.clone()
+		c.leaders[i] = New(searchRanks, m.Self, Nobody, w.epoch, m.Fence+10)
+		list = append(list, c)
+	}
 	if m := w.leaders[i]; m.Absent() != None && !w.asleep { // It answers again: all are asked from now on.
 		c := w.clone()
-		c.leaders[i] = New(searchRanks, m.Self, Nobody, 1, m.Fence+10)
+		c.leaders[i] = New(searchRanks, m.Self, Nobody, m.Epoch, m.Fence+10)
 		list = append(list, c)
 	}
 	switch m := w.leaders[i]; m.Phase {
@@ -328,8 +367,8 @@
 }
 
 // search visits every reachable world and returns the first that is broken.
-func search(faults int, spoil func(m *Machine, orders []rank.Order)) (seen int, broken string) {
-	first := &world{ranks: make([]engineModel, searchRanks), budget: faults}
+func search(faults int, restart restart, spoil func(m *Machine, orders []rank.Order)) (seen int, broken string) {
+	first := &world{ranks: make([]engineModel, searchRanks), epoch: 1, restart: restart, budget: faults}
 	first.leaders = []*Machine{New(searchRanks, 0, Nobody, 1, 1)}
 	visited := map[string]bool{first.key(): true}
 	queue := []*world{first}
@@ -354,12 +393,30 @@
 
 func TestNoPassOnTwoMaps(t *testing.T) {
 	g := NewWithT(t)
-	seen, broken := search(2, nil)
+	seen, broken := search(2, never, nil)
 	t.Logf("%d states", seen)
 	g.Expect(broken).To(BeEmpty())
 	g.Expect(seen).To(BeNumerically(">", 1000))
 }
 
+// A rank that starts again under its id, in whatever state the group and its leaders
+// are, and with whatever orders on their way, leaves the group on one map.
+func TestNoPassOnTwoMapsWhenARankStartsAgain(t *testing.T) {
+	g := NewWithT(t)
+	seen, broken := search(1, forgets, nil)
+	t.Logf("%d states", seen)
+	g.Expect(broken).To(BeEmpty())
+	g.Expect(seen).To(BeNumerically(">", 10_000))
+}
+
+// The search notices what a rank forgets alone.
+func TestSearchFindsWhatARestartLeaves(t *testing.T) {
+	g := NewWithT(t)
+	seen, broken := search(1, remembers, nil)
+	t.Logf("after %d states: %.40s", seen, broken)
+	g.Expect(broken).To(ContainSubstring("on maps"))
+}
+
 // each makes a fault of all orders of one of each.
 func each(spoil func(m *Machine, o *rank.Order)) func(m *Machine, orders []rank.Order) {
 	return func(m *Machine, orders []rank.Order) {
@@ -410,7 +467,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
-			seen, broken := search(2, tc.spoil)
+			seen, broken := search(2, never, tc.spoil)
 			t.Logf("after %d states: %.40s", seen, broken)
 			g.Expect(broken).To(ContainSubstring("on maps"))
 		})
@@ -422,7 +479,7 @@
 func TestHoldsAreLetGo(t *testing.T) {
 	g := NewWithT(t)
 	m := New(searchRanks, 1, Nobody, 1, 20)
-	w := &world{ranks: make([]engineModel, searchRanks), leaders: []*Machine{m}}
+	w := &world{ranks: make([]engineModel, searchRanks), epoch: 1, leaders: []*Machine{m}}
 	w.ranks[0].held = 3 // Of a leader that is gone, after two of three were armed.
 	w.ranks[0].prepared, w.ranks[1].prepared, w.ranks[2].prepared = 7, 7, 7
 	w.ranks[0].armed = rank.Arming{Version: 7, Step: 3}
@@ -465,7 +522,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
 			m := New(searchRanks, second, tc.own, 1, 20)
-			w := &world{ranks: make([]engineModel, searchRanks), leaders: []*Machine{m}, step: 2, asleep: true}
+			w := &world{ranks: make([]engineModel, searchRanks), epoch: 1, leaders: []*Machine{m}, step: 2, asleep: true}
 			w.ranks[Holder(0)].held = 3
 			for _, r := range tc.armed {
 				w.ranks[r].prepared, w.ranks[r].armed = 7, rank.Arming{Version: 7, Step: 3}
