internal/follow, internal/sidecar, internal/gateway, platform: lives of endpoints, entries of another writer

Cause: an endpoint may start again under the id that it had, and an entry may come from another writer. Leaving was never taken back for an id, so such an endpoint was out for good; counts and reports of two lives were joined; one item that could not be read hid all others of its page; an entry without an address or with an unknown state was taken, and an unknown service could hide the endpoint at its address. Change: the adapter gives each life an id of its own (name and birth), so that what is kept by id ends with the life: view, balance, passes, kept connections, members. A later life begins anew, an earlier one's late word is left out, whichever way it comes (store, neighbour, report, counts). A leader drops its machine when a rank has begun anew. Entries are read item by item and checked field by field; a bad one names nobody until the next, is logged once a revision, and who leaves is remembered over it.

--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -9,10 +9,13 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
 )
 
 // Load is what an endpoint's report says.
 type Load struct {
+	Born    int64         // When the life that tells it began, Unix milliseconds; 0 when not told.
 	Running int           // Requests at work.
 	Waiting int           // Requests in its queue.
 	Group   string        // Of ranks that stand and fall together; "" for none.
@@ -49,7 +52,8 @@
 
 // endpoint is what is known of one endpoint.
 type endpoint struct {
-	own      int // Requests of this process at work there.
+	own      int   // Requests of this process at work there.
+	born     int64 // Of the newest life that told its load; 0 when not told.
 	load     Load
 	ownThen  int     // own when load was told.
 	good     float64 // Weighted outcomes.
@@ -81,11 +85,20 @@
 	return e
 }
 
-// Report takes in an endpoint's report.
-func (t *Table) Report(id string, l Load) {
+// Report takes in an endpoint's report. One of a later life, whose entry was not seen
+// yet, ends what is known of the endpoint but for the requests of this process; it
+// reports false for one of an earlier life, which is left out.
+func (t *Table) Report(id string, l Load) (counts bool) {
 	e := t.of(id)
+	switch fleet.CompareLives(e.born, l.Born) {
+	case -1:
+		return false
+	case 1:
+		*e = endpoint{own: e.own}
+	}
+	e.born = max(e.born, l.Born)
 	if l.At.Before(e.load.At) {
-		return
+		return true
 	}
 	e.load, e.ownThen = l, e.own
 	switch {
@@ -95,6 +108,7 @@
 	default:
 		delete(t.closed, l.Group) // All ranks open together.
 	}
+	return true
 }
 
 // Start notes that a request of this process goes to an endpoint.
--- a/internal/decide/balance/balance_test.go
+++ b/internal/decide/balance/balance_test.go
@@ -180,3 +180,26 @@
 		})
 	}
 }
+
+// What an endpoint's earlier life was taken out for does not count against the later
+// one, and its load is not the later one's.
+func TestASecondLifeIsJudgedAnew(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	table := New()
+	for range 5 {
+		table.Bad("one", 1, now)
+	}
+	list := []Candidate{{ID: "one"}, {ID: "two"}, {ID: "three"}}
+	table.Report("one", Load{Born: 5, At: now})
+	table.Report("two", Load{Running: 1, At: now})
+	table.Report("three", Load{Running: 1, At: now})
+	i, ok := table.Pick(list, func(int) int { return 0 }, now)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(list[i].ID).NotTo(Equal("one"), "it is out")
+	g.Expect(table.Report("one", Load{Born: 7, At: now})).To(BeTrue())
+	i, _ = table.Pick(list, func(int) int { return 0 }, now)
+	g.Expect(list[i].ID).To(Equal("one"))
+	g.Expect(table.Report("one", Load{Born: 5, Running: 99, At: now.Add(time.Second)})).To(BeFalse())
+	g.Expect(table.Busy("one", now)).To(BeZero())
+}
--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -21,12 +21,12 @@
 
 // Stamp is what a gateway adds to a request for one endpoint.
 type Stamp struct {
-	EndpointID string // The only endpoint that may run it.
-	Customer   string // "" when the route is public.
-	Left       time.Duration
-	Priority   int    // 0 is the most urgent; -1 for none.
-	LastEvent  string // Id after which a stream goes on; "" for what the caller said.
-	Weights    string // Version of the weights that may run it; "" for any.
+	EndpointName string // The only endpoint that may run it.
+	Customer     string // "" when the route is public.
+	Left         time.Duration
+	Priority     int    // 0 is the most urgent; -1 for none.
+	LastEvent    string // Id after which a stream goes on; "" for what the caller said.
+	Weights      string // Version of the weights that may run it; "" for any.
 }
 
 // Answer is what an endpoint's answer says about itself, besides its status
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -197,7 +197,10 @@
 
 // Endpoint is one life of a back end, as the platform lists it.
 type Endpoint struct {
-	ID       string // Of this life only.
+	// ID is of this life only (LifeID), so that whatever is kept by it ends with the
+	// life: a back end that starts again holds and knows nothing of before.
+	ID       string
+	Born     int64 // When the life began, Unix milliseconds; 0 when not told.
 	Service  string
 	Address  string // IP:PORT.
 	Domain   string
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -89,16 +89,17 @@
 	heard  time.Time // Last answer.
 	back   time.Time // End of the last outage.
 
-	listener *Listener // Nil where every process reads the source.
-	ownUntil time.Time // Until then it reads the source itself.
-	oldSince time.Time // When what it hears was first too old; zero while it is not.
-	ownAfter time.Time // Until then it goes on listening, though what it hears is old.
-	blind    time.Time // When the source last failed.
+	reported map[string]uint64 // Revisions of bad entries that were logged, by name.
+	listener *Listener         // Nil where every process reads the source.
+	ownUntil time.Time         // Until then it reads the source itself.
+	oldSince time.Time         // When what it hears was first too old; zero while it is not.
+	ownAfter time.Time         // Until then it goes on listening, though what it hears is old.
+	blind    time.Time         // When the source last failed.
 }
 
 // NewFollower returns a follower of source into view.
 func NewFollower(view *View, source Source, log *zap.Logger) *Follower {
-	return &Follower{view: view, source: source, log: log, now: time.Now}
+	return &Follower{view: view, source: source, log: log, now: time.Now, reported: map[string]uint64{}}
 }
 
 // ListenTo makes the follower listen to others where it is not one of the few
@@ -266,9 +267,20 @@
 	}
 }
 
-func (f *Follower) report(bad []error) {
-	for _, err := range bad {
-		f.log.Warn("published entry left out", zap.String("error", err.Error()))
+// maxReported bounds the bad entries that are remembered, so that each revision of one
+// is logged once.
+const maxReported = 1024
+
+func (f *Follower) report(bad []BadEntry) {
+	for _, b := range bad {
+		if revision, ok := f.reported[b.Name]; ok && revision == b.Revision {
+			continue
+		}
+		if len(f.reported) >= maxReported {
+			clear(f.reported)
+		}
+		f.reported[b.Name] = b.Revision
+		f.log.Warn("published entry left out", zap.String("name", b.Name), zap.Uint64("revision", b.Revision), zap.String("error", b.Err.Error()))
 	}
 }
 
--- /dev/null
+++ b/internal/follow/life_test.go
@@ -0,0 +1,173 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package follow
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+)
+
+// life returns a life of the endpoint that is listed as "a".
+func life(born int64, revision uint64, leaving bool) fleet.Endpoint {
+	e := endpoint(fleet.LifeID("a", born), revision)
+	e.Born, e.Address, e.Made, e.Leaving = born, "a", 1, leaving
+	return e
+}
+
+// expectOnly checks that the view holds one life of "a", and that it is found by its
+// service and its address, unless it leaves.
+func expectOnly(g *WithT, v *View, want fleet.Endpoint) {
+	s := v.State()
+	g.Expect(s.Endpoints).To(HaveLen(1))
+	g.Expect(s.Endpoints).To(HaveKeyWithValue(want.ID, want))
+	g.Expect(s.ByService["s"]).To(ConsistOf(want))
+	g.Expect(s.ByAddress).To(HaveKeyWithValue("a", want))
+}
+
+// ways are those by which an entry may reach a view.
+var ways = []struct {
+	name string
+	take func(v *View, e fleet.Endpoint)
+}{
+	{"change", func(v *View, e fleet.Endpoint) {
+		v.Apply(Changes{Endpoints: []fleet.Endpoint{e}, At: e.Revision}, at(1), false)
+	}},
+	{"snapshot", func(v *View, e fleet.Endpoint) {
+		v.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{e}, At: e.Revision}, at(1), false)
+	}},
+	{"neighbour's word", func(v *View, e fleet.Endpoint) {
+		v.Hear(Told{Endpoints: []fleet.Endpoint{e}, At: e.Revision}, at(1))
+	}},
+	{"neighbour's whole word", func(v *View, e fleet.Endpoint) {
+		v.Hear(Told{Whole: true, Endpoints: []fleet.Endpoint{e}, At: e.Revision}, at(1))
+	}},
+	{"loan", func(v *View, e fleet.Endpoint) { v.Merge(Changes{Endpoints: []fleet.Endpoint{e}}) }},
+}
+
+func TestALaterLifeBeginsAnew(t *testing.T) {
+	for _, way := range ways {
+		t.Run(way.name, func(t *testing.T) {
+			g := NewWithT(t)
+			v := NewView()
+			v.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{life(5, 2, true)}, At: 2}, at(0), false)
+			way.take(v, life(7, 3, false))
+			expectOnly(g, v, life(7, 3, false))
+		})
+	}
+}
+
+func TestAnEarlierLifesWordComesLate(t *testing.T) {
+	for _, way := range ways {
+		t.Run(way.name, func(t *testing.T) {
+			g := NewWithT(t)
+			v := NewView()
+			v.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{life(7, 3, true)}, At: 3}, at(0), false)
+			way.take(v, life(5, 4, false))
+			expectOnly(g, v, life(7, 3, true))
+		})
+	}
+}
+
+func TestLeavingIsKeptWithinALifeOverALapse(t *testing.T) {
+	for _, way := range ways {
+		t.Run(way.name, func(t *testing.T) {
+			g := NewWithT(t)
+			v := NewView()
+			v.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{life(5, 2, true)}, At: 2}, at(0), false)
+			v.Apply(Changes{Gone: []Gone{{"a", 3}}, At: 3}, at(0), false)
+			g.Expect(v.State().Endpoints).To(BeEmpty())
+			way.take(v, life(5, 4, false))
+			expectOnly(g, v, life(5, 4, true))
+		})
+	}
+}
+
+func TestBothLivesInOneAnswer(t *testing.T) {
+	for _, list := range [][]fleet.Endpoint{
+		{life(7, 3, false), life(5, 4, true)},
+		{life(5, 2, true), life(7, 3, false)},
+	} {
+		g := NewWithT(t)
+		v := NewView()
+		v.Replace(Snapshot{Config: version(1), At: 1}, at(0), false)
+		v.Apply(Changes{Endpoints: list, At: 4}, at(1), false)
+		expectOnly(g, v, life(7, 3, false))
+	}
+}
+
+// A listener that is told of a change hears that the earlier life is over.
+func TestALaterLifeIsTold(t *testing.T) {
+	g := NewWithT(t)
+	teller, listener := NewView(), NewView()
+	teller.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{life(5, 2, true)}, At: 2}, at(0), false)
+	first := teller.Tell(0)
+	listener.Offer(version(1), 1)
+	listener.Hear(first, at(0))
+	teller.Apply(Changes{Endpoints: []fleet.Endpoint{life(7, 3, false)}, At: 3}, at(1), false)
+	listener.Hear(teller.Tell(first.Number), at(1))
+	expectOnly(g, listener, life(7, 3, false))
+}
+
+// An entry that another writer laid over an endpoint's names nothing to use; the
+// endpoint's own next one does, and whether it leaves is not forgotten meanwhile.
+func TestABadEntryHoldsUntilTheNext(t *testing.T) {
+	bad := BadEntry{Name: "a", Revision: 3, Err: errors.New("state: missing")}
+	for _, tc := range []struct {
+		name string
+		take func(v *View)
+	}{
+		{"change", func(v *View) { v.Apply(Changes{Bad: []BadEntry{bad}, At: 3}, at(1), false) }},
+		{"snapshot", func(v *View) {
+			v.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{endpoint("b", 2)}, Bad: []BadEntry{bad}, At: 3}, at(1), false)
+		}},
+	} {
+		for _, leaving := range []bool{false, true} {
+			t.Run(tc.name, func(t *testing.T) {
+				g := NewWithT(t)
+				v := NewView()
+				v.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{life(5, 2, leaving), endpoint("b", 2)}, At: 2}, at(0), false)
+				tc.take(v)
+				g.Expect(v.State().Endpoints).To(HaveLen(1), "the others hold")
+				g.Expect(v.State().Endpoints).To(HaveKey("b"))
+				v.Merge(Changes{Endpoints: []fleet.Endpoint{life(5, 2, false)}})
+				g.Expect(v.State().Endpoints).To(HaveLen(1), "what the entry said before does not hold any more")
+				v.Apply(Changes{Endpoints: []fleet.Endpoint{life(5, 4, false)}, At: 4}, at(2), false)
+				g.Expect(v.State().Endpoints).To(HaveKeyWithValue(life(5, 4, false).ID, life(5, 4, leaving)))
+			})
+		}
+	}
+}
+
+// One with a service that is not configured hides no endpoint at its address.
+func TestAnUnknownServiceHidesNobody(t *testing.T) {
+	g := NewWithT(t)
+	v := NewView()
+	right, wrong := endpoint("a", 2), endpoint("b", 9)
+	wrong.Address, wrong.Service = "a", "other"
+	v.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{right, wrong}, At: 9}, at(0), false)
+	g.Expect(v.State().ByAddress["a"].ID).To(Equal("b"), "nothing is known of services yet")
+	v.Offer(fleet.NewConfig(2, nil, []fleet.Service{{Name: "s"}}, nil, fleet.Limits{}), 10)
+	g.Expect(v.State().ByAddress["a"]).To(Equal(right))
+	g.Expect(v.State().ByService).To(HaveKeyWithValue("s", ConsistOf(right)))
+}
+
+func TestABadEntryIsLoggedOnceARevision(t *testing.T) {
+	g := NewWithT(t)
+	core, logs := observer.New(zap.WarnLevel)
+	f := NewFollower(NewView(), Source{}, zap.New(core))
+	f.now = func() time.Time { return at(0) }
+	bad := func(revision uint64) []BadEntry {
+		return []BadEntry{{Name: "a", Revision: revision, Err: errors.New("state: missing")}}
+	}
+	f.report(bad(3))
+	f.report(bad(3))
+	f.report(bad(4))
+	g.Expect(logs.Len()).To(Equal(2))
+}
--- a/internal/follow/told.go
+++ b/internal/follow/told.go
@@ -43,7 +43,7 @@
 	for id, e := range old.Endpoints {
 		if _, ok := next.Endpoints[id]; !ok {
 			delete(l.changed, id)
-			l.removed = append(l.removed, removal{number, Gone{ID: id, Revision: e.Revision}})
+			l.removed = append(l.removed, removal{number, Gone{Name: e.Name(), Revision: e.Revision}})
 			l.number = number
 		}
 	}
@@ -106,15 +106,15 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	next := *v.state.Load()
-	old := next.Endpoints
+	old := next
 	next.own()
-	named := map[string]bool{}
+	named := map[string]bool{} // Names: of whom only the life is told otherwise, the later one holds.
 	for _, e := range t.Endpoints {
-		named[e.ID] = true
-		if had, ok := old[e.ID]; !ok || had.Revision <= e.Revision {
+		named[e.Name()] = true
+		if had, ok := old.Endpoints[e.ID]; !ok || had.Revision <= e.Revision {
 			delete(next.Missing, e.ID)
 		}
-		v.put(&next, old, e)
+		v.put(&next, &old, e)
 	}
 	for _, id := range t.Missing {
 		if _, ok := next.Endpoints[id]; ok {
@@ -123,13 +123,12 @@
 	}
 	for _, g := range t.Gone {
 		next.remove(g, false, now)
-		v.gone[g.ID] = max(v.gone[g.ID], g.Revision)
+		v.gone[g.Name] = max(v.gone[g.Name], g.Revision)
 	}
 	if t.Whole {
-		for id, e := range old {
-			if !named[id] && e.Revision <= t.At {
-				delete(next.Endpoints, id)
-				delete(next.Missing, id)
+		for id, e := range old.Endpoints {
+			if _, there := next.Endpoints[id]; there && !named[e.Name()] && e.Revision <= t.At {
+				next.delete(e)
 			}
 		}
 	}
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -27,23 +27,32 @@
 	Config         *fleet.Config // Nil when none was published yet.
 	ConfigRevision uint64
 	Endpoints      []fleet.Endpoint
-	Bad            []error // Entries that could not be read and were left out.
-	At             uint64  // Revision from which changes are to be followed.
+	Bad            []BadEntry
+	At             uint64 // Revision from which changes are to be followed.
 }
 
 // Gone is an endpoint whose entry was removed.
 type Gone struct {
-	ID       string
+	Name     string // Under which it was listed.
 	Revision uint64
 }
 
+// BadEntry is an entry that does not name an endpoint that may be used: it cannot be
+// read, or something else than an endpoint wrote it. What its key said before does
+// not hold any more; what is written there later does.
+type BadEntry struct {
+	Name     string // Under which an endpoint would be listed; "" where the entry is not of the list.
+	Revision uint64 // 0 when not known.
+	Err      error  // Never nil.
+}
+
 // Changes is what was published after a revision.
 type Changes struct {
 	Config         *fleet.Config // Nil when it did not change.
 	ConfigRevision uint64
 	Endpoints      []fleet.Endpoint // New or changed.
 	Gone           []Gone
-	Bad            []error
+	Bad            []BadEntry
 	At             uint64
 }
 
@@ -51,10 +60,11 @@
 type State struct {
 	Config         *fleet.Config // Nil when none is known.
 	ConfigRevision uint64
-	Endpoints      map[string]fleet.Endpoint   // By id.
+	Endpoints      map[string]fleet.Endpoint   // By id. Invariant: one life of each name at most.
 	ByService      map[string][]fleet.Endpoint // In no order.
 	ByAddress      map[string]fleet.Endpoint
 	Missing        map[string]time.Time // Endpoints whose entry may only have lapsed, by the time it was missed.
+	lives          map[string]string    // Ids in Endpoints, by name.
 }
 
 // View is what a process knows.
@@ -62,7 +72,8 @@
 	mu    sync.Mutex             // Held by writers.
 	state atomic.Pointer[State]  // Never nil.
 	at    uint64                 // Revision up to which changes are known.
-	gone  map[string]uint64      // Revisions of removals, against entries that come late.
+	gone  map[string]uint64      // Revisions of removals by name, against entries that come late.
+	left  map[string]bool        // Ids that were told to leave, also after their entry is gone.
 	check atomic.Pointer[moment] // Never nil.
 	log   changeLog
 	moved chan struct{} // Closed at each change or confirmation; never nil.
@@ -73,7 +84,7 @@
 
 // NewView returns a view that knows nothing.
 func NewView() *View {
-	v := &View{gone: map[string]uint64{}, log: newChangeLog(), moved: make(chan struct{})}
+	v := &View{gone: map[string]uint64{}, left: map[string]bool{}, log: newChangeLog(), moved: make(chan struct{})}
 	v.state.Store(&State{})
 	v.check.Store(&moment{})
 	return v
@@ -170,12 +181,16 @@
 		return false
 	}
 	s.Config, s.ConfigRevision = c, revision
+	s.group() // It names the services whose endpoints may be used.
 	return true
 }
 
 // own gives s, which must be a copy, tables of endpoints of its own to change.
 func (s *State) own() {
-	s.Endpoints, s.Missing = maps.Clone(s.Endpoints), maps.Clone(s.Missing)
+	s.Endpoints, s.Missing, s.lives = maps.Clone(s.Endpoints), maps.Clone(s.Missing), maps.Clone(s.lives)
+	if s.lives == nil {
+		s.lives = map[string]string{}
+	}
 	if s.Endpoints == nil {
 		s.Endpoints = map[string]fleet.Endpoint{}
 	}
@@ -191,15 +206,19 @@
 	defer v.mu.Unlock()
 	next := *v.state.Load()
 	next.takeConfig(snap.Config, snap.ConfigRevision)
-	old := next.Endpoints
+	old := next
 	next.Endpoints = make(map[string]fleet.Endpoint, len(snap.Endpoints))
+	next.lives = make(map[string]string, len(snap.Endpoints))
 	next.Missing = map[string]time.Time{}
 	for _, e := range snap.Endpoints {
-		v.put(&next, old, e)
+		v.put(&next, &old, e)
+	}
+	for _, b := range snap.Bad {
+		v.dropBad(&next, b)
 	}
-	for id, e := range old {
-		if _, ok := next.Endpoints[id]; !ok && hold {
-			next.Endpoints[id] = e
+	for id, e := range old.Endpoints {
+		if _, ok := next.lives[e.Name()]; !ok && hold {
+			next.Endpoints[id], next.lives[e.Name()] = e, id
 			next.Missing[id] = asked
 		}
 	}
@@ -211,19 +230,62 @@
 	}
 }
 
-// put takes an entry into next unless something newer is known of it. Leaving
-// is never taken back within a life.
-func (v *View) put(next *State, old map[string]fleet.Endpoint, e fleet.Endpoint) {
-	if v.gone[e.ID] >= e.Revision {
+// put takes an entry into next unless something newer is known of it: what an
+// earlier life wrote comes late, as where the store is slow. Leaving is never taken
+// back within a life, and a later life begins anew.
+func (v *View) put(next, old *State, e fleet.Endpoint) {
+	name := e.Name()
+	if v.gone[name] >= e.Revision {
 		return
 	}
-	if had, ok := old[e.ID]; ok {
-		if had.Revision > e.Revision {
+	had, ok := next.named(name)
+	if !ok {
+		had, ok = old.named(name)
+	}
+	if ok {
+		newer := had.Born < e.Born || had.Born == e.Born && had.Revision <= e.Revision
+		if !newer {
 			e = had
 		}
-		e.Leaving = e.Leaving || had.Leaving
+		if had.ID != e.ID {
+			delete(next.Endpoints, had.ID)
+			delete(next.Missing, had.ID)
+		}
+	}
+	v.keepLeaving(&e)
+	next.Endpoints[e.ID], next.lives[name] = e, e.ID
+}
+
+// named returns the endpoint that is listed under a name.
+func (s *State) named(name string) (e fleet.Endpoint, ok bool) {
+	e, ok = s.Endpoints[s.lives[name]]
+	return e, ok
+}
+
+// maxLeft bounds the ids that are remembered as leaving, beyond those in the view:
+// endpoints of some hundred days of planned stops.
+const maxLeft = 4096
+
+// keepLeaving notes that an endpoint leaves, or tells it so if it was to leave before.
+func (v *View) keepLeaving(e *fleet.Endpoint) {
+	if e.Leaving && !v.left[e.ID] {
+		if len(v.left) >= maxLeft {
+			listed := v.state.Load().Endpoints
+			maps.DeleteFunc(v.left, func(id string, _ bool) bool { _, ok := listed[id]; return !ok })
+		}
+		v.left[e.ID] = true
 	}
-	next.Endpoints[e.ID] = e
+	e.Leaving = v.left[e.ID]
+}
+
+// dropBad removes what an entry said before it was overwritten by one that names no
+// endpoint to use.
+func (v *View) dropBad(next *State, b BadEntry) (removed bool) {
+	if b.Name == "" {
+		return false
+	}
+	v.gone[b.Name] = max(v.gone[b.Name], b.Revision)
+	return next.remove(Gone{b.Name, b.Revision}, false, time.Time{})
 }
 
 // Apply takes in changes that were asked for at a moment. It returns the
@@ -233,19 +295,24 @@
 	defer v.mu.Unlock()
 	next := *v.state.Load()
 	next.takeConfig(ch.Config, ch.ConfigRevision)
-	if len(ch.Endpoints)+len(ch.Gone) > 0 {
-		old := next.Endpoints
+	if len(ch.Endpoints)+len(ch.Gone)+len(ch.Bad) > 0 {
+		old := next
 		next.own()
 		for _, e := range ch.Endpoints {
-			v.put(&next, old, e)
+			v.put(&next, &old, e)
 			delete(next.Missing, e.ID)
 		}
+		for _, b := range ch.Bad {
+			if v.dropBad(&next, b) {
+				removed = append(removed, b.Name)
+			}
+		}
 		for _, g := range ch.Gone {
 			if next.remove(g, hold, asked) {
-				removed = append(removed, g.ID)
+				removed = append(removed, g.Name)
 			}
 			if !hold {
-				v.gone[g.ID] = max(v.gone[g.ID], g.Revision)
+				v.gone[g.Name] = max(v.gone[g.Name], g.Revision)
 			}
 		}
 		next.group()
@@ -262,10 +329,10 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	next := *v.state.Load()
-	old := next.Endpoints
+	old := next
 	next.own()
 	for _, e := range ch.Endpoints {
-		v.put(&next, old, e)
+		v.put(&next, &old, e)
 	}
 	next.group()
 	v.set(&next)
@@ -273,19 +340,25 @@
 
 // remove drops an endpoint, or notes it as missing.
 func (s *State) remove(g Gone, hold bool, asked time.Time) bool {
-	e, ok := s.Endpoints[g.ID]
+	e, ok := s.named(g.Name)
 	if !ok || e.Revision > g.Revision {
 		return false
 	}
 	if hold {
-		s.Missing[g.ID] = asked
+		s.Missing[e.ID] = asked
 		return false
 	}
-	delete(s.Endpoints, g.ID)
-	delete(s.Missing, g.ID)
+	s.delete(e)
 	return true
 }
 
+// delete takes an endpoint out of s, which must have tables of its own.
+func (s *State) delete(e fleet.Endpoint) {
+	delete(s.Endpoints, e.ID)
+	delete(s.Missing, e.ID)
+	delete(s.lives, e.Name())
+}
+
 // Drop removes the endpoints that have been missing since before a moment and
 // returns them.
 func (v *View) Drop(before time.Time) (removed []string) {
@@ -302,20 +375,23 @@
 	}
 	next.own()
 	for _, id := range removed {
-		delete(next.Endpoints, id)
-		delete(next.Missing, id)
+		next.delete(next.Endpoints[id])
 	}
 	next.group()
 	v.set(&next)
 	return removed
 }
 
-// group makes the index by service. Of two entries with one address the newer
-// life is taken: the older one's entry has only not lapsed yet.
+// group makes the indexes by service and address. Of two entries with one address
+// the newer life is taken: the older one's entry has only not lapsed yet. One whose
+// service the configuration does not name is nobody's, and hides no other.
 func (s *State) group() {
 	newest := map[string]fleet.Endpoint{}
 	for _, e := range s.Endpoints {
-		if had, ok := newest[e.Address]; !ok || e.Made > had.Made {
+		if !s.names(e.Service) {
+			continue
+		}
+		if had, ok := newest[e.Address]; !ok || youngerThan(e, had) {
 			newest[e.Address] = e
 		}
 	}
@@ -325,6 +401,20 @@
 	}
 }
 
+// names reports whether the configuration names a service; all are taken as named
+// while none is known.
+func (s *State) names(service string) bool {
+	return s.Config == nil || len(s.Config.Services()) == 0 || s.Config.Service(service) != nil
+}
+
+// youngerThan reports whether the life of e began after that of other.
+func youngerThan(e, other fleet.Endpoint) bool {
+	if c := fleet.CompareLives(other.Born, e.Born); c != 0 {
+		return c > 0
+	}
+	return e.Made > other.Made
+}
+
 // revision returns the revision up to which changes are known.
 func (v *View) revision() uint64 {
 	v.mu.Lock()
--- a/internal/follow/view_test.go
+++ b/internal/follow/view_test.go
@@ -68,7 +68,7 @@
 	g := NewWithT(t)
 	v := NewView()
 	v.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{endpoint("a", 1)}, At: 1}, at(0), false)
-	g.Expect(v.Apply(Changes{Gone: []Gone{{"a", 5}}, At: 5}, at(1), false)).To(Equal([]string{"a"}))
+	g.Expect(v.Apply(Changes{Gone: []Gone{{Name: "a", Revision: 5}}, At: 5}, at(1), false)).To(Equal([]string{"a"}))
 	v.Merge(Changes{Endpoints: []fleet.Endpoint{endpoint("a", 4)}})
 	g.Expect(v.State().Endpoints).To(BeEmpty())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -153,10 +153,12 @@
 	if !ok || s.Config == nil {
 		return
 	}
+	if fleet.CompareLives(e.Born, l.Born) < 0 {
+		return
+	}
 	shape, ranked := g.shape(s.Config, e.Service)
 	g.mu.Lock()
-	g.table.Report(e.ID, l)
-	if ranked {
+	if ranked = g.table.Report(e.ID, l) && ranked; ranked {
 		g.passes.Report(e.ID, l.Group, shape, passes.Rank{Running: l.Running, Pass: l.Pass, Pace: l.Pace, Closed: l.Closed, At: l.At})
 	}
 	vacate := ranked && g.passes.Vacate(e.ID, l.At)
--- a/internal/gateway/listen_test.go
+++ b/internal/gateway/listen_test.go
@@ -74,7 +74,7 @@
 	// The call is held until something changes, and only that is told.
 	var held errgroup.Group
 	held.Go(func() error { return listener.Listen(ctx) })
-	reader.view.Apply(follow.Changes{Config: configOf(4), Gone: []follow.Gone{{ID: "one", Revision: 8}}, Endpoints: []fleet.Endpoint{endpointAt("three", 7)}, At: 8}, time.Now(), false)
+	reader.view.Apply(follow.Changes{Config: configOf(4), Gone: []follow.Gone{{Name: "one", Revision: 8}}, Endpoints: []fleet.Endpoint{endpointAt("three", 7)}, At: 8}, time.Now(), false)
 	g.Expect(held.Wait()).To(Succeed())
 	g.Expect(listener.view.State().Config.Version()).To(BeEquivalentTo(4))
 	g.Expect(ids()).To(ConsistOf("two", "three"))
@@ -203,7 +203,7 @@
 	ctx := context.Background()
 	lender, borrower := newStation(t, 7), newStation(t, 9)
 	lender.view.Replace(follow.Snapshot{Config: configOf(3), Endpoints: []fleet.Endpoint{endpointAt("there", 5), endpointAt("missed", 6)}, At: 6}, time.Now(), false)
-	lender.view.Apply(follow.Changes{Gone: []follow.Gone{{ID: "missed", Revision: 7}}, At: 7}, time.Now(), true)
+	lender.view.Apply(follow.Changes{Gone: []follow.Gone{{Name: "missed", Revision: 7}}, At: 7}, time.Now(), true)
 	p, err := borrower.ask(ctx, lender.self)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(borrower.take(p, time.Now())).To(Succeed())
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -19,7 +19,7 @@
 		n.passOn(peers.Message{Load: &l})
 	}
 	n.g.Report(l.Address, balance.Load{
-		Running: l.Running, Waiting: l.Waiting, Group: l.Group, Closed: l.Closed, Pace: l.Pace, Pass: time.Duration(l.PassMs) * time.Millisecond, At: time.Now(),
+		Born: l.Born, Running: l.Running, Waiting: l.Waiting, Group: l.Group, Closed: l.Closed, Pace: l.Pace, Pass: time.Duration(l.PassMs) * time.Millisecond, At: time.Now(),
 	})
 }
 
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -157,7 +157,7 @@
 
 // stamp is what the endpoint is told besides the caller's headers.
 func (q *request) stamp(e fleet.Endpoint, now time.Time) fleet.Stamp {
-	s := fleet.Stamp{EndpointID: e.ID, Left: q.final.Sub(now), Priority: q.priority()}
+	s := fleet.Stamp{EndpointName: e.Name(), Left: q.final.Sub(now), Priority: q.priority()}
 	if q.customer != nil {
 		s.Customer = q.customer.Name
 	}
@@ -204,7 +204,7 @@
 	q.bad(e, 0, fmt.Sprintf("turned away: %d %s", status, a.AtFault)) // Being full is no fault.
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	if status == http.StatusMisdirectedRequest && a.Endpoint != e.ID && !q.asksForWeights() {
+	if status == http.StatusMisdirectedRequest && a.Endpoint != e.Name() && !q.asksForWeights() {
 		q.g.table.Misplaced(e.ID, time.Now())
 	}
 	if a.AtFault != "" {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -45,9 +45,11 @@
 	Pace    float64 `cbor:"6,keyasint,omitempty"`
 	PassMs  int     `cbor:"7,keyasint,omitempty"` // Time of a pass, smoothed.
 	Onward  bool    `cbor:"8,keyasint,omitempty"` // The receiver tells the other gateways of its failure domain.
+	Born    int64   `cbor:"9,keyasint,omitempty"` // When the engine's life began, Unix milliseconds; 0 when not told.
 }
 
-// Loads tells the loads of ranks of one group, as its leader has just seen them.
+// Loads tells the loads of ranks of one group, as its leader has just seen them: of
+// those only that are in the group's epoch, and so in their newest life.
 type Loads struct {
 	Group  string     `cbor:"1,keyasint"`
 	Closed bool       `cbor:"2,keyasint,omitempty"`
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -29,6 +29,7 @@
 	Used     int     `json:"used" cbor:"14,keyasint,omitempty"` // Tokens of memory that cannot give way.
 	Total    int     `json:"total" cbor:"15,keyasint,omitempty"`
 	Pace     float64 `json:"pace" cbor:"16,keyasint,omitempty"` // Above 1 when it is slow.
+	Born     int64   `json:"born" cbor:"17,keyasint,omitempty"` // When its life began, Unix milliseconds; 0 when not told.
 }
 
 // Arming is a version that comes into force as a pass begins.
@@ -40,6 +41,7 @@
 // Counts is how often the requests of a rank chose each expert since its
 // start.
 type Counts struct {
+	Born  int64 // As in Report.
 	Epoch uint64
 	Step  uint64
 	Flat  []uint64 // Set by set.
@@ -47,6 +49,7 @@
 
 // Held is the experts of one rank under a map.
 type Held struct {
+	Born    int64 // As in Report.
 	Epoch   uint64
 	Version uint64
 	Sets    [][]int // Experts by set.
--- a/internal/sidecar/ask.go
+++ b/internal/sidecar/ask.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/cutover"
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
 )
 
@@ -111,12 +112,39 @@
 	return l.countsPause
 }
 
-// hear takes in a rank's word.
+// hear takes in a rank's word; that of an earlier life than is known of is left out, and
+// the rank counts as one that did not answer.
 func (m *member) hear(r rank.Report, now time.Time) {
+	if fleet.CompareLives(max(m.endpoint.Born, m.report.Born), r.Born) < 0 {
+		return
+	}
 	m.report, m.seen = r, now
 	m.fresh, m.missed, m.lost = true, false, false
 }
 
+// lives returns the births of the ranks, in their order.
+func (l *leader) lives() []int64 {
+	list := make([]int64, len(l.byRank))
+	for r, m := range l.byRank {
+		if m != nil {
+			list[r] = m.report.Born
+		}
+	}
+	return list
+}
+
+// begunAnew reports whether a rank is in a later life than when the machine was made:
+// it forgot maps, armings, holds and fences, and the group is another one however its
+// epochs are counted.
+func begunAnew(before, now []int64) bool {
+	for r := range min(len(before), len(now)) {
+		if fleet.CompareLives(before[r], now[r]) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // questionTo returns a question to ranks: down a tree where they are many, and to
 // all at once where they are not.
 func questionTo(list []*member) question {
@@ -144,7 +172,7 @@
 	switch {
 	case err == nil && len(a.Ranks) == 1 && a.Ranks[0].Report != nil:
 		m.hear(*a.Ranks[0].Report, time.Now())
-	case engine != nil:
+	case engine != nil && fleet.CompareLives(max(m.endpoint.Born, m.report.Born), engine.Born) >= 0:
 		m.report, m.seen, m.fresh = *engine, time.Now(), true
 	case err != nil:
 		l.s.log.Debug("sidecar not heard", zap.String("endpoint", m.endpoint.ID), zap.String("error", err.Error()))
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -75,6 +75,7 @@
 	byRank     []*member // Of the own group; nil before the first look, and nil for the absent one.
 	absent     int       // Rank that led before, if it alone does not answer; cutover.None otherwise.
 	machine    *cutover.Machine
+	born       []int64 // Of the ranks, when machine was made.
 	fence      uint64
 	planner    planner
 	arming     estimate.Time // That the orders of a switch took.
@@ -227,10 +228,15 @@
 
 // work drives the machine one round.
 func (l *leader) work(ctx context.Context, own rank.Report) {
+	if l.machine != nil && begunAnew(l.born, l.lives()) {
+		l.resign("a rank has begun a new life")
+		return // The next look asks all ranks again.
+	}
 	if l.machine == nil || l.machine.Absent() != l.absent {
 		l.fence = max(l.fence+1, uint64(time.Now().UnixMilli())*fencesPerMilli)
 		l.machine = cutover.New(own.Size, own.Rank, l.absence(own), own.Epoch, l.fence)
 		l.planner.pending = nil
+		l.born = l.lives()
 		l.s.log.Info("leads", zap.Int("absent", l.absent), zap.String("group", own.Group), zap.Uint64("epoch", own.Epoch), zap.Int("rank", own.Rank), zap.Uint64("fence", l.fence))
 	}
 	m := l.machine
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/estimate"
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
@@ -83,6 +84,7 @@
 	started time.Time
 
 	mu        sync.Mutex // Guards what follows.
+	born      int64      // Of the newest life of the engine that was heard; 0 when not told.
 	report    rank.Report
 	reportAt  time.Time // Zero when the engine does not answer.
 	counts    rank.Counts
@@ -192,8 +194,10 @@
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	r, err := s.engine.Report(ctx)
-	s.noteReport(r, err)
-	load := &peers.Load{Address: s.cfg.Address, Group: r.Group, Running: r.Running, Waiting: r.Waiting, Pace: r.Pace}
+	if !s.noteReport(r, err) {
+		return
+	}
+	load := &peers.Load{Address: s.cfg.Address, Born: r.Born, Group: r.Group, Running: r.Running, Waiting: r.Waiting, Pace: r.Pace}
 	load.Closed = err != nil || r.Group != "" && !r.Open
 	s.mu.Lock()
 	load.PassMs = int(s.passes.pass.Milliseconds())
@@ -221,8 +225,9 @@
 	return still
 }
 
-// noteReport keeps a report and logs what it changes.
-func (s *Sidecar) noteReport(r rank.Report, err error) {
+// noteReport keeps a report and logs what it changes. It reports false for one of an
+// earlier life of the engine, which is left out.
+func (s *Sidecar) noteReport(r rank.Report, err error) (counts bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	had := !s.reportAt.IsZero()
@@ -231,13 +236,35 @@
 			s.log.Warn("engine lost", zap.String("error", err.Error()))
 			s.reportAt = time.Time{}
 		}
-		return
+		return true
+	}
+	if !s.noteLife(r.Born) {
+		return false
 	}
 	if !had || r.Epoch != s.report.Epoch || r.Open != s.report.Open {
 		s.log.Info("engine's group", zap.String("group", r.Group), zap.Uint64("epoch", r.Epoch), zap.Int("rank", r.Rank), zap.Bool("open", r.Open), zap.Uint64("map", r.Map))
 	}
 	s.report, s.reportAt = r, time.Now()
 	s.passes.note(r.Step, s.reportAt)
+	return true
+}
+
+// noteLife takes in which life of the engine tells something. A later one knows nothing
+// of what the one before counted and measured, so that is dropped. It reports false for
+// an earlier one, whose word came late. The caller holds mu.
+func (s *Sidecar) noteLife(born int64) (counts bool) {
+	switch fleet.CompareLives(s.born, born) {
+	case -1:
+		s.log.Info("word of an earlier life of the engine left out", zap.Int64("born", born), zap.Int64("newest", s.born))
+		return false
+	case 1:
+		s.log.Info("engine has begun a new life", zap.Int64("born", born), zap.Int64("before", s.born))
+		s.report, s.reportAt = rank.Report{}, time.Time{}
+		s.counts, s.work = rank.Counts{}, window{number: s.work.number}
+		s.passes, s.still = passTimer{}, false
+	}
+	s.born = max(s.born, born)
+	return true
 }
 
 // Report returns the newest report, ok false when it is old.
@@ -252,8 +279,7 @@
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	r, err := s.engine.Report(ctx)
-	s.noteReport(r, err)
-	if err != nil || !r.Open || r.Size < 2 {
+	if !s.noteReport(r, err) || err != nil || !r.Open || r.Size < 2 {
 		return
 	}
 	s.mu.Lock()
@@ -273,6 +299,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.noteLife(n.Born) {
+		return
+	}
 	s.work = difference(s.work, s.counts, n)
 	s.counts = n
 }
@@ -281,7 +310,7 @@
 // not belong together.
 func difference(last window, from, to rank.Counts) (w window) {
 	w = window{number: last.number + 1, epoch: to.Epoch}
-	if from.Epoch != to.Epoch || len(from.Flat) != len(to.Flat) {
+	if from.Epoch != to.Epoch || fleet.CompareLives(from.Born, to.Born) != 0 || len(from.Flat) != len(to.Flat) {
 		return w
 	}
 	w.flat = make([]uint64, len(to.Flat))
--- a/internal/sidecar/tree.go
+++ b/internal/sidecar/tree.go
@@ -185,8 +185,7 @@
 		return a
 	}
 	rep, err := s.engine.Report(ctx)
-	s.noteReport(rep, err)
-	if err != nil {
+	if !s.noteReport(rep, err) || err != nil {
 		return a
 	}
 	a.Ranks = []answered{{Report: &rep}}
