internal/soak: endpoints start again under their names

Cause: what a second life under a name does was not tried with real processes. Change: a trouble that ends a plain endpoint and starts it again at its address, half of them after they said that they leave; older seeds keep their schedules.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -38,7 +38,7 @@
 
 func newCaller(s *site, gateway, n int) *caller {
 	c := &caller{s: s, gateway: gateway, name: fmt.Sprintf("%d-%d", gateway, n), rnd: rand.New(rand.NewPCG(s.cfg.Seed, uint64(gateway*1000+n)))}
-	if s.cfg.Kinds == AllKinds {
+	if s.cfg.Kinds >= SecondKinds {
 		c.speech = speeches[(gateway+n)%len(speeches)]
 	}
 	c.client = &http.Client{Transport: c.speech.transport()}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -5,10 +5,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
-	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/platform/standin"
 )
 
@@ -36,6 +36,7 @@
 	misbehave
 	shiftLoad
 	failAtRandom // All endpoints fail a part of their requests, each in its own way.
+	startAgain   // An endpoint ends without a word and starts again under its name.
 )
 
 // Kinds is a set of kinds of trouble, and of callers. A seed that showed a fault
@@ -45,10 +46,11 @@
 // The sets.
 const (
 	FirstKinds Kinds = iota // One endpoint misbehaves at a time, in one way; callers keep their connections.
+	SecondKinds
 	AllKinds
 )
 
-// randomShare is how many of the troubles of AllKinds there are for each
+// randomShare is how many of the other troubles of SecondKinds there are for each
 // failAtRandom: a request must meet two of its draws, which takes many.
 const randomShare = 4
 
@@ -57,17 +59,20 @@
 	for one := killGateway; one <= shiftLoad; one++ {
 		list = append(list, one)
 	}
-	if k == AllKinds {
+	if k >= SecondKinds {
 		for range len(list) / randomShare {
 			list = append(list, failAtRandom)
 		}
 	}
+	if k >= AllKinds {
+		list = append(list, startAgain, startAgain)
+	}
 	return list
 }
 
 var faultNames = [...]string{"kill gateway", "stop gateway", "pause gateway", "reload gateway", "kill sidecar", "pause sidecar",
 	"spoil link", "spoil store link", "store refuses", "store silent", "store forgets", "take key", "move route", "many versions",
-	"replace endpoint", "crash endpoint", "misbehave", "shift load", "fail at random"}
+	"replace endpoint", "crash endpoint", "misbehave", "shift load", "fail at random", "start again"}
 
 // fault is one trouble of a schedule.
 type fault struct {
@@ -150,6 +155,8 @@
 		s.endpoint(f.which).misbehave(f.lasts, 100, kinds[f.how%len(kinds)])
 	case failAtRandom:
 		s.failAtRandom(f)
+	case startAgain:
+		return s.startAgain(f)
 	case shiftLoad:
 		s.group.Shift(f.how)
 	}
@@ -271,7 +278,7 @@
 	if err == nil {
 		s.endpoints = s.endpoints[:len(s.endpoints)-1]
 		s.endpoints[i] = next
-		err = s.store.List(fleet.Endpoint{ID: old.name, Service: old.service, Address: old.address, Domain: "a", Slots: 8, Leaving: true})
+		err = s.store.List(old.entry(true))
 	}
 	s.mu.Unlock()
 	if err != nil {
@@ -284,6 +291,38 @@
 	return old.srv.Close()
 }
 
+// startAgain ends a plain endpoint without a word and starts it again under its name
+// and address. Half of them said before that they leave: the new life does not.
+func (s *site) startAgain(f fault) (err error) {
+	s.mu.Lock()
+	e := s.endpoints[s.cfg.Ranks+f.which%s.cfg.Plain]
+	old, busy := e.srv, e.restarts
+	e.restarts = true
+	if !busy && f.how%2 == 0 {
+		err = s.store.List(e.entry(true))
+	}
+	s.mu.Unlock()
+	if err != nil || busy {
+		return err
+	}
+	time.Sleep(f.lasts / 2)
+	if err = old.Close(); err != nil {
+		return err
+	}
+	time.Sleep(f.lasts / 2)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.restarts = false
+	if !slices.Contains(s.endpoints, e) {
+		return nil // It was replaced, or crashed for good, meanwhile.
+	}
+	if _, e.srv, err = s.serveAt(e.target, e.handler); err != nil {
+		return err
+	}
+	e.born = max(e.born+1, time.Now().UnixMilli())
+	return s.store.List(e.entry(false))
+}
+
 // crash makes a plain endpoint go without a word; its entry goes later, and
 // another one comes.
 func (s *site) crash(f fault) error {
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -46,12 +46,16 @@
 
 // endpointAt is one stand-in of an endpoint, behind a proxy.
 type endpointAt struct {
-	name    string
-	service string
-	address string // Of the proxy, as published.
-	proxy   *proxy
-	srv     *http.Server
-	seed    uint64 // Of the run.
+	name     string
+	service  string
+	address  string // Of the proxy, as published.
+	target   string // Of the endpoint itself.
+	proxy    *proxy
+	handler  http.Handler
+	srv      *http.Server // Guarded by the site's mu, as born is.
+	born     int64        // Of its present life, Unix milliseconds.
+	restarts bool         // It is ending and will start again under its name.
+	seed     uint64       // Of the run.
 
 	mu    sync.Mutex // Guards what follows.
 	does  []standin.Behaviour
@@ -164,7 +168,11 @@
 
 // serve serves a handler at a free port of an address.
 func (s *site) serve(ip string, h http.Handler) (address string, srv *http.Server, err error) {
-	l, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
+	return s.serveAt(net.JoinHostPort(ip, "0"), h)
+}
+
+func (s *site) serveAt(at string, h http.Handler) (address string, srv *http.Server, err error) {
+	l, err := net.Listen("tcp4", at)
 	if err != nil {
 		return "", nil, err
 	}
@@ -220,18 +228,22 @@
 // addEndpoint starts an endpoint and lists it.
 func (s *site) addEndpoint(service string, last int, engine http.Handler) (e *endpointAt, err error) {
 	s.births++
-	e = &endpointAt{name: fmt.Sprintf("%s-%d", service, s.births), service: service, seed: s.cfg.Seed}
-	h := &standin.Endpoint{Name: e.name, Behave: e.behave, Pause: passTime, Engine: engine, Ran: s.ledger.ran}
-	target, srv, err := s.serve(s.ip(last), h)
-	if err != nil {
+	e = &endpointAt{name: fmt.Sprintf("%s-%d", service, s.births), service: service, seed: s.cfg.Seed, born: time.Now().UnixMilli()}
+	e.handler = &standin.Endpoint{Name: e.name, Behave: e.behave, Pause: passTime, Engine: engine, Ran: s.ledger.ran}
+	if e.target, e.srv, err = s.serve(s.ip(last), e.handler); err != nil {
 		return nil, err
 	}
-	e.srv = srv
-	if e.proxy, e.address, err = s.via(s.ip(last), target); err != nil {
+	if e.proxy, e.address, err = s.via(s.ip(last), e.target); err != nil {
 		return nil, err
 	}
 	s.endpoints = append(s.endpoints, e)
-	return e, s.store.List(fleet.Endpoint{ID: e.name, Service: service, Address: e.address, Domain: "a", Slots: 8})
+	return e, s.store.List(e.entry(false))
+}
+
+// entry returns what the endpoint's present life says of itself. The caller holds the
+// site's mu, or nothing runs yet.
+func (e *endpointAt) entry(leaving bool) fleet.Endpoint {
+	return fleet.Endpoint{ID: fleet.LifeID(e.name, e.born), Born: e.born, Service: e.service, Address: e.address, Domain: "a", Slots: 8, Leaving: leaving}
 }
 
 // serviceOf returns the service of an endpoint's name.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -71,7 +71,7 @@
 }{
 	{246, FirstKinds, 0, "a second SIGTERM in a planned stop ended the process at once and cut requests off"},
 	{121, FirstKinds, 0, "the soak judged runs by a move of the route that had not come yet"},
-	{105275, AllKinds, manyCallers, "a stream that was cut off was ended as whole: by the next endpoint's failure, and for HTTP/1.0 by an orderly end"},
+	{105275, SecondKinds, manyCallers, "a stream that was cut off was ended as whole: by the next endpoint's failure, and for HTTP/1.0 by an orderly end"},
 }
 
 func TestShortSoak(t *testing.T) {
@@ -123,13 +123,13 @@
 				{"../gateway/reply.go", "if p.state != replyUnsent {\n\t\treturn errReplyBegun\n\t}", ""},
 			},
 			finds: `a stream that ended as whole after event \d+ of 12.*, over (kept connections|Connection: close)`,
-			seed:  105275, kinds: AllKinds, callers: manyCallers,
+			seed:  105275, kinds: SecondKinds, callers: manyCallers,
 		},
 		{
 			name:  "a broken answer ends in order for callers of HTTP/1.0",
 			edits: []edit{{"../callerconn/callerconn.go", "if !ok || c.SetLinger(lingerReset) != nil {", "if !ok || c != nil {"}},
 			finds: `a stream that ended as whole after event \d+ of 12, over HTTP/1.0`,
-			seed:  105275, kinds: AllKinds,
+			seed:  105275, kinds: SecondKinds,
 		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -145,7 +145,7 @@
 }
 
 func TestSchedulesFollowFromTheirSeed(t *testing.T) {
-	for set, want := range map[Kinds]int{FirstKinds: int(shiftLoad) + 1, AllKinds: int(failAtRandom) + 1} {
+	for set, want := range map[Kinds]int{FirstKinds: int(shiftLoad) + 1, SecondKinds: int(failAtRandom) + 1, AllKinds: int(startAgain) + 1} {
 		t.Run(fmt.Sprint(set), func(t *testing.T) {
 			g := NewWithT(t)
 			a, b := schedule(7, time.Minute, set), schedule(7, time.Minute, set)
