internal/gateway, internal/upstream, internal/decide/silence: a silent try goes on elsewhere

Cause: behind a cut by drop, and where an endpoint loses an answer, a try says nothing until its caller leaves after 2 s; no try had a time of its own. Change: a read of an answer ends when nothing has come for the longer of 0.8 of the target and 1.5 times what nearly all first events of the group take; midway for the longer of the target and eight passes; both at most 0.55 of the time after which callers leave. Only what may be repeated, with a try, a repeat of the budget and another endpoint left. The watch sits below all that reads ahead: one at the body's level waited for an end of stream that had been read already (found by two tests that took 15 s).

--- a/internal/decide/passes/passes.go
+++ b/internal/decide/passes/passes.go
@@ -130,6 +130,19 @@
 	g.first.Add(d)
 }
 
+// Usual returns the time until nearly all first events of an endpoint's group come and
+// that between two events of its streams, 0 where it is not known.
+func (t *Tracker) Usual(id string) (first, pass time.Duration) {
+	g := t.groups[t.member[id]]
+	if g == nil {
+		return 0, 0
+	}
+	if g.first.Known() {
+		first = g.first.Most()
+	}
+	return first, g.gap
+}
+
 // Turnover is how soon a group takes and answers requests.
 type Turnover struct {
 	Rate  float64       // Requests a second that end at one rank when it holds as many as it may.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -40,6 +40,7 @@
 	Timeout    time.Duration // Longest time that a request is held.
 	Target     time.Duration // Time to the answer, or its first event, that earns full credit.
 	PauseLimit time.Duration // Longest pause between events that is in time; 0 when none is given.
+	Silence    time.Duration // After so long without a word callers leave; 0 when they wait until their deadline.
 	Priority   int           // 0 is the most urgent.
 	Attempts   int           // Endpoints that one request may be sent to, at least 1.
 	Public     bool          // Needs no key.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
+	"github.com/canvaspulley/canvaspulley/internal/decide/estimate"
 	"github.com/canvaspulley/canvaspulley/internal/decide/line"
 	"github.com/canvaspulley/canvaspulley/internal/decide/passes"
 	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
@@ -68,6 +69,7 @@
 	windows map[string]*retry.Window      // By service.
 	lines   map[string]*line.Line         // By service.
 	shares  map[string]*room.Share        // By group.
+	took    map[string]*estimate.Time     // Of answers in one piece, by service.
 	at      map[string]map[*request]place // Requests that may be moved, by endpoint.
 	others  int                           // Gateways that are known besides this one.
 	heardAt time.Time                     // When one of them was last heard.
@@ -98,6 +100,7 @@
 		windows:  map[string]*retry.Window{},
 		lines:    map[string]*line.Line{},
 		shares:   map[string]*room.Share{},
+		took:     map[string]*estimate.Time{},
 		at:       map[string]map[*request]place{},
 	}
 	g.pool, cleanup = upstream.NewPool(cfg.Source, func() { g.figures.dialed.Inc(1) })
@@ -223,6 +226,21 @@
 	return w
 }
 
+// tookWeight is the weight of the newest answer in the usual time: as in the usual
+// estimate of round trips.
+const tookWeight = 0.125
+
+// tookOf returns how long answers of a service in one piece take. The caller holds mu.
+func (g *Gateway) tookOf(service string) *estimate.Time {
+	t := g.took[service]
+	if t == nil {
+		fresh := estimate.New(tookWeight)
+		t = &fresh
+		g.took[service] = t
+	}
+	return t
+}
+
 // Busy returns the number of requests that have not ended.
 func (g *Gateway) Busy() int { return int(g.busy.Load()) }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -63,7 +63,7 @@
 		if last = q.try(e); last == over {
 			return
 		}
-		q.paid = q.takeMoved()
+		q.paid = q.takeMoved() || q.paid
 		if last == unknown {
 			q.mayRun = true
 			if !q.mayGoOn() {
--- /dev/null
+++ b/internal/gateway/silence.go
@@ -0,0 +1,72 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/silence"
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/upstream"
+)
+
+// deadlineShare is the part of a request's time after which the caller of an answer in
+// one piece counts as leaving: it waits until its deadline, and another try needs the
+// rest.
+const deadlineShare = 0.9
+
+// watch has a try given up whose answer is silent for too long, if the request can go
+// on elsewhere. Without a target nothing says what is too long.
+func (q *request) watch(e fleet.Endpoint, x *upstream.Exchange) {
+	if q.route.Target <= 0 || !q.route.MayRepeat() || len(q.tried) >= q.route.Attempts {
+		return
+	}
+	x.Watch(upstream.Watch{
+		Limit:  func() time.Duration { return q.eventDue(e, x) },
+		GiveUp: func(silent time.Duration) bool { return q.giveUpSilent(e, silent) },
+	})
+}
+
+// eventDue returns for how long from now an answer may be silent.
+func (q *request) eventDue(e fleet.Endpoint, x *upstream.Exchange) time.Duration {
+	a := q.answerOf(e)
+	if x.Progress() == upstream.Answered && q.lastRun.events > 0 {
+		return a.Midway()
+	}
+	return max(a.BeforeFirst()-time.Since(q.sentAt), 0)
+}
+
+// answerOf returns what is known of the answer of the try under way.
+func (q *request) answerOf(e fleet.Endpoint) silence.Answer {
+	a := silence.Answer{Target: q.route.Target, Leaves: q.route.Silence}
+	if a.Leaves <= 0 {
+		a.Leaves = time.Duration(deadlineShare * float64(q.final.Sub(q.arrived)))
+	}
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	a.First, a.Pass = q.g.passes.Usual(e.ID)
+	if took := q.g.took[q.service]; took != nil && a.First == 0 {
+		a.First = took.Most()
+	}
+	return a
+}
+
+// giveUpSilent reports whether the request goes on elsewhere since the answer of an
+// endpoint is silent, and takes the repeat for it.
+func (q *request) giveUpSilent(e fleet.Endpoint, silent time.Duration) bool {
+	if q.ctx.Err() != nil || !q.mayGoOn() || !q.mayAskAnother() || !q.takeRepeat(time.Now()) {
+		return false
+	}
+	q.paid = true
+	q.g.figures.silent.Inc(1)
+	q.bad(e, 1, fmt.Sprintf("silent for %d ms", silent.Milliseconds()))
+	return true
+}
+
+// noteTook takes in how long an answer in one piece took.
+func (q *request) noteTook(now time.Time) {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	q.g.tookOf(q.service).Add(now.Sub(q.sentAt))
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -186,15 +186,21 @@
 		q.outcome = left
 		return over
 	}
-	if !q.moving(e) {
+	if !errors.Is(err, upstream.ErrSilent) && !q.moving(e) {
 		q.bad(e, 1, "stream: "+err.Error())
 	}
-	if q.reply.begun() {
-		// What came whole is the caller's, whatever becomes of the rest.
-		if err := q.reply.flush(); err != nil {
-			q.note("caller: " + err.Error())
-		}
-		q.g.figures.resumed.Inc(1)
-	}
+	q.leaveOff()
 	return unknown
 }
+
+// leaveOff passes on what came whole of a stream that ends here: it is the caller's,
+// whatever becomes of the rest.
+func (q *request) leaveOff() {
+	if !q.reply.begun() {
+		return
+	}
+	if err := q.reply.flush(); err != nil {
+		q.note("caller: " + err.Error())
+	}
+	q.g.figures.resumed.Inc(1)
+}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
@@ -115,6 +116,7 @@
 		conn.Close()
 		return q.broken(e, x, err)
 	}
+	q.watch(e, x)
 	var answer fleet.Answer
 	resp, err := x.Head(out, func(status int, h http.Header) bool {
 		answer = q.g.codec.ReadAnswer(status, h)
@@ -188,8 +190,8 @@
 		q.bad(e, 1, "unsent: "+err.Error())
 		return unreached
 	}
-	if q.moving(e) {
-		return unknown
+	if errors.Is(err, upstream.ErrSilent) || q.moving(e) {
+		return unknown // Judged already, or no fault.
 	}
 	weight := 1.0
 	if x.Conn().Reused() {
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/upstream"
 	"github.com/canvaspulley/canvaspulley/internal/wait"
@@ -25,10 +27,13 @@
 			q.outcome = left
 			return over
 		}
-		q.bad(e, 1, err.Error())
+		if !errors.Is(err, upstream.ErrSilent) {
+			q.bad(e, 1, err.Error())
+		}
 		return unknown
 	}
 	q.handBack(x)
+	q.noteTook(time.Now())
 	if !q.sawEnd(e, x) {
 		q.bad(e, 1, errUnsureEnd.Error())
 		return unknown
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -66,6 +66,7 @@
 type Exchange struct {
 	conn     *Conn
 	resp     *http.Response
+	deadline time.Time
 	wrote    chan error // Result of a large request's writing; nil for others.
 	progress Progress
 }
@@ -74,7 +75,7 @@
 // when there is an error. Nothing is written after deadline.
 func (c *Conn) Send(r *Request, deadline time.Time) (x *Exchange, err error) {
 	defer func() { err = errors.Wrap(err, "sending") }()
-	x = &Exchange{conn: c}
+	x = &Exchange{conn: c, deadline: deadline}
 	raw, err := r.encode()
 	if err != nil {
 		return x, err
@@ -111,6 +112,9 @@
 // maxSurplusBody bounds what is read of each of them.
 const maxSurplusBody = 1 << 20
 
+// Watch has reads of the answer end with ErrSilent when it is silent for too long.
+func (x *Exchange) Watch(w Watch) { x.conn.in.watch, x.conn.in.deadline = &w, x.deadline }
+
 // Head reads the head of the answer. Answers that are not ours, as told by the
 // function, are read and dropped.
 func (x *Exchange) Head(r *Request, ours func(status int, h http.Header) bool) (resp *http.Response, err error) {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -39,7 +39,8 @@
 type Conn struct {
 	endpoint string
 	nc       net.Conn
-	br       *bufio.Reader
+	in       *input
+	br       *bufio.Reader // Of in.
 	served   int           // Answers that it has brought.
 	idleFor  time.Duration // After which the endpoint closes it.
 	idleAt   time.Time     // When it was last put back.
@@ -99,7 +100,8 @@
 		_ = nc.Close()
 		return nil, errors.Wrap(err, "socket option")
 	}
-	return &Conn{endpoint: endpoint, nc: nc, br: bufio.NewReaderSize(nc, readBuffer), idleFor: defaultIdle}, nil
+	in := &input{nc: nc}
+	return &Conn{endpoint: endpoint, nc: nc, in: in, br: bufio.NewReaderSize(in, readBuffer), idleFor: defaultIdle}, nil
 }
 
 // take returns the youngest sound idle connection.
@@ -132,6 +134,7 @@
 		c.Close()
 		return
 	}
+	c.in.watch = nil
 	c.idleAt = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/internal/upstream/silence.go
@@ -0,0 +1,57 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package upstream
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrSilent means that a watch gave an answer up. The connection is of no more use.
+var ErrSilent = errors.New("the answer was silent for too long")
+
+// Watch looks after the silence of an answer. Its functions are called by whoever reads
+// the answer, within a read.
+type Watch struct {
+	Limit  func() time.Duration            // For how long nothing may come from now on.
+	GiveUp func(silent time.Duration) bool // Whether the answer is given up after so long; else it is waited for.
+}
+
+// input reads from a connection. A watch is kept here, below all that reads ahead, since
+// only here it is known that nothing has come.
+type input struct {
+	nc       net.Conn
+	watch    *Watch // Nil when nobody looks after silence.
+	deadline time.Time
+}
+
+// Read implements io.Reader.
+func (in *input) Read(p []byte) (n int, err error) {
+	if in.watch == nil {
+		return in.nc.Read(p)
+	}
+	began := time.Now()
+	until := began.Add(in.watch.Limit())
+	if !until.Before(in.deadline) {
+		return in.nc.Read(p)
+	}
+	if err = in.nc.SetReadDeadline(until); err != nil {
+		return 0, err
+	}
+	n, err = in.nc.Read(p)
+	if silent := n == 0 && errors.Is(err, os.ErrDeadlineExceeded); silent && in.watch.GiveUp(time.Since(began)) {
+		return 0, ErrSilent
+	} else if silent {
+		in.watch, n, err = nil, 0, nil
+	}
+	if again := in.nc.SetReadDeadline(in.deadline); again != nil {
+		return n, errors.CombineErrors(err, again)
+	}
+	if in.watch == nil {
+		return in.nc.Read(p)
+	}
+	return n, err
+}
