internal/gateway, internal/decide/hold, internal/decide/passes: requests wait for what comes soon, silent groups are passed over

Cause: after everything lost power gateways refuse for want of a configuration, and groups that form turn requests away; callers who come again are refused for good. In a cut each gateway found out for each rank by itself. A caller who would not come again waits for a group to open, as long as it stays. Sidecars are greeted as soon as any are listed. A group of which nothing was heard for 400 ms is passed over while others are heard.

--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -158,6 +158,33 @@
 	return known
 }
 
+// Heard returns when one of the candidates was last heard, zero when none ever was.
+func (t *Table) Heard(list []Candidate) (at time.Time) {
+	for _, c := range list {
+		if e := t.by[c.ID]; e != nil && e.load.At.After(at) {
+			at = e.load.At
+		}
+	}
+	return at
+}
+
+// Open reports whether an endpoint says that it serves now.
+func (t *Table) Open(id string, now time.Time) bool {
+	e := t.of(id)
+	return now.Sub(e.load.At) <= reportAge && !e.load.Closed
+}
+
+// OpenSince reports whether an endpoint of a group has said after a moment that it
+// serves.
+func (t *Table) OpenSince(group string, since, now time.Time) bool {
+	for _, e := range t.by {
+		if e.load.Group == group && e.load.At.After(since) && !e.load.Closed && now.Sub(e.load.At) <= reportAge {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *endpoint) age(now time.Time) {
 	if d := now.Sub(e.weighed); d > 0 && !e.weighed.IsZero() {
 		keep := 1 / (1 + d.Seconds()/outcomeAge.Seconds())
--- a/internal/decide/passes/passes.go
+++ b/internal/decide/passes/passes.go
@@ -8,6 +8,7 @@
 package passes
 
 import (
+	"slices"
 	"time"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/estimate"
@@ -282,10 +283,29 @@
 
 // Offer is a group that could take a request.
 type Offer struct {
-	Ranks int     // That may be chosen.
-	Busy  int     // Requests at them.
-	Limit float64 // That one of them may hold in the mean.
-	Near  int     // Ranks in the failure domain of the process.
+	Ranks  int       // That may be chosen.
+	Busy   int       // Requests at them.
+	Limit  float64   // That one of them may hold in the mean.
+	Near   int       // Ranks in the failure domain of the process.
+	Heard  time.Time // When one of its ranks was last heard; zero when none ever was.
+	Silent bool      // It is passed over, since others are heard and it is not.
+}
+
+// silentAfter is how long nothing is heard of a whole group that is cut off: each of its
+// ranks tells of itself at least every half second, a large group's leader ten times a
+// second, and messages are lost one by one. Connections to it say nothing for longer.
+const silentAfter = 400 * time.Millisecond
+
+// LeaveSilent marks the groups of which nothing is heard any more while others are
+// heard. Where none is, the process itself is cut off, and all count.
+func LeaveSilent(offers []Offer, now time.Time) {
+	heard := func(o Offer) bool { return now.Sub(o.Heard) <= silentAfter }
+	if !slices.ContainsFunc(offers, heard) {
+		return
+	}
+	for i, o := range offers {
+		offers[i].Silent = !o.Heard.IsZero() && !heard(o)
+	}
 }
 
 // Room is how many more requests the group may take.
@@ -301,7 +321,7 @@
 	weights := make([]int, len(offers))
 	sum := 0
 	for i, o := range offers {
-		if o.Room() < 1 {
+		if o.Room() < 1 || o.Silent {
 			continue
 		}
 		near := 1 + (nearWeight-1)*float64(o.Near)/float64(max(o.Ranks, 1))
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -17,9 +17,8 @@
 
 // Times after which a caller that was refused should come back.
 const (
-	startRetry = 400 * time.Millisecond // A start takes some hundred milliseconds.
-	staleRetry = 1 * time.Second        // Another gateway may be asked by then.
-	stopRetry  = 50 * time.Millisecond  // Another gateway is there.
+	staleRetry = 1 * time.Second       // Another gateway may be asked by then.
+	stopRetry  = 50 * time.Millisecond // Another gateway is there.
 	// emptyRetry is for a service of which no endpoint is listed, or none that may be
 	// used: processes start anew within seconds.
 	emptyRetry = 2 * time.Second
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -22,7 +22,8 @@
 
 // choose picks the next endpoint.
 func (q *request) choose(now time.Time) (e fleet.Endpoint, ok bool) {
-	if len(q.tried) >= q.route.Attempts || len(q.unsent) > maxUnreached {
+	q.allDown = false
+	if !q.mayTryOn() {
 		return e, false
 	}
 	candidates := q.candidates()
@@ -36,7 +37,7 @@
 	if ranked {
 		if q.g.table.Down(list, now) {
 			q.note("all ranks that are heard say that they serve nothing")
-			q.groupDown = true // It would be turned away, or wait in vain.
+			q.allDown = true // It would be turned away, or wait in vain.
 			return e, false
 		}
 		q.full = false
@@ -57,6 +58,11 @@
 	return candidates[at], true
 }
 
+// mayTryOn reports whether the request may be sent to one more endpoint.
+func (q *request) mayTryOn() bool {
+	return len(q.tried) < q.route.Attempts && len(q.unsent) <= maxUnreached
+}
+
 // candidates returns the endpoints of the service that may be tried.
 func (q *request) candidates() (list []fleet.Endpoint) {
 	s := q.g.view.State()
@@ -94,14 +100,16 @@
 			return list, true // Nothing is known that limits it.
 		}
 		limited = limited || known
+		o.Heard = q.g.table.Heard(ranks)
 		offers, open = append(offers, o), append(open, name)
 	}
+	passes.LeaveSilent(offers, now)
 	i, ok := passes.Choose(offers, random)
 	switch {
 	case ok && q.takes(open[i], offers[i]):
 		return members[open[i]], true
 	case q.reply.begun() || len(q.tried) > 0 || !limited:
-		return list, true
+		return ranksOf(offers, open, members, list), true
 	}
 	for k, o := range offers {
 		if q.waited > 0 {
@@ -112,6 +120,20 @@
 	return nil, false
 }
 
+// ranksOf returns the ranks of the groups that are not silent, or list when there are
+// none.
+func ranksOf(offers []passes.Offer, names []string, members map[string][]balance.Candidate, list []balance.Candidate) (ranks []balance.Candidate) {
+	for i, o := range offers {
+		if !o.Silent {
+			ranks = append(ranks, members[names[i]]...)
+		}
+	}
+	if len(ranks) == 0 {
+		return list
+	}
+	return ranks
+}
+
 // takes reports whether the request takes one of the free places of a group, for
 // which other gateways have requests, too. The caller holds mu.
 func (q *request) takes(group string, o passes.Offer) bool {
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -16,6 +16,7 @@
 	waited    metrics.Counter   // Requests that waited for room.
 	moved     metrics.Counter   // Requests moved away from slow ranks.
 	resumed   metrics.Counter   // Streams that went on at another endpoint.
+	held      metrics.Counter   // Requests that waited for a group of ranks to open.
 	silent    metrics.Counter   // Tries that were given up since nothing came, and went on elsewhere.
 	notJoined metrics.Counter   // Answers and events that did not go on where a stream had been cut.
 	first     metrics.Histogram // Milliseconds to the answer or its first event.
@@ -33,6 +34,7 @@
 		waited:    metrics.GetOrRegisterCounter("gateway.waited", reg),
 		moved:     metrics.GetOrRegisterCounter("gateway.moved", reg),
 		resumed:   metrics.GetOrRegisterCounter("gateway.resumed", reg),
+		held:      metrics.GetOrRegisterCounter("gateway.held-for-group", reg),
 		silent:    metrics.GetOrRegisterCounter("gateway.silent-tries", reg),
 		notJoined: metrics.GetOrRegisterCounter("gateway.not-joined", reg),
 		loadAge:   metrics.GetOrRegisterHistogram("gateway.load-age", reg, metrics.NewUniformSample(histogramSize)),
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -65,11 +65,12 @@
 	mu      sync.Mutex
 	heard   map[string]neighbour // Gateways by address.
 	// heardLast is when another gateway was last heard, also one that is forgotten.
-	heardLast time.Time
-	borrows   bool
-	greeted   int        // Hellos so far; of the duty that greets.
-	blind     bool       // As the follower last said; others do not listen to this gateway then.
-	heardOf   listenedTo // What the last answers to listening were.
+	heardLast  time.Time
+	borrows    bool
+	subscribed bool       // Sidecars were greeted as soon as they were listed; of the duty that greets.
+	greeted    int        // Hellos so far; of the duty that greets.
+	blind      bool       // As the follower last said; others do not listen to this gateway then.
+	heardOf    listenedTo // What the last answers to listening were.
 }
 
 // neighbour is another gateway.
@@ -187,6 +188,8 @@
 	n.greet()
 	for {
 		select {
+		case <-n.listed():
+			n.greetListed()
 		case <-ctx.Done():
 			return nil
 		case <-hello.C:
@@ -197,6 +200,26 @@
 	}
 }
 
+// listed returns a channel that is closed when the view changes, as long as sidecars may
+// be listed to which no hello has gone; nil later.
+func (n *Neighbours) listed() <-chan struct{} {
+	if n.subscribed {
+		return nil
+	}
+	return n.g.view.Moved()
+}
+
+// greetListed says hello to sidecars as soon as any are listed, so that loads are known
+// from the first moments on: groups that still form are not tried in vain then.
+func (n *Neighbours) greetListed() {
+	to := n.sidecars()
+	if len(to) == 0 {
+		return
+	}
+	n.subscribed = true
+	n.socket.SendAll(to, peers.Message{Hello: &peers.Hello{Name: n.name, Life: n.life, Address: n.self, Domain: n.domain}})
+}
+
 // greet says hello to sidecars and gateways.
 func (n *Neighbours) greet() {
 	others := n.others()
--- a/internal/gateway/patience.go
+++ b/internal/gateway/patience.go
@@ -10,8 +10,14 @@
 // patience learns how long the callers of each route wait at first, and tells
 // by that who comes again: what a caller has left is less then.
 type patience struct {
-	mu      sync.Mutex
-	longest map[string]time.Duration // By route. Invariant: at most maxRoutes.
+	mu     sync.Mutex
+	routes map[string]patient // Invariant: at most maxRoutes.
+}
+
+// patient is what is known of the callers of one route.
+type patient struct {
+	longest time.Duration // That one of them waits.
+	seen    int           // Callers, up to enoughSeen.
 }
 
 const (
@@ -20,20 +26,36 @@
 	// firstShare is the part of the longest patience below which a caller has
 	// used some of it.
 	firstShare = 0.97
+	// enoughSeen is how many callers of a route tell how long they wait at first: most
+	// of them come for the first time, but for those of the first moments of a process
+	// that took the place of another one.
+	enoughSeen = 20
 )
 
-func newPatience() *patience { return &patience{longest: map[string]time.Duration{}} }
+func newPatience() *patience { return &patience{routes: map[string]patient{}} }
 
-// again reports whether a caller with so much patience has tried before.
-func (p *patience) again(route string, left time.Duration) bool {
+// again reports whether a caller with so much patience has tried before, and whether it
+// may have: as long as few callers were seen, those of a route are taken to wait for as
+// long as the route allows.
+func (p *patience) again(route string, left, timeout time.Duration) (surely, perhaps bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	most := p.longest[route]
-	if left > most {
-		if len(p.longest) < maxRoutes || most > 0 {
-			p.longest[route] = left
-		}
-		return false
+	r, known := p.routes[route]
+	before := r.longest
+	if r.seen < enoughSeen {
+		r.seen++
+		perhaps = used(left, timeout)
+	}
+	r.longest = max(r.longest, left)
+	if known || len(p.routes) < maxRoutes {
+		p.routes[route] = r
 	}
-	return float64(left) < firstShare*float64(most)
+	surely = used(left, before)
+	return surely, perhaps || surely
+}
+
+// used reports whether a caller that has so much patience left has used some of the
+// longest.
+func used(left, longest time.Duration) bool {
+	return float64(left) < firstShare*float64(longest)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -31,34 +31,37 @@
 	age      time.Duration // Of the configuration when the request came.
 	final    time.Time     // When it must have its final answer.
 
-	tried      []string    // Endpoints that it was sent to.
-	unsent     []string    // Endpoints that could not be reached.
-	notes      []string    // What became of each try, for the log.
-	mayRun     bool        // Some endpoint may have run it.
-	kept       *keptAnswer // Nil until an endpoint failed by itself.
-	groupDown  bool        // A group of ranks turned it away as a whole.
-	downGroup  string
-	tooOld     bool            // The configuration is too old for the request's key.
-	full       bool            // No endpoint can take it now.
-	turnover   passes.Turnover // Of all groups, as last looked at.
-	waited     time.Duration   // For room.
-	inLine     bool            // It waits for room.
-	asked      *lastAsked      // When it last wanted a place; nil before.
-	sentAt     time.Time       // When it was last sent to an endpoint.
-	unhold     func() bool     // Ends what closes the try's connection when the caller leaves; false if it closes it.
-	leavePlace func()          // Ends what vacate may do to the try; never nil.
-	moved      bool            // Its try was ended by vacate, which took a repeat for it; guarded by the gateway's mu.
-	paid       bool            // The next try's repeat is taken already.
-	again      bool            // The caller was refused before.
-	lastRun    endpointRun     // What the last endpoint whose answer was read sent.
-	cursor     cursor          // What the caller has of a stream.
-	firstAt    time.Time       // When the answer or its first event went out.
-	events     int
-	lastAt     time.Time     // When the last event went out.
-	pause      time.Duration // Longest between two events.
-	outcome    outcome
-	retryIn    time.Duration
-	endpoint   string // Whose head the caller has.
+	tried        []string    // Endpoints that it was sent to.
+	unsent       []string    // Endpoints that could not be reached.
+	notes        []string    // What became of each try, for the log.
+	mayRun       bool        // Some endpoint may have run it.
+	kept         *keptAnswer // Nil until an endpoint failed by itself.
+	groupDown    bool        // A group of ranks turned it away as a whole.
+	allDown      bool        // All groups of ranks say that they serve nothing.
+	downGroup    string
+	downAt       time.Time       // When it did so.
+	tooOld       bool            // The configuration is too old for the request's key.
+	full         bool            // No endpoint can take it now.
+	turnover     passes.Turnover // Of all groups, as last looked at.
+	waited       time.Duration   // For room.
+	inLine       bool            // It waits for room.
+	asked        *lastAsked      // When it last wanted a place; nil before.
+	sentAt       time.Time       // When it was last sent to an endpoint.
+	unhold       func() bool     // Ends what closes the try's connection when the caller leaves; false if it closes it.
+	leavePlace   func()          // Ends what vacate may do to the try; never nil.
+	moved        bool            // Its try was ended by vacate, which took a repeat for it; guarded by the gateway's mu.
+	paid         bool            // The next try's repeat is taken already.
+	again        bool            // The caller was refused before.
+	mayHaveTried bool            // The caller may have tried before: too little is known of how long callers wait.
+	lastRun      endpointRun     // What the last endpoint whose answer was read sent.
+	cursor       cursor          // What the caller has of a stream.
+	firstAt      time.Time       // When the answer or its first event went out.
+	events       int
+	lastAt       time.Time     // When the last event went out.
+	pause        time.Duration // Longest between two events.
+	outcome      outcome
+	retryIn      time.Duration
+	endpoint     string // Whose head the caller has.
 }
 
 // lastAsked is the group in which a request wanted a place, and the time of the
@@ -115,9 +118,9 @@
 // admit finds the route and the customer; it reports false when the request
 // has its final answer.
 func (q *request) admit() bool {
-	s := q.g.view.State()
+	s := q.awaitConfig()
 	if s.Config == nil {
-		q.refuse("no configuration yet", startRetry)
+		q.refuse("no configuration yet", outageRetry)
 		return false
 	}
 	q.config = s.Config
@@ -145,7 +148,7 @@
 	patience := defaultPatience
 	if q.call.HasPatience {
 		patience = q.call.Patience
-		q.again = q.g.patience.again(q.route.Name, patience)
+		q.again, q.mayHaveTried = q.g.patience.again(q.route.Name, patience, q.route.Timeout)
 	}
 	q.final = q.arrived.Add(min(patience, q.route.Timeout))
 	if q.route.Kind == fleet.Streaming && q.route.Resumable {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -47,6 +47,9 @@
 			return
 		}
 		e, ok := q.choose(now)
+		if !ok && (q.groupDown || q.allDown) {
+			e, ok = q.awaitOpen(now)
+		}
 		if !ok && q.full && len(q.tried) == 0 {
 			e, ok = q.await(now)
 		}
@@ -105,7 +108,7 @@
 // comeBack says when a request that has not run should be tried again.
 func (q *request) comeBack() time.Duration {
 	switch {
-	case q.groupDown:
+	case q.groupDown || q.allDown:
 		return groupRetry
 	case q.tooOld && q.g.alone():
 		return aloneRetry
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -210,7 +210,7 @@
 		q.g.table.Misplaced(e.ID, time.Now())
 	}
 	if a.AtFault != "" {
-		q.downGroup, q.groupDown = q.g.passes.Group(e.ID), true
+		q.downGroup, q.groupDown, q.downAt = q.g.passes.Group(e.ID), true, time.Now()
 	}
 }
 
