internal/gateway: what was turned away keeps to a group's room

Cause: requests that a forming group had turned away went on whatever room there was, so groups that open are flooded: first events of 1.9 s. Change: only what may have run has its place; others wait in line, those who would not come again as long as they stay.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -108,7 +108,7 @@
 	switch {
 	case ok && q.takes(open[i], offers[i]):
 		return members[open[i]], true
-	case q.reply.begun() || len(q.tried) > 0 || !limited:
+	case q.reply.begun() || q.mayRun || !limited:
 		return ranksOf(offers, open, members, list), true
 	}
 	for k, o := range offers {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -50,7 +50,7 @@
 		if !ok && (q.groupDown || q.allDown) {
 			e, ok = q.awaitOpen(now)
 		}
-		if !ok && q.full && len(q.tried) == 0 {
+		if !ok && q.full && !q.mayRun {
 			e, ok = q.await(now)
 		}
 		if !ok {
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/canvaspulley/canvaspulley/internal/decide/hold"
 	"github.com/canvaspulley/canvaspulley/internal/decide/line"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/wait"
@@ -14,10 +15,6 @@
 	// waitPoll is the time between two looks of the request that is next: a part of
 	// the shortest pass, so that room is used while it is new.
 	waitPoll = 12 * time.Millisecond
-	// lateTargets is for how many targets a caller waits that was refused before: its
-	// answer is late anyhow, and one that is not served has waited in vain. Callers
-	// give up a stream that is silent for four.
-	lateTargets = 2
 )
 
 // await waits for room as long as the request will be served in time, in the line
@@ -25,8 +22,8 @@
 func (q *request) await(now time.Time) (e fleet.Endpoint, ok bool) {
 	g := q.g
 	until := q.arrived.Add(q.route.Target - q.turnover.First)
-	if q.again {
-		until = q.arrived.Add(lateTargets * q.route.Target)
+	if q.lastTry() {
+		until = hold.ForGroup(q.heardLast(), q.route.Silence, q.turnover.First)
 	}
 	if until.After(q.final) {
 		until = q.final
