internal/decide/line: callers on their last try wait while the rate is not known

Cause: after a start nothing is known of how soon room comes, so nobody may wait. Change: those who would not come again may.

--- a/internal/decide/line/line.go
+++ b/internal/decide/line/line.go
@@ -41,7 +41,8 @@
 
 // Join puts a request in its place, if at a rate of so many requests a second it
 // is served in time; it reports whether it does. So many other processes have lines
-// for the same room, which are taken to be as long as this one is in the mean.
+// for the same room, which are taken to be as long as this one is in the mean. While
+// the rate is not known, only callers who would not come again wait for it.
 func (l *Line) Join(w Waiter, rate float64, others int, now time.Time) bool {
 	l.pass(now)
 	at := len(l.waiting)
@@ -50,7 +51,7 @@
 			at = i
 		}
 	}
-	if rate <= 0 || (float64(at+1)+float64(others)*l.mean)/rate > w.Until.Sub(now).Seconds() {
+	if rate <= 0 && !w.Again || rate > 0 && (float64(at+1)+float64(others)*l.mean)/rate > w.Until.Sub(now).Seconds() {
 		return false
 	}
 	l.waiting = slices.Insert(l.waiting, at, w)
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -28,7 +28,7 @@
 	if until.After(q.final) {
 		until = q.final
 	}
-	w := line.Waiter{ID: g.lastWaiter.Add(1), Again: q.again, Until: until}
+	w := line.Waiter{ID: g.lastWaiter.Add(1), Again: q.lastTry(), Until: until}
 	g.mu.Lock()
 	joined := g.line(q.service).Join(w, q.turnover.Rate, g.others, now)
 	g.mu.Unlock()
