--- a/internal/decide/passes/passes_test.go
+++ b/internal/decide/passes/passes_test.go
@@ -189,3 +189,32 @@
 	}
 	g.Expect(rounds).To(HaveLen(9))
 }
+
+// A group that is cut off is passed over at once, and not when the process itself is.
+func TestLeaveSilent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ago := func(d time.Duration) Offer { return Offer{Ranks: 4, Limit: 4, Heard: now.Add(-d)} }
+	for _, tc := range []struct {
+		name   string
+		offers []Offer
+		silent []bool
+	}{
+		{"all are heard", []Offer{ago(0), ago(silentAfter)}, []bool{false, false}},
+		{"one is cut off", []Offer{ago(0), ago(2 * silentAfter)}, []bool{false, true}},
+		{"the process is cut off", []Offer{ago(2 * silentAfter), ago(3 * silentAfter)}, []bool{false, false}},
+		{"one was never heard", []Offer{ago(0), {Ranks: 4, Limit: 4}}, []bool{false, false}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			LeaveSilent(tc.offers, now)
+			for i, o := range tc.offers {
+				g.Expect(o.Silent).To(Equal(tc.silent[i]))
+			}
+			for n := range 64 {
+				i, ok := Choose(tc.offers, func(most int) int { return n % most })
+				g.Expect(ok).To(BeTrue())
+				g.Expect(tc.silent[i]).To(BeFalse())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/decide/silence/silence_test.go
@@ -0,0 +1,32 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package silence
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+const ms = time.Millisecond
+
+func TestHowLongAnAnswerMayBeSilent(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		a             Answer
+		first, midway time.Duration
+	}{
+		{"nothing known", Answer{Target: 500 * ms, Leaves: 2000 * ms}, 400 * ms, 500 * ms},
+		{"a quick group", Answer{Target: 500 * ms, Leaves: 2000 * ms, First: 200 * ms, Pass: 40 * ms}, 400 * ms, 500 * ms},
+		{"a busy group is not silent", Answer{Target: 500 * ms, Leaves: 2000 * ms, First: 600 * ms, Pass: 100 * ms}, 900 * ms, 800 * ms},
+		{"callers leave before a very slow one", Answer{Target: 500 * ms, Leaves: 2000 * ms, First: 3000 * ms, Pass: 400 * ms}, 1100 * ms, 1100 * ms},
+		{"callers who do not leave", Answer{Target: 150 * ms, First: 200 * ms}, 300 * ms, 150 * ms},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			g.Expect(tc.a.BeforeFirst()).To(BeNumerically("~", tc.first, ms))
+			g.Expect(tc.a.Midway()).To(BeNumerically("~", tc.midway, ms))
+		})
+	}
+}
--- /dev/null
+++ b/internal/gateway/recover_test.go
@@ -0,0 +1,189 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+)
+
+// silentFirst is an endpoint of which the first request of all gets so many events and
+// then nothing until going is closed; the others are streamed whole.
+type silentFirst struct {
+	*streamer
+	runs  *atomic.Int32
+	after int
+}
+
+func (s silentFirst) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.runs.Add(1) > 1 {
+		s.streamer.ServeHTTP(w, r)
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return // Only a body that was read lets the end of the connection show.
+	}
+	w.Header().Set(headerID, r.Header.Get(headerID))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := range streamEvents {
+		if n == s.after {
+			select {
+			case <-s.going:
+			case <-r.Context().Done():
+				return
+			}
+		}
+		fmt.Fprintf(w, "id: %d\ndata: x\n\n", n+1)
+		w.(http.Flusher).Flush()
+	}
+}
+
+// twoSilentFirst returns two endpoints that are silent to the first request of both.
+func twoSilentFirst(after int) (one, two silentFirst) {
+	runs := &atomic.Int32{}
+	return silentFirst{newStreamer(0), runs, after}, silentFirst{newStreamer(0), runs, after}
+}
+
+// expectWhole checks that a caller got a whole stream.
+func expectWhole(g *WithT, status int, body string, err error) {
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusOK))
+	g.Expect(body).To(Equal(wholeStream()), "neither a gap nor a repeat")
+}
+
+func TestASilentTryGoesOnElsewhere(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		after int
+		from  int // Event at which the other endpoint begins.
+	}{{"before the first event", 0, 1}, {"midway", 2, 3}} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			one, two := twoSilentFirst(tc.after)
+			s, view, snap := newSiteOf(t, func(r *fleet.Route) { r.Target = 50 * time.Millisecond }, one, two)
+			view.Replace(snap, time.Now(), false)
+			status, _, body, err := s.ask("a")
+			expectWhole(g, status, body, err)
+			g.Expect(append(one.firsts(), two.firsts()...)).To(Equal([]int{tc.from}))
+			g.Expect(s.figures.silent.Count()).To(BeEquivalentTo(1))
+		})
+	}
+}
+
+// What may run once only, or has no repeat or try left, is waited for.
+func TestASilentTryIsWaitedFor(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change func(r *fleet.Route)
+		spare  float64
+	}{
+		{"it may run once only", func(r *fleet.Route) { r.Resumable = false }, 1000},
+		{"no try is left", func(r *fleet.Route) { r.Attempts = 1 }, 1000},
+		{"no repeat is left", func(*fleet.Route) {}, 0},
+		{"nothing says what is too long", func(r *fleet.Route) { r.Target = 0 }, 1000},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			one, two := twoSilentFirst(0)
+			s, view, snap := newSiteOf(t, func(r *fleet.Route) {
+				r.Target = 20 * time.Millisecond
+				tc.change(r)
+			}, one, two)
+			s.cfg.RetrySpare = tc.spare
+			view.Replace(snap, time.Now(), false)
+			time.AfterFunc(200*time.Millisecond, func() {
+				close(one.going)
+				close(two.going)
+			})
+			status, _, body, err := s.ask("a")
+			expectWhole(g, status, body, err)
+			g.Expect(one.runs.Load()).To(BeEquivalentTo(1))
+		})
+	}
+}
+
+// A caller that comes for the first time while its group is down is told at once when to
+// come back; one that would not come again waits until the group opens.
+func TestWhoWouldNotComeAgainWaitsForAGroup(t *testing.T) {
+	g := NewWithT(t)
+	only := newStreamer(0)
+	s, view, snap := newSiteOf(t, func(r *fleet.Route) { r.Target, r.Silence = time.Second, patienceOf }, only)
+	view.Replace(snap, time.Now(), false)
+	group := func(closed bool) {
+		s.Report(s.addresses[0], balance.Load{Group: "g", Closed: closed, Pass: 20 * time.Millisecond, At: time.Now()})
+	}
+	group(true)
+	status, retryAfter, _, err := s.askWith("first", "30000")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(retryAfter).To(Equal("2.5"))
+	var callers errgroup.Group
+	callers.Go(func() error {
+		status, _, body, err := s.askWith("again", "20000")
+		expectWhole(g, status, body, err)
+		return nil
+	})
+	g.Eventually(s.figures.held.Count, patienceOf).Should(BeEquivalentTo(1))
+	g.Expect(only.firsts()).To(BeEmpty(), "nothing is sent to a group that is down")
+	group(false)
+	g.Expect(callers.Wait()).To(Succeed())
+	g.Expect(only.firsts()).To(Equal([]int{1}))
+}
+
+// A caller who leaves before the group opens is not held any longer than that.
+func TestAHeldRequestIsRefusedBeforeItsCallerLeaves(t *testing.T) {
+	g := NewWithT(t)
+	only := newStreamer(0)
+	s, view, snap := newSiteOf(t, func(r *fleet.Route) { r.Target, r.Silence = 100*time.Millisecond, 400*time.Millisecond }, only)
+	view.Replace(snap, time.Now(), false)
+	s.Report(s.addresses[0], balance.Load{Group: "g", Closed: true, At: time.Now().Add(time.Hour)})
+	status, retryAfter, _, err := s.askWith("again", "20000")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(retryAfter).NotTo(BeEmpty())
+	g.Expect(only.firsts()).To(BeEmpty(), "it did not run")
+}
+
+func TestARequestWaitsForTheFirstConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	s, view, snap := newSiteOf(t, func(*fleet.Route) {}, newStreamer(0))
+	var callers errgroup.Group
+	callers.Go(func() error {
+		status, _, body, err := s.ask("early")
+		expectWhole(g, status, body, err)
+		return nil
+	})
+	g.Eventually(s.Busy, patienceOf).Should(Equal(1))
+	view.Replace(snap, time.Now(), false)
+	g.Expect(callers.Wait()).To(Succeed())
+	s, _, _ = newSiteOf(t, func(*fleet.Route) {})
+	status, retryAfter, _, err := s.askWith("in vain", "90")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(retryAfter).To(Equal("2.5"))
+}
+
+func TestWhoHasComeBefore(t *testing.T) {
+	const timeout = 8 * time.Second
+	p := newPatience()
+	for n := range enoughSeen {
+		surely, perhaps := p.again("r", 5*time.Second, timeout)
+		NewWithT(t).Expect(surely).To(BeFalse(), "caller %d", n)
+		NewWithT(t).Expect(perhaps).To(BeTrue(), "little is known yet")
+	}
+	g := NewWithT(t)
+	surely, perhaps := p.again("r", 5*time.Second, timeout)
+	g.Expect(surely || perhaps).To(BeFalse(), "callers of this route wait for so long")
+	surely, _ = p.again("r", 3*time.Second, timeout)
+	g.Expect(surely).To(BeTrue())
+}
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -27,14 +27,19 @@
 	streamEvents = 6
 	headerID     = "Call"
 	headerLast   = "Last"
-	slots        = 2
-	patienceOf   = 30 * time.Second // Long enough for a loaded machine.
+	// headerPatience is in milliseconds.
+	headerPatience = "Patience"
+	slots          = 2
+	patienceOf     = 30 * time.Second // Long enough for a loaded machine.
 )
 
 // testCodec is a codec with names of its own.
 func testCodec() Codec {
 	return Codec{
-		ReadCall: func(h http.Header) fleet.Call { return fleet.Call{ID: h.Get(headerID)} },
+		ReadCall: func(h http.Header) fleet.Call {
+			ms, err := strconv.Atoi(h.Get(headerPatience))
+			return fleet.Call{ID: h.Get(headerID), Patience: time.Duration(ms) * time.Millisecond, HasPatience: err == nil}
+		},
 		EndpointHeader: func(in http.Header, s fleet.Stamp) http.Header {
 			out := in.Clone()
 			out.Set(headerLast, s.LastEvent)
@@ -98,15 +103,24 @@
 }
 
 func newSite(t *testing.T, endpoints ...http.Handler) site {
-	view := follow.NewView()
+	s, view, snap := newSiteOf(t, func(*fleet.Route) {}, endpoints...)
+	view.Replace(snap, time.Now(), false)
+	return s
+}
+
+// newSiteOf returns a site whose route is changed so, and what is to be published; its
+// view is empty.
+func newSiteOf(t *testing.T, change func(r *fleet.Route), endpoints ...http.Handler) (s site, view *follow.View, snap follow.Snapshot) {
+	view = follow.NewView()
 	gw, cleanup := New(Config{KeyAge: time.Hour, RetryWindow: time.Minute, RetrySpare: 1000}, testCodec(), view, zap.NewNop(), metrics.NewRegistry())
 	t.Cleanup(cleanup)
-	s := site{Gateway: gw}
-	snap := follow.Snapshot{Config: fleet.NewConfig(1,
-		[]fleet.Route{{
-			Name: "r", Host: "caller.test", PathPrefix: "/", Kind: fleet.Streaming, Resumable: true, Attempts: 2,
-			Timeout: 30 * time.Second, Target: 20 * time.Second, PauseLimit: 120 * time.Millisecond, Split: []fleet.Share{{Service: "s", Weight: 1}},
-		}},
+	s = site{Gateway: gw}
+	route := fleet.Route{
+		Name: "r", Host: "caller.test", PathPrefix: "/", Kind: fleet.Streaming, Resumable: true, Attempts: 2,
+		Timeout: 30 * time.Second, Target: 20 * time.Second, PauseLimit: 120 * time.Millisecond, Split: []fleet.Share{{Service: "s", Weight: 1}},
+	}
+	change(&route)
+	snap = follow.Snapshot{Config: fleet.NewConfig(1, []fleet.Route{route},
 		[]fleet.Service{{Name: "s", Engine: &fleet.Engine{Slots: slots, StepTime: 5 * time.Millisecond, WriterTime: time.Millisecond, StepsInPass: 4, UsualAnswer: 4 * streamEvents}}},
 		nil, fleet.Limits{HeaderBytes: 1 << 16, BodyBytes: 1 << 16}), At: 1}
 	for i, h := range endpoints {
@@ -115,11 +129,10 @@
 		s.addresses = append(s.addresses, strings.TrimPrefix(srv.URL, "http://"))
 		snap.Endpoints = append(snap.Endpoints, fleet.Endpoint{ID: fmt.Sprint(i), Service: "s", Address: s.addresses[i], Slots: slots, Revision: 1, Made: 1})
 	}
-	view.Replace(snap, time.Now(), false)
 	srv := httptest.NewServer(gw.Handler())
 	t.Cleanup(srv.Close)
 	s.url = srv.URL
-	return s
+	return s, view, snap
 }
 
 // tell reports the load of one endpoint.
@@ -129,12 +142,18 @@
 
 // ask sends a caller's request and returns the answer.
 func (s site) ask(id string) (status int, retryAfter, body string, err error) {
+	return s.askWith(id, "")
+}
+
+// askWith is ask for a caller who tells, in milliseconds, for how long it waits.
+func (s site) askWith(id, patience string) (status int, retryAfter, body string, err error) {
 	r, err := http.NewRequest(http.MethodPost, s.url+"/", strings.NewReader("{}"))
 	if err != nil {
 		return 0, "", "", err
 	}
 	r.Host = "caller.test"
 	r.Header.Set(headerID, id)
+	r.Header.Set(headerPatience, patience)
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, "", "", err
