internal/decide/balance, internal/gateway: nobody waits for an outage that will not end in time

Change: outages of groups are timed; one is expected to last as long as they usually do, 3 s while none was seen whole, 1 s if its beginning was not seen, and half as long again as it has lasted. Who would have left by then is refused at once.

--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -68,13 +68,16 @@
 
 // Table holds what is known of all endpoints.
 type Table struct {
-	by     map[string]*endpoint
-	usual  int                  // Mean requests at ranks whose load is known.
-	closed map[string]time.Time // Groups by the newest report that they serve nothing.
+	by      map[string]*endpoint
+	usual   int                  // Mean requests at ranks whose load is known.
+	closed  map[string]time.Time // Groups by the newest report that they serve nothing.
+	outages outages
 }
 
 // New returns an empty table.
-func New() *Table { return &Table{by: map[string]*endpoint{}, closed: map[string]time.Time{}} }
+func New() *Table {
+	return &Table{by: map[string]*endpoint{}, closed: map[string]time.Time{}, outages: newOutages()}
+}
 
 func (t *Table) of(id string) *endpoint {
 	e, ok := t.by[id]
@@ -101,11 +104,13 @@
 		return true
 	}
 	e.load, e.ownThen = l, e.own
-	switch {
-	case l.Group == "":
-	case l.Closed:
+	if l.Group == "" {
+		return true
+	}
+	t.outages.note(l.Group, l.Closed, l.At)
+	if l.Closed {
 		t.closed[l.Group] = l.At
-	default:
+	} else {
 		delete(t.closed, l.Group) // All ranks open together.
 	}
 	return true
--- /dev/null
+++ b/internal/decide/balance/outage_test.go
@@ -0,0 +1,59 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package balance
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// say has a group of one rank say at a moment whether it serves.
+func say(t *Table, closed bool, after time.Duration) {
+	t.Report("a", Load{Group: "g", Closed: closed, At: start.Add(after)})
+}
+
+// opensAfter returns how long after start the group is expected to open.
+func opensAfter(t *Table, now time.Duration) time.Duration {
+	return t.Opens(candidates("a"), start.Add(now)).Sub(start)
+}
+
+func TestWhenAGroupIsExpectedToOpen(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		tells func(t *Table)
+		now   time.Duration
+		opens time.Duration
+	}{
+		{"its beginning was not seen", func(t *Table) { say(t, true, 0) }, 0, lateOutage},
+		{"nothing is known of outages", func(t *Table) {
+			say(t, false, 0)
+			say(t, true, time.Second)
+		}, time.Second, time.Second + usualOutage},
+		{"one was seen", func(t *Table) {
+			say(t, false, 0)
+			say(t, true, time.Second)
+			say(t, false, 3*time.Second)
+			say(t, true, 10*time.Second)
+		}, 10 * time.Second, 12 * time.Second},
+		{"words that cross each other are none", func(t *Table) {
+			say(t, false, 0)
+			say(t, true, time.Second)
+			say(t, false, time.Second+leastOutage/2)
+			say(t, true, 10*time.Second)
+		}, 10 * time.Second, 10*time.Second + usualOutage},
+		{"it is longer than usual", func(t *Table) {
+			say(t, false, 0)
+			say(t, true, 0)
+		}, 6 * time.Second, 9 * time.Second},
+		{"it serves", func(t *Table) { say(t, false, 0) }, time.Second, time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			table := New()
+			tc.tells(table)
+			g.Expect(opensAfter(table, tc.now)).To(Equal(tc.opens))
+		})
+	}
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -38,6 +38,7 @@
 		if q.g.table.Down(list, now) {
 			q.note("all ranks that are heard say that they serve nothing")
 			q.allDown = true // It would be turned away, or wait in vain.
+			q.opens = q.g.table.Opens(list, now)
 			return e, false
 		}
 		q.full = false
--- a/internal/gateway/recover.go
+++ b/internal/gateway/recover.go
@@ -40,8 +40,8 @@
 }
 
 // awaitOpen waits for a group of ranks to open, while all are down, for a caller who
-// would not come again: it is served late, or not at all. It reports whether there is an
-// endpoint now.
+// would not come again and who is there by the time at which that is expected: it is
+// served late, or not at all. It reports whether there is an endpoint now.
 func (q *request) awaitOpen(now time.Time) (e fleet.Endpoint, ok bool) {
 	if !q.lastTry() || !q.mayTryOn() {
 		return e, false
@@ -50,6 +50,9 @@
 	if until.After(q.final) {
 		until = q.final
 	}
+	if q.allDown && q.opens.After(until) {
+		return e, false // It would wait in vain.
+	}
 	q.g.figures.held.Inc(1)
 	for now.Before(until) && q.ctx.Err() == nil {
 		wait.For(q.ctx, min(openPoll, until.Sub(now)))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -38,6 +38,7 @@
 	kept         *keptAnswer // Nil until an endpoint failed by itself.
 	groupDown    bool        // A group of ranks turned it away as a whole.
 	allDown      bool        // All groups of ranks say that they serve nothing.
+	opens        time.Time   // When the first of them is expected to serve again.
 	downGroup    string
 	downAt       time.Time       // When it did so.
 	tooOld       bool            // The configuration is too old for the request's key.
