internal/gateway: an endpoint's own failure is passed on at once

Cause: a request with a kept failure could wait for a group or for room; one without a time of silence never waited in line again.

--- a/internal/decide/hold/hold.go
+++ b/internal/decide/hold/hold.go
@@ -29,7 +29,7 @@
 
 // ForGroup returns until when a request waits for a group of ranks to open, whose caller
 // last heard something at a moment and leaves after so long a silence; first is how long
-// a first event takes. Without a time after which callers leave it does not wait.
+// a first event takes.
 func ForGroup(heard time.Time, leaves, first time.Duration) time.Time {
 	return heard.Add(time.Duration(silentShare*float64(leaves)) - first)
 }
--- a/internal/gateway/recover.go
+++ b/internal/gateway/recover.go
@@ -43,10 +43,10 @@
 // would not come again and who is there by the time at which that is expected: it is
 // served late, or not at all. It reports whether there is an endpoint now.
 func (q *request) awaitOpen(now time.Time) (e fleet.Endpoint, ok bool) {
-	if !q.lastTry() || !q.mayTryOn() {
+	if !q.lastTry() || !q.mayTryOn() || q.kept != nil {
 		return e, false
 	}
-	until := hold.ForGroup(q.heardLast(), q.route.Silence, max(q.turnover.First, q.route.Target/2))
+	until := hold.ForGroup(q.heardLast(), q.leavesAfter(), max(q.turnover.First, q.route.Target/2))
 	if until.After(q.final) {
 		until = q.final
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -50,7 +50,7 @@
 		if !ok && (q.groupDown || q.allDown) {
 			e, ok = q.awaitOpen(now)
 		}
-		if !ok && q.full && !q.mayRun {
+		if !ok && q.full && !q.mayRun && q.kept == nil {
 			e, ok = q.await(now)
 		}
 		if !ok {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -37,12 +37,17 @@
 	return max(a.BeforeFirst()-time.Since(q.sentAt), 0)
 }
 
+// leavesAfter is after how long without a word the caller leaves.
+func (q *request) leavesAfter() time.Duration {
+	if q.route.Silence > 0 {
+		return q.route.Silence
+	}
+	return time.Duration(deadlineShare * float64(q.final.Sub(q.arrived)))
+}
+
 // answerOf returns what is known of the answer of the try under way.
 func (q *request) answerOf(e fleet.Endpoint) silence.Answer {
-	a := silence.Answer{Target: q.route.Target, Leaves: q.route.Silence}
-	if a.Leaves <= 0 {
-		a.Leaves = time.Duration(deadlineShare * float64(q.final.Sub(q.arrived)))
-	}
+	a := silence.Answer{Target: q.route.Target, Leaves: q.leavesAfter()}
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
 	a.First, a.Pass = q.g.passes.Usual(e.ID)
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -23,7 +23,7 @@
 	g := q.g
 	until := q.arrived.Add(q.route.Target - q.turnover.First)
 	if q.lastTry() {
-		until = hold.ForGroup(q.heardLast(), q.route.Silence, q.turnover.First)
+		until = hold.ForGroup(q.heardLast(), q.leavesAfter(), q.turnover.First)
 	}
 	if until.After(q.final) {
 		until = q.final
