internal/gateway: what keeps a held request waiting is noted once

Cause: each look of a held request noted that all ranks are down, so that the eight notes of its log line were used up (read, not seen). Change: it is noted by the first look only.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -36,7 +36,9 @@
 	defer q.g.mu.Unlock()
 	if ranked {
 		if q.g.table.Down(list, now) {
-			q.note("all ranks that are heard say that they serve nothing")
+			if q.waited == 0 { // Else it was said before.
+				q.note("all ranks that are heard say that they serve nothing")
+			}
 			q.allDown = true // It would be turned away, or wait in vain.
 			q.opens = q.g.table.Opens(list, now)
 			return e, false
