internal/example: sites take their ports from an address of their own

A site's ports are released before its processes listen; a server of another test took one meanwhile. The log of e2e has "listen on 127.0.0.1:45563: bind: address already in use" for krk-a-entry-1, which was then suspected and taken as dead, and the test in gateway counted eight requests where one was its own. Ruled out: a repeat by the gateway; its budget was 0, and seven requests were beyond what any route's attempts allow. Change: the ports are those of an address drawn from 127.64.0.1 to 127.127.255.1.

--- a/internal/example/example.go
+++ b/internal/example/example.go
@@ -11,6 +11,7 @@
 	"encoding/base64"
 	"encoding/hex"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"time"
@@ -98,7 +99,7 @@
 	}
 	s.Private = ed25519.NewKeyFromSeed([]byte(strings.Repeat(string(rune('a'+seed%26)), ed25519.SeedSize)))
 	s.Public = s.Private.Public().(ed25519.PublicKey)
-	p := &ports{}
+	p := newPorts()
 	defer p.release()
 	s.Control = p.take()
 	for d := range size.Domains {
@@ -147,14 +148,28 @@
 	return strings.Contains(p.Endpoint, "-rank-")
 }
 
-// ports hands out free ports; all stay reserved until release.
+// ports hands out free ports; all stay reserved until release. From then until the
+// site's processes listen, others could take them, so they are ports of an address that
+// hardly anybody else uses: most programs, tests that run meanwhile among them, take
+// theirs from 127.0.0.1.
 type ports struct {
+	ip   string // Of this machine, drawn for each site.
 	held []net.Listener
 	err  error
 }
 
+// Addresses of sites are drawn from 127.64.0.1 to 127.127.255.1.
+const (
+	firstNet = 64
+	netCount = 64
+)
+
+func newPorts() *ports {
+	return &ports{ip: fmt.Sprintf("127.%d.%d.1", firstNet+rand.IntN(netCount), rand.IntN(256))}
+}
+
 func (p *ports) take() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(p.ip, "0"))
 	if err != nil {
 		p.err = err
 		return ""
