internal/gateway: one bound for how long a caller is kept

Cause: waiting for a group and waiting in line worked out the same bound, each for itself. Change: keptUntil serves both.

--- a/internal/gateway/recover.go
+++ b/internal/gateway/recover.go
@@ -46,10 +46,7 @@
 	if !q.lastTry() || !q.mayTryOn() || q.kept != nil {
 		return e, false
 	}
-	until := hold.ForGroup(q.heardLast(), q.leavesAfter(), max(q.turnover.First, q.route.Target/2))
-	if until.After(q.final) {
-		until = q.final
-	}
+	until := q.keptUntil(max(q.turnover.First, q.route.Target/2))
 	if q.allDown && q.opens.After(until) {
 		return e, false // It would wait in vain.
 	}
@@ -70,6 +67,16 @@
 // come before, or has a part of its answer.
 func (q *request) lastTry() bool { return q.reply.begun() || q.again || q.mayHaveTried }
 
+// keptUntil is until when a caller who would not come again can be kept, where a first event
+// takes so long.
+func (q *request) keptUntil(first time.Duration) time.Time {
+	until := hold.ForGroup(q.heardLast(), q.leavesAfter(), first)
+	if until.After(q.final) {
+		return q.final
+	}
+	return until
+}
+
 // heardLast is when the caller last heard something.
 func (q *request) heardLast() time.Time {
 	if q.lastAt.After(q.arrived) {
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -5,7 +5,6 @@
 import (
 	"time"
 
-	"github.com/canvaspulley/canvaspulley/internal/decide/hold"
 	"github.com/canvaspulley/canvaspulley/internal/decide/line"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/wait"
@@ -23,7 +22,7 @@
 	g := q.g
 	until := q.arrived.Add(q.route.Target - q.turnover.First)
 	if q.lastTry() {
-		until = hold.ForGroup(q.heardLast(), q.leavesAfter(), q.turnover.First)
+		until = q.keptUntil(q.turnover.First)
 	}
 	if until.After(q.final) {
 		until = q.final
