internal/follow, platform: operators evacuate failure domains

Cause: nothing read op/evacuate/ZONE: 273 requests reached an evacuated domain after the bound. Change: what operators publish is read by one listing (the configuration was read alone before, so no call is added), in watches, and told on between gateways; the newest word on a domain by its revision holds, whoever tells it. Cold times and rates of services are decoded.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -81,8 +81,10 @@
 type Service struct {
 	Name        string
 	HealthPath  string
-	Connections int     // That one endpoint accepts from all callers together.
-	Engine      *Engine // Nil for a plain service.
+	Connections int           // That one endpoint accepts from all callers together.
+	Engine      *Engine       // Nil for a plain service.
+	ColdTime    time.Duration // For which an endpoint is cold after a start under load; 0 for never.
+	ColdRate    float64       // Requests a second that it bears meanwhile, from all gateways together; 0 for no bound.
 }
 
 // Customer is who a key belongs to.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -260,7 +260,7 @@
 		f.log.Info("configuration taken", zap.Uint64("version", after.version()), zap.Uint64("from", before.version()), zap.Uint64("revision", after.ConfigRevision))
 	}
 	for _, e := range ch.Endpoints {
-		f.log.Info("endpoint listed", zap.String("endpoint", e.ID), zap.String("address", e.Address), zap.Bool("leaving", e.Leaving), zap.Uint64("revision", e.Revision))
+		f.log.Info("endpoint listed", zap.String("endpoint", e.ID), zap.String("address", e.Address), zap.Bool("leaving", e.Leaving), zap.Duration("cold-left", e.ColdLeft), zap.Uint64("revision", e.Revision))
 	}
 	for _, id := range removed {
 		f.log.Info("endpoint removed", zap.String("endpoint", id), zap.Uint64("revision", ch.At))
--- a/internal/follow/told.go
+++ b/internal/follow/told.go
@@ -3,6 +3,7 @@
 package follow
 
 import (
+	"maps"
 	"time"
 
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
@@ -16,6 +17,7 @@
 // can be told what is new to it.
 type changeLog struct {
 	number  uint64            // Of the newest change.
+	evacs   uint64            // Number of the newest change of evacuations.
 	changed map[string]uint64 // Number of the last change, by endpoint in the view.
 	removed []removal         // The newest ones, in order.
 	dropped uint64            // Number of the newest removal that is not kept any more.
@@ -47,6 +49,9 @@
 			l.number = number
 		}
 	}
+	if !maps.Equal(old.evacuations, next.evacuations) {
+		l.evacs, l.number = number, number
+	}
 	if n := len(l.removed) - maxRemovals; n > 0 {
 		l.dropped = l.removed[n-1].number
 		l.removed = append(l.removed[:0:0], l.removed[n:]...)
@@ -61,6 +66,8 @@
 	Endpoints []fleet.Endpoint `json:"endpoints,omitempty"`
 	Missing   []string         `json:"missing,omitempty"` // Those of Endpoints whose entry may only have lapsed.
 	Gone      []Gone           `json:"gone,omitempty"`
+	// Evacuations is the newest word on each domain, nil when no word is new.
+	Evacuations []Evacuation `json:"evacuations,omitempty"`
 }
 
 // Tell returns what has changed after a number that Tell gave, or everything
@@ -79,6 +86,9 @@
 			t.Missing = append(t.Missing, id)
 		}
 	}
+	if t.Whole || v.log.evacs > after {
+		t.Evacuations = s.Evacuations()
+	}
 	if t.Whole {
 		return t
 	}
@@ -100,7 +110,7 @@
 // Hear takes in what another process tells. Nothing that is known to be newer
 // is changed or removed by it.
 func (v *View) Hear(t Told, now time.Time) {
-	if !t.Whole && len(t.Endpoints)+len(t.Gone) == 0 {
+	if !t.Whole && len(t.Endpoints)+len(t.Gone)+len(t.Evacuations) == 0 {
 		return
 	}
 	v.mu.Lock()
@@ -133,5 +143,6 @@
 		}
 	}
 	next.group()
+	next.evacuations = next.evacuations.with(t.Evacuations)
 	v.set(&next)
 }
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -27,6 +27,7 @@
 	Config         *fleet.Config // Nil when none was published yet.
 	ConfigRevision uint64
 	Endpoints      []fleet.Endpoint
+	Evacuations    []Evacuation // Those under way.
 	Bad            []BadEntry
 	At             uint64 // Revision from which changes are to be followed.
 }
@@ -52,6 +53,7 @@
 	ConfigRevision uint64
 	Endpoints      []fleet.Endpoint // New or changed.
 	Gone           []Gone
+	Evacuations    []Evacuation // Begun or over.
 	Bad            []BadEntry
 	At             uint64
 }
@@ -65,6 +67,7 @@
 	ByAddress      map[string]fleet.Endpoint
 	Missing        map[string]time.Time // Endpoints whose entry may only have lapsed, by the time it was missed.
 	lives          map[string]string    // Ids in Endpoints, by name.
+	evacuations    evacuations
 }
 
 // View is what a process knows.
@@ -223,6 +226,8 @@
 		}
 	}
 	next.group()
+	next.evacuations = next.evacuations.with(snap.Evacuations)
+	next.evacuations = next.evacuations.with(next.evacuations.endedBy(snap.Evacuations, snap.At))
 	v.at = max(v.at, snap.At)
 	v.set(&next)
 	if snap.Config == nil || snap.Config.Version() == next.version() {
@@ -317,13 +322,14 @@
 		}
 		next.group()
 	}
+	next.evacuations = next.evacuations.with(ch.Evacuations)
 	v.at = max(v.at, ch.At)
 	v.set(&next)
 	v.confirm(asked)
 	return removed
 }
 
-// Merge takes in entries that a neighbour tells. Nothing is removed by them, and
+// Merge takes in entries and evacuations that a neighbour tells. Nothing is removed by them, and
 // they do not say how new the view is.
 func (v *View) Merge(ch Changes) {
 	v.mu.Lock()
@@ -335,6 +341,7 @@
 		v.put(&next, &old, e)
 	}
 	next.group()
+	next.evacuations = next.evacuations.with(ch.Evacuations)
 	v.set(&next)
 }
 
--- a/internal/gateway/borrow.go
+++ b/internal/gateway/borrow.go
@@ -108,7 +108,7 @@
 		return err
 	}
 	there := slices.DeleteFunc(p.Endpoints, func(e fleet.Endpoint) bool { return slices.Contains(p.Missing, e.ID) })
-	n.g.view.Merge(follow.Changes{Endpoints: there})
+	n.g.view.Merge(follow.Changes{Endpoints: there, Evacuations: p.Evacuations})
 	n.g.view.Confirm(p.Version, asked.Add(p.Held-p.Age))
 	return nil
 }
