internal/decide/cold, internal/gateway: cold endpoints are paced, evacuated domains get nothing

Cause: all gateways that had just started went to the few endpoints that they heard or saw listed first; ranks that are cold fell over and took their group of 72 with them, which came back cold. Change: each gateway keeps to an equal part of what a cold endpoint bears, from a moment that chance gives; ranks are not tried before their group is heard to serve, and what is heard of one then holds for all; a group in a new epoch is cold, and so is an endpoint that refused a connection or whose domain was evacuated. Sidecars tell how many gateways they hear. Only for services that publish a rate.

--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -19,6 +19,7 @@
 	Running int           // Requests at work.
 	Waiting int           // Requests in its queue.
 	Group   string        // Of ranks that stand and fall together; "" for none.
+	Epoch   uint64        // Of the group; another one when it has formed anew.
 	Closed  bool          // It serves nothing now, as when its group is broken.
 	Pass    time.Duration // Time between two events of its streams; 0 when not told.
 	Pace    float64       // Above 1 when it is slow; 0 when not told.
@@ -173,6 +174,43 @@
 	return at
 }
 
+// Serving returns the candidates that serve as far as is known: those that say so, and
+// those that are silent while a group that may be theirs says so, since all ranks of a
+// group open together. What is heard of the first few after an outage so counts for all
+// of them. Known is false when nothing is heard of any group.
+func (t *Table) Serving(list []Candidate, now time.Time) (serving []Candidate, known bool) {
+	open := map[string]bool{} // Groups that are heard, by whether their newest word is that they serve.
+	for _, e := range t.by {
+		if e.load.Group == "" || now.Sub(e.load.At) > reportAge {
+			continue
+		}
+		at, closed := t.closed[e.load.Group]
+		open[e.load.Group] = !closed || now.Sub(at) > reportAge
+	}
+	anyOpen := false
+	for _, serves := range open {
+		anyOpen = anyOpen || serves
+	}
+	for _, c := range list {
+		load := t.of(c.ID).load
+		serves, heard := open[load.Group]
+		if heard && serves || !heard && load.Group == "" && anyOpen {
+			serving = append(serving, c)
+		}
+	}
+	return serving, len(open) > 0
+}
+
+// LastWord returns when any endpoint was last heard, zero when none ever was.
+func (t *Table) LastWord() (at time.Time) {
+	for _, e := range t.by {
+		if e.load.At.After(at) {
+			at = e.load.At
+		}
+	}
+	return at
+}
+
 // Open reports whether an endpoint says that it serves now.
 func (t *Table) Open(id string, now time.Time) bool {
 	e := t.of(id)
@@ -255,12 +293,14 @@
 	ID    string
 	Near  bool // In the failure domain of the process.
 	Slow  bool // Still cold after its start.
+	Paced bool // It is cold and bears few requests a second.
+	Spent bool // It is paced and has got all that this process may send to it for now.
 	Slots int  // Requests that it runs at once; 0 when not told.
 	Base  int  // Requests whose work equals that of a pass without any; 0 where there are no passes.
 }
 
-// Pick returns the index of the least busy candidate that is not out, ok false
-// when there is none. Endpoints that were taken out count again when too many
+// Pick returns the index of the least busy candidate that is not out and not spent, ok
+// false when there is none. Endpoints that were taken out count again when too many
 // are out. Ties go to the own failure domain and then to chance.
 func (t *Table) Pick(list []Candidate, random func(n int) int, now time.Time) (index int, ok bool) {
 	limit := int(outShare * float64(len(list)))
@@ -316,7 +356,7 @@
 	for i, c := range list {
 		e := t.of(c.ID)
 		s := t.score(e, c, now)
-		if i != least && (s < floor || s >= floor+slowScore/2 || now.Before(e.outUntil) || e.trial && e.own > 0) {
+		if c.Spent || i != least && (s < floor || s >= floor+slowScore/2 || now.Before(e.outUntil) || e.trial && e.own > 0) {
 			continue
 		}
 		scores = append(scores, s)
@@ -355,7 +395,7 @@
 	best, ties := 0, 0
 	for i, c := range list {
 		e := t.of(c.ID)
-		if e.gone && now.Before(e.outUntil) {
+		if c.Spent || e.gone && now.Before(e.outUntil) {
 			continue
 		}
 		if judge && (now.Before(e.outUntil) || e.trial && e.own > 0) {
@@ -389,7 +429,9 @@
 func (t *Table) score(e *endpoint, c Candidate, now time.Time) int {
 	fresh := now.Sub(e.load.At) <= reportAge
 	busy := e.busy(now)
-	if !fresh && c.Base > 0 {
+	if c.Base > 0 && (!fresh || c.Paced) {
+		// What is not heard, and what is empty since it has just started, gets no more
+		// than its part of the work.
 		busy = max(busy, t.usual)
 	}
 	s := busy * scoreUnit
@@ -409,7 +451,7 @@
 	if !c.Near {
 		s += farScore
 	}
-	if c.Slow {
+	if c.Slow || c.Paced {
 		s += coldScore
 	}
 	return s
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -32,8 +33,21 @@
 	for i, e := range candidates {
 		list[i] = balance.Candidate{ID: e.ID, Near: e.Domain == q.g.cfg.Domain, Slow: e.ColdLeft > 0, Slots: e.Slots, Base: int(shape.Base)}
 	}
+	terms := coldTerms(q.config, q.service)
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
+	if ranked && terms.Rate > 0 {
+		serving, known := q.g.table.Serving(list, now)
+		if !known && q.g.listensStill(now) {
+			q.note("no rank is heard yet")
+			q.allDown, q.opens = true, now.Add(wordTime)
+			return e, false
+		}
+		if len(serving) > 0 {
+			list = serving
+		}
+	}
+	q.markCold(list, terms, now)
 	if ranked {
 		if q.g.table.Down(list, now) {
 			if q.waited == 0 { // Else it was said before.
@@ -55,8 +69,13 @@
 	}
 	i, ok := q.g.table.Pick(list, random, now)
 	if !ok {
+		if allSpent(list) {
+			q.full = true
+			q.paceTurnover(len(list), terms)
+		}
 		return e, false
 	}
+	q.toCold = list[i].Paced
 	at := slices.IndexFunc(candidates, func(e fleet.Endpoint) bool { return e.ID == list[i].ID })
 	return candidates[at], true
 }
@@ -70,7 +89,7 @@
 func (q *request) candidates() (list []fleet.Endpoint) {
 	s := q.g.view.State()
 	for _, e := range s.ByService[q.service] {
-		if e.Leaving || slices.Contains(q.tried, e.ID) || slices.Contains(q.unsent, e.ID) {
+		if e.Leaving || s.Evacuated(e.Domain) || slices.Contains(q.tried, e.ID) || slices.Contains(q.unsent, e.ID) {
 			continue
 		}
 		if _, missing := s.Missing[e.ID]; missing {
@@ -157,8 +176,12 @@
 // names, and the ranks of each. The caller holds mu.
 func (q *request) byGroup(list []balance.Candidate) (names []string, members map[string][]balance.Candidate) {
 	members = map[string][]balance.Candidate{}
+	sole := q.soleGroup(list)
 	for _, c := range list {
 		name := q.g.passes.Group(c.ID)
+		if name == "" {
+			name = sole
+		}
 		if _, known := members[name]; !known {
 			names = append(names, name)
 		}
@@ -168,6 +191,24 @@
 	return names, members
 }
 
+// soleGroup returns the only group that any of the ranks in list is known to be in, ""
+// when there is none or more than one. Where ranks may be overrun that are cold, those
+// that have not told their group yet are taken to be in it: were they a group of their
+// own, nothing would be known of its room. The caller holds mu.
+func (q *request) soleGroup(list []balance.Candidate) (sole string) {
+	if coldTerms(q.config, q.service).Rate <= 0 {
+		return ""
+	}
+	for _, c := range list {
+		name := q.g.passes.Group(c.ID)
+		if sole != "" && name != "" && name != sole {
+			return ""
+		}
+		sole = cmp.Or(sole, name)
+	}
+	return sole
+}
+
 // offer says how many requests a group holds and may hold, and adds its turnover to
 // the request's. Known is false when nothing is known of its passes, as when it has
 // just opened: until then a pass is given as much work as it makes without any
--- /dev/null
+++ b/internal/gateway/cold_test.go
@@ -0,0 +1,120 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
+	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/follow"
+)
+
+// askFor is ask for a caller who waits for so long.
+func (s site) askFor(g *WithT, id string, patience time.Duration) (status int, retryAfter string) {
+	status, retryAfter, _, err := s.askWith(id, fmt.Sprint(patience.Milliseconds()))
+	g.Expect(err).NotTo(HaveOccurred())
+	return status, retryAfter
+}
+
+// coldSite is a site of endpoints in the failure domains d0, d1 and so on,
+// whose service bears so many requests a second while it is cold.
+func coldSite(t *testing.T, n int, rate float64) (s site, view *follow.View, list []*streamer) {
+	var handlers []http.Handler
+	for range n {
+		c := newStreamer(0)
+		list, handlers = append(list, c), append(handlers, c)
+	}
+	s, view, snap := newSiteOf(t, func(*fleet.Route) {}, handlers...)
+	for i := range snap.Endpoints {
+		snap.Endpoints[i].Domain = fmt.Sprint("d", i)
+	}
+	svc := snap.Config.Service("s")
+	svc.ColdTime, svc.ColdRate = time.Hour, rate
+	view.Replace(snap, time.Now(), false)
+	s.Changed()
+	return s, view, list
+}
+
+// evacuate publishes a word on a failure domain.
+func evacuate(s site, view *follow.View, domain string, revision uint64, over bool) {
+	view.Apply(follow.Changes{Evacuations: []follow.Evacuation{{Domain: domain, Revision: revision, Over: over}}, At: revision}, time.Now(), false)
+	s.Changed()
+}
+
+func TestNothingNewGoesToAnEvacuatedDomain(t *testing.T) {
+	g := NewWithT(t)
+	s, view, list := coldSite(t, 2, 0)
+	evacuate(s, view, "d0", 5, false)
+	for i := range 6 {
+		status, _ := s.askFor(g, fmt.Sprint(i), patienceOf)
+		g.Expect(status).To(Equal(http.StatusOK))
+	}
+	g.Expect(list[0].firsts()).To(BeEmpty())
+
+	evacuate(s, view, "d1", 6, false)
+	status, after := s.askFor(g, "none", patienceOf)
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(after).NotTo(BeEmpty())
+	g.Expect(list[1].firsts()).To(HaveLen(6))
+
+	evacuate(s, view, "d1", 7, true)
+	status, _ = s.askFor(g, "back", patienceOf)
+	g.Expect(status).To(Equal(http.StatusOK))
+	g.Expect(list[0].firsts()).To(BeEmpty())
+}
+
+// Between the choice and the send a request may have waited for a connection.
+func TestARequestIsNotSentWhereAnEvacuationHasJustBegun(t *testing.T) {
+	g := NewWithT(t)
+	s, view, _ := coldSite(t, 1, 0)
+	q := &request{g: s.Gateway, config: view.State().Config, route: view.State().Config.Route("caller.test", "/x"), service: "s", final: time.Now().Add(time.Hour)}
+	q.r, _ = http.NewRequest(http.MethodPost, "http://caller.test/x", nil) // A constant address.
+	e := view.State().Endpoints["0"]
+	g.Expect(q.mayStillSend(e)).To(BeTrue())
+	evacuate(s, view, "d0", 5, false)
+	g.Expect(q.mayStillSend(e)).To(BeFalse())
+}
+
+// After an outage the ranks of a group form it anew; what is sent before they are heard
+// is turned away and overruns them. What is heard of one holds for all.
+func TestRanksAreNotTriedBeforeTheirGroupIsHeard(t *testing.T) {
+	g := NewWithT(t)
+	s, _, list := coldSite(t, 3, 1e6)
+	status, after := s.askFor(g, "early", patienceOf)
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(after).NotTo(BeEmpty())
+	s.Report(s.addresses[1], balance.Load{Group: "g", Epoch: 2, Pass: 20 * time.Millisecond, At: time.Now()})
+	for i := range 60 {
+		s.Report(s.addresses[1], balance.Load{Group: "g", Epoch: 2, Pass: 20 * time.Millisecond, At: time.Now()})
+		status, _ = s.askFor(g, fmt.Sprint(i), patienceOf)
+		g.Expect(status).To(Equal(http.StatusOK))
+	}
+	for _, c := range list {
+		g.Expect(c.firsts()).NotTo(BeEmpty(), "all get their part, not only the one that is heard")
+	}
+}
+
+// A group that has formed anew is cold: of a service that bears little then, each of its
+// ranks gets no more than this gateway's part.
+func TestColdRanksArePaced(t *testing.T) {
+	g := NewWithT(t)
+	s, _, list := coldSite(t, 2, 0.001)
+	tell := func() {
+		for _, a := range s.addresses {
+			s.Report(a, balance.Load{Group: "g", Epoch: 2, Pass: 20 * time.Millisecond, At: time.Now()})
+		}
+	}
+	for i := range 4 {
+		tell()
+		status, after := s.askFor(g, fmt.Sprint(i), 300*time.Millisecond)
+		g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(after).NotTo(BeEmpty())
+	}
+	g.Expect(len(list[0].firsts()) + len(list[1].firsts())).To(BeZero())
+}
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -18,6 +18,8 @@
 	resumed   metrics.Counter   // Streams that went on at another endpoint.
 	held      metrics.Counter   // Requests that waited for a group of ranks to open.
 	silent    metrics.Counter   // Tries that were given up since nothing came, and went on elsewhere.
+	toCold    metrics.Counter   // Requests sent to endpoints that are taken as cold.
+	evacuated metrics.Gauge     // Failure domains that are evacuated.
 	notJoined metrics.Counter   // Answers and events that did not go on where a stream had been cut.
 	first     metrics.Histogram // Milliseconds to the answer or its first event.
 	loadAge   metrics.Histogram // Milliseconds since an endpoint's load was told, when a request goes there.
@@ -36,6 +38,8 @@
 		resumed:   metrics.GetOrRegisterCounter("gateway.resumed", reg),
 		held:      metrics.GetOrRegisterCounter("gateway.held-for-group", reg),
 		silent:    metrics.GetOrRegisterCounter("gateway.silent-tries", reg),
+		toCold:    metrics.GetOrRegisterCounter("gateway.to-cold", reg),
+		evacuated: metrics.GetOrRegisterGauge("gateway.evacuated-domains", reg),
 		notJoined: metrics.GetOrRegisterCounter("gateway.not-joined", reg),
 		loadAge:   metrics.GetOrRegisterHistogram("gateway.load-age", reg, metrics.NewUniformSample(histogramSize)),
 		first:     metrics.GetOrRegisterHistogram("gateway.first-ms", reg, metrics.NewUniformSample(histogramSize)),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
+	"github.com/canvaspulley/canvaspulley/internal/decide/cold"
 	"github.com/canvaspulley/canvaspulley/internal/decide/estimate"
 	"github.com/canvaspulley/canvaspulley/internal/decide/line"
 	"github.com/canvaspulley/canvaspulley/internal/decide/passes"
@@ -74,6 +75,13 @@
 	others  int                           // Gateways that are known besides this one.
 	heardAt time.Time                     // When one of them was last heard.
 
+	started       time.Time
+	cold          *cold.Pacer
+	coldTold      map[string]uint64 // Revisions of entries whose cold times were taken in, by endpoint.
+	toldSenders   int               // Gateways that a sidecar hears, the most that was lately told.
+	toldSendersAt time.Time
+	evacuated     evacuatedDomains
+
 	shapesMu sync.Mutex // Guards what follows.
 	shapesOf *fleet.Config
 	shapes   map[string]passes.Shape // By service, of shapesOf.
@@ -102,6 +110,11 @@
 		shares:   map[string]*room.Share{},
 		took:     map[string]*estimate.Time{},
 		at:       map[string]map[*request]place{},
+
+		started:   time.Now(),
+		cold:      cold.New(),
+		coldTold:  map[string]uint64{},
+		evacuated: evacuatedDomains{},
 	}
 	g.pool, cleanup = upstream.NewPool(cfg.Source, func() { g.figures.dialed.Inc(1) })
 	return g, cleanup
@@ -132,6 +145,7 @@
 	listed := func(id string) bool { _, ok := s.Endpoints[id]; return ok }
 	g.table.Forget(listed)
 	g.passes.Forget(listed)
+	g.forgetCold(listed, time.Now())
 	g.mu.Unlock()
 	if s.Config != nil {
 		g.conns.closeIdle(s.Config.Limits().IdleTimeout)
@@ -142,6 +156,7 @@
 // that leave are closed at once.
 func (g *Gateway) Changed() {
 	s := g.view.State()
+	g.noteCold(s, time.Now())
 	g.pool.Forget(func(id string) bool {
 		e, ok := s.Endpoints[id]
 		return ok && !e.Leaving
@@ -162,6 +177,9 @@
 	shape, ranked := g.shape(s.Config, e.Service)
 	g.mu.Lock()
 	if ranked = g.table.Report(e.ID, l) && ranked; ranked {
+		if !l.Closed {
+			g.cold.Opened(l.Group, l.Epoch, coldTerms(s.Config, e.Service), l.At)
+		}
 		g.passes.Report(e.ID, l.Group, shape, passes.Rank{Running: l.Running, Pass: l.Pass, Pace: l.Pace, Closed: l.Closed, At: l.At})
 	}
 	vacate := ranked && g.passes.Vacate(e.ID, l.At)
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -18,8 +18,9 @@
 		l.Onward = false
 		n.passOn(peers.Message{Load: &l})
 	}
+	n.g.hearSenders(l.Gateways, time.Now())
 	n.g.Report(l.Address, balance.Load{
-		Born: l.Born, Running: l.Running, Waiting: l.Waiting, Group: l.Group, Closed: l.Closed, Pace: l.Pace, Pass: time.Duration(l.PassMs) * time.Millisecond, At: time.Now(),
+		Born: l.Born, Running: l.Running, Waiting: l.Waiting, Group: l.Group, Epoch: l.Epoch, Closed: l.Closed, Pace: l.Pace, Pass: time.Duration(l.PassMs) * time.Millisecond, At: time.Now(),
 	})
 }
 
@@ -30,6 +31,7 @@
 		n.passOn(peers.Message{Loads: &l})
 	}
 	now := time.Now()
+	n.g.hearSenders(l.Gateways, now)
 	for _, r := range l.Ranks {
 		a, err := r.Engine()
 		if err != nil {
@@ -37,7 +39,7 @@
 			continue
 		}
 		n.g.Report(a.String(), balance.Load{
-			Running: r.Running, Waiting: r.Waiting, Group: l.Group, Closed: l.Closed, Pace: float64(r.Pace), Pass: time.Duration(l.PassMs) * time.Millisecond, At: now,
+			Running: r.Running, Waiting: r.Waiting, Group: l.Group, Epoch: l.Epoch, Closed: l.Closed, Pace: float64(r.Pace), Pass: time.Duration(l.PassMs) * time.Millisecond, At: now,
 		})
 	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -42,6 +42,7 @@
 	downGroup    string
 	downAt       time.Time       // When it did so.
 	tooOld       bool            // The configuration is too old for the request's key.
+	toCold       bool            // The endpoint that was chosen last is cold.
 	full         bool            // No endpoint can take it now.
 	turnover     passes.Turnover // Of all groups, as last looked at.
 	waited       time.Duration   // For room.
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -38,6 +38,7 @@
 		g.figures.loadAge.Update(age.Milliseconds())
 	}
 	g.table.Start(e.ID)
+	q.sendsTo(e.ID, time.Now())
 	g.mu.Unlock()
 	defer func() {
 		g.mu.Lock()
@@ -48,6 +49,9 @@
 	if err != nil {
 		if q.ctx.Err() == nil {
 			q.bad(e, 1, "unreached: "+err.Error())
+			g.mu.Lock()
+			q.noteUnreached(e.ID, err, time.Now())
+			g.mu.Unlock()
 		}
 		q.unsent = append(q.unsent, e.ID)
 		return unreached
@@ -89,11 +93,16 @@
 // takes anything new and the configuration still counts: the process may have
 // been stopped since.
 func (q *request) mayStillSend(e fleet.Endpoint) bool {
-	now, ok := q.g.view.State().Endpoints[e.ID]
+	s := q.g.view.State()
+	now, ok := s.Endpoints[e.ID]
 	if !ok || now.Leaving || now.Address != e.Address {
 		q.note(e.ID + " leaves")
 		return false
 	}
+	if s.Evacuated(e.Domain) {
+		q.note(e.ID + ": its failure domain is evacuated")
+		return false
+	}
 	if _, ok := q.recheck(); !ok || !q.keyFresh() {
 		return false // The loop looks again and says why.
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -43,9 +43,12 @@
 	Group   string  `cbor:"4,keyasint,omitempty"`
 	Closed  bool    `cbor:"5,keyasint,omitempty"`
 	Pace    float64 `cbor:"6,keyasint,omitempty"`
-	PassMs  int     `cbor:"7,keyasint,omitempty"` // Time of a pass, smoothed.
-	Onward  bool    `cbor:"8,keyasint,omitempty"` // The receiver tells the other gateways of its failure domain.
-	Born    int64   `cbor:"9,keyasint,omitempty"` // When the engine's life began, Unix milliseconds; 0 when not told.
+	PassMs  int     `cbor:"7,keyasint,omitempty"`  // Time of a pass, smoothed.
+	Onward  bool    `cbor:"8,keyasint,omitempty"`  // The receiver tells the other gateways of its failure domain.
+	Born    int64   `cbor:"9,keyasint,omitempty"`  // When the engine's life began, Unix milliseconds; 0 when not told.
+	Epoch   uint64  `cbor:"10,keyasint,omitempty"` // Of the group; another one when it has formed anew.
+	// Gateways is how many gateways the sender hears; 0 when it does not tell.
+	Gateways int `cbor:"11,keyasint,omitempty"`
 }
 
 // Loads tells the loads of ranks of one group, as its leader has just seen them: of
@@ -56,6 +59,9 @@
 	PassMs int        `cbor:"3,keyasint,omitempty"`
 	Onward bool       `cbor:"4,keyasint,omitempty"` // As in Load.
 	Ranks  []RankLoad `cbor:"5,keyasint"`           // MostRanks at most.
+	// Epoch and Gateways are as in Load.
+	Epoch    uint64 `cbor:"6,keyasint,omitempty"`
+	Gateways int    `cbor:"7,keyasint,omitempty"`
 }
 
 // MostRanks is how many ranks one Loads names: it stays within a packet of 1,400
--- a/internal/sidecar/loads.go
+++ b/internal/sidecar/loads.go
@@ -50,6 +50,7 @@
 	s := l.s
 	s.mu.Lock()
 	told := peers.Loads{Group: own.Group, Closed: s.still, PassMs: int(s.passes.pass.Milliseconds()), Onward: true}
+	told.Epoch, told.Gateways = own.Epoch, len(s.gateways.list)
 	to := s.gateways.onePerDomain(now)
 	s.mu.Unlock()
 	for part := range slices.Chunk(l.rankLoads(), peers.MostRanks) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -202,6 +202,7 @@
 	s.mu.Lock()
 	load.PassMs = int(s.passes.pass.Milliseconds())
 	load.Closed = load.Closed || s.standsStill(r)
+	load.Epoch, load.Gateways = r.Epoch, len(s.gateways.list)
 	near, far := s.gateways.next(time.Now())
 	s.mu.Unlock()
 	s.socket.SendAll(near, peers.Message{Load: load})
