internal/gateway: what is kept for slow callers is bounded

Cause: bodies and whole answers were kept without a bound in all, and a caller who does not read kept its request, its connection and the answer for as long as it liked. Change: bodies and whole answers take a quarter of the process's memory at most, above it callers are refused; what a caller leaves unread for 4 s ends its connection.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -44,6 +44,7 @@
 	g, closeGateway := gateway.New(gateway.Config{
 		Domain:      p.set.Domain,
 		Source:      p.set.Source,
+		Memory:      int64(p.set.MemoryLimit * (1 << 20)),
 		KeyAge:      p.set.Revocation - keyMargin,
 		RetryShare:  p.set.RetryShare,
 		RetryWindow: p.set.RetryWindow,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,6 +43,7 @@
 type Config struct {
 	Domain      string
 	Source      string        // IP number that connections come from; "" for any.
+	Memory      int64         // Bytes that the process may hold; 0 for no bound.
 	KeyAge      time.Duration // Greatest age of the configuration at which a key still counts.
 	RetryShare  float64       // Repeats by requests of a service, in RetryWindow.
 	RetryWindow time.Duration
@@ -63,6 +64,7 @@
 
 	patience *patience
 	figures  *figures
+	kept     *keptBytes
 
 	mu      sync.Mutex // Guards what follows.
 	table   *balance.Table
@@ -103,6 +105,7 @@
 		conns:   newConnections(),
 
 		patience: newPatience(),
+		kept:     newKeptBytes(cfg.Memory, reg),
 		table:    balance.New(),
 		passes:   passes.New(),
 		windows:  map[string]*retry.Window{},
--- /dev/null
+++ b/internal/gateway/kept.go
@@ -0,0 +1,90 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	// keptShare is the part of the process's memory that bodies and whole answers may
+	// take together: as much again goes to sockets' buffers, and the rest is the process's
+	// own.
+	keptShare = 0.25
+	// fallbackKept bounds them where no limit of memory is set.
+	fallbackKept = 64 << 20
+	// chunkedGuess is taken for a body that does not tell its length, until it is read.
+	chunkedGuess = 64 << 10
+	// unreadTime is for how long a caller may leave what is sent to it unread. It is more
+	// than the longest silence after which callers of streams leave themselves, and less
+	// than an endpoint waits for its answer to be read.
+	unreadTime = 4 * time.Second
+)
+
+// keptBytes counts what is kept in memory for callers who may be slow to send or to read.
+type keptBytes struct {
+	most  int64
+	n     atomic.Int64
+	gauge metrics.Gauge
+}
+
+func newKeptBytes(memory int64, reg metrics.Registry) *keptBytes {
+	k := &keptBytes{most: fallbackKept, gauge: metrics.GetOrRegisterGauge("gateway.kept-bytes", reg)}
+	if memory > 0 {
+		k.most = int64(keptShare * float64(memory))
+	}
+	return k
+}
+
+// take counts so many bytes, if they do not make it too many.
+func (k *keptBytes) take(n int64) bool {
+	if k.n.Add(n) > k.most {
+		k.n.Add(-n)
+		return false
+	}
+	k.gauge.Update(k.n.Load())
+	return true
+}
+
+// add counts bytes that are there already; less than none are given back.
+func (k *keptBytes) add(n int64) { k.gauge.Update(k.n.Add(n)) }
+
+// keepBody counts the body that the caller is about to send; it reports false when too
+// much is kept already.
+func (q *request) keepBody() bool {
+	size := q.r.ContentLength
+	if size < 0 {
+		size = chunkedGuess
+	}
+	if !q.g.kept.take(size) {
+		return false
+	}
+	q.keeps = size
+	return true
+}
+
+// keep counts bytes that are kept for the request until it ends.
+func (q *request) keep(n int) {
+	q.keeps += int64(n)
+	q.g.kept.add(int64(n))
+}
+
+// letGo ends the counting of what was kept for the request.
+func (q *request) letGo() {
+	q.g.kept.add(-q.keeps)
+	q.keeps = 0
+}
+
+// boundWrite bounds for how long the next write to the caller may be left unread.
+func (p *reply) boundWrite() error {
+	err := http.NewResponseController(p.w).SetWriteDeadline(time.Now().Add(unreadTime))
+	if errors.Is(err, http.ErrNotSupported) {
+		return nil // It writes to no connection.
+	}
+	return err
+}
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -62,6 +62,9 @@
 	if p.state != replyUnsent {
 		return errReplyBegun
 	}
+	if err := p.boundWrite(); err != nil {
+		return err
+	}
 	p.setHeader("Content-Length", fmt.Sprint(len(body)))
 	p.open(h)
 	if _, err := p.w.Write(body); err != nil {
@@ -81,6 +84,9 @@
 		p.disarm = p.armReset()
 		p.open(h)
 	}
+	if err := p.boundWrite(); err != nil {
+		return err
+	}
 	_, err = p.w.Write(raw)
 	return err
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -42,6 +42,7 @@
 	downGroup    string
 	downAt       time.Time       // When it did so.
 	tooOld       bool            // The configuration is too old for the request's key.
+	keeps        int64           // Bytes that are kept for it.
 	toCold       bool            // The endpoint that was chosen last is cold.
 	full         bool            // No endpoint can take it now.
 	turnover     passes.Turnover // Of all groups, as last looked at.
@@ -103,6 +104,10 @@
 	g.busy.Add(1)
 	defer g.busy.Add(-1)
 	q := &request{g: g, ctx: r.Context(), reply: reply{w: w, r: r}, r: r, leavePlace: func() {}, arrived: time.Now(), call: g.codec.ReadCall(r.Header)}
+	defer q.letGo()
+	if err := q.reply.boundWrite(); err != nil {
+		q.note("caller: " + err.Error()) // What is written next tells whether it is gone.
+	}
 	begun, closed := g.leaving(q.arrived)
 	if begun {
 		q.closeAfter()
@@ -248,8 +253,14 @@
 		q.reject(http.StatusRequestEntityTooLarge, "body too large")
 		return false
 	}
+	if !q.keepBody() {
+		q.closeAfter()
+		q.refuse("too many bytes are kept for callers", fullRetry)
+		return false
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(q.reply.w, q.r.Body, limit))
 	if err == nil {
+		q.keep(len(body) - int(q.keeps))
 		q.body = body
 		return true
 	}
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -33,6 +33,7 @@
 		return unknown
 	}
 	q.handBack(x)
+	q.keep(len(body))
 	q.noteTook(time.Now())
 	if !q.sawEnd(e, x) {
 		q.bad(e, 1, errUnsureEnd.Error())
