internal/soak: failure domains are evacuated

Two failure domains of plain endpoints; an evacuation is a new kind of trouble, and what reaches its endpoints from a calm gateway after 2 s is a fault. A product that looks at evacuations neither at the choice nor before the send is found (seed 268).

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -37,6 +37,7 @@
 	shiftLoad
 	failAtRandom // All endpoints fail a part of their requests, each in its own way.
 	startAgain   // An endpoint ends without a word and starts again under its name.
+	evacuate     // Nothing new goes to the endpoints of a failure domain for a while.
 )
 
 // Kinds is a set of kinds of trouble, and of callers. A seed that showed a fault
@@ -47,6 +48,7 @@
 const (
 	FirstKinds Kinds = iota // One endpoint misbehaves at a time, in one way; callers keep their connections.
 	SecondKinds
+	ThirdKinds
 	AllKinds
 )
 
@@ -64,15 +66,18 @@
 			list = append(list, failAtRandom)
 		}
 	}
-	if k >= AllKinds {
+	if k >= ThirdKinds {
 		list = append(list, startAgain, startAgain)
 	}
+	if k >= AllKinds {
+		list = append(list, evacuate, evacuate)
+	}
 	return list
 }
 
 var faultNames = [...]string{"kill gateway", "stop gateway", "pause gateway", "reload gateway", "kill sidecar", "pause sidecar",
 	"spoil link", "spoil store link", "store refuses", "store silent", "store forgets", "take key", "move route", "many versions",
-	"replace endpoint", "crash endpoint", "misbehave", "shift load", "fail at random", "start again"}
+	"replace endpoint", "crash endpoint", "misbehave", "shift load", "fail at random", "start again", "evacuate"}
 
 // fault is one trouble of a schedule.
 type fault struct {
@@ -157,6 +162,8 @@
 		s.failAtRandom(f)
 	case startAgain:
 		return s.startAgain(f)
+	case evacuate:
+		s.evacuate(f)
 	case shiftLoad:
 		s.group.Shift(f.how)
 	}
@@ -274,7 +281,7 @@
 	s.mu.Lock()
 	i := s.cfg.Ranks + f.which%s.cfg.Plain
 	old := s.endpoints[i]
-	next, err := s.addEndpoint(old.service, plainIP+s.births%plainIPs, nil)
+	next, err := s.addEndpoint(old.service, old.domain, plainIP+s.births%plainIPs, nil)
 	if err == nil {
 		s.endpoints = s.endpoints[:len(s.endpoints)-1]
 		s.endpoints[i] = next
@@ -323,6 +330,25 @@
 	return s.store.List(e.entry(false))
 }
 
+// evacuate has nothing new go to the endpoints of a failure domain for a while. Two may
+// overlap: the domain is free again when the last one is over.
+func (s *site) evacuate(f fault) {
+	domain := domains[f.which%len(domains)]
+	s.mu.Lock()
+	s.evacuating[domain]++
+	s.store.Evacuate(domain)
+	s.mu.Unlock()
+	began := time.Now()
+	time.Sleep(evacuationBound + f.lasts)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// It is noted before the word is taken back: what runs after that is allowed.
+	s.ledger.note(func(l *ledger) { l.evacuated[domain] = append(l.evacuated[domain], span{began, time.Now()}) })
+	if s.evacuating[domain]--; s.evacuating[domain] == 0 {
+		s.store.EndEvacuation(domain)
+	}
+}
+
 // crash makes a plain endpoint go without a word; its entry goes later, and
 // another one comes.
 func (s *site) crash(f fault) error {
@@ -330,7 +356,7 @@
 	i := s.cfg.Ranks + f.which%s.cfg.Plain
 	old := s.endpoints[i]
 	old.misbehave(time.Hour, 100, standin.LosesAnswer) // What it has begun is lost, too.
-	next, err := s.addEndpoint(old.service, plainIP+s.births%plainIPs, nil)
+	next, err := s.addEndpoint(old.service, old.domain, plainIP+s.births%plainIPs, nil)
 	if err == nil {
 		s.endpoints = s.endpoints[:len(s.endpoints)-1]
 		s.endpoints[i] = next
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -17,6 +17,7 @@
 	revocationBound    = 5 * time.Second
 	configurationBound = 2 * time.Second
 	drainBound         = 2 * time.Second
+	evacuationBound    = 2 * time.Second
 	// calmBefore is how long nothing must have disturbed a gateway for the bounds
 	// above to hold for it; a key that was taken away counts always.
 	calmBefore = 3 * time.Second
@@ -80,13 +81,16 @@
 	taken     map[string]time.Time // Keys that were taken away, by when that was acknowledged.
 	moved     time.Time            // When the route last moved to another service.
 	movedTo   string
+	domains   map[string]string    // Failure domains of endpoints.
+	evacuated map[string][]span    // Evacuations by failure domain, those that are over.
 	left      map[string]time.Time // Endpoints that leave, by when that was acknowledged.
 	strangers []string             // Runs that no caller asked for.
 	ends      []string             // Processes that ended by themselves or not at all.
 }
 
 func newLedger() *ledger {
-	return &ledger{requests: map[string]*request{}, spans: map[int][]span{}, stopping: map[int][]span{}, taken: map[string]time.Time{}, left: map[string]time.Time{}}
+	return &ledger{requests: map[string]*request{}, spans: map[int][]span{}, stopping: map[int][]span{}, taken: map[string]time.Time{}, left: map[string]time.Time{},
+		domains: map[string]string{}, evacuated: map[string][]span{}}
 }
 
 func (l *ledger) begin(r *request) {
@@ -177,6 +181,12 @@
 	if at, ok := l.left[run.Endpoint]; ok && run.At.Sub(at) > drainBound+slack && l.calm(r.gateway, at, run.At) {
 		say(r, "reached %s %v after that said that it leaves", run.Endpoint, run.At.Sub(at))
 	}
+	domain := l.domains[run.Endpoint]
+	for _, s := range l.evacuated[domain] {
+		if run.At.After(s.from.Add(evacuationBound+slack)) && run.At.Before(s.to) && l.calm(r.gateway, s.from, run.At) {
+			say(r, "reached %s %v after the evacuation of %s", run.Endpoint, run.At.Sub(s.from), domain)
+		}
+	}
 	if r.service != "" && run.Path == movingPath && r.sent.Sub(l.moved) > configurationBound+slack && l.calm(r.gateway, l.moved, run.At) && serviceOf(run.Endpoint) != l.movedTo {
 		say(r, "ran at %s %v after its route went to %s", run.Endpoint, r.sent.Sub(l.moved), l.movedTo)
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -48,6 +48,7 @@
 type endpointAt struct {
 	name     string
 	service  string
+	domain   string
 	address  string // Of the proxy, as published.
 	target   string // Of the endpoint itself.
 	proxy    *proxy
@@ -117,8 +118,13 @@
 	taken     []string   // Keys that were taken away, with their customer.
 	births    int
 	port      int // Of sidecars.
+	// evacuating is how many evacuations of each failure domain are under way.
+	evacuating map[string]int
 }
 
+// domains are the failure domains of endpoints; all processes are in the first.
+var domains = [...]string{"a", "b"}
+
 // customers is how many there are.
 const customers = 3
 
@@ -127,7 +133,7 @@
 // newSite lays out and starts everything but the callers.
 func newSite(cfg Config) (s *site, err error) {
 	defer func() { err = errors.Wrap(err, "soak site") }()
-	s = &site{cfg: cfg, net: ownNet(), store: standin.NewStore(), ledger: newLedger(), movedTo: plainNames[0]}
+	s = &site{cfg: cfg, net: ownNet(), store: standin.NewStore(), ledger: newLedger(), movedTo: plainNames[0], evacuating: map[string]int{}}
 	s.ledger.moved, s.ledger.movedTo = time.Now(), s.movedTo
 	if s.dir, err = os.MkdirTemp(cfg.Dir, fmt.Sprintf("seed-%d-", cfg.Seed)); err != nil {
 		return nil, err
@@ -213,12 +219,12 @@
 		s.keys = append(s.keys, []string{fmt.Sprintf("key-%d-0", c), fmt.Sprintf("key-%d-1", c)})
 	}
 	for r := range s.cfg.Ranks {
-		if _, err = s.addEndpoint(modelName, engineIP+r, standin.Engine(s.group.Engine(r))); err != nil {
+		if _, err = s.addEndpoint(modelName, domains[0], engineIP+r, standin.Engine(s.group.Engine(r))); err != nil {
 			return err
 		}
 	}
 	for i := range s.cfg.Plain {
-		if _, err = s.addEndpoint(plainNames[i%len(plainNames)], plainIP+i, nil); err != nil {
+		if _, err = s.addEndpoint(plainNames[i%len(plainNames)], domains[i/len(plainNames)%len(domains)], plainIP+i, nil); err != nil {
 			return err
 		}
 	}
@@ -226,10 +232,11 @@
 }
 
 // addEndpoint starts an endpoint and lists it.
-func (s *site) addEndpoint(service string, last int, engine http.Handler) (e *endpointAt, err error) {
+func (s *site) addEndpoint(service, domain string, last int, engine http.Handler) (e *endpointAt, err error) {
 	s.births++
-	e = &endpointAt{name: fmt.Sprintf("%s-%d", service, s.births), service: service, seed: s.cfg.Seed, born: time.Now().UnixMilli()}
+	e = &endpointAt{name: fmt.Sprintf("%s-%d", service, s.births), service: service, domain: domain, seed: s.cfg.Seed, born: time.Now().UnixMilli()}
 	e.handler = &standin.Endpoint{Name: e.name, Behave: e.behave, Pause: passTime, Engine: engine, Ran: s.ledger.ran}
+	s.ledger.note(func(l *ledger) { l.domains[e.name] = domain })
 	if e.target, e.srv, err = s.serve(s.ip(last), e.handler); err != nil {
 		return nil, err
 	}
@@ -243,7 +250,7 @@
 // entry returns what the endpoint's present life says of itself. The caller holds the
 // site's mu, or nothing runs yet.
 func (e *endpointAt) entry(leaving bool) fleet.Endpoint {
-	return fleet.Endpoint{ID: fleet.LifeID(e.name, e.born), Born: e.born, Service: e.service, Address: e.address, Domain: "a", Slots: 8, Leaving: leaving}
+	return fleet.Endpoint{ID: fleet.LifeID(e.name, e.born), Born: e.born, Service: e.service, Address: e.address, Domain: e.domain, Slots: 8, Leaving: leaving}
 }
 
 // serviceOf returns the service of an endpoint's name.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -131,6 +131,15 @@
 			finds: `a stream that ended as whole after event \d+ of 12, over HTTP/1.0`,
 			seed:  105275, kinds: SecondKinds,
 		},
+		{
+			// Both looks go: the one at the choice and the one right before the send.
+			name: "an evacuated domain gets requests",
+			edits: []edit{
+				{"../gateway/choose.go", "e.Leaving || s.Evacuated(e.Domain) ||", "e.Leaving ||"},
+				{"../gateway/try.go", "if s.Evacuated(e.Domain) {", "if false {"},
+			},
+			finds: "after the evacuation of", seed: 268, kinds: AllKinds,
+		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -145,7 +154,7 @@
 }
 
 func TestSchedulesFollowFromTheirSeed(t *testing.T) {
-	for set, want := range map[Kinds]int{FirstKinds: int(shiftLoad) + 1, SecondKinds: int(failAtRandom) + 1, AllKinds: int(startAgain) + 1} {
+	for set, want := range map[Kinds]int{FirstKinds: int(shiftLoad) + 1, SecondKinds: int(failAtRandom) + 1, ThirdKinds: int(startAgain) + 1, AllKinds: int(evacuate) + 1} {
 		t.Run(fmt.Sprint(set), func(t *testing.T) {
 			g := NewWithT(t)
 			a, b := schedule(7, time.Minute, set), schedule(7, time.Minute, set)
