internal/gateway: few sidecars are greeted while none is heard

Cause: after an outage hellos of all gateways to all sidecars five times a second would be most of what their links carry. Change: 16 of them, drawn anew each time, since what one rank tells holds for all; what is heard of ranks is a step of its own in choosing.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -37,15 +37,11 @@
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
 	if ranked && terms.Rate > 0 {
-		serving, known := q.g.table.Serving(list, now)
-		if !known && q.g.listensStill(now) {
+		if list, ok = q.heard(list, now); !ok {
 			q.note("no rank is heard yet")
 			q.allDown, q.opens = true, now.Add(wordTime)
 			return e, false
 		}
-		if len(serving) > 0 {
-			list = serving
-		}
 	}
 	q.markCold(list, terms, now)
 	if ranked {
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -103,6 +103,21 @@
 	return began, ended
 }
 
+// heard returns those of a list of ranks that may be tried by what is heard of their
+// group: all of them while it is not heard to serve, since then it is known to be down or
+// nothing is heard at all. Ok is false while a word is still to be waited for. The caller
+// holds mu.
+func (q *request) heard(list []balance.Candidate, now time.Time) (ranks []balance.Candidate, ok bool) {
+	serving, known := q.g.table.Serving(list, now)
+	switch {
+	case len(serving) > 0:
+		return serving, true
+	case known:
+		return list, true
+	}
+	return list, !q.g.listensStill(now)
+}
+
 // markCold notes on the candidates which of them are cold, and which of those have got
 // all that this gateway may send them for now. The caller holds mu.
 func (q *request) markCold(list []balance.Candidate, t cold.Terms, now time.Time) {
--- a/internal/gateway/cold_test.go
+++ b/internal/gateway/cold_test.go
@@ -4,15 +4,18 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
+	"github.com/canvaspulley/canvaspulley/internal/peers"
 )
 
 // askFor is ask for a caller who waits for so long.
@@ -118,3 +121,39 @@
 	}
 	g.Expect(len(list[0].firsts()) + len(list[1].firsts())).To(BeZero())
 }
+
+// received returns how many datagrams come to a socket until none has come for a while.
+func received(g *WithT, conn *net.UDPConn) (n int) {
+	buf := make([]byte, 2048)
+	for {
+		g.Expect(conn.SetReadDeadline(time.Now().Add(300 * time.Millisecond))).To(Succeed())
+		if _, _, err := conn.ReadFromUDP(buf); err != nil {
+			return n
+		}
+		n++
+	}
+}
+
+// After an outage sidecars that were not up yet missed the hello of a gateway, which lets
+// nobody in before it hears of a rank.
+func TestSidecarsAreGreetedAgainWhileNoneIsHeard(t *testing.T) {
+	g := NewWithT(t)
+	sidecar, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { g.Expect(sidecar.Close()).To(Succeed()) }()
+	s := newStation(t, 1)
+	socket, closeSocket, err := peers.Listen("127.0.0.1:0", zap.NewNop())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(closeSocket)
+	s.socket, s.port = socket, sidecar.LocalAddr().(*net.UDPAddr).Port
+	snap := follow.Snapshot{Config: fleet.NewConfig(1, nil, []fleet.Service{{Name: "s", Engine: &fleet.Engine{}}}, nil, fleet.Limits{}), At: 1}
+	for i := range 3 * unheardSidecars {
+		snap.Endpoints = append(snap.Endpoints, fleet.Endpoint{ID: fmt.Sprint(i), Service: "s", Address: fmt.Sprint("127.0.0.1:", i+1), Revision: 1})
+	}
+	s.view.Replace(snap, time.Now(), false)
+	s.greetUnheard()
+	g.Expect(received(g, sidecar)).To(Equal(unheardSidecars), "one word is enough for all")
+	s.g.Report("127.0.0.1:1", balance.Load{Group: "g", At: time.Now()})
+	s.greetUnheard()
+	g.Expect(received(g, sidecar)).To(BeZero())
+}
--- a/internal/gateway/listen_test.go
+++ b/internal/gateway/listen_test.go
@@ -195,7 +195,7 @@
 	}
 	g.Expect(seen).To(HaveLen(len(list)))
 	g.Expect(some(list[:2], 3)).To(ConsistOf("a", "b"))
-	g.Expect(some(nil, 3)).To(BeEmpty())
+	g.Expect(some([]string(nil), 3)).To(BeEmpty())
 }
 
 func TestWhatMayHaveLapsedIsNotBorrowed(t *testing.T) {
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -28,6 +28,10 @@
 	// and sidecars that lost power together were up within a second of each other, and
 	// each hello that is missed keeps the callers of a gateway waiting.
 	unheardEvery = 200 * time.Millisecond
+	// unheardSidecars is how many of them such a hello goes to, drawn anew each time: what
+	// one rank tells holds for all, and hellos of all gateways to all sidecars would be
+	// most of what goes over their links after an outage.
+	unheardSidecars = 16
 	// maxKnown bounds the gateways named in a hello, which are drawn anew for each:
 	// a newcomer hears of all within some hellos. With all of 40 named, hellos were
 	// half of the bytes between failure domains.
@@ -225,16 +229,23 @@
 		return
 	}
 	n.subscribed = true
-	n.socket.SendAll(to, peers.Message{Hello: &peers.Hello{Name: n.name, Life: n.life, Address: n.self, Domain: n.domain}})
+	n.socket.SendAll(to, peers.Message{Hello: n.helloToSidecars()})
 }
 
 // greetUnheard says hello to sidecars while none of them is heard: after an outage of
 // both sides those that were not up yet missed the hello, and what they have to tell is
 // waited for.
 func (n *Neighbours) greetUnheard() {
-	if leaving, _ := n.g.leaving(time.Now()); !leaving && !n.g.hearsRanks(time.Now()) {
-		n.greetListed()
+	if leaving, _ := n.g.leaving(time.Now()); leaving || n.g.hearsRanks(time.Now()) {
+		return
 	}
+	n.socket.SendAll(some(n.sidecars(), unheardSidecars), peers.Message{Hello: n.helloToSidecars()})
+}
+
+// helloToSidecars returns what sidecars are told of this gateway: they need no more than
+// its address and domain.
+func (n *Neighbours) helloToSidecars() *peers.Hello {
+	return &peers.Hello{Name: n.name, Life: n.life, Address: n.self, Domain: n.domain}
 }
 
 // greet says hello to sidecars and gateways.
@@ -281,7 +292,7 @@
 }
 
 // some returns so many of list, drawn anew each time.
-func some(list []string, n int) []string {
+func some[T any](list []T, n int) []T {
 	drawn := slices.Clone(list)
 	for i := range min(n, len(drawn)) {
 		j := i + random(len(drawn)-i)
