--- a/internal/decide/balance/outage_test.go
+++ b/internal/decide/balance/outage_test.go
@@ -57,3 +57,51 @@
 		})
 	}
 }
+
+func TestAGroupHasJustOpened(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		tells func(t *Table)
+		just  bool
+	}{
+		{"nothing is heard", func(*Table) {}, false},
+		{"it was first heard a moment ago", func(t *Table) { say(t, false, 0) }, true},
+		{"it was heard long before", func(t *Table) {
+			say(t, false, -time.Minute)
+			say(t, false, 0)
+		}, false},
+		{"it was down", func(t *Table) {
+			say(t, false, -time.Minute)
+			say(t, true, -time.Second)
+			say(t, false, 0)
+		}, true},
+		{"words crossed each other", func(t *Table) {
+			say(t, false, -time.Minute)
+			say(t, true, -leastOutage/2)
+			say(t, false, 0)
+		}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table := New()
+			tc.tells(table)
+			NewWithT(t).Expect(table.JustOpened("g", start.Add(time.Second))).To(Equal(tc.just))
+		})
+	}
+}
+
+// What is heard of one rank holds for those that were never heard, but not for another
+// group's.
+func TestWhichRanksServeAsFarAsIsKnown(t *testing.T) {
+	g := NewWithT(t)
+	table := New()
+	list := candidates("a", "b", "c")
+	_, known := table.Serving(list, start)
+	g.Expect(known).To(BeFalse())
+	say(table, true, 0) // Of a.
+	serving, known := table.Serving(list, start)
+	g.Expect(known).To(BeTrue())
+	g.Expect(serving).To(BeEmpty())
+	table.Report("b", Load{Group: "h", At: start})
+	serving, _ = table.Serving(list, start)
+	g.Expect(serving).To(Equal(candidates("b", "c")), "a's group is down, and c was never heard")
+}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -122,9 +122,19 @@
 	evacuating map[string]int
 }
 
-// domains are the failure domains of endpoints; all processes are in the first.
+// domains are the failure domains of gateways and plain endpoints.
 var domains = [...]string{"a", "b"}
 
+// domain returns the failure domain of one of several things that are alike. A seed of
+// the sets before AllKinds has them all in the first, as when it showed its fault: near
+// endpoints are preferred, so a far one that misbehaves is met by hardly any request.
+func (s *site) domain(i int) string {
+	if s.cfg.Kinds < AllKinds {
+		return domains[0]
+	}
+	return domains[i%len(domains)]
+}
+
 // customers is how many there are.
 const customers = 3
 
@@ -224,7 +234,7 @@
 		}
 	}
 	for i := range s.cfg.Plain {
-		if _, err = s.addEndpoint(plainNames[i%len(plainNames)], domains[i/len(plainNames)%len(domains)], plainIP+i, nil); err != nil {
+		if _, err = s.addEndpoint(plainNames[i%len(plainNames)], s.domain(i/len(plainNames)), plainIP+i, nil); err != nil {
 			return err
 		}
 	}
@@ -365,8 +375,8 @@
 
 func (s *site) gatewaySettings(i int) string {
 	g := s.gateways[i]
-	return fmt.Sprintf("[instance]\nname = gateway-%d\ndomain = a\nrole = gateway\n[listen]\ncallers = %s\nreadiness = %s\npeers = %s\nsource = %s\nsidecars-port = %d\n[platform]\nstore = %s\nseeds = %s\n",
-		i, g.callers, g.readiness, g.peers, g.ip, s.port, s.storeAt, s.seeds()) + bounds
+	return fmt.Sprintf("[instance]\nname = gateway-%d\ndomain = %s\nrole = gateway\n[listen]\ncallers = %s\nreadiness = %s\npeers = %s\nsource = %s\nsidecars-port = %d\n[platform]\nstore = %s\nseeds = %s\n",
+		i, s.domain(i), g.callers, g.readiness, g.peers, g.ip, s.port, s.storeAt, s.seeds()) + bounds
 }
 
 func (s *site) sidecarSettings(r int) string {
