--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -17,18 +17,20 @@
 
 const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
-// exchangeWith sends a request to an endpoint that answers so, over one connection.
+// exchangeWith sends a request to an endpoint that answers so, over one connection. The
+// endpoint's side stays referenced to the end of the test: the collector closes one that
+// is not, which resets it while the request lies unread.
 func exchangeWith(t *testing.T, answer func(c net.Conn)) (x *Exchange, r *Request) {
 	g := NewWithT(t)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	var srv errgroup.Group
-	srv.Go(func() error {
-		c, err := l.Accept()
-		if err != nil {
+	var far net.Conn // Written before srv.Wait returns.
+	srv.Go(func() (err error) {
+		if far, err = l.Accept(); err != nil {
 			return err
 		}
-		answer(c)
+		answer(far)
 		return nil
 	})
 	p, cleanup := NewPool("", func() {})
@@ -39,6 +41,7 @@
 		cleanup()
 		g.Expect(l.Close()).To(Succeed())
 		g.Expect(srv.Wait()).To(Succeed())
+		_ = far.Close() // Some answers close it themselves.
 	})
 	r = &Request{Method: http.MethodPost, Target: "/", Host: "h"}
 	x, err = conn.Send(r, time.Now().Add(time.Minute))
