--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/silence"
@@ -61,7 +60,7 @@
 // giveUpSilent reports whether the request goes on elsewhere since the answer of an
 // endpoint is silent, and takes the repeat for it.
 func (q *request) giveUpSilent(e fleet.Endpoint, silent time.Duration) bool {
-	if q.ctx.Err() != nil || !q.mayGoOn() || q.standsWithAll(e) || !q.mayAskAnother() || !q.takeRepeat(time.Now()) {
+	if q.ctx.Err() != nil || !q.mayGoOn() || !q.mayAskAnother() || !q.takeRepeat(time.Now()) {
 		return false
 	}
 	q.paid = true
@@ -70,20 +69,6 @@
 	return true
 }
 
-// standsWithAll reports whether the answer is silent since its whole group stands, and
-// there is no endpoint of another one to go on at.
-func (q *request) standsWithAll(e fleet.Endpoint) bool {
-	candidates := q.candidates()
-	q.g.mu.Lock()
-	defer q.g.mu.Unlock()
-	group := q.g.passes.Group(e.ID)
-	if !q.g.passes.Stands(e.ID, time.Now()) || slices.ContainsFunc(candidates, func(o fleet.Endpoint) bool { return q.g.passes.Group(o.ID) != group }) {
-		return false
-	}
-	q.note(e.ID + ": its group stands")
-	return true
-}
-
 // noteTook takes in how long an answer in one piece took.
 func (q *request) noteTook(now time.Time) {
 	q.g.mu.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -70,7 +70,6 @@
 // another endpoint can go on after the last one.
 func (q *request) relayStream(e fleet.Endpoint, x *upstream.Exchange, resp *http.Response) result {
 	joined := q.events > 0
-	defer q.endsAt(e)
 	br := x.Reader()
 	var buf []byte
 	for {
@@ -101,16 +100,6 @@
 	}
 }
 
-// endsAt notes that the stream's run at an endpoint is over, if any event came of it.
-func (q *request) endsAt(e fleet.Endpoint) {
-	if q.lastRun.events == 0 {
-		return
-	}
-	q.g.mu.Lock()
-	defer q.g.mu.Unlock()
-	q.g.passes.Ended(e.ID)
-}
-
 // stays keeps the request from being moved, since after an event without an id it
 // can go on nowhere else. It reports false if it is being moved already.
 func (q *request) stays() bool {
@@ -148,9 +137,6 @@
 func (q *request) noteTime(e fleet.Endpoint, now time.Time) {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	if q.lastRun.events == 0 {
-		q.g.passes.Begun(e.ID, now)
-	}
 	if q.events == 0 {
 		q.g.passes.First(e.ID, now.Sub(q.sentAt))
 		return
