--- a/internal/decide/passes/passes.go
+++ b/internal/decide/passes/passes.go
@@ -89,9 +89,6 @@
 	gapAt time.Time
 	first estimate.Time // From sending a request to its first event.
 	told  toldLimit
-
-	streams int       // Under way here, of which an event has come.
-	eventAt time.Time // When the first event of one last came.
 }
 
 // Tracker follows the passes of groups.
