internal/gateway: a silent try needs no new room

Its instance was frozen and took them as it woke. They had not gone on elsewhere, since their group was full and they asked for room like new ones. Change: a try under way goes on at another endpoint whatever the room. The test fails without the change.

--- a/internal/gateway/recover_test.go
+++ b/internal/gateway/recover_test.go
@@ -80,6 +80,31 @@
 	}
 }
 
+// A request under way has its place: a group that got full meanwhile does not keep it where
+// nothing comes. Callers left and their requests reached a frozen rank as it woke
+// (GONE, ptmoa-orders-grown, deploy/days/frozen-leader.toml --vary --seed 984424383173).
+func TestASilentTryGoesOnThoughItsGroupIsFull(t *testing.T) {
+	g := NewWithT(t)
+	one, two := twoSilentFirst(0)
+	s, view, snap := newSiteOf(t, func(r *fleet.Route) { r.Target = 400 * time.Millisecond }, one, two)
+	view.Replace(snap, time.Now(), false)
+	tell := func(running int) {
+		s.tell(0, running, 1)
+		s.tell(1, running, 1)
+	}
+	tell(0)
+	var caller errgroup.Group
+	caller.Go(func() error {
+		status, _, body, err := s.ask("a")
+		expectWhole(g, status, body, err)
+		return nil
+	})
+	g.Eventually(one.runs.Load, patienceOf).Should(BeEquivalentTo(1))
+	tell(50 * slots)
+	g.Expect(caller.Wait()).To(Succeed())
+	g.Expect(s.figures.silent.Count()).To(BeEquivalentTo(1))
+}
+
 // What may run once only, or has no repeat or try left, is waited for.
 func TestASilentTryIsWaitedFor(t *testing.T) {
 	for _, tc := range []struct {
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -60,7 +60,7 @@
 // giveUpSilent reports whether the request goes on elsewhere since the answer of an
 // endpoint is silent, and takes the repeat for it.
 func (q *request) giveUpSilent(e fleet.Endpoint, silent time.Duration) bool {
-	if q.ctx.Err() != nil || !q.mayGoOn() || !q.mayAskAnother() || !q.takeRepeat(time.Now()) {
+	if q.ctx.Err() != nil || !q.mayGoOn() || !q.mayMove() || !q.takeRepeat(time.Now()) {
 		return false
 	}
 	q.paid = true
@@ -69,6 +69,16 @@
 	return true
 }
 
+// mayMove reports whether the try under way could go on at another endpoint. It has its
+// place among what is under way and needs no new room: a full group kept such requests at
+// a rank whose instance was frozen until their callers left, and it took them as it woke.
+func (q *request) mayMove() bool {
+	before := q.mayRun
+	q.mayRun = true // Of the try under way; whether it was turned away is not known yet.
+	defer func() { q.mayRun = before }()
+	return q.mayAskAnother()
+}
+
 // noteTook takes in how long an answer in one piece took.
 func (q *request) noteTook(now time.Time) {
 	q.g.mu.Lock()
