internal/soak: the end is judged after the last evacuation

Trace: evacuations of one domain overlapped and lasted for 10.8 s, past the moment from which the end is judged; the model's ranks are all in that domain, and whatever was refused came before the word was taken back. Refusing is what is asked for then.

--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -208,6 +208,21 @@
 // clock is how times are written.
 const clock = "15:04:05.000"
 
+// lastEvacuation returns when the last evacuation was over by all gateways' lights; zero
+// when there was none.
+func (l *ledger) lastEvacuation() (end time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, spans := range l.evacuated {
+		for _, s := range spans {
+			if at := s.to.Add(evacuationBound); at.After(end) {
+				end = at
+			}
+		}
+	}
+	return end
+}
+
 // served counts the requests sent in a time and those of them that were served.
 func (l *ledger) served(from, to time.Time) (sent, served int) {
 	l.mu.Lock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -156,6 +156,9 @@
 	}
 	if s.cfg.Timed {
 		from := began.Add(last + settleTime)
+		if end := s.ledger.lastEvacuation(); end.After(from) {
+			from = end // Until then callers of the domain's ranks are refused as they should be.
+		}
 		sent, served := s.ledger.served(from, began.Add(s.cfg.Length-patience/2))
 		if sent > 0 && float64(served) < servedAtEnd*float64(sent) {
 			r.Broken = append(r.Broken, fmt.Sprintf("after the trouble was over, %d of %d requests were served", served, sent))
