--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -19,9 +19,6 @@
 // ErrForgotten means that the source no longer has the changes asked for.
 var ErrForgotten = errors.New("the history asked for is gone")
 
-// ErrAbsent means that the source has nothing under the name.
-var ErrAbsent = errors.New("nothing is published under the name")
-
 // Snapshot is the whole published state.
 type Snapshot struct {
 	Config         *fleet.Config // Nil when none was published yet.
