internal/gateway, internal/decide/quarantine: lines say which requests are the same and under which an endpoint ended

Cause: a line had the attempt's id only, which is new each time a request comes again, and 'unexpected EOF' stood for an endpoint that ended, for one that broke off an answer and for a rank whose group was cut, so the three hypotheses of the incident left the same lines. Change: a key of path, customer and body; after a try that the peer closed, one look whether its address refuses connections. No request is treated otherwise than before, but for the round trip of that look.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -134,6 +134,9 @@
 	if q.reply.brokenOff() || len(q.tried) > 1 {
 		fields = append(fields, q.endFields()...)
 	}
+	if len(q.tried) > 0 && q.outcome != served {
+		fields = append(fields, zap.Stringer("key", q.key()), zap.Int("ended-under-it", q.endedUnder))
+	}
 	if q.retryIn > 0 {
 		fields = append(fields, zap.Duration("retry-after", q.retryIn))
 	}
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -22,6 +22,7 @@
 	limit     metrics.GaugeFloat64 // Requests that a rank may hold in the mean, as last told by a leader.
 	evacuated metrics.Gauge        // Failure domains that are evacuated.
 	notJoined metrics.Counter      // Answers and events that did not go on where a stream had been cut.
+	ended     metrics.Counter      // Tries that broke off as their endpoint ended.
 	first     metrics.Histogram    // Milliseconds to the answer or its first event.
 	loadAge   metrics.Histogram    // Milliseconds since an endpoint's load was told, when a request goes there.
 }
@@ -43,6 +44,7 @@
 		limit:     metrics.GetOrRegisterGaugeFloat64("gateway.limit-per-rank", reg),
 		evacuated: metrics.GetOrRegisterGauge("gateway.evacuated-domains", reg),
 		notJoined: metrics.GetOrRegisterCounter("gateway.not-joined", reg),
+		ended:     metrics.GetOrRegisterCounter("gateway.ended-under-try", reg),
 		loadAge:   metrics.GetOrRegisterHistogram("gateway.load-age", reg, metrics.NewUniformSample(histogramSize)),
 		first:     metrics.GetOrRegisterHistogram("gateway.first-ms", reg, metrics.NewUniformSample(histogramSize)),
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/passes"
+	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 )
 
@@ -65,6 +66,9 @@
 	outcome      outcome
 	retryIn      time.Duration
 	endpoint     string // Whose head the caller has.
+	sameAs       quarantine.Key
+	hasKey       bool // The key above was worked out.
+	endedUnder   int  // Endpoints that ended under its tries.
 }
 
 // lastAsked is the group in which a request wanted a place, and the time of the
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -188,6 +188,7 @@
 	}
 	if !errors.Is(err, upstream.ErrSilent) && !q.moving(e) {
 		q.bad(e, 1, "stream: "+err.Error())
+		q.brokeOff(e, err)
 	}
 	q.leaveOff()
 	return unknown
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -207,6 +207,7 @@
 		weight = 0.5 // It may just have closed an idle connection.
 	}
 	q.bad(e, weight, err.Error())
+	q.brokeOff(e, err)
 	return unknown
 }
 
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -29,6 +29,7 @@
 		}
 		if !errors.Is(err, upstream.ErrSilent) {
 			q.bad(e, 1, err.Error())
+			q.brokeOff(e, err)
 		}
 		return unknown
 	}
@@ -37,6 +38,7 @@
 	q.noteTook(time.Now())
 	if !q.sawEnd(e, x) {
 		q.bad(e, 1, errUnsureEnd.Error())
+		q.brokeOff(e, errUnsureEnd)
 		return unknown
 	}
 	if resp.StatusCode >= 500 {
