--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -142,7 +142,7 @@
 	if h.Leaving {
 		delete(n.heard, h.Address)
 	} else if h.Address != n.self {
-		if _, ok := n.heard[h.Address]; !ok {
+		if old, ok := n.heard[h.Address]; !ok || old.domain == "" { // Known by hearsay only.
 			n.log.Info("gateway heard", zap.String("name", h.Name), zap.String("address", h.Address))
 		}
 		n.heard[h.Address] = neighbour{at: now, domain: h.Domain, blind: h.Blind}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -127,6 +127,9 @@
 	return &Socket{conn: conn, log: log}, func() { _ = conn.Close() }, nil
 }
 
+// Address returns where the socket receives.
+func (s *Socket) Address() string { return s.conn.LocalAddr().String() }
+
 // Send sends a message, which may be lost.
 func (s *Socket) Send(to netip.AddrPort, m Message) { s.SendAll([]netip.AddrPort{to}, m) }
 
