internal/gateway, internal/decide/quarantine, internal/suspects: a request under which endpoints end is held

Cause: gateways judged endpoints only. A try that broke off as its endpoint ended was sent on by the request's own repeats, by its caller's and by every other gateway as if it were new, so one request ended endpoint after endpoint, each with its whole group of ranks. Change: requests that are the same have a key (path, customer, body). Whose endpoint's address refuses connections after a try that did not come to its end is put down to the key, also when the caller or the gateway gave the try up first. An end that comes after a known one holds the key; three at once leave one trial at one gateway; a run that comes to its end clears all. Gateways tell each other at once and again with hellos, sidecars keep it for gateways that start anew. Held requests are refused at once, with the time for which they are held.

--- /dev/null
+++ b/internal/decide/quarantine/quarantine.go
@@ -0,0 +1,304 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// The load that the package answers: a request ends the process of each endpoint that
+// begins to run it, and comes again, at any gateway. Each end costs a group of ranks some
+// seconds in which nobody is served, so two ends must do. But requests that were at an
+// endpoint by chance as it ended are no fault's, and among them are such as many callers
+// send alike; they must be let in again soon.
+
+const (
+	// firstHold is how long a request is held after it ended an endpoint once more: longer
+	// than any caller waits, so that trying it sooner would serve nobody who is there.
+	firstHold = time.Minute
+	// holdGrowth is by how much longer it is held after each trial that ended an endpoint:
+	// an end costs a group about five seconds, and so less than one second in a hundred
+	// from the second trial on.
+	holdGrowth = 4
+	// longestHold bounds the growth: whoever mends the endpoints need not restart gateways.
+	longestHold = 6 * time.Hour
+	// keepFor is how long ends are remembered under which a request is not held.
+	keepFor = 15 * time.Minute
+	// trialEnds is how many ends, of requests all sent before any end was known, make the
+	// request one that is tried at one place only. Fewer may be the loss of an instance or
+	// two; it is the number after which the users count what is sent.
+	trialEnds = 3
+	// mostKeys bounds what is remembered, and with it the memory: some 200 bytes an end.
+	mostKeys = 512
+)
+
+// Sending is what was known of a request when it was sent to an endpoint.
+type Sending int
+
+// The kinds of sending.
+const (
+	Unknowing Sending = iota // No end under the request was known: its end may be that of several at once, by one cause.
+	Knowing                  // An end was known, and this one came after it.
+	OnTrial                  // The request was held, and was sent to see whether it still ends endpoints.
+)
+
+// End tells that an endpoint's process ended while it ran a request.
+type End struct {
+	Key      Key
+	Endpoint string // One life of it.
+	Sending  Sending
+	// Sound is set once the request ran to its end elsewhere: it was there by chance.
+	Sound bool
+	At    time.Time
+}
+
+// Verdict says whether a request may be sent.
+type Verdict int
+
+// The verdicts.
+const (
+	Free  Verdict = iota
+	Trial         // One may be sent, by the gateway that owns its key.
+	Held
+)
+
+// record is an end and when it was last told to others; zero when that is due.
+type record struct {
+	End
+	told time.Time
+}
+
+// entry is what is known of one key.
+type entry struct {
+	ends  map[string]*record // By endpoint.
+	trial time.Time          // Until when a trial is under way.
+}
+
+// Book is what one process knows of ends. It is not safe for concurrent use. What several
+// books know converges however they tell each other: an end is added, and may become
+// sound, and neither is taken back before it lapses.
+type Book struct {
+	entries map[Key]*entry
+}
+
+// New returns an empty book.
+func New() *Book { return &Book{entries: map[Key]*entry{}} }
+
+// Empty reports whether no end is known.
+func (b *Book) Empty() bool { return len(b.entries) == 0 }
+
+// Add takes in an end, and when it was last told to others: zero for one that was seen here,
+// and now for one that another process told, which tells all others itself. It reports
+// whether it tells anything new.
+func (b *Book) Add(e End, told time.Time) bool {
+	known, ok := b.entries[e.Key]
+	if !ok {
+		b.makeRoom()
+		known = &entry{ends: map[string]*record{}}
+		b.entries[e.Key] = known
+	}
+	r, ok := known.ends[e.Endpoint]
+	if !ok {
+		known.ends[e.Endpoint] = &record{End: e, told: told}
+		return true
+	}
+	if r.Sound == (r.Sound || e.Sound) && r.Sending >= e.Sending {
+		return false
+	}
+	r.Sound, r.Sending = r.Sound || e.Sound, max(r.Sending, e.Sending)
+	r.told = told
+	return true
+}
+
+// makeRoom forgets a key when there are too many: of those that are not held if there are
+// any, the one whose last end is the oldest.
+func (b *Book) makeRoom() {
+	if len(b.entries) < mostKeys {
+		return
+	}
+	keys := slices.Collect(maps.Keys(b.entries))
+	drop := slices.MinFunc(keys, func(x, y Key) int {
+		ex, ey := b.entries[x], b.entries[y]
+		return cmp.Or(cmp.Compare(ex.gravity(), ey.gravity()), ex.last().Compare(ey.last()))
+	})
+	delete(b.entries, drop)
+}
+
+// Sound takes in that a request ran to its end; it reports whether an end under it had
+// counted.
+func (b *Book) Sound(k Key) bool {
+	e := b.entries[k]
+	if e == nil {
+		return false
+	}
+	e.trial = time.Time{}
+	counted := false
+	for _, r := range e.ends {
+		if !r.Sound {
+			r.Sound, r.told, counted = true, time.Time{}, true
+		}
+	}
+	return counted
+}
+
+// Known reports whether an end under a request counts.
+func (b *Book) Known(k Key) bool {
+	e := b.entries[k]
+	return e != nil && len(e.counted()) > 0
+}
+
+// Judge returns whether a request may be sent, and for how long it is still held.
+func (b *Book) Judge(k Key, now time.Time) (v Verdict, left time.Duration) {
+	e := b.entries[k]
+	if e == nil {
+		return Free, 0
+	}
+	ends := e.counted()
+	gravity := e.gravity()
+	if gravity == Unknowing {
+		if len(ends) >= trialEnds {
+			return Trial, 0
+		}
+		return Free, 0
+	}
+	if left = e.lastKnowing().Add(holdAfter(e.trials())).Sub(now); left > 0 {
+		return Held, left
+	}
+	return Trial, 0
+}
+
+// holdAfter returns how long a request is held of which so many trials failed.
+func holdAfter(trials int) time.Duration {
+	hold := firstHold
+	for range trials {
+		hold = min(hold*holdGrowth, longestHold)
+	}
+	return hold
+}
+
+// Begin begins a trial of a request, which lasts until a moment at most; it reports false
+// while another one is under way.
+func (b *Book) Begin(k Key, now, until time.Time) bool {
+	e := b.entries[k]
+	if e == nil || now.Before(e.trial) {
+		return false
+	}
+	e.trial = until
+	return true
+}
+
+// EndTrial ends a trial of which nothing was learned.
+func (b *Book) EndTrial(k Key) {
+	if e := b.entries[k]; e != nil {
+		e.trial = time.Time{}
+	}
+}
+
+// Forget drops what has lapsed.
+func (b *Book) Forget(now time.Time) {
+	for k, e := range b.entries {
+		if now.Sub(e.last()) > max(keepFor, holdGrowth*holdAfter(e.trials())) {
+			delete(b.entries, k)
+		}
+	}
+}
+
+// Held returns how many requests are held.
+func (b *Book) Held(now time.Time) (n int) {
+	for k := range b.entries {
+		if v, _ := b.Judge(k, now); v == Held {
+			n++
+		}
+	}
+	return n
+}
+
+// Tell returns so many ends to tell others: those first that were not told for longest.
+func (b *Book) Tell(most int, now time.Time) (list []End) {
+	var all []*record
+	for _, e := range b.entries {
+		for _, r := range e.ends {
+			all = append(all, r)
+		}
+	}
+	slices.SortFunc(all, func(x, y *record) int {
+		return cmp.Or(x.told.Compare(y.told), y.At.Compare(x.At), slices.Compare(x.Key[:], y.Key[:]), cmp.Compare(x.Endpoint, y.Endpoint))
+	})
+	for _, r := range all[:min(most, len(all))] {
+		r.told = now
+		list = append(list, r.End)
+	}
+	return list
+}
+
+// Untold reports whether an end waits that was never told as it is now.
+func (b *Book) Untold() bool {
+	for _, e := range b.entries {
+		for _, r := range e.ends {
+			if r.told.IsZero() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// counted returns the ends that count against the request.
+func (e *entry) counted() (list []*record) {
+	for _, r := range e.ends {
+		if !r.Sound {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// gravity returns the gravest sending of those that count.
+func (e *entry) gravity() (s Sending) {
+	for _, r := range e.counted() {
+		s = max(s, r.Sending)
+	}
+	return s
+}
+
+// trials returns how many trials ended an endpoint.
+func (e *entry) trials() (n int) {
+	for _, r := range e.counted() {
+		if r.Sending == OnTrial {
+			n++
+		}
+	}
+	return n
+}
+
+// lastKnowing returns when the last end was that came after a known one.
+func (e *entry) lastKnowing() (at time.Time) {
+	for _, r := range e.counted() {
+		if r.Sending != Unknowing && r.At.After(at) {
+			at = r.At
+		}
+	}
+	return at
+}
+
+// last returns when the last end was.
+func (e *entry) last() (at time.Time) {
+	for _, r := range e.ends {
+		if r.At.After(at) {
+			at = r.At
+		}
+	}
+	return at
+}
+
+// Valid reports whether s is one of the kinds of sending.
+func (s Sending) Valid() bool { return s >= Unknowing && s <= OnTrial }
+
+// String returns the name for logs.
+func (s Sending) String() string { return [...]string{"unknowing", "knowing", "on trial"}[s] }
+
+// String returns the name for logs.
+func (v Verdict) String() string { return [...]string{"free", "trial", "held"}[v] }
--- /dev/null
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -0,0 +1,150 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var (
+	key   = KeyOf("POST", "h", "/p", "c", []byte("body"))
+	start = time.Unix(1000, 0)
+)
+
+// bookOf returns a book with one end of a key for each sending, a second apart.
+func bookOf(sendings ...Sending) (b *Book, last time.Time) {
+	b, last = New(), start
+	for i, s := range sendings {
+		last = start.Add(time.Duration(i) * time.Second)
+		b.Add(End{Key: key, Endpoint: fmt.Sprintf("e-%d", i), Sending: s, At: last}, time.Time{})
+	}
+	return b, last
+}
+
+func assertVerdict(g *WithT, b *Book, now time.Time, want Verdict, left time.Duration) {
+	v, d := b.Judge(key, now)
+	g.Expect(v).To(Equal(want))
+	if want == Held {
+		g.Expect(d).To(Equal(left))
+	}
+}
+
+func TestWhatIsHeld(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		sendings []Sending
+		verdict  Verdict
+		left     time.Duration
+	}{
+		{"nothing known", nil, Free, 0},
+		{"at one endpoint that ended", []Sending{Unknowing}, Free, 0},
+		{"at two that ended together", []Sending{Unknowing, Unknowing}, Free, 0},
+		{"at three that ended together", []Sending{Unknowing, Unknowing, Unknowing}, Trial, 0},
+		{"sent on and ended one more", []Sending{Unknowing, Knowing}, Held, firstHold},
+		{"tried and ended one more", []Sending{Unknowing, Knowing, OnTrial}, Held, holdGrowth * firstHold},
+		{"tried twice", []Sending{Unknowing, Knowing, OnTrial, OnTrial}, Held, holdGrowth * holdGrowth * firstHold},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			b, last := bookOf(tc.sendings...)
+			assertVerdict(g, b, last, tc.verdict, tc.left)
+			if tc.verdict == Held {
+				assertVerdict(g, b, last.Add(tc.left), Trial, 0)
+			}
+		})
+	}
+}
+
+func TestAHoldIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	sendings := []Sending{Unknowing, Knowing}
+	for range 20 {
+		sendings = append(sendings, OnTrial)
+	}
+	b, last := bookOf(sendings...)
+	assertVerdict(g, b, last, Held, longestHold)
+}
+
+func TestARequestThatRanToItsEndIsFreeAgain(t *testing.T) {
+	g := NewWithT(t)
+	b, last := bookOf(Unknowing, Knowing)
+	g.Expect(b.Sound(key)).To(BeTrue())
+	g.Expect(b.Sound(key)).To(BeFalse(), "it is known already")
+	assertVerdict(g, b, last, Free, 0)
+	g.Expect(b.Known(key)).To(BeFalse())
+	b.Add(End{Key: key, Endpoint: "e-0", At: start}, start)
+	assertVerdict(g, b, last, Free, 0)
+	b.Add(End{Key: key, Endpoint: "later", At: last}, start)
+	g.Expect(b.Known(key)).To(BeTrue(), "a new end counts")
+}
+
+func TestOneTrialAtATime(t *testing.T) {
+	g := NewWithT(t)
+	b, now := bookOf(Unknowing, Unknowing, Unknowing)
+	until := now.Add(8 * time.Second)
+	g.Expect(b.Begin(key, now, until)).To(BeTrue())
+	g.Expect(b.Begin(key, now.Add(time.Second), until)).To(BeFalse())
+	b.EndTrial(key)
+	g.Expect(b.Begin(key, now.Add(time.Second), until)).To(BeTrue())
+	g.Expect(b.Begin(key, until, until)).To(BeTrue(), "the other one is over")
+}
+
+func TestEndsLapse(t *testing.T) {
+	g := NewWithT(t)
+	b, last := bookOf(Unknowing)
+	b.Forget(last.Add(keepFor))
+	g.Expect(b.Empty()).To(BeFalse())
+	b.Forget(last.Add(keepFor + 1))
+	g.Expect(b.Empty()).To(BeTrue())
+	b, last = bookOf(Unknowing, Knowing, OnTrial, OnTrial, OnTrial)
+	b.Forget(last.Add(holdGrowth * holdGrowth * holdGrowth * firstHold))
+	g.Expect(b.Empty()).To(BeFalse(), "its next trial must know of the ones before")
+}
+
+// Many who were at one endpoint that ended must not drive out a request that is held.
+func TestAFullBookKeepsWhatIsHeld(t *testing.T) {
+	g := NewWithT(t)
+	b, last := bookOf(Unknowing, Knowing)
+	for i := range 2 * mostKeys {
+		other := KeyOf("POST", "h", "/p", "c", fmt.Appendf(nil, "%d", i))
+		b.Add(End{Key: other, Endpoint: "e", At: last.Add(time.Minute)}, time.Time{})
+	}
+	g.Expect(b.entries).To(HaveLen(mostKeys))
+	assertVerdict(g, b, last, Held, firstHold)
+}
+
+func TestBooksConvergeInAnyOrder(t *testing.T) {
+	g := NewWithT(t)
+	list := []End{
+		{Key: key, Endpoint: "e-0", At: start}, {Key: key, Endpoint: "e-1", Sending: Knowing, At: start},
+		{Key: key, Endpoint: "e-1", At: start}, {Key: key, Endpoint: "e-0", Sound: true, At: start},
+	}
+	first, second := New(), New()
+	for i := range list {
+		first.Add(list[i], time.Time{})
+		second.Add(list[len(list)-1-i], time.Time{})
+	}
+	g.Expect(first).To(Equal(second))
+	g.Expect(first.Add(list[2], start)).To(BeFalse(), "it tells nothing new")
+}
+
+func TestAllEndsAreToldInTurn(t *testing.T) {
+	g := NewWithT(t)
+	b, now := bookOf(Unknowing, Unknowing, Unknowing)
+	for round := range 4 {
+		told := map[string]bool{}
+		for half := range 2 {
+			for _, e := range b.Tell(2, now.Add(time.Duration(2*round+half)*time.Second)) {
+				told[e.Endpoint] = true
+			}
+			g.Expect(b.Untold()).To(Equal(round+half == 0))
+		}
+		g.Expect(told).To(HaveLen(3), "two messages of two name all three")
+	}
+	b.Add(End{Key: key, Endpoint: "heard", At: now}, now)
+	g.Expect(b.Untold()).To(BeFalse(), "whoever saw it tells all")
+}
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -3,13 +3,17 @@
 package gateway
 
 import (
+	"context"
 	"io"
+	"maps"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
 // key returns what names the request and all that are the same.
@@ -25,14 +29,135 @@
 	return q.sameAs
 }
 
+// unfinished is a try that did not come to its end, and of which it is not known whether its
+// endpoint lives on: the caller left, the answer was silent or could not be used, or the
+// connection broke.
+type unfinished struct {
+	key     quarantine.Key
+	sending quarantine.Sending
+	at      time.Time // When it was given up.
+}
+
+const (
+	// unfinishedFor is for how long after a try was given up the end of its endpoint is
+	// put down to it: endpoints drop a request once its connection closes, and the next
+	// request finds within such a time that they have ended.
+	unfinishedFor = time.Second
+	// mostUnfinished bounds the tries that are remembered of one endpoint: twice what it
+	// runs at once.
+	mostUnfinished = 32
+)
+
+// noteUnfinished remembers that a try at an endpoint did not come to its end.
+func (q *request) noteUnfinished(e fleet.Endpoint) {
+	u := unfinished{key: q.key(), sending: q.sending, at: time.Now()}
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	list := append(q.g.unfinished[e.ID], u)
+	q.g.unfinished[e.ID] = list[max(len(list)-mostUnfinished, 0):]
+}
+
+// ranToEnd takes in that an endpoint ran the request and lives on.
+func (q *request) ranToEnd() {
+	q.finished = true
+	q.g.suspects.Sound(q.key)
+}
+
 // brokeOff looks whether the endpoint of a try that broke off with err has ended.
 func (q *request) brokeOff(e fleet.Endpoint, err error) {
-	if !closedByPeer(err) || !q.refusesConnections(e) {
+	if !closedByPeer(err) || !q.g.refusesConnections(q.ctx, e, onceIdle) {
 		return
 	}
 	q.endedUnder++
 	q.g.figures.ended.Inc(1)
 	q.note(e.ID + ": has ended")
+	q.noteUnfinished(e)
+	q.g.endpointEnded(e)
+}
+
+// lookLater looks a while later whether an endpoint has ended at which a try did not come to
+// its end: it may have given the answer up before it closed its listener, or the try may have
+// been given up here before that. One look does for all tries of that while.
+func (g *Gateway) lookLater(e fleet.Endpoint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.looks[e.ID] {
+		return
+	}
+	g.looks[e.ID] = true
+	g.lookers.Go(func() error {
+		wait.For(context.Background(), g.cfg.EndSettle)
+		g.mu.Lock()
+		delete(g.looks, e.ID)
+		g.mu.Unlock()
+		if g.refusesConnections(context.Background(), e, repeatIdle) {
+			g.endpointEnded(e)
+		}
+		return nil // What was found is told to endpointEnded.
+	})
+}
+
+// endpointEnded puts the end of an endpoint's process down to the tries that did not come
+// to their end there, unless it was planned.
+func (g *Gateway) endpointEnded(e fleet.Endpoint) {
+	now := time.Now()
+	g.mu.Lock()
+	list := g.unfinished[e.ID]
+	delete(g.unfinished, e.ID)
+	g.mu.Unlock()
+	if listed, ok := g.view.State().Endpoints[e.ID]; ok && listed.Leaving {
+		return
+	}
+	for _, u := range list {
+		if now.Sub(u.at) < unfinishedFor {
+			g.suspects.Ended(u.key, e.ID, u.sending, now)
+		}
+	}
+}
+
+// forgetUnfinished drops what is too old to count. The caller holds mu.
+func (g *Gateway) forgetUnfinished(now time.Time) {
+	maps.DeleteFunc(g.unfinished, func(_ string, list []unfinished) bool {
+		return now.Sub(list[len(list)-1].at) >= unfinishedFor
+	})
+}
+
+// trialRetry is for a request that another gateway is trying: a run takes about a second.
+const trialRetry = time.Second
+
+// quarantined reports whether the request may not be sent, as endpoints ended under it or
+// under others that are the same, here or at other gateways. Without it each try, each
+// gateway and each time that its caller came again cost one more endpoint, and its group
+// some five seconds: three in five seconds of a day.
+func (q *request) quarantined(now time.Time) bool {
+	v, left := q.g.suspects.Judge(q.key, now)
+	switch {
+	case v == quarantine.Free, v == quarantine.Trial && q.onTrial:
+		return false
+	case v == quarantine.Trial && q.g.ownsTrial(q.key()) && q.g.suspects.Begin(q.key(), now, q.final):
+		q.onTrial = true
+		return false
+	case v == quarantine.Trial:
+		left = trialRetry
+	}
+	q.heldFor = left
+	return true
+}
+
+// noteSending notes what is known of the request as it is sent.
+func (q *request) noteSending() {
+	q.sending = q.g.suspects.Sending(q.key)
+	if q.onTrial {
+		q.sending = quarantine.OnTrial
+	}
+}
+
+// ownsTrial reports whether a request that is to be tried at one place only is tried here.
+func (g *Gateway) ownsTrial(k quarantine.Key) bool {
+	g.mu.Lock()
+	owner := g.ownerOf
+	g.mu.Unlock()
+	return owner == nil || owner(k)
 }
 
 // closedByPeer reports whether a connection was ended by the other side, as by a process
@@ -43,13 +168,16 @@
 
 // refusesConnections reports whether an endpoint's address refuses connections: its
 // process has ended. That tells it from an endpoint that broke off one answer, and from a
-// rank whose group was cut since another one has ended. The new connection is kept for the
-// next request.
-func (q *request) refusesConnections(e fleet.Endpoint) bool {
-	conn, err := q.g.pool.Get(q.ctx, e.ID, e.Address, onceIdle)
+// rank whose group was cut since another one has ended. A connection that was idle for less
+// than maxIdle and is sound does for a new one; it is kept for the next request.
+func (g *Gateway) refusesConnections(ctx context.Context, e fleet.Endpoint, maxIdle time.Duration) bool {
+	conn, err := g.pool.Get(ctx, e.ID, e.Address, maxIdle)
 	if err != nil {
-		return errors.Is(err, unix.ECONNREFUSED)
+		return connectionRefused(err)
 	}
-	q.g.pool.Put(conn)
+	g.pool.Put(conn)
 	return false
 }
+
+// connectionRefused reports whether a connection was refused.
+func connectionRefused(err error) bool { return errors.Is(err, unix.ECONNREFUSED) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,16 +16,19 @@
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
 	"github.com/canvaspulley/canvaspulley/internal/decide/cold"
 	"github.com/canvaspulley/canvaspulley/internal/decide/estimate"
 	"github.com/canvaspulley/canvaspulley/internal/decide/line"
 	"github.com/canvaspulley/canvaspulley/internal/decide/passes"
+	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
 	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
 	"github.com/canvaspulley/canvaspulley/internal/decide/room"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
+	"github.com/canvaspulley/canvaspulley/internal/suspects"
 	"github.com/canvaspulley/canvaspulley/internal/upstream"
 )
 
@@ -65,17 +68,20 @@
 	patience *patience
 	figures  *figures
 	kept     *keptBytes
-
-	mu      sync.Mutex // Guards what follows.
-	table   *balance.Table
-	passes  *passes.Tracker
-	windows map[string]*retry.Window      // By service.
-	lines   map[string]*line.Line         // By service.
-	shares  map[string]*room.Share        // By group.
-	took    map[string]*estimate.Time     // Of answers in one piece, by service.
-	at      map[string]map[*request]place // Requests that may be moved, by endpoint.
-	others  int                           // Gateways that are known besides this one.
-	heardAt time.Time                     // When one of them was last heard.
+	suspects *suspects.Set
+
+	mu         sync.Mutex // Guards what follows.
+	table      *balance.Table
+	passes     *passes.Tracker
+	windows    map[string]*retry.Window      // By service.
+	lines      map[string]*line.Line         // By service.
+	shares     map[string]*room.Share        // By group.
+	took       map[string]*estimate.Time     // Of answers in one piece, by service.
+	at         map[string]map[*request]place // Requests that may be moved, by endpoint.
+	unfinished map[string][]unfinished       // Tries that did not come to their end, by endpoint.
+	looks      map[string]bool               // Endpoints that are about to be looked at.
+	others     int                           // Gateways that are known besides this one.
+	heardAt    time.Time                     // When one of them was last heard.
 
 	started       time.Time
 	cold          *cold.Pacer
@@ -83,11 +89,13 @@
 	toldSenders   int               // Gateways that a sidecar hears, the most that was lately told.
 	toldSendersAt time.Time
 	evacuated     evacuatedDomains
+	ownerOf       func(k quarantine.Key) bool // Whether this gateway owns the key; nil for one without others.
 
 	shapesMu sync.Mutex // Guards what follows.
 	shapesOf *fleet.Config
 	shapes   map[string]passes.Shape // By service, of shapesOf.
 
+	lookers    errgroup.Group // Of looks whether endpoints have ended; each ends by itself.
 	lastWaiter atomic.Uint64
 	busy       atomic.Int64
 	stopping   atomic.Int64 // When the planned stop began, Unix nanoseconds; 0 before.
@@ -104,15 +112,18 @@
 		figures: newFigures(reg),
 		conns:   newConnections(),
 
-		patience: newPatience(),
-		kept:     newKeptBytes(cfg.Memory, reg),
-		table:    balance.New(),
-		passes:   passes.New(),
-		windows:  map[string]*retry.Window{},
-		lines:    map[string]*line.Line{},
-		shares:   map[string]*room.Share{},
-		took:     map[string]*estimate.Time{},
-		at:       map[string]map[*request]place{},
+		suspects:   suspects.New(log, reg),
+		patience:   newPatience(),
+		kept:       newKeptBytes(cfg.Memory, reg),
+		table:      balance.New(),
+		passes:     passes.New(),
+		windows:    map[string]*retry.Window{},
+		lines:      map[string]*line.Line{},
+		shares:     map[string]*room.Share{},
+		took:       map[string]*estimate.Time{},
+		at:         map[string]map[*request]place{},
+		unfinished: map[string][]unfinished{},
+		looks:      map[string]bool{},
 
 		started:   time.Now(),
 		cold:      cold.New(),
@@ -144,11 +155,13 @@
 func (g *Gateway) sweep() {
 	s := g.view.State()
 	g.Changed()
+	g.suspects.Forget(time.Now())
 	g.mu.Lock()
 	listed := func(id string) bool { _, ok := s.Endpoints[id]; return ok }
 	g.table.Forget(listed)
 	g.passes.Forget(listed)
 	g.forgetCold(listed, time.Now())
+	g.forgetUnfinished(time.Now())
 	g.mu.Unlock()
 	if s.Config != nil {
 		g.conns.closeIdle(s.Config.Limits().IdleTimeout)
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
@@ -84,6 +85,7 @@
 // neighbour is another gateway.
 type neighbour struct {
 	at     time.Time // Last word.
+	life   int64     // Start of its process; 0 while it is known by hearsay only.
 	domain string    // "" while it is known by hearsay only.
 	blind  bool
 }
@@ -113,6 +115,9 @@
 		self: cfg.Address, life: time.Now().UnixMilli(), started: time.Now(), first: cfg.First, spread: max(cfg.InForce-turnMargin, 0), name: cfg.Name, domain: cfg.Domain, seeds: cfg.Seeds, port: cfg.SidecarsPort,
 		heard: map[string]neighbour{}, heardOf: listenedTo{},
 	}
+	g.mu.Lock()
+	g.ownerOf = n.owns
+	g.mu.Unlock()
 	return n, t.CloseIdleConnections
 }
 
@@ -124,10 +129,13 @@
 }
 
 // Receive takes in a message.
-func (n *Neighbours) Receive(_ netip.AddrPort, m peers.Message) {
+func (n *Neighbours) Receive(from netip.AddrPort, m peers.Message) {
+	n.g.suspects.Hear(m.Ends, time.Now())
 	switch {
 	case m.Hello != nil:
-		n.hear(*m.Hello)
+		if n.hear(*m.Hello) {
+			n.tellNewcomer(from)
+		}
 	case m.Load != nil:
 		n.takeLoad(*m.Load)
 	case m.Loads != nil:
@@ -135,23 +143,25 @@
 	}
 }
 
-func (n *Neighbours) hear(h peers.Hello) {
+// hear takes in a hello; it reports whether the gateway's process has not spoken before.
+func (n *Neighbours) hear(h peers.Hello) (fresh bool) {
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if h.Leaving {
 		delete(n.heard, h.Address)
 	} else if h.Address != n.self {
-		if old, ok := n.heard[h.Address]; !ok || old.domain == "" { // Known by hearsay only.
+		if fresh = n.heard[h.Address].life != h.Life; fresh {
 			n.log.Info("gateway heard", zap.String("name", h.Name), zap.String("address", h.Address))
 		}
-		n.heard[h.Address] = neighbour{at: now, domain: h.Domain, blind: h.Blind}
+		n.heard[h.Address] = neighbour{at: now, life: h.Life, domain: h.Domain, blind: h.Blind}
 	}
 	for _, a := range h.Known {
 		if _, ok := n.heard[a]; !ok && a != n.self {
 			n.heard[a] = neighbour{at: now.Add(-heardFor + 2*helloEvery)} // By hearsay: it must speak for itself soon.
 		}
 	}
+	return fresh
 }
 
 // others returns the gateways that are there.
@@ -187,8 +197,15 @@
 	return at
 }
 
-// Run greets other processes and borrows until ctx ends.
+// Run talks to other processes until ctx ends.
 func (n *Neighbours) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return n.greetAndBorrow(ctx) })
+	group.Go(func() error { return n.tellNews(ctx) })
+	return group.Wait()
+}
+
+func (n *Neighbours) greetAndBorrow(ctx context.Context) error {
 	hello := time.NewTicker(helloEvery)
 	defer hello.Stop()
 	borrow := time.NewTicker(borrowEvery)
@@ -260,6 +277,8 @@
 	to := slices.Clone(others)
 	if n.greeted++; !leaving && n.greeted%farEvery != 1 {
 		to = n.near(others)
+	} else {
+		m.Ends = n.g.suspects.Tell(time.Now()) // Where all are told the same.
 	}
 	for _, s := range n.seeds {
 		if s != n.self && !slices.Contains(to, s) {
@@ -275,9 +294,12 @@
 		return
 	}
 	m.Hello.Known = nil // Sidecars need no more than the address.
-	for _, a := range n.sidecars() {
+	m.Ends = nil
+	sidecars := n.sidecars()
+	for _, a := range sidecars {
 		n.socket.Send(a, m)
 	}
+	n.entrust(sidecars)
 }
 
 // near returns which of the gateways are in the own failure domain, or in one that
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -67,8 +67,12 @@
 	retryIn      time.Duration
 	endpoint     string // Whose head the caller has.
 	sameAs       quarantine.Key
-	hasKey       bool // The key above was worked out.
-	endedUnder   int  // Endpoints that ended under its tries.
+	hasKey       bool               // The key above was worked out.
+	finished     bool               // The try under way came to its end, or was turned away.
+	endedUnder   int                // Endpoints that ended under its tries.
+	sending      quarantine.Sending // What was known of it when it was last sent.
+	onTrial      bool               // It is sent to see whether it still ends endpoints.
+	heldFor      time.Duration      // It may not be sent for so long; 0 when it may.
 }
 
 // lastAsked is the group in which a request wanted a place, and the time of the
@@ -122,6 +126,9 @@
 	case q.admit() && q.readBody():
 		q.run()
 	}
+	if q.onTrial {
+		g.suspects.EndTrial(q.key())
+	}
 	q.finish()
 	q.reply.close()
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -46,6 +46,11 @@
 			q.giveUp(last, false)
 			return
 		}
+		if q.quarantined(now) {
+			q.note("endpoints ended under it")
+			q.giveUp(last, false)
+			return
+		}
 		e, ok := q.choose(now)
 		if !ok && (q.groupDown || q.allDown) {
 			e, ok = q.awaitOpen(now)
@@ -108,6 +113,8 @@
 // comeBack says when a request that has not run should be tried again.
 func (q *request) comeBack() time.Duration {
 	switch {
+	case q.heldFor > 0:
+		return q.heldFor
 	case q.groupDown || q.allDown:
 		return groupRetry
 	case q.tooOld && q.g.alone():
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -161,6 +161,7 @@
 	}
 	q.g.figures.streamEnd(q.lastRun)
 	q.good(e)
+	q.ranToEnd()
 	q.outcome = served
 	return over
 }
@@ -174,6 +175,7 @@
 		return unknown
 	}
 	q.handBack(x)
+	q.finished = true // It had run before; that says nothing of what it does to endpoints.
 	q.g.figures.streamEnd(q.lastRun)
 	q.good(e)
 	q.passOn(e, resp, nil)
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -52,6 +52,9 @@
 			g.mu.Lock()
 			q.noteUnreached(e.ID, err, time.Now())
 			g.mu.Unlock()
+			if connectionRefused(err) {
+				g.endpointEnded(e)
+			}
 		}
 		q.unsent = append(q.unsent, e.ID)
 		return unreached
@@ -106,6 +109,9 @@
 	if _, ok := q.recheck(); !ok || !q.keyFresh() {
 		return false // The loop looks again and says why.
 	}
+	if q.quarantined(time.Now()) {
+		return false // As above.
+	}
 	return time.Now().Before(q.final)
 }
 
@@ -113,6 +119,14 @@
 func (q *request) exchange(e fleet.Endpoint, conn *upstream.Conn) result {
 	sentAt := time.Now()
 	q.sentAt = sentAt
+	q.noteSending()
+	q.finished = false
+	defer func() {
+		if !q.finished && len(q.tried) > 0 && q.tried[len(q.tried)-1] == e.ID {
+			q.noteUnfinished(e)
+			q.g.lookLater(e)
+		}
+	}()
 	q.tried = append(q.tried, e.ID)
 	if q.route.MayRepeat() && q.route.Kind == fleet.Streaming {
 		q.leavePlace = q.g.enter(e.ID, q, conn)
@@ -142,6 +156,7 @@
 // on what is the caller's.
 func (q *request) relay(e fleet.Endpoint, x *upstream.Exchange, resp *http.Response, answer fleet.Answer) result {
 	if answer.NotRun {
+		q.finished = true
 		q.turnedAway(e, resp.StatusCode, answer)
 		x.Abort()
 		return notRun
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -41,6 +41,7 @@
 		q.brokeOff(e, errUnsureEnd)
 		return unknown
 	}
+	q.ranToEnd()
 	if resp.StatusCode >= 500 {
 		q.bad(e, 1, fmt.Sprintf("status %d", resp.StatusCode))
 		if q.mayAskAnother() {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -15,12 +15,13 @@
 	"go.uber.org/zap"
 )
 
-// Message is one datagram, in CBOR. Exactly one of the pointers is set.
+// Message is one datagram, in CBOR. At most one of the pointers is set.
 type Message struct {
 	Hello *Hello `cbor:"1,keyasint,omitempty"`
 	Load  *Load  `cbor:"2,keyasint,omitempty"`
 	Lead  *Lead  `cbor:"3,keyasint,omitempty"`
 	Loads *Loads `cbor:"4,keyasint,omitempty"`
+	Ends  []End  `cbor:"5,keyasint,omitempty"` // MostEnds at most; also beside a Hello.
 }
 
 // Hello tells that a gateway is there. Sidecars answer it with loads; other
@@ -93,6 +94,20 @@
 	Fence uint64 `cbor:"4,keyasint"`
 }
 
+// End tells that an endpoint's process ended while it ran a request.
+type End struct {
+	_        struct{} `cbor:",toarray"`
+	Key      []byte   // Names all requests that are the same.
+	Endpoint string   // One life of it.
+	Sending  int      // What was known as the request was sent, as package quarantine counts it.
+	Sound    bool     // The request ran to its end elsewhere.
+	AgeMs    int64    // Since the end.
+}
+
+// MostEnds is how many ends one message names: beside a Hello it stays within a packet of
+// 1,400 bytes.
+const MostEnds = 12
+
 // Beside returns the address of the sidecar beside an engine, which listens on
 // the engine's instance at a port that is alike everywhere.
 func Beside(engine string, port int) (a netip.AddrPort, err error) {
--- a/internal/sidecar/loads.go
+++ b/internal/sidecar/loads.go
@@ -28,14 +28,19 @@
 func (s *Sidecar) hearHello(from netip.AddrPort, h peers.Hello) {
 	now := time.Now()
 	s.mu.Lock()
-	fresh := s.gateways.hello(from, h.Domain, now)
-	if !fresh || s.reportAt.IsZero() {
-		s.mu.Unlock()
-		return
+	fresh := s.gateways.hello(from, h.Domain, h.Life, now)
+	var load *peers.Load
+	if fresh && !s.reportAt.IsZero() {
+		load = s.load(s.report, false)
 	}
-	load := s.load(s.report, false)
 	s.mu.Unlock()
-	s.socket.Send(from, peers.Message{Load: load})
+	if !fresh {
+		return
+	}
+	m := peers.Message{Load: load, Ends: s.suspects.Tell(now)}
+	if m.Load != nil || len(m.Ends) > 0 {
+		s.socket.Send(from, m)
+	}
 }
 
 // reportPause is the time between two reports of a sidecar's own load.
--- a/internal/sidecar/loads_test.go
+++ b/internal/sidecar/loads_test.go
@@ -9,12 +9,14 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/estimate"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
+	"github.com/canvaspulley/canvaspulley/internal/suspects"
 )
 
 // listen opens a socket and returns its address and what it receives.
@@ -44,7 +46,7 @@
 	_, received := listen(t, g, at.String())
 	s := &Sidecar{
 		cfg: Config{Address: "10.0.0.1:80"}, log: zap.NewNop(), socket: own, gateways: newSubscribers("a"), orderTook: estimate.New(answerWeight),
-		report: rank.Report{Group: "g", Epoch: 4, Open: true}, reportAt: time.Now(),
+		report: rank.Report{Group: "g", Epoch: 4, Open: true}, reportAt: time.Now(), suspects: suspects.New(zap.NewNop(), metrics.NewRegistry()),
 	}
 	s.hearHello(at, peers.Hello{Domain: "b"})
 	var m peers.Message
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
+	"github.com/canvaspulley/canvaspulley/internal/suspects"
 )
 
 // Config is the setting of a Sidecar.
@@ -102,7 +103,8 @@
 	leading   peers.Lead       // What this sidecar announces.
 	tellTo    []netip.AddrPort // Whom; nil while it does not lead.
 
-	figures figures
+	suspects *suspects.Set // Only kept for gateways that start anew.
+	figures  figures
 }
 
 // window is the counts of a span of time.
@@ -143,7 +145,7 @@
 	s = &Sidecar{
 		cfg: cfg, engine: engine, dial: dial, source: source, socket: socket, log: log,
 		gateways: newSubscribers(cfg.Domain), turned: make(chan struct{}, 1), orderTook: estimate.New(answerWeight), started: time.Now(),
-		figures: newFigures(reg),
+		suspects: suspects.New(log, reg), figures: newFigures(reg),
 	}
 	s.calls, cleanup = newPeerClient(cfg)
 	s.below = s.calls.tree
@@ -197,6 +199,7 @@
 }
 
 func (s *Sidecar) receive(from netip.AddrPort, m peers.Message) {
+	s.suspects.Hear(m.Ends, time.Now())
 	switch {
 	case m.Hello != nil:
 		s.hearHello(from, *m.Hello)
--- a/internal/sidecar/subscribers.go
+++ b/internal/sidecar/subscribers.go
@@ -16,6 +16,7 @@
 type subscriber struct {
 	address netip.AddrPort
 	domain  string
+	life    int64     // Start of its process, as it tells.
 	at      time.Time // Of its last hello.
 }
 
@@ -31,16 +32,17 @@
 
 func newSubscribers(domain string) subscribers { return subscribers{domain: domain} }
 
-// hello takes in a gateway's hello; it reports whether that was not known.
-func (s *subscribers) hello(from netip.AddrPort, domain string, now time.Time) (fresh bool) {
+// hello takes in a gateway's hello; it reports whether its process was not known.
+func (s *subscribers) hello(from netip.AddrPort, domain string, life int64, now time.Time) (fresh bool) {
 	i, ok := slices.BinarySearchFunc(s.list, subscriber{address: from, domain: domain}, func(a, b subscriber) int {
 		return cmp.Or(cmp.Compare(a.domain, b.domain), a.address.Compare(b.address))
 	})
 	if !ok {
 		s.list = slices.Insert(s.list, i, subscriber{address: from, domain: domain})
 	}
-	s.list[i].at = now
-	return !ok
+	fresh = !ok || s.list[i].life != life
+	s.list[i].life, s.list[i].at = life, now
+	return fresh
 }
 
 // next returns whom to tell now: gateways that need not pass it on, and those that
--- a/internal/sidecar/subscribers_test.go
+++ b/internal/sidecar/subscribers_test.go
@@ -20,7 +20,7 @@
 	s := newSubscribers("a")
 	for n := range 3 {
 		for d, name := range []string{"a", "b", "c"} {
-			s.hello(gatewayAt(d, n), name, now)
+			s.hello(gatewayAt(d, n), name, 0, now)
 		}
 	}
 	return s
@@ -50,7 +50,7 @@
 	now := time.Unix(1000, 0)
 	s := threeDomains(now)
 	later := now.Add(subscribed + time.Second)
-	s.hello(gatewayAt(1, 2), "b", later)
+	s.hello(gatewayAt(1, 2), "b", 0, later)
 	near, far := s.next(later)
 	g.Expect(near).To(BeEmpty())
 	g.Expect(far).To(ConsistOf(gatewayAt(1, 2)))
@@ -60,8 +60,8 @@
 	g := NewWithT(t)
 	now := time.Unix(1000, 0)
 	s := newSubscribers("a")
-	s.hello(gatewayAt(1, 0), "", now)
-	s.hello(gatewayAt(1, 1), "", now)
+	s.hello(gatewayAt(1, 0), "", 0, now)
+	s.hello(gatewayAt(1, 1), "", 0, now)
 	near, far := s.next(now)
 	g.Expect(near).To(HaveLen(2))
 	g.Expect(far).To(BeEmpty())
--- /dev/null
+++ b/internal/suspects/suspects.go
@@ -0,0 +1,159 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package suspects keeps what one process knows of requests under which endpoints ended, and
+// what of it is to be told to others. Gateways act by it; sidecars only keep it, so that it
+// outlives gateways that end together. It is not for deciding (package quarantine) or for
+// Sending (package peers).
+package suspects
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
+	"github.com/canvaspulley/canvaspulley/internal/peers"
+)
+
+// Set is what a process knows of requests under which endpoints ended.
+type Set struct {
+	log  *zap.Logger
+	held metrics.Gauge
+	news chan struct{} // Holds a value while an end waits to be told.
+
+	mu   sync.Mutex // Guards what follows.
+	book *quarantine.Book
+}
+
+// New returns an empty set.
+func New(log *zap.Logger, reg metrics.Registry) *Set {
+	return &Set{log: log, held: metrics.GetOrRegisterGauge("quarantine.held", reg), news: make(chan struct{}, 1), book: quarantine.New()}
+}
+
+// News returns a channel that holds a value while something waits to be told.
+func (s *Set) News() <-chan struct{} { return s.news }
+
+// tellSoon notes that something waits to be told.
+func (s *Set) tellSoon() {
+	select {
+	case s.news <- struct{}{}:
+	default: // It is noted already.
+	}
+}
+
+// Tell returns what to tell another process next.
+func (s *Set) Tell(now time.Time) (list []peers.End) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.book.Tell(peers.MostEnds, now) {
+		list = append(list, peers.End{Key: e.Key[:], Endpoint: e.Endpoint, Sending: int(e.Sending), Sound: e.Sound, AgeMs: now.Sub(e.At).Milliseconds()})
+	}
+	return list
+}
+
+// Untold reports whether something waits that was never told.
+func (s *Set) Untold() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Untold()
+}
+
+// Hear takes in what another process told.
+func (s *Set) Hear(list []peers.End, now time.Time) {
+	if len(list) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, told := range list {
+		e := quarantine.End{Endpoint: told.Endpoint, Sending: quarantine.Sending(told.Sending), Sound: told.Sound, At: now.Add(-time.Duration(told.AgeMs) * time.Millisecond)}
+		if len(told.Key) != len(e.Key) || told.AgeMs < 0 || !e.Sending.Valid() {
+			s.log.Warn("end of an endpoint left out", zap.Binary("key", told.Key), zap.Int64("age-ms", told.AgeMs), zap.Int("sending", told.Sending))
+			continue
+		}
+		e.Key = quarantine.Key(told.Key)
+		s.add(e, now, now)
+	}
+	s.book.Forget(now)
+}
+
+// Ended takes in that an endpoint ended under a request of this process.
+func (s *Set) Ended(k quarantine.Key, endpoint string, sending quarantine.Sending, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(quarantine.End{Key: k, Endpoint: endpoint, Sending: sending, At: now}, time.Time{}, now)
+	s.tellSoon()
+}
+
+// add takes in an end and logs what follows from it. The caller holds mu.
+func (s *Set) add(e quarantine.End, told, now time.Time) {
+	before, _ := s.book.Judge(e.Key, now)
+	if !s.book.Add(e, told) {
+		return
+	}
+	after, left := s.book.Judge(e.Key, now)
+	s.held.Update(int64(s.book.Held(now)))
+	fields := []zap.Field{zap.Stringer("key", e.Key), zap.String("endpoint", e.Endpoint), zap.Bool("seen-here", told.IsZero()), zap.Stringer("sending", e.Sending),
+		zap.Bool("sound", e.Sound), zap.Stringer("verdict", after), zap.Duration("held-for", left)}
+	if after != before {
+		s.log.Warn("endpoint ended under a request", fields...)
+		return
+	}
+	s.log.Info("endpoint ended under a request", fields...)
+}
+
+// Sound takes in that a request ran to its end.
+func (s *Set) Sound(key func() quarantine.Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.book.Empty() || !s.book.Sound(key()) {
+		return
+	}
+	s.log.Info("request is sound although endpoints ended under it", zap.Stringer("key", key()))
+	s.tellSoon()
+}
+
+// Sending returns what is known of a request that is about to be sent. The key is worked
+// out only where any is known, as it costs a hash of the body.
+func (s *Set) Sending(key func() quarantine.Key) quarantine.Sending {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.book.Empty() || !s.book.Known(key()) {
+		return quarantine.Unknowing
+	}
+	return quarantine.Knowing
+}
+
+// Judge returns whether a request may be sent, and for how long it is still held.
+func (s *Set) Judge(key func() quarantine.Key, now time.Time) (v quarantine.Verdict, left time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.book.Empty() {
+		return quarantine.Free, 0
+	}
+	return s.book.Judge(key(), now)
+}
+
+// Begin begins a trial; it reports false while another one is under way.
+func (s *Set) Begin(k quarantine.Key, now, until time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Begin(k, now, until)
+}
+
+// EndTrial ends a trial that showed nothing.
+func (s *Set) EndTrial(k quarantine.Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.EndTrial(k)
+}
+
+// Forget drops what has lapsed.
+func (s *Set) Forget(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Forget(now)
+	s.held.Update(int64(s.book.Held(now)))
+}
