internal/clock, internal/follow, internal/gateway, internal/node, internal/entry: a suspension of the machine counts

Cause: the steady clock stands still while a machine is suspended, so a gateway took its configuration, and with it a key that was taken away, as younger by the length of the suspension; endpoints were given time of requests that was over; and a process of the product's own interface did not notice that it had been away (the guard against pauses and the lease of its slot went by that clock). Change: internal/clock tells a time by the clock that counts suspensions; ages of what is published, the time of requests, budgets of repeats, membership, leases and lent limits go by it. Deadlines of connections and contexts stay with the steady clock. The start of a planned stop is kept with its steady clock, no more as a time of day, which may be set meanwhile.

--- a/internal/agent/mapper.go
+++ b/internal/agent/mapper.go
@@ -13,6 +13,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
+	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/decide/mapswitch"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/decide/rebalance"
@@ -282,7 +283,7 @@
 	if !node.ReadJSON(w, r, &o) {
 		return
 	}
-	a.node.CheckPause(time.Now())
+	a.node.CheckPause(clock.Now())
 	if s := a.node.State(); s == node.Doubting || s == node.Stopped {
 		http.Error(w, "process was paused", http.StatusServiceUnavailable)
 		return
@@ -311,7 +312,7 @@
 func (a *Agent) order(ctx context.Context, o adapter.MapOrder) (r mapswitch.Reply, err error) {
 	a.orders.Lock()
 	defer a.orders.Unlock()
-	if !a.mayOrder(time.Now()) {
+	if !a.mayOrder(clock.Now()) {
 		return r, errNoLease
 	}
 	if !a.fenceKnown {
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -16,6 +16,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/chart"
+	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/decide/admit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/once"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
@@ -251,7 +252,7 @@
 // lastCheck judges once more right before the send: the process may have been
 // paused since it read the request.
 func (j *job) lastCheck(now time.Time) *wire.Refusal {
-	j.agent.node.CheckPause(now)
+	j.agent.node.CheckPause(clock.Now())
 	if s := j.agent.node.State(); s == node.Doubting {
 		return wire.Refuse(http.StatusServiceUnavailable, time.Second, "process was paused")
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
+	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
 	"github.com/canvaspulley/canvaspulley/internal/ident"
 	"github.com/canvaspulley/canvaspulley/internal/node"
@@ -148,7 +149,7 @@
 	if refusal := req.readHeaders(time.Now()); refusal != nil {
 		return nil, refusal
 	}
-	if after, ok := e.limits.allow(cfg, cust, time.Now()); !ok {
+	if after, ok := e.limits.allow(cfg, cust, clock.Now()); !ok {
 		return nil, wire.Refuse(http.StatusTooManyRequests, after, "the customer's limit is reached")
 	}
 	return req, nil
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -12,6 +12,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
+	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/decide/limit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
@@ -92,7 +93,7 @@
 
 // round asks one random peer for each customer in want.
 func (l *limits) round(ctx context.Context) {
-	wants := l.wants(time.Now())
+	wants := l.wants(clock.Now())
 	if len(wants) == 0 {
 		return
 	}
@@ -120,7 +121,7 @@
 func (l *limits) borrow(ctx context.Context, from member.Member, customer string, rate float64) {
 	ctx, cancel := context.WithTimeout(ctx, borrowEvery)
 	defer cancel()
-	asked := time.Now()
+	asked := clock.Now()
 	var reply wire.BorrowReply
 	if l.node.Call(ctx, from.Address, wire.PathBorrow, wire.BorrowRequest{Customer: customer, Rate: rate}, &reply) != nil {
 		return // What the peer may have lent comes back to it with the lease.
@@ -147,7 +148,7 @@
 	}
 	reply := wire.BorrowReply{}
 	if c, known := cfg.Customer(q.Customer); known && c.Rate > 0 {
-		now := time.Now()
+		now := clock.Now()
 		l.mu.Lock()
 		reply.Rate = l.get(cfg, c, now).share.Lend(q.Rate, now)
 		l.mu.Unlock()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
@@ -99,7 +100,7 @@
 
 // NewFollower returns a follower of source into view.
 func NewFollower(view *View, source Source, log *zap.Logger) *Follower {
-	return &Follower{view: view, source: source, log: log, now: time.Now, reported: map[string]uint64{}}
+	return &Follower{view: view, source: source, log: log, now: clock.Now, reported: map[string]uint64{}}
 }
 
 // ListenTo makes the follower listen to others where it is not one of the few
--- a/internal/gateway/borrow.go
+++ b/internal/gateway/borrow.go
@@ -36,7 +36,7 @@
 // borrow asks a neighbour for what is published, if the store has not told for
 // a while.
 func (n *Neighbours) borrow(ctx context.Context) {
-	age := n.g.view.CheckAge(time.Now())
+	age := n.g.view.CheckAge(n.g.cfg.Now())
 	if age < borrowAge {
 		n.borrows = false
 		return
@@ -51,7 +51,7 @@
 		return
 	}
 	from := others[random(len(others))]
-	asked := time.Now()
+	asked := n.g.cfg.Now()
 	p, err := n.ask(ctx, from)
 	if err != nil {
 		n.log.Debug("nothing borrowed", zap.String("from", from), zap.String("error", err.Error()))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
 	"github.com/canvaspulley/canvaspulley/internal/decide/cold"
 	"github.com/canvaspulley/canvaspulley/internal/decide/estimate"
@@ -54,6 +55,10 @@
 	// EndSettle is how long an endpoint must live on after a stream without framing,
 	// so that the end of its connection counts as the stream's.
 	EndSettle time.Duration
+	// Now tells the time by which the configuration grows old: it must count suspensions
+	// of the machine, or a key that was taken away counts for as much longer. Nil for the
+	// machine's own.
+	Now func() time.Time
 }
 
 // Gateway serves callers.
@@ -98,12 +103,15 @@
 	lookers    errgroup.Group // Of looks whether endpoints have ended; each ends by itself.
 	lastWaiter atomic.Uint64
 	busy       atomic.Int64
-	stopping   atomic.Int64 // When the planned stop began, Unix nanoseconds; 0 before.
+	stopping   atomic.Pointer[time.Time] // When the planned stop began; nil before.
 }
 
 // New returns a gateway that serves what view holds. The function closes its
 // connections to endpoints.
 func New(cfg Config, codec Codec, view *follow.View, log *zap.Logger, reg metrics.Registry) (g *Gateway, cleanup func()) {
+	if cfg.Now == nil {
+		cfg.Now = clock.Now
+	}
 	g = &Gateway{
 		cfg:     cfg,
 		codec:   codec,
@@ -290,7 +298,10 @@
 
 // Stop begins the planned stop: everything that comes is still served, but
 // callers are told to use other connections.
-func (g *Gateway) Stop() { g.stopping.Store(time.Now().UnixNano()) }
+func (g *Gateway) Stop() {
+	now := time.Now()
+	g.stopping.Store(&now)
+}
 
 // stopTakes is how long after the start of a planned stop requests are still
 // taken: whatever is taken must be able to end within the grace period.
@@ -299,8 +310,8 @@
 // leaving reports whether the planned stop has begun, and whether it is so far
 // on that nothing more is taken.
 func (g *Gateway) leaving(now time.Time) (begun, closed bool) {
-	at := g.stopping.Load()
-	return at != 0, at != 0 && now.UnixNano()-at > int64(stopTakes)
+	at := g.stopping.Load() // With its steady clock: the time of day may be set meanwhile.
+	return at != nil, at != nil && now.Sub(*at) > stopTakes
 }
 
 // readyAge is the age of the configuration above which the process asks for no
@@ -316,7 +327,7 @@
 // ReadinessHandler answers the platform's question for readiness.
 func (g *Gateway) ReadinessHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if !g.Ready(time.Now()) {
+		if !g.Ready(g.cfg.Now()) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -158,7 +158,7 @@
 	n.mu.Lock()
 	last := n.heardOf[from]
 	n.mu.Unlock()
-	asked := time.Now()
+	asked := n.g.cfg.Now()
 	ctx, cancel := context.WithTimeout(ctx, listenTimeout)
 	defer cancel()
 	p, err := n.call(ctx, from, fmt.Sprintf("&life=%d&after=%d&hold=1", last.life, last.number))
@@ -168,7 +168,7 @@
 	if err := n.takeConfig(p); err != nil {
 		return err
 	}
-	n.g.view.Hear(p.Told, time.Now())
+	n.g.view.Hear(p.Told, n.g.cfg.Now())
 	n.g.view.Confirm(p.Version, asked.Add(p.Held-p.Age))
 	n.mu.Lock()
 	n.heardOf = listenedTo{from: {life: p.Life, number: p.Number}}
@@ -238,7 +238,7 @@
 	// The age is taken after the state, and the time of holding before it: what is
 	// told may only be newer than it says.
 	p.Held = time.Since(began)
-	p.Age = n.g.view.CheckAge(time.Now())
+	p.Age = n.g.view.CheckAge(n.g.cfg.Now())
 	httpjson.Reply(w, p)
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -29,6 +29,7 @@
 	customer *fleet.Customer // Nil when no key is needed.
 	body     []byte
 	arrived  time.Time
+	came     time.Time     // As arrived, by the clock that counts suspensions.
 	age      time.Duration // Of the configuration when the request came.
 	final    time.Time     // When it must have its final answer.
 
@@ -111,7 +112,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.busy.Add(1)
 	defer g.busy.Add(-1)
-	q := &request{g: g, ctx: r.Context(), reply: reply{w: w, r: r}, r: r, leavePlace: func() {}, arrived: time.Now(), call: g.codec.ReadCall(r.Header)}
+	q := &request{g: g, ctx: r.Context(), reply: reply{w: w, r: r}, r: r, leavePlace: func() {}, arrived: time.Now(), came: g.cfg.Now(), call: g.codec.ReadCall(r.Header)}
 	defer q.letGo()
 	if err := q.reply.boundWrite(); err != nil {
 		q.note("caller: " + err.Error()) // What is written next tells whether it is gone.
@@ -150,7 +151,7 @@
 		q.reject(http.StatusBadRequest, "no id")
 		return false
 	}
-	q.age = q.g.view.Age(time.Now())
+	q.age = q.g.view.Age(q.g.cfg.Now())
 	q.route = s.Config.Route(q.r.Host, q.r.URL.EscapedPath())
 	if q.route == nil {
 		q.rejectIfKnown(q.age, http.StatusNotFound, "no route")
@@ -175,6 +176,14 @@
 	return true
 }
 
+// left returns how much of the request's time is left. A suspension of the machine counts:
+// its caller did not wait the less for it, and an endpoint would be given time that is over.
+func (q *request) left() time.Duration {
+	now := time.Now()
+	suspended := q.g.cfg.Now().Sub(q.came) - now.Sub(q.arrived)
+	return q.final.Sub(now) - max(suspended, 0)
+}
+
 // leastHeader is the size of headers that is always taken.
 const leastHeader = 4 << 10
 
@@ -205,7 +214,7 @@
 // keyFresh reports whether the configuration is young enough for the request's
 // key; a key may have been taken away since.
 func (q *request) keyFresh() bool {
-	return q.customer == nil || q.g.view.Age(time.Now()) < q.g.cfg.KeyAge
+	return q.customer == nil || q.g.view.Age(q.g.cfg.Now()) < q.g.cfg.KeyAge
 }
 
 // recheck looks whether the newest configuration still allows the request,
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -31,7 +31,7 @@
 			q.outcome = left
 			return
 		}
-		if !now.Before(q.final) {
+		if q.left() <= 0 {
 			q.giveUp(last, true)
 			return
 		}
@@ -62,7 +62,7 @@
 			q.giveUp(last, false)
 			return
 		}
-		if len(q.tried) > 0 && !q.paid && !q.takeRepeat(now) {
+		if len(q.tried) > 0 && !q.paid && !q.takeRepeat() {
 			q.note("repeats used up")
 			q.giveUp(last, false)
 			return
@@ -131,10 +131,10 @@
 }
 
 // takeRepeat spends one repeat of the service's budget.
-func (q *request) takeRepeat(now time.Time) bool {
+func (q *request) takeRepeat() bool {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	if !q.g.window(q.service).Take(now) {
+	if !q.g.window(q.service).Take(q.g.cfg.Now()) {
 		return false
 	}
 	q.g.figures.repeats.Inc(1)
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -60,7 +60,7 @@
 // giveUpSilent reports whether the request goes on elsewhere since the answer of an
 // endpoint is silent, and takes the repeat for it.
 func (q *request) giveUpSilent(e fleet.Endpoint, silent time.Duration) bool {
-	if q.ctx.Err() != nil || !q.mayGoOn() || !q.mayMove() || !q.takeRepeat(time.Now()) {
+	if q.ctx.Err() != nil || !q.mayGoOn() || !q.mayMove() || !q.takeRepeat() {
 		return false
 	}
 	q.paid = true
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -67,7 +67,7 @@
 	}
 	if len(q.tried) == 0 {
 		g.mu.Lock()
-		g.window(q.service).Request(time.Now())
+		g.window(q.service).Request(g.cfg.Now())
 		g.mu.Unlock()
 	}
 	return q.exchange(e, conn)
@@ -112,7 +112,7 @@
 	if q.quarantined(time.Now()) {
 		return false // As above.
 	}
-	return time.Now().Before(q.final)
+	return q.left() > 0
 }
 
 // exchange sends the request on a connection and relays the answer.
@@ -133,7 +133,7 @@
 		defer q.leavePlace()
 	}
 	out := &upstream.Request{Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Body: q.body}
-	out.Header = q.g.codec.EndpointHeader(q.r.Header, q.stamp(e, sentAt))
+	out.Header = q.g.codec.EndpointHeader(q.r.Header, q.stamp(e))
 	x, err := conn.Send(out, q.final)
 	if err != nil {
 		conn.Close()
@@ -182,8 +182,8 @@
 }
 
 // stamp is what the endpoint is told besides the caller's headers.
-func (q *request) stamp(e fleet.Endpoint, now time.Time) fleet.Stamp {
-	s := fleet.Stamp{EndpointName: e.Name(), Left: q.final.Sub(now), Priority: q.priority()}
+func (q *request) stamp(e fleet.Endpoint) fleet.Stamp {
+	s := fleet.Stamp{EndpointName: e.Name(), Left: q.left(), Priority: q.priority()}
 	if q.customer != nil {
 		s.Customer = q.customer.Name
 	}
--- a/internal/gateway/vacate.go
+++ b/internal/gateway/vacate.go
@@ -3,8 +3,6 @@
 package gateway
 
 import (
-	"time"
-
 	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
@@ -42,9 +40,8 @@
 func (g *Gateway) vacate(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
 	for q, at := range g.at[id] {
-		if !at.mayRetry || q.moved || !g.window(q.service).Take(now) {
+		if !at.mayRetry || q.moved || !g.window(q.service).Take(g.cfg.Now()) {
 			continue
 		}
 		g.figures.moved.Inc(1)
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -17,6 +17,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
+	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/published"
@@ -54,9 +55,9 @@
 	g.SetLimit(8)
 	defer func() { _ = g.Wait() }() // Probes return no errors.
 	return Every(ctx, n.set.GossipInterval, func() {
-		n.noticePause(time.Now())
+		n.noticePause(clock.Now())
 		n.mu.Lock()
-		p, changes, ok := n.table.Tick(time.Now(), rand.Uint64())
+		p, changes, ok := n.table.Tick(clock.Now(), rand.Uint64())
 		n.mu.Unlock()
 		n.note(changes)
 		if !ok {
@@ -98,7 +99,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.life.Apply(eventConfirmed)
-	n.heard = time.Now()
+	n.heard = clock.Now()
 }
 
 // Lease is how long after its last word with a peer a process may still act as
@@ -119,7 +120,7 @@
 func (n *Node) probe(ctx context.Context, target member.Member) {
 	if n.exchange(ctx, target.Address, target.Name) == nil {
 		n.mu.Lock()
-		changes := n.table.Answered(target.Name, time.Now())
+		changes := n.table.Answered(target.Name, clock.Now())
 		n.mu.Unlock()
 		n.note(changes)
 		return
@@ -133,7 +134,7 @@
 		}
 	}
 	n.mu.Lock()
-	changes := n.table.Silent(target.Name, time.Now())
+	changes := n.table.Silent(target.Name, clock.Now())
 	n.mu.Unlock()
 	n.note(changes)
 }
@@ -211,7 +212,7 @@
 	}
 	n.mu.Lock()
 	before := n.table.Self()
-	changes := n.table.Merge(m.Rows, time.Now())
+	changes := n.table.Merge(m.Rows, clock.Now())
 	leaving := n.table.Self().Leaving && !before.Leaving
 	denied := n.table.Self().Incarnation != before.Incarnation
 	lost := n.table.Superseded(m.Rows)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
+	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/decide/own"
 	"github.com/canvaspulley/canvaspulley/internal/published"
@@ -178,7 +179,7 @@
 	}
 	n.mu.Lock()
 	before := n.table.Self().Leaving
-	changes := n.table.Seed(rows, time.Now())
+	changes := n.table.Seed(rows, clock.Now())
 	leaving := n.table.Self().Leaving && !before
 	n.mu.Unlock()
 	n.note(changes)
