internal/entry, internal/agent, internal/node: requests under which endpoints end are held, too

A stream whose engine ended was moved on to up to eight engines, and each time its caller came again to as many more. Change: an agent looks whether its endpoint's process refuses connections after an answer that broke off, and tells the entry (an event before the stream breaks off, a field of the refusal). Entries hold such requests by the same decision; all processes keep and tell what is known with their gossip, and at once to a few.

--- a/internal/adapter/engine.go
+++ b/internal/adapter/engine.go
@@ -69,6 +69,8 @@
 	// Experts reads the newest report on the load of experts; it lags and has
 	// gaps. Every rank reports for its whole group.
 	Experts func(ctx context.Context) (l ExpertLoad, err error)
+	// Ended reports whether the engine's process has ended; nil where that cannot be told.
+	Ended func(ctx context.Context) bool
 }
 
 // NewEngine returns the adapter to the engine at the base URL.
@@ -102,6 +104,7 @@
 			err = getJSON(ctx, c, base+"/v1/experts", &l)
 			return l, errors.Wrap(err, "engine experts")
 		},
+		Ended: refusesConnections(base),
 	}
 }
 
--- a/internal/adapter/service.go
+++ b/internal/adapter/service.go
@@ -33,6 +33,8 @@
 	// Do makes one call. An error for which NotSent holds proves that the
 	// service got nothing; after any other it may have run.
 	Do func(ctx context.Context, call Call) (r Reply, err error)
+	// Ended reports whether the service's process has ended; nil where that cannot be told.
+	Ended func(ctx context.Context) bool
 }
 
 // NewService returns the adapter to the service at the base URL. Calls that
@@ -47,6 +49,7 @@
 			}
 			return do(ctx, c, base, call)
 		},
+		Ended: refusesConnections(base),
 	}
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -42,6 +42,7 @@
 	orders     sync.Mutex // Held while an order about the expert map is passed on.
 	fence      uint64     // Highest ballot passed on.
 	fenceKnown bool       // The engine's own fence has been read.
+	endedAt    time.Time  // When the endpoint's process was last found to have ended; guarded by mu.
 
 	mu      sync.Mutex
 	queue   *admit.Queue
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -309,7 +309,9 @@
 		return
 	case err != nil:
 		j.end(eventBreak)
-		a.refuse(w, wire.Doubt(http.StatusBadGateway, "service gave no whole answer"))
+		doubt := wire.Doubt(http.StatusBadGateway, "service gave no whole answer")
+		doubt.Ended = a.ended()
+		a.refuse(w, doubt)
 		return
 	}
 	j.finishKey(once.Answer{Status: reply.Status, Type: reply.Type, Body: reply.Body})
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -37,7 +37,9 @@
 		return
 	case err != nil:
 		j.end(eventBreak)
-		a.refuse(w, wire.Doubt(http.StatusBadGateway, "engine gave no answer"))
+		doubt := wire.Doubt(http.StatusBadGateway, "engine gave no answer")
+		doubt.Ended = a.ended()
+		a.refuse(w, doubt)
 		return
 	}
 	defer func() { _ = in.Close() }()
@@ -145,6 +147,7 @@
 		}
 		f, err := frames.Next()
 		if err != nil {
+			out.tellEnded(next, j.agent.ended())
 			return false
 		}
 		got, err := wire.ParseEventID(f.ID)
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -171,7 +171,11 @@
 		if refusal != nil {
 			return s.giveUp(refusal) // Nobody is left to ask.
 		}
+		if refusal = s.entry.held(s.req); refusal != nil {
+			return s.giveUp(refusal)
+		}
 		refusal = s.attempt(c)
+		s.entry.noteAttempt(s.req, refusal)
 		if refusal == nil {
 			s.entry.succeeded(s.req, s.chat.Model)
 			return s.out.end()
@@ -282,6 +286,9 @@
 			}
 			continue
 		}
+		if f.Event == wire.EventEnded {
+			return endedRefusal(f.Data)
+		}
 		if f.Event == wire.EventEnd { // In its place: every token before it was given.
 			if l, ok := wire.ParseLoad(string(f.Data)); ok {
 				s.entry.tracker.report(c.Endpoint, l)
@@ -299,6 +306,16 @@
 	}
 }
 
+// endedRefusal is the outcome of an attempt whose engine's process ended.
+func endedRefusal(data []byte) *wire.Refusal {
+	r := wire.Doubt(http.StatusBadGateway, "engine has ended")
+	ended := &wire.Ended{}
+	if json.Unmarshal(data, ended) == nil && ended.Life != "" {
+		r.Ended = ended
+	}
+	return r
+}
+
 // isText reports whether a token's data is a text in JSON.
 func isText(data []byte) bool { return len(data) > 0 && data[0] == '"' && json.Valid(data) }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/clock"
+	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
 	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
 	"github.com/canvaspulley/canvaspulley/internal/ident"
 	"github.com/canvaspulley/canvaspulley/internal/node"
@@ -101,6 +102,12 @@
 	class    string
 	deadline time.Time // Zero when there is none.
 	tries    int
+	body     []byte // As it came.
+
+	sameAs  quarantine.Key
+	hasKey  bool               // The key above was worked out.
+	sending quarantine.Sending // What was known of the request at its last attempt.
+	onTrial bool               // It is sent to see whether it still ends endpoints.
 }
 
 // serve wraps a handler: everything that all requests have in common, and the
@@ -115,6 +122,7 @@
 		req, refusal := e.admit(id, out)
 		if refusal == nil {
 			refusal = handle(req)
+			e.endTrial(req)
 		}
 		if refusal != nil {
 			e.count("callers." + string(refusal.Outcome))
@@ -126,6 +134,14 @@
 	}
 }
 
+// noteAttempt takes in how an attempt ended.
+func (e *Entry) noteAttempt(req *request, refusal *wire.Refusal) {
+	if refusal == nil {
+		return
+	}
+	e.noteEnd(req, refusal)
+}
+
 // admit finds out who calls and whether the limits allow it.
 func (e *Entry) admit(id string, out *answer) (req *request, refusal *wire.Refusal) {
 	if refusal := e.node.Refusal(); refusal != nil {
@@ -204,6 +220,7 @@
 }
 
 func (e *Entry) succeeded(req *request, service string) {
+	e.ranToEnd(req)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.budget(req.customer.Name, req.policy.RetryShare).Success()
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -61,6 +61,7 @@
 		return nil, wire.Refuse(http.StatusRequestEntityTooLarge, 0,
 			"body was not read whole; the limit is "+strconv.Itoa(wire.MaxBody)+" bytes")
 	}
+	req.body = raw
 	return raw, nil
 }
 
@@ -96,7 +97,11 @@
 		if refusal != nil {
 			return cmp.Or(last, refusal) // Nobody is left to ask: the final answer, at once.
 		}
+		if refusal := e.held(req); refusal != nil {
+			return cmp.Or(last, refusal)
+		}
 		last = e.callOnce(req, s, c, env, body)
+		e.noteAttempt(req, last)
 		if last == nil {
 			e.succeeded(req, s.Name)
 			return nil
--- /dev/null
+++ b/internal/entry/held_test.go
@@ -0,0 +1,76 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/canvaspulley/canvaspulley/internal/wire"
+)
+
+// endsAllowed is how many endpoints may end under one request.
+const endsAllowed = 3
+
+// ends is an agent whose endpoint's process ends under each attempt after so many tokens.
+func ends(tokens int) script {
+	return func(a try) {
+		a.tokens(tokens)
+		a.frame(a.env.ID, a.env.Offset+tokens, wire.EventEnded, fmt.Sprintf(`{"life":%q}`, a.env.ID))
+		a.cut()
+	}
+}
+
+func endsCall(a try) {
+	a.answer(http.StatusBadGateway, wire.Unknown, fmt.Sprintf(`{"outcome":"unknown","status":502,"reason":"x","ended":{"life":%q}}`, a.env.ID))
+}
+
+// A request that ends the process of whoever runs it was moved on from one endpoint to the
+// next, and anew each time that its caller came again.
+func TestARequestThatEndsEndpointsIsHeld(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		does script
+		ask  func(r *rig) got
+	}{
+		{"stream without a token", ends(0), func(r *rig) got { return r.stream(dialects[0], "", nil) }},
+		{"stream after tokens", ends(1), func(r *rig) got { return r.stream(dialects[0], "", nil) }},
+		{"answer in one piece", ends(1), func(r *rig) got {
+			return r.ask(dialects[0], http.MethodPost, "/v1/chat/completions", r.chat(false), "", nil)
+		}},
+		{"call of a service", endsCall, func(r *rig) got {
+			return r.ask(dialects[0], http.MethodGet, r.layout.Path+"x", "", "", nil)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			r := newRig(t)
+			r.play(tc.does)
+			var last got
+			for range 2 * endsAllowed {
+				last = tc.ask(r)
+			}
+			t.Logf("%d attempts", r.next.Load())
+			g.Expect(r.next.Load()).To(gomega.BeNumerically("<=", endsAllowed), "attempts")
+			g.Expect(last.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+			g.Expect(last.outcome()).To(gomega.Equal(wire.NotRun))
+			after, err := strconv.Atoi(last.Header.Get("Retry-After"))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(after).To(gomega.BeNumerically(">", 10), "seconds: nobody who waits now is served")
+			g.Expect(last.body).NotTo(gomega.ContainSubstring("life"), "a matter between processes")
+		})
+	}
+}
+
+// One endpoint that ends under a request is no reason to hold it.
+func TestARequestGoesOnAfterOneEnd(t *testing.T) {
+	r := newRig(t)
+	for range 2 * endsAllowed {
+		r.play(ends(2), func(a try) { a.whole(4) })
+		expectWhole(t, dialects[0], r.stream(dialects[0], "", nil), 6)
+	}
+}
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -82,7 +82,7 @@
 func (l *limits) peers() []member.Member {
 	self := l.node.Settings().Name
 	return l.node.Members(func(m member.Member) bool {
-		return m.Role == string(adapter.RoleEntry) && m.State == member.Alive && m.Name != self
+		return isOtherEntry(m, self)
 	})
 }
 
@@ -155,3 +155,8 @@
 	}
 	httpjson.Reply(w, reply)
 }
+
+// isOtherEntry reports whether a member is an entry that lives, and not the one of a name.
+func isOtherEntry(m member.Member, self string) bool {
+	return m.Role == string(adapter.RoleEntry) && m.State == member.Alive && m.Name != self
+}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -20,7 +20,9 @@
 	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
+	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/published"
+	"github.com/canvaspulley/canvaspulley/internal/suspects"
 	"github.com/canvaspulley/canvaspulley/internal/trust"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
@@ -30,6 +32,7 @@
 type message struct {
 	Version published.Version `json:"version"`
 	Rows    []member.Member   `json:"rows"`
+	Ends    []peers.End       `json:"ends,omitempty"` // Ends of endpoints' processes under requests.
 }
 
 // sender returns who a message says that it is from.
@@ -43,11 +46,16 @@
 // outgoing returns the next message to a peer; the name may be "" when it is
 // not known.
 func (n *Node) outgoing(name string) message {
+	ends := n.suspects.Tell(clock.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return message{Version: n.spread.Current(), Rows: n.table.OutgoingTo(name)}
+	return message{Version: n.spread.Current(), Rows: n.table.OutgoingTo(name), Ends: ends}
 }
 
+// Suspects returns what is known of requests under which endpoints ended. Every process
+// keeps and tells it, entries act by it.
+func (n *Node) Suspects() *suspects.Set { return n.suspects }
+
 // gossip probes one peer an interval. A late tick means that the process was
 // paused.
 func (n *Node) gossip(ctx context.Context) error {
@@ -207,6 +215,7 @@
 
 // receive merges a peer's message.
 func (n *Node) receive(m message) {
+	n.suspects.Hear(m.Ends, clock.Now())
 	if len(m.Rows) == 0 {
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,7 +29,9 @@
 	"github.com/canvaspulley/canvaspulley/internal/published"
 	"github.com/canvaspulley/canvaspulley/internal/ring"
 	"github.com/canvaspulley/canvaspulley/internal/settings"
+	"github.com/canvaspulley/canvaspulley/internal/suspects"
 	"github.com/canvaspulley/canvaspulley/internal/trust"
+	"github.com/canvaspulley/canvaspulley/internal/wait"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
 
@@ -80,6 +82,8 @@
 	list  *adapter.Instances
 	start time.Time
 
+	suspects *suspects.Set
+
 	config atomic.Pointer[published.Config] // Nil until the first generation is adopted.
 	hints  *ring.Queue[hint]                // Full: refused; the next message hints again.
 	pushes *ring.Queue[member.Member]       // Full: refused; gossip tells it later.
@@ -129,7 +133,9 @@
 		gone:   func(member.Member) {},
 		spread: spread.New(),
 		values: map[string][]byte{},
-		life:   chart.MustLoad("drain").Machine(),
+
+		suspects: suspects.New(log, reg),
+		life:     chart.MustLoad("drain").Machine(),
 	}
 	n.table = member.New(member.Config{
 		Interval:     set.GossipInterval,
@@ -215,9 +221,27 @@
 	g.Go(func() error { return n.fetch(ctx) })
 	g.Go(func() error { return n.watch(ctx) })
 	g.Go(func() error { return n.readList(ctx) })
+	g.Go(func() error { return n.tellNews(ctx) })
 	return g.Wait()
 }
 
+// newsPause is the least time between two pushes of ends: those under which one process
+// ended come together.
+const newsPause = 10 * time.Millisecond
+
+// tellNews has ends that were seen here told to a few peers at once; gossip tells all.
+func (n *Node) tellNews(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.suspects.News():
+		}
+		n.pushSome()
+		wait.For(ctx, newsPause)
+	}
+}
+
 // Leave begins the planned stop: peers are told and Left is closed.
 func (n *Node) Leave(cause string) {
 	n.mu.Lock()
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -17,6 +17,7 @@
 	EventEnd     = "end"     // The last one of a stream that ended whole.
 	EventLeaving = "leaving" // The endpoint is leaving; the stream goes on, or may move.
 	EventAlive   = "alive"   // No token yet, but the engine's steps go on.
+	EventEnded   = "ended"   // The engine's process has ended; the data is an Ended in JSON.
 )
 
 // MaxFrame is the largest server-sent event that is read, in bytes.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -126,6 +126,12 @@
 	Status       int     `json:"status"`
 	RetryAfterMS int64   `json:"retry_after_ms,omitempty"`
 	Repeat       *Repeat `json:"-"` // The first run's answer; only with Done.
+	Ended        *Ended  `json:"ended,omitempty"`
+}
+
+// Ended tells that the endpoint's process ended while it ran a request.
+type Ended struct {
+	Life string `json:"life"` // Names the life that ended, among all endpoints.
 }
 
 // Repeat is the answer of an earlier run, given again.
