internal/entry: a request of which an attempt may have run is not said to have not run

Cause: the final refusal was that of the last attempt. When an attempt may have run and the next one was turned away, the caller was told 'not run' with a time to come back. Change: what any attempt may have done is kept with the request; such a refusal becomes unknown. Figures: four cases (streams and calls, the first or second attempt of which may have run) were 'not-run' before, 'unknown' now; where none ran it stays 'not-run'.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -93,16 +93,17 @@
 
 // request is one caller's request, as far as all kinds share it.
 type request struct {
-	id       string
-	out      *answer
-	r        *http.Request
-	cfg      *published.Config
-	customer *published.Customer
-	policy   *published.Policy
-	class    string
-	deadline time.Time // Zero when there is none.
-	tries    int
-	body     []byte // As it came.
+	id         string
+	out        *answer
+	r          *http.Request
+	cfg        *published.Config
+	customer   *published.Customer
+	policy     *published.Policy
+	class      string
+	deadline   time.Time // Zero when there is none.
+	tries      int
+	body       []byte // As it came.
+	mayHaveRun bool   // Some attempt may have.
 
 	sameAs  quarantine.Key
 	hasKey  bool               // The key above was worked out.
@@ -125,6 +126,7 @@
 			e.endTrial(req)
 		}
 		if refusal != nil {
+			refusal = req.wholeTruth(refusal)
 			e.count("callers." + string(refusal.Outcome))
 			out.refuse(refusal)
 		} else {
@@ -134,11 +136,21 @@
 	}
 }
 
+// wholeTruth returns the final refusal of a request. That its last attempt was not run
+// says nothing of those before.
+func (req *request) wholeTruth(last *wire.Refusal) *wire.Refusal {
+	if req == nil || !req.mayHaveRun || last.Outcome != wire.NotRun {
+		return last
+	}
+	return wire.Doubt(http.StatusBadGateway, "an attempt may have run; after it: "+last.Reason)
+}
+
 // noteAttempt takes in how an attempt ended.
 func (e *Entry) noteAttempt(req *request, refusal *wire.Refusal) {
 	if refusal == nil {
 		return
 	}
+	req.mayHaveRun = req.mayHaveRun || refusal.Outcome == wire.Unknown
 	e.noteEnd(req, refusal)
 }
 
--- a/internal/entry/held_test.go
+++ b/internal/entry/held_test.go
@@ -74,3 +74,35 @@
 		expectWhole(t, dialects[0], r.stream(dialects[0], "", nil), 6)
 	}
 }
+
+// An attempt may have run and the next one did not: the request as a whole may have run.
+func TestNotRunIsTrueOfAllAttempts(t *testing.T) {
+	r := newRig(t)
+	refused := afterTwo[0].next
+	for _, tc := range []struct {
+		name string
+		list []script
+		want wire.Outcome
+	}{
+		{"the first may have run", []script{func(a try) { a.tokens(0); a.cut() }, refused}, wire.Unknown},
+		{"the second may have run", []script{refused, func(a try) { a.tokens(0); a.cut() }, refused}, wire.Unknown},
+		{"none ran", []script{refused}, wire.NotRun},
+	} {
+		for kind, ask := range map[string]func() got{
+			"stream": func() got { return r.stream(dialects[0], "", nil) },
+			"call":   func() got { return r.ask(dialects[0], http.MethodGet, r.layout.Path+tc.name[:3], "", "", nil) },
+		} {
+			t.Run(kind+", "+tc.name, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				r.play(tc.list...)
+				a := ask()
+				g.Expect(int(r.next.Load())).To(gomega.BeNumerically(">=", min(len(tc.list), 2)), "attempts")
+				g.Expect(a.outcome()).To(gomega.Equal(tc.want))
+				if tc.want == wire.Unknown {
+					g.Expect(a.StatusCode).To(gomega.Equal(http.StatusBadGateway))
+					g.Expect(a.Header.Get("Retry-After")).To(gomega.BeEmpty())
+				}
+			})
+		}
+	}
+}
