internal/soak: requests that end the endpoints which run them, at all gateways again and again

Cause of the gap: no trouble of the soak let one request do anything twice: endpoints misbehaved by attempt, and what ended one had no bearing on the next. Change: a kind of trouble (crashing request) in a set of its own, so old seeds keep their schedules; a proxy refuses connections while its endpoint's process is away, as the end of a process does; the users' bound of three sends more is judged.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -38,6 +38,7 @@
 	failAtRandom // All endpoints fail a part of their requests, each in its own way.
 	startAgain   // An endpoint ends without a word and starts again under its name.
 	evacuate     // Nothing new goes to the endpoints of a failure domain for a while.
+	crashing     // A request ends each endpoint that runs it, and comes again and again.
 )
 
 // Kinds is a set of kinds of trouble, and of callers. A seed that showed a fault
@@ -49,6 +50,7 @@
 	FirstKinds Kinds = iota // One endpoint misbehaves at a time, in one way; callers keep their connections.
 	SecondKinds
 	ThirdKinds
+	FourthKinds
 	AllKinds
 )
 
@@ -69,15 +71,18 @@
 	if k >= ThirdKinds {
 		list = append(list, startAgain, startAgain)
 	}
-	if k >= AllKinds {
+	if k >= FourthKinds {
 		list = append(list, evacuate, evacuate)
 	}
+	if k >= AllKinds {
+		list = append(list, crashing, crashing)
+	}
 	return list
 }
 
 var faultNames = [...]string{"kill gateway", "stop gateway", "pause gateway", "reload gateway", "kill sidecar", "pause sidecar",
 	"spoil link", "spoil store link", "store refuses", "store silent", "store forgets", "take key", "move route", "many versions",
-	"replace endpoint", "crash endpoint", "misbehave", "shift load", "fail at random", "start again", "evacuate"}
+	"replace endpoint", "crash endpoint", "misbehave", "shift load", "fail at random", "start again", "evacuate", "crashing request"}
 
 // fault is one trouble of a schedule.
 type fault struct {
@@ -164,6 +169,8 @@
 		return s.startAgain(f)
 	case evacuate:
 		s.evacuate(f)
+	case crashing:
+		s.sendCrashing(f)
 	case shiftLoad:
 		s.group.Shift(f.how)
 	}
@@ -317,6 +324,11 @@
 		return err
 	}
 	time.Sleep(f.lasts / 2)
+	return s.beginLife(e)
+}
+
+// beginLife starts an endpoint that has ended, under its name and address.
+func (s *site) beginLife(e *endpointAt) (err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.restarts = false
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -42,6 +42,7 @@
 	gateway  int
 	customer string
 	key      string
+	crashing string // Names all requests that are the same and end their endpoints; "" for others.
 	service  string // That the newest configuration named as it was sent.
 	sent     time.Time
 	ended    time.Time
@@ -146,6 +147,9 @@
 		broken = append(broken, fmt.Sprintf("an endpoint ran %q, which no caller sent", id))
 	}
 	broken = append(broken, l.ends...)
+	if timed {
+		broken = append(broken, l.judgeCrashing()...)
+	}
 	for _, r := range l.requests {
 		if r.answer.wrong != "" {
 			say(r, "%s, over %s", r.answer.wrong, r.speech)
@@ -228,7 +232,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range l.requests {
-		if r.sent.Before(from) || !r.sent.Before(to) {
+		if r.sent.Before(from) || !r.sent.Before(to) || r.crashing != "" {
 			continue
 		}
 		sent++
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -50,18 +50,37 @@
 		return nil, nil, err
 	}
 	p = &proxy{l: l, target: target, faults: map[string]linkFault{}, conns: map[net.Conn]string{}}
-	p.group.Go(p.accept)
+	p.group.Go(func() error { return p.accept(l) })
 	return p, p.close, nil
 }
 
 func (p *proxy) close() {
-	_ = p.l.Close()
+	p.shut()
+	_ = p.group.Wait() // Functions of the group return no error.
+}
+
+// shut refuses connections and ends those that are open, as the end of the target's
+// process does.
+func (p *proxy) shut() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.l.Close()
 	for c := range p.conns {
 		_ = c.Close()
 	}
-	p.mu.Unlock()
-	_ = p.group.Wait() // Functions of the group return no error.
+}
+
+// open takes connections again after shut.
+func (p *proxy) open() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, err := net.Listen("tcp4", p.l.Addr().String())
+	if err != nil {
+		return err
+	}
+	p.l = l
+	p.group.Go(func() error { return p.accept(l) })
+	return nil
 }
 
 // set changes what happens to a source's connections.
@@ -91,9 +110,9 @@
 	return p.faults[source]
 }
 
-func (p *proxy) accept() error {
+func (p *proxy) accept(l net.Listener) error {
 	for {
-		c, err := p.l.Accept()
+		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -67,6 +67,9 @@
 // behave returns what the endpoint does with an attempt: each draws for itself,
 // and what it draws follows from the seed.
 func (e *endpointAt) behave(id string) standin.Behaviour {
+	if strings.HasPrefix(id, crashingID) {
+		return standin.Ends
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if time.Now().After(e.until) {
@@ -126,10 +129,10 @@
 var domains = [...]string{"a", "b"}
 
 // domain returns the failure domain of one of several things that are alike. A seed of
-// the sets before AllKinds has them all in the first, as when it showed its fault: near
+// the sets before FourthKinds has them all in the first, as when it showed its fault: near
 // endpoints are preferred, so a far one that misbehaves is met by hardly any request.
 func (s *site) domain(i int) string {
-	if s.cfg.Kinds < AllKinds {
+	if s.cfg.Kinds < FourthKinds {
 		return domains[0]
 	}
 	return domains[i%len(domains)]
@@ -245,7 +248,7 @@
 func (s *site) addEndpoint(service, domain string, last int, engine http.Handler) (e *endpointAt, err error) {
 	s.births++
 	e = &endpointAt{name: fmt.Sprintf("%s-%d", service, s.births), service: service, domain: domain, seed: s.cfg.Seed, born: time.Now().UnixMilli()}
-	e.handler = &standin.Endpoint{Name: e.name, Behave: e.behave, Pause: passTime, Engine: engine, Ran: s.ledger.ran}
+	e.handler = &standin.Endpoint{Name: e.name, Behave: e.behave, Pause: passTime, Engine: engine, Ran: s.ledger.ran, End: func() { s.end(e) }}
 	s.ledger.note(func(l *ledger) { l.domains[e.name] = domain })
 	if e.target, e.srv, err = s.serve(s.ip(last), e.handler); err != nil {
 		return nil, err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -138,7 +138,12 @@
 				{"../gateway/choose.go", "e.Leaving || s.Evacuated(e.Domain) ||", "e.Leaving ||"},
 				{"../gateway/try.go", "if s.Evacuated(e.Domain) {", "if false {"},
 			},
-			finds: "after the evacuation of", seed: 268, kinds: AllKinds,
+			finds: "after the evacuation of", seed: 268, kinds: FourthKinds,
+		},
+		{
+			name:  "a request that ends endpoints is sent on and on",
+			edits: []edit{{"../gateway/ended.go", "v, left := q.g.suspects.Judge(q.key, now)", "v, left := quarantine.Free, time.Duration(0)"}},
+			finds: `request crashing-\S+ reached endpoints \d+ times more`, seed: 2013, kinds: AllKinds,
 		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -154,7 +159,7 @@
 }
 
 func TestSchedulesFollowFromTheirSeed(t *testing.T) {
-	for set, want := range map[Kinds]int{FirstKinds: int(shiftLoad) + 1, SecondKinds: int(failAtRandom) + 1, ThirdKinds: int(startAgain) + 1, AllKinds: int(evacuate) + 1} {
+	for set, want := range map[Kinds]int{FirstKinds: int(shiftLoad) + 1, SecondKinds: int(failAtRandom) + 1, ThirdKinds: int(startAgain) + 1, FourthKinds: int(evacuate) + 1, AllKinds: int(crashing) + 1} {
 		t.Run(fmt.Sprint(set), func(t *testing.T) {
 			g := NewWithT(t)
 			a, b := schedule(7, time.Minute, set), schedule(7, time.Minute, set)
