internal/gateway: tries without an end are kept in a place of their own

Cause: the request's and the gateway's structs had grown by what belongs to requests under which endpoints end, and addresses were parsed in three places. Change: suspicion (embedded in a request), unfinishedTries with its own lock, addresses; one message to many is encoded once. A request that was held and is free again comes back as any other.

--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"io"
-	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +15,17 @@
 	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
+// suspicion is what is known of a request as one that may end endpoints.
+type suspicion struct {
+	sameAs     quarantine.Key
+	hasKey     bool               // The key above was worked out.
+	sending    quarantine.Sending // What was known of the request when it was last sent.
+	finished   bool               // The try under way came to its end, or was turned away.
+	endedUnder int                // Endpoints that ended under its tries.
+	onTrial    bool               // It is sent to see whether it still ends endpoints.
+	heldFor    time.Duration      // It may not be sent for so long; 0 when it may.
+}
+
 // key returns what names the request and all that are the same.
 func (q *request) key() quarantine.Key {
 	if q.hasKey {
@@ -29,32 +39,9 @@
 	return q.sameAs
 }
 
-// unfinished is a try that did not come to its end, and of which it is not known whether its
-// endpoint lives on: the caller left, the answer was silent or could not be used, or the
-// connection broke.
-type unfinished struct {
-	key     quarantine.Key
-	sending quarantine.Sending
-	at      time.Time // When it was given up.
-}
-
-const (
-	// unfinishedFor is for how long after a try was given up the end of its endpoint is
-	// put down to it: endpoints drop a request once its connection closes, and the next
-	// request finds within such a time that they have ended.
-	unfinishedFor = time.Second
-	// mostUnfinished bounds the tries that are remembered of one endpoint: twice what it
-	// runs at once.
-	mostUnfinished = 32
-)
-
 // noteUnfinished remembers that a try at an endpoint did not come to its end.
 func (q *request) noteUnfinished(e fleet.Endpoint) {
-	u := unfinished{key: q.key(), sending: q.sending, at: time.Now()}
-	q.g.mu.Lock()
-	defer q.g.mu.Unlock()
-	list := append(q.g.unfinished[e.ID], u)
-	q.g.unfinished[e.ID] = list[max(len(list)-mostUnfinished, 0):]
+	q.g.unfinished.note(e.ID, unfinished{key: q.key(), sending: q.sending, at: time.Now()})
 }
 
 // ranToEnd takes in that an endpoint ran the request and lives on.
@@ -79,17 +66,12 @@
 // its end: it may have given the answer up before it closed its listener, or the try may have
 // been given up here before that. One look does for all tries of that while.
 func (g *Gateway) lookLater(e fleet.Endpoint) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.looks[e.ID] {
+	if !g.unfinished.beginLook(e.ID) {
 		return
 	}
-	g.looks[e.ID] = true
 	g.lookers.Go(func() error {
 		wait.For(context.Background(), g.cfg.EndSettle)
-		g.mu.Lock()
-		delete(g.looks, e.ID)
-		g.mu.Unlock()
+		g.unfinished.endLook(e.ID)
 		if g.refusesConnections(context.Background(), e, repeatIdle) {
 			g.endpointEnded(e)
 		}
@@ -101,27 +83,15 @@
 // to their end there, unless it was planned.
 func (g *Gateway) endpointEnded(e fleet.Endpoint) {
 	now := time.Now()
-	g.mu.Lock()
-	list := g.unfinished[e.ID]
-	delete(g.unfinished, e.ID)
-	g.mu.Unlock()
+	list := g.unfinished.take(e.ID, now)
 	if listed, ok := g.view.State().Endpoints[e.ID]; ok && listed.Leaving {
 		return
 	}
 	for _, u := range list {
-		if now.Sub(u.at) < unfinishedFor {
-			g.suspects.Ended(u.key, e.ID, u.sending, now)
-		}
+		g.suspects.Ended(u.key, e.ID, u.sending, now)
 	}
 }
 
-// forgetUnfinished drops what is too old to count. The caller holds mu.
-func (g *Gateway) forgetUnfinished(now time.Time) {
-	maps.DeleteFunc(g.unfinished, func(_ string, list []unfinished) bool {
-		return now.Sub(list[len(list)-1].at) >= unfinishedFor
-	})
-}
-
 // trialRetry is for a request that another gateway is trying: a run takes about a second.
 const trialRetry = time.Second
 
@@ -131,6 +101,7 @@
 // some five seconds: three in five seconds of a day.
 func (q *request) quarantined(now time.Time) bool {
 	v, left := q.g.suspects.Judge(q.key, now)
+	q.heldFor = 0
 	switch {
 	case v == quarantine.Free, v == quarantine.Trial && q.onTrial:
 		return false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,23 +70,22 @@
 	pool  *upstream.Pool
 	conns *connections
 
-	patience *patience
-	figures  *figures
-	kept     *keptBytes
-	suspects *suspects.Set
-
-	mu         sync.Mutex // Guards what follows.
-	table      *balance.Table
-	passes     *passes.Tracker
-	windows    map[string]*retry.Window      // By service.
-	lines      map[string]*line.Line         // By service.
-	shares     map[string]*room.Share        // By group.
-	took       map[string]*estimate.Time     // Of answers in one piece, by service.
-	at         map[string]map[*request]place // Requests that may be moved, by endpoint.
-	unfinished map[string][]unfinished       // Tries that did not come to their end, by endpoint.
-	looks      map[string]bool               // Endpoints that are about to be looked at.
-	others     int                           // Gateways that are known besides this one.
-	heardAt    time.Time                     // When one of them was last heard.
+	patience   *patience
+	figures    *figures
+	kept       *keptBytes
+	suspects   *suspects.Set
+	unfinished *unfinishedTries
+
+	mu      sync.Mutex // Guards what follows.
+	table   *balance.Table
+	passes  *passes.Tracker
+	windows map[string]*retry.Window      // By service.
+	lines   map[string]*line.Line         // By service.
+	shares  map[string]*room.Share        // By group.
+	took    map[string]*estimate.Time     // Of answers in one piece, by service.
+	at      map[string]map[*request]place // Requests that may be moved, by endpoint.
+	others  int                           // Gateways that are known besides this one.
+	heardAt time.Time                     // When one of them was last heard.
 
 	started       time.Time
 	cold          *cold.Pacer
@@ -121,6 +120,7 @@
 		conns:   newConnections(),
 
 		suspects:   suspects.New(log, reg),
+		unfinished: newUnfinishedTries(),
 		patience:   newPatience(),
 		kept:       newKeptBytes(cfg.Memory, reg),
 		table:      balance.New(),
@@ -130,8 +130,6 @@
 		shares:     map[string]*room.Share{},
 		took:       map[string]*estimate.Time{},
 		at:         map[string]map[*request]place{},
-		unfinished: map[string][]unfinished{},
-		looks:      map[string]bool{},
 
 		started:   time.Now(),
 		cold:      cold.New(),
@@ -164,12 +162,12 @@
 	s := g.view.State()
 	g.Changed()
 	g.suspects.Forget(time.Now())
+	g.unfinished.forget(time.Now())
 	g.mu.Lock()
 	listed := func(id string) bool { _, ok := s.Endpoints[id]; return ok }
 	g.table.Forget(listed)
 	g.passes.Forget(listed)
 	g.forgetCold(listed, time.Now())
-	g.forgetUnfinished(time.Now())
 	g.mu.Unlock()
 	if s.Config != nil {
 		g.conns.closeIdle(s.Config.Limits().IdleTimeout)
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -3,7 +3,6 @@
 package gateway
 
 import (
-	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -48,15 +47,12 @@
 // passOn tells loads to the other gateways of the own failure domain.
 func (n *Neighbours) passOn(m peers.Message) {
 	n.mu.Lock()
-	to := make([]netip.AddrPort, 0, len(n.heard))
+	to := make([]string, 0, len(n.heard))
 	for a, other := range n.heard {
-		if other.domain != n.domain {
-			continue
-		}
-		if ap, err := netip.ParseAddrPort(a); err == nil {
-			to = append(to, ap)
+		if other.domain == n.domain {
+			to = append(to, a)
 		}
 	}
 	n.mu.Unlock()
-	n.socket.SendAll(to, m)
+	n.socket.SendAll(addresses(to), m)
 }
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -285,20 +285,14 @@
 			to = append(to, s)
 		}
 	}
-	for _, a := range to {
-		if ap, err := netip.ParseAddrPort(a); err == nil {
-			n.socket.Send(ap, m)
-		}
-	}
+	n.socket.SendAll(addresses(to), m)
 	if !leaving && n.greeted%sidecarsEvery != 1 {
 		return
 	}
 	m.Hello.Known = nil // Sidecars need no more than the address.
 	m.Ends = nil
 	sidecars := n.sidecars()
-	for _, a := range sidecars {
-		n.socket.Send(a, m)
-	}
+	n.socket.SendAll(sidecars, m)
 	n.entrust(sidecars)
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -12,7 +12,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/passes"
-	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 )
 
@@ -67,13 +66,7 @@
 	outcome      outcome
 	retryIn      time.Duration
 	endpoint     string // Whose head the caller has.
-	sameAs       quarantine.Key
-	hasKey       bool               // The key above was worked out.
-	finished     bool               // The try under way came to its end, or was turned away.
-	endedUnder   int                // Endpoints that ended under its tries.
-	sending      quarantine.Sending // What was known of it when it was last sent.
-	onTrial      bool               // It is sent to see whether it still ends endpoints.
-	heldFor      time.Duration      // It may not be sent for so long; 0 when it may.
+	suspicion
 }
 
 // lastAsked is the group in which a request wanted a place, and the time of the
