internal/suspects: what another process tells is checked; internal/sidecar: tests of newcomers

Cause: an age beyond what a duration holds wrapped round, and an end without an endpoint was taken. Change: bounds for the age and the name; tests of the set, and that sidecars tell gateways which start anew under their old addresses.

--- a/internal/sidecar/loads_test.go
+++ b/internal/sidecar/loads_test.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/estimate"
+	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
 	"github.com/canvaspulley/canvaspulley/internal/suspects"
@@ -57,6 +58,27 @@
 	g.Consistently(received, 100*time.Millisecond).ShouldNot(Receive(), "the next report comes by itself")
 }
 
+// All gateways may end at once; what they knew of requests under which endpoints end is told
+// by the sidecars to those that start anew, also under the addresses of before.
+func TestAGatewayThatStartsAnewIsToldOfEnds(t *testing.T) {
+	g := NewWithT(t)
+	own, _ := listen(t, g, "127.0.0.1:0")
+	at := freeAddress(g)
+	_, received := listen(t, g, at.String())
+	s := &Sidecar{log: zap.NewNop(), socket: own, gateways: newSubscribers("a"), suspects: suspects.New(zap.NewNop(), metrics.NewRegistry())}
+	key := quarantine.KeyOf("POST", "h", "/p", "c", nil)
+	s.receive(at, peers.Message{Hello: &peers.Hello{Domain: "a", Life: 1}, Ends: []peers.End{{Key: key[:], Endpoint: "e"}}})
+	var m peers.Message
+	g.Eventually(received, eventually).Should(Receive(&m))
+	g.Expect(m.Ends).To(HaveLen(1))
+	s.receive(at, peers.Message{Hello: &peers.Hello{Domain: "a", Life: 1}})
+	g.Consistently(received, 100*time.Millisecond).ShouldNot(Receive(), "it is not new")
+	s.receive(at, peers.Message{Hello: &peers.Hello{Domain: "a", Life: 2}})
+	g.Eventually(received, eventually).Should(Receive(&m))
+	g.Expect(m.Ends).To(HaveLen(1))
+	g.Expect(m.Ends[0].Key).To(Equal(key[:]))
+}
+
 // freeAddress returns an address that nobody listens at.
 func freeAddress(g *WithT) netip.AddrPort {
 	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(freePort(g)))
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -68,17 +68,30 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, told := range list {
-		e := quarantine.End{Endpoint: told.Endpoint, Sending: quarantine.Sending(told.Sending), Sound: told.Sound, At: now.Add(-time.Duration(told.AgeMs) * time.Millisecond)}
-		if len(told.Key) != len(e.Key) || told.AgeMs < 0 || !e.Sending.Valid() {
+		if !valid(told) {
 			s.log.Warn("end of an endpoint left out", zap.Binary("key", told.Key), zap.Int64("age-ms", told.AgeMs), zap.Int("sending", told.Sending))
 			continue
 		}
-		e.Key = quarantine.Key(told.Key)
-		s.add(e, now, now)
+		s.add(quarantine.End{
+			Key: quarantine.Key(told.Key), Endpoint: told.Endpoint, Sending: quarantine.Sending(told.Sending), Sound: told.Sound,
+			At: now.Add(-time.Duration(told.AgeMs) * time.Millisecond),
+		}, now, now)
 	}
 	s.book.Forget(now)
 }
 
+// Bounds of what another process may tell.
+const (
+	longestName = 255                 // Bytes of an endpoint's id.
+	oldest      = 30 * 24 * time.Hour // Far above the time for which anything is held.
+)
+
+// valid reports whether an end that another process tells can be one.
+func valid(e peers.End) bool {
+	return len(e.Key) == len(quarantine.Key{}) && e.Endpoint != "" && len(e.Endpoint) <= longestName &&
+		e.AgeMs >= 0 && e.AgeMs <= oldest.Milliseconds() && quarantine.Sending(e.Sending).Valid()
+}
+
 // Ended takes in that an endpoint ended under a request of this process.
 func (s *Set) Ended(k quarantine.Key, endpoint string, sending quarantine.Sending, now time.Time) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/suspects/suspects_test.go
@@ -0,0 +1,117 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package suspects
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
+	"github.com/canvaspulley/canvaspulley/internal/peers"
+)
+
+var (
+	key = quarantine.KeyOf("POST", "h", "/p", "c", []byte("body"))
+	now = time.Unix(1000, 0)
+)
+
+func newSet() *Set { return New(zap.NewNop(), metrics.NewRegistry()) }
+
+func theKey() quarantine.Key { return key }
+
+// twoEnds returns a set that has seen a request end an endpoint, and one more after that.
+func twoEnds() *Set {
+	s := newSet()
+	s.Ended(key, "e-0", s.Sending(theKey), now)
+	s.Ended(key, "e-1", s.Sending(theKey), now)
+	return s
+}
+
+func assertVerdict(g *WithT, s *Set, want quarantine.Verdict) {
+	v, _ := s.Judge(theKey, now)
+	g.Expect(v).To(Equal(want))
+}
+
+func TestWhatOneSetTellsAnotherHolds(t *testing.T) {
+	g := NewWithT(t)
+	first, second := twoEnds(), newSet()
+	assertVerdict(g, first, quarantine.Held)
+	second.Hear(first.Tell(now), now)
+	assertVerdict(g, second, quarantine.Held)
+
+	first.Sound(theKey)
+	g.Expect(first.News()).To(Receive())
+	second.Hear(first.Tell(now), now)
+	assertVerdict(g, second, quarantine.Free)
+}
+
+func TestNewsIsToldOnceToAll(t *testing.T) {
+	g := NewWithT(t)
+	s := twoEnds()
+	g.Expect(s.News()).To(Receive())
+	g.Expect(s.News()).NotTo(Receive(), "one word for all that waits")
+	g.Expect(s.Untold()).To(BeTrue())
+	told := s.Tell(now)
+	g.Expect(told).To(HaveLen(2))
+	g.Expect(s.Untold()).To(BeFalse())
+	other := newSet()
+	other.Hear(told, now)
+	g.Expect(other.Untold()).To(BeFalse(), "whoever saw it tells all")
+	g.Expect(other.News()).NotTo(Receive())
+}
+
+// An end keeps its age on its way from one process to the next, or it would never lapse.
+func TestAnEndKeepsItsAge(t *testing.T) {
+	g := NewWithT(t)
+	const age = 5 * time.Minute
+	s := twoEnds()
+	told := s.Tell(now.Add(age))
+	for _, e := range told {
+		g.Expect(e.AgeMs).To(Equal(age.Milliseconds()))
+	}
+	other := newSet()
+	other.Hear(told, now)
+	for _, e := range other.Tell(now) {
+		g.Expect(e.AgeMs).To(Equal(age.Milliseconds()))
+	}
+}
+
+func TestWhatCannotBeAnEndIsLeftOut(t *testing.T) {
+	for name, bad := range map[string]peers.End{
+		"short key":       {Key: key[:4], Endpoint: "e"},
+		"from the future": {Key: key[:], Endpoint: "e", AgeMs: -1},
+		"unknown sending": {Key: key[:], Endpoint: "e", Sending: 9},
+		"no endpoint":     {Key: key[:]},
+		"long name":       {Key: key[:], Endpoint: strings.Repeat("e", 256)},
+		"below all":       {Key: key[:], Endpoint: "e", Sending: -1},
+		"older than time": {Key: key[:], Endpoint: "e", AgeMs: 1 << 62},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newSet()
+			s.Hear([]peers.End{bad}, now)
+			g.Expect(s.Tell(now)).To(BeEmpty())
+		})
+	}
+}
+
+func TestOneTrialIsUnderWay(t *testing.T) {
+	g := NewWithT(t)
+	s := newSet()
+	for _, e := range []string{"e-0", "e-1", "e-2"} { // All at once.
+		s.Ended(key, e, quarantine.Unknowing, now)
+	}
+	assertVerdict(g, s, quarantine.Trial)
+	until := now.Add(time.Second)
+	g.Expect(s.Begin(key, now, until)).To(BeTrue())
+	g.Expect(s.Begin(key, now, until)).To(BeFalse())
+	s.EndTrial(key)
+	g.Expect(s.Begin(key, now, until)).To(BeTrue())
+	s.Ended(key, "e-3", quarantine.OnTrial, now)
+	assertVerdict(g, s, quarantine.Held)
+}
