internal/decide/quarantine, internal/gateway, internal/entry: endpoints that are cut off have not ended

Change: what ends within two seconds may have one cause, so it neither holds a request nor is it tried meanwhile; an endpoint that answers what was sent to it later has not ended, and all are told. Gateways' and entries' clocks are seams, so that tests let seconds pass between two requests.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -27,6 +27,10 @@
 	longestHold = 6 * time.Hour
 	// keepFor is how long ends are remembered under which a request is not held.
 	keepFor = 15 * time.Minute
+	// oneCause is for how long ends may have one cause, such as a cut by resets: it showed
+	// for 0.6 s in requests that had been under way, and what depends on a rank that is gone
+	// stands for 1.5 s before it breaks off. A group of ranks takes longer to form again.
+	oneCause = 2 * time.Second
 	// trialEnds is how many ends, of requests all sent before any end was known, make the
 	// request one that is tried at one place only. Fewer may be the loss of an instance or
 	// two; it is the number after which the users count what is sent.
@@ -40,8 +44,8 @@
 
 // The kinds of sending.
 const (
-	Unknowing Sending = iota // No end under the request was known: its end may be that of several at once, by one cause.
-	Knowing                  // An end was known, and this one came after it.
+	Unknowing Sending = iota // No end under the request was known but of late: its end may be one of several by one cause.
+	Knowing                  // An end was known, and this one has another cause.
 	OnTrial                  // The request was held, and was sent to see whether it still ends endpoints.
 )
 
@@ -50,9 +54,10 @@
 	Key      Key
 	Endpoint string // One life of it.
 	Sending  Sending
-	// Sound is set once the request ran to its end elsewhere: it was there by chance.
-	Sound bool
-	At    time.Time
+	// Void is set once the end counts no more: the request ran to its end elsewhere, so it
+	// was there by chance, or the endpoint lives on and was only cut off.
+	Void bool
+	At   time.Time
 }
 
 // Verdict says whether a request may be sent.
@@ -79,7 +84,7 @@
 
 // Book is what one process knows of ends. It is not safe for concurrent use. What several
 // books know converges however they tell each other: an end is added, and may become
-// sound, and neither is taken back before it lapses.
+// void, and neither is taken back before it lapses.
 type Book struct {
 	entries map[Key]*entry
 }
@@ -105,10 +110,10 @@
 		known.ends[e.Endpoint] = &record{End: e, told: told}
 		return true
 	}
-	if r.Sound == (r.Sound || e.Sound) && r.Sending >= e.Sending {
+	if r.Void == (r.Void || e.Void) && r.Sending >= e.Sending {
 		return false
 	}
-	r.Sound, r.Sending = r.Sound || e.Sound, max(r.Sending, e.Sending)
+	r.Void, r.Sending = r.Void || e.Void, max(r.Sending, e.Sending)
 	r.told = told
 	return true
 }
@@ -137,17 +142,35 @@
 	e.trial = time.Time{}
 	counted := false
 	for _, r := range e.ends {
-		if !r.Sound {
-			r.Sound, r.told, counted = true, time.Time{}, true
+		if !r.Void {
+			r.Void, r.told, counted = true, time.Time{}, true
 		}
 	}
 	return counted
 }
 
-// Known reports whether an end under a request counts.
-func (b *Book) Known(k Key) bool {
-	e := b.entries[k]
-	return e != nil && len(e.counted()) > 0
+// Alive takes in that an endpoint answered what was sent to it at a moment: it had not ended
+// before. It reports whether an end of it had counted.
+func (b *Book) Alive(endpoint string, sentAt time.Time) bool {
+	counted := false
+	for _, e := range b.entries {
+		if r := e.ends[endpoint]; r != nil && !r.Void && sentAt.After(r.At) {
+			r.Void, r.told, counted = true, time.Time{}, true
+		}
+	}
+	return counted
+}
+
+// Sending returns what is known of a request that is sent now.
+func (b *Book) Sending(k Key, now time.Time) Sending {
+	if e := b.entries[k]; e != nil {
+		for _, r := range e.counted() {
+			if now.Sub(r.At) > oneCause {
+				return Knowing
+			}
+		}
+	}
+	return Unknowing
 }
 
 // Judge returns whether a request may be sent, and for how long it is still held.
@@ -159,12 +182,15 @@
 	ends := e.counted()
 	gravity := e.gravity()
 	if gravity == Unknowing {
-		if len(ends) >= trialEnds {
-			return Trial, 0
+		if len(ends) < trialEnds {
+			return Free, 0
 		}
-		return Free, 0
+		if left = e.lastCounted().Add(oneCause).Sub(now); left > 0 {
+			return Held, left // A trial would meet what ended them.
+		}
+		return Trial, 0
 	}
-	if left = e.lastKnowing().Add(holdAfter(e.trials())).Sub(now); left > 0 {
+	if left = e.lastCounted().Add(holdAfter(e.trials())).Sub(now); left > 0 {
 		return Held, left
 	}
 	return Trial, 0
@@ -249,7 +275,7 @@
 // counted returns the ends that count against the request.
 func (e *entry) counted() (list []*record) {
 	for _, r := range e.ends {
-		if !r.Sound {
+		if !r.Void {
 			list = append(list, r)
 		}
 	}
@@ -274,10 +300,10 @@
 	return n
 }
 
-// lastKnowing returns when the last end was that came after a known one.
-func (e *entry) lastKnowing() (at time.Time) {
+// lastCounted returns when the last end was that counts.
+func (e *entry) lastCounted() (at time.Time) {
 	for _, r := range e.counted() {
-		if r.Sending != Unknowing && r.At.After(at) {
+		if r.At.After(at) {
 			at = r.At
 		}
 	}
--- a/internal/entry/ends_test.go
+++ b/internal/entry/ends_test.go
@@ -94,6 +94,7 @@
 	callers *httptest.Server
 	end     context.CancelFunc // Ends the requests' base context, as the end of a process does.
 	scripts atomic.Pointer[[]script]
+	passed  atomic.Int64 // How far the entry's clock is ahead, in nanoseconds.
 	next    atomic.Int32
 }
 
@@ -151,6 +152,7 @@
 	group := &errgroup.Group{}
 	group.Go(func() error { return n.Run(ctx) })
 	e := New(n)
+	e.now = func() time.Time { return time.Now().Add(time.Duration(r.passed.Load())) }
 	r.callers = httptest.NewUnstartedServer(e.Handler())
 	base, end := context.WithCancel(context.Background())
 	r.end = end
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,7 +45,8 @@
 	single  *http.Client // For those that may not.
 	tracker *tracker
 	limits  *limits
-	live    atomic.Int64 // Requests of callers that have not ended.
+	now     func() time.Time // Counts suspensions of the machine.
+	live    atomic.Int64     // Requests of callers that have not ended.
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget // By customer, and by group after a slash.
@@ -62,6 +63,7 @@
 		single:  &http.Client{Transport: single},
 		tracker: newTracker(),
 		budgets: map[string]*retry.Budget{},
+		now:     clock.Now,
 		limits:  &limits{node: n, all: map[string]*held{}},
 	}
 	n.OnGone(e.tracker.gone)
--- a/internal/entry/held.go
+++ b/internal/entry/held.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/decide/own"
 	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
@@ -30,11 +29,11 @@
 // may be, and each time its caller came again to as many more.
 func (e *Entry) held(req *request) *wire.Refusal {
 	known := e.node.Suspects()
-	now := clock.Now()
+	now := e.now()
 	v, left := known.Judge(req.key, now)
 	switch {
 	case v == quarantine.Free, v == quarantine.Trial && req.onTrial:
-		req.sending = known.Sending(req.key)
+		req.sending = known.Sending(req.key, now)
 		if req.onTrial {
 			req.sending = quarantine.OnTrial
 		}
@@ -68,7 +67,7 @@
 		return
 	}
 	e.count("endpoints.ended-under-attempt")
-	e.node.Suspects().Ended(req.key(), refusal.Ended.Life, req.sending, clock.Now())
+	e.node.Suspects().Ended(req.key(), refusal.Ended.Life, req.sending, e.now())
 	refusal.Ended = nil // It is no matter of the caller's.
 }
 
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -20,6 +20,7 @@
 	sameAs     quarantine.Key
 	hasKey     bool               // The key above was worked out.
 	sending    quarantine.Sending // What was known of the request when it was last sent.
+	wentAt     time.Time          // When that was, by the clock that counts suspensions.
 	finished   bool               // The try under way came to its end, or was turned away.
 	endedUnder int                // Endpoints that ended under its tries.
 	onTrial    bool               // It is sent to see whether it still ends endpoints.
@@ -82,13 +83,12 @@
 // endpointEnded puts the end of an endpoint's process down to the tries that did not come
 // to their end there, unless it was planned.
 func (g *Gateway) endpointEnded(e fleet.Endpoint) {
-	now := time.Now()
-	list := g.unfinished.take(e.ID, now)
+	list := g.unfinished.take(e.ID, time.Now())
 	if listed, ok := g.view.State().Endpoints[e.ID]; ok && listed.Leaving {
 		return
 	}
 	for _, u := range list {
-		g.suspects.Ended(u.key, e.ID, u.sending, now)
+		g.suspects.Ended(u.key, e.ID, u.sending, g.cfg.Now())
 	}
 }
 
@@ -99,13 +99,14 @@
 // under others that are the same, here or at other gateways. Without it each try, each
 // gateway and each time that its caller came again cost one more endpoint, and its group
 // some five seconds: three in five seconds of a day.
-func (q *request) quarantined(now time.Time) bool {
+func (q *request) quarantined() bool {
+	now := q.g.cfg.Now()
 	v, left := q.g.suspects.Judge(q.key, now)
 	q.heldFor = 0
 	switch {
 	case v == quarantine.Free, v == quarantine.Trial && q.onTrial:
 		return false
-	case v == quarantine.Trial && q.g.ownsTrial(q.key()) && q.g.suspects.Begin(q.key(), now, q.final):
+	case v == quarantine.Trial && q.g.ownsTrial(q.key()) && q.g.suspects.Begin(q.key(), now, now.Add(q.left())):
 		q.onTrial = true
 		return false
 	case v == quarantine.Trial:
@@ -117,7 +118,8 @@
 
 // noteSending notes what is known of the request as it is sent.
 func (q *request) noteSending() {
-	q.sending = q.g.suspects.Sending(q.key)
+	q.wentAt = q.g.cfg.Now()
+	q.sending = q.g.suspects.Sending(q.key, q.wentAt)
 	if q.onTrial {
 		q.sending = quarantine.OnTrial
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,7 +161,7 @@
 func (g *Gateway) sweep() {
 	s := g.view.State()
 	g.Changed()
-	g.suspects.Forget(time.Now())
+	g.suspects.Forget(g.cfg.Now())
 	g.unfinished.forget(time.Now())
 	g.mu.Lock()
 	listed := func(id string) bool { _, ok := s.Endpoints[id]; return ok }
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -130,7 +130,7 @@
 
 // Receive takes in a message.
 func (n *Neighbours) Receive(from netip.AddrPort, m peers.Message) {
-	n.g.suspects.Hear(m.Ends, time.Now())
+	n.g.suspects.Hear(m.Ends, n.g.cfg.Now())
 	switch {
 	case m.Hello != nil:
 		if n.hear(*m.Hello) {
@@ -278,7 +278,7 @@
 	if n.greeted++; !leaving && n.greeted%farEvery != 1 {
 		to = n.near(others)
 	} else {
-		m.Ends = n.g.suspects.Tell(time.Now()) // Where all are told the same.
+		m.Ends = n.g.suspects.Tell(n.g.cfg.Now()) // Where all are told the same.
 	}
 	for _, s := range n.seeds {
 		if s != n.self && !slices.Contains(to, s) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -46,7 +46,7 @@
 			q.giveUp(last, false)
 			return
 		}
-		if q.quarantined(now) {
+		if q.quarantined() {
 			q.note("endpoints ended under it")
 			q.giveUp(last, false)
 			return
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -109,7 +109,7 @@
 	if _, ok := q.recheck(); !ok || !q.keyFresh() {
 		return false // The loop looks again and says why.
 	}
-	if q.quarantined(time.Now()) {
+	if q.quarantined() {
 		return false // As above.
 	}
 	return q.left() > 0
@@ -166,6 +166,7 @@
 		q.bad(e, 1, fmt.Sprintf("status %d without signature", resp.StatusCode))
 		return unknown
 	}
+	q.g.suspects.Alive(e.ID, q.wentAt)
 	q.lastRun = endpointRun{endpoint: e.ID, status: resp.StatusCode, framed: x.Framed()}
 	if q.reply.begun() {
 		if err := q.fits(resp, answer); err != nil {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -100,7 +100,7 @@
 	Key      []byte   // Names all requests that are the same.
 	Endpoint string   // One life of it.
 	Sending  int      // What was known as the request was sent, as package quarantine counts it.
-	Sound    bool     // The request ran to its end elsewhere.
+	Void     bool     // It counts no more.
 	AgeMs    int64    // Since the end.
 }
 
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -48,7 +48,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range s.book.Tell(peers.MostEnds, now) {
-		list = append(list, peers.End{Key: e.Key[:], Endpoint: e.Endpoint, Sending: int(e.Sending), Sound: e.Sound, AgeMs: now.Sub(e.At).Milliseconds()})
+		list = append(list, peers.End{Key: e.Key[:], Endpoint: e.Endpoint, Sending: int(e.Sending), Void: e.Void, AgeMs: now.Sub(e.At).Milliseconds()})
 	}
 	return list
 }
@@ -73,7 +73,7 @@
 			continue
 		}
 		s.add(quarantine.End{
-			Key: quarantine.Key(told.Key), Endpoint: told.Endpoint, Sending: quarantine.Sending(told.Sending), Sound: told.Sound,
+			Key: quarantine.Key(told.Key), Endpoint: told.Endpoint, Sending: quarantine.Sending(told.Sending), Void: told.Void,
 			At: now.Add(-time.Duration(told.AgeMs) * time.Millisecond),
 		}, now, now)
 	}
@@ -109,7 +109,7 @@
 	after, left := s.book.Judge(e.Key, now)
 	s.held.Update(int64(s.book.Held(now)))
 	fields := []zap.Field{zap.Stringer("key", e.Key), zap.String("endpoint", e.Endpoint), zap.Bool("seen-here", told.IsZero()), zap.Stringer("sending", e.Sending),
-		zap.Bool("sound", e.Sound), zap.Stringer("verdict", after), zap.Duration("held-for", left)}
+		zap.Bool("void", e.Void), zap.Stringer("verdict", after), zap.Duration("held-for", left)}
 	if after != before {
 		s.log.Warn("endpoint ended under a request", fields...)
 		return
@@ -128,15 +128,26 @@
 	s.tellSoon()
 }
 
-// Sending returns what is known of a request that is about to be sent. The key is worked
-// out only where any is known, as it costs a hash of the body.
-func (s *Set) Sending(key func() quarantine.Key) quarantine.Sending {
+// Alive takes in that an endpoint answered what was sent to it at a moment.
+func (s *Set) Alive(endpoint string, sentAt time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.book.Empty() || !s.book.Known(key()) {
+	if s.book.Empty() || !s.book.Alive(endpoint, sentAt) {
+		return
+	}
+	s.log.Info("endpoint lives on although it was taken to have ended", zap.String("endpoint", endpoint))
+	s.tellSoon()
+}
+
+// Sending returns what is known of a request that is sent now. The key is worked out only
+// where any is known, as it costs a hash of the body.
+func (s *Set) Sending(key func() quarantine.Key, now time.Time) quarantine.Sending {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.book.Empty() {
 		return quarantine.Unknowing
 	}
-	return quarantine.Knowing
+	return s.book.Sending(key(), now)
 }
 
 // Judge returns whether a request may be sent, and for how long it is still held.
