internal/decide/quarantine, internal/gateway: who is told alone is told the gravest, and all are told what is new

Cause: telling a newcomer or a sidecar counted as telling all, so an end that came just before was not pushed to the other gateways but waited for a hello (up to 1.4 s); and where more ends are known than one message holds, a newcomer got those that were due, not those that hold a request. Change: Gravest and TellOne for one process, Tell for all. A test of the order.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -31,9 +31,9 @@
 	// for 0.6 s in requests that had been under way, and what depends on a rank that is gone
 	// stands for 1.5 s before it breaks off. A group of ranks takes longer to form again.
 	oneCause = 2 * time.Second
-	// trialEnds is how many ends, of requests all sent before any end was known, make the
-	// request one that is tried at one place only. Fewer may be the loss of an instance or
-	// two; it is the number after which the users count what is sent.
+	// trialEnds is how many ends that may have one cause make the request one that is tried
+	// at one place only. Fewer may be the loss of an instance or two; it is the number after
+	// which the users count what is sent.
 	trialEnds = 3
 	// mostKeys bounds what is remembered, and with it the memory: some 200 bytes an end.
 	mostKeys = 512
@@ -242,34 +242,48 @@
 	return n
 }
 
-// Tell returns so many ends to tell others: those first that were not told for longest.
+// Tell returns so many ends to tell all others: those first that were not told for longest.
 func (b *Book) Tell(most int, now time.Time) (list []End) {
-	var all []*record
-	for _, e := range b.entries {
-		for _, r := range e.ends {
-			all = append(all, r)
-		}
+	all := b.all()
+	slices.SortFunc(all, func(x, y *record) int { return cmp.Or(x.told.Compare(y.told), x.compareNewest(y)) })
+	for _, r := range all[:min(most, len(all))] {
+		r.told = now
+		list = append(list, r.End)
 	}
+	return list
+}
+
+// Gravest returns so many ends to tell one process that may know none: those first under
+// which requests are held.
+func (b *Book) Gravest(most int) (list []End) {
+	all := b.all()
 	slices.SortFunc(all, func(x, y *record) int {
-		return cmp.Or(x.told.Compare(y.told), y.At.Compare(x.At), slices.Compare(x.Key[:], y.Key[:]), cmp.Compare(x.Endpoint, y.Endpoint))
+		return cmp.Or(cmp.Compare(b.entries[y.Key].gravity(), b.entries[x.Key].gravity()), x.compareNewest(y))
 	})
 	for _, r := range all[:min(most, len(all))] {
-		r.told = now
 		list = append(list, r.End)
 	}
 	return list
 }
 
-// Untold reports whether an end waits that was never told as it is now.
-func (b *Book) Untold() bool {
+// all returns all ends, in no order.
+func (b *Book) all() (list []*record) {
 	for _, e := range b.entries {
 		for _, r := range e.ends {
-			if r.told.IsZero() {
-				return true
-			}
+			list = append(list, r)
 		}
 	}
-	return false
+	return list
+}
+
+// compareNewest puts newer ends first; the rest only makes the order certain.
+func (r *record) compareNewest(other *record) int {
+	return cmp.Or(other.At.Compare(r.At), slices.Compare(r.Key[:], other.Key[:]), cmp.Compare(r.Endpoint, other.Endpoint))
+}
+
+// Untold reports whether an end waits that was never told as it is now.
+func (b *Book) Untold() bool {
+	return slices.ContainsFunc(b.all(), func(r *record) bool { return r.told.IsZero() })
 }
 
 // counted returns the ends that count against the request.
--- a/internal/decide/quarantine/quarantine_test.go
+++ b/internal/decide/quarantine/quarantine_test.go
@@ -170,3 +170,17 @@
 	b.Add(End{Key: key, Endpoint: "e-1", Sending: Knowing, At: last}, time.Time{})
 	assertVerdict(g, b, last, Free, 0)
 }
+
+// A process that starts anew is told first of what must not be sent, however much else there is.
+func TestWhatIsHeldIsToldFirst(t *testing.T) {
+	g := NewWithT(t)
+	b, last := bookOf(Unknowing, Knowing)
+	for i := range 20 {
+		other := KeyOf("POST", "h", "/p", "c", fmt.Appendf(nil, "%d", i))
+		b.Add(End{Key: other, Endpoint: "e", At: last.Add(time.Minute)}, time.Time{})
+	}
+	for _, e := range b.Gravest(2) {
+		g.Expect(e.Key).To(Equal(key))
+	}
+	g.Expect(b.Untold()).To(BeTrue(), "it was told to one only")
+}
--- a/internal/gateway/tell_ends.go
+++ b/internal/gateway/tell_ends.go
@@ -42,14 +42,14 @@
 
 // tellNewcomer tells a gateway that has just started, or was away, of ends.
 func (n *Neighbours) tellNewcomer(to netip.AddrPort) {
-	if list := n.g.suspects.Tell(n.g.cfg.Now()); len(list) > 0 {
+	if list := n.g.suspects.TellOne(n.g.cfg.Now()); len(list) > 0 {
 		n.socket.Send(to, peers.Message{Ends: list})
 	}
 }
 
 // entrust tells some sidecars of ends: they tell gateways that have just started.
 func (n *Neighbours) entrust(sidecars []netip.AddrPort) {
-	if list := n.g.suspects.Tell(n.g.cfg.Now()); len(list) > 0 {
+	if list := n.g.suspects.TellOne(n.g.cfg.Now()); len(list) > 0 {
 		n.socket.SendAll(some(sidecars, entrusted), peers.Message{Ends: list})
 	}
 }
--- a/internal/sidecar/loads.go
+++ b/internal/sidecar/loads.go
@@ -37,7 +37,7 @@
 	if !fresh {
 		return
 	}
-	m := peers.Message{Load: load, Ends: s.suspects.Tell(now)}
+	m := peers.Message{Load: load, Ends: s.suspects.TellOne(now)}
 	if m.Load != nil || len(m.Ends) > 0 {
 		s.socket.Send(from, m)
 	}
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -43,11 +43,22 @@
 	}
 }
 
-// Tell returns what to tell another process next.
-func (s *Set) Tell(now time.Time) (list []peers.End) {
+// Tell returns what to tell all other processes next.
+func (s *Set) Tell(now time.Time) []peers.End {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, e := range s.book.Tell(peers.MostEnds, now) {
+	return encode(s.book.Tell(peers.MostEnds, now), now)
+}
+
+// TellOne returns what to tell one process that may know nothing.
+func (s *Set) TellOne(now time.Time) []peers.End {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return encode(s.book.Gravest(peers.MostEnds), now)
+}
+
+func encode(ends []quarantine.End, now time.Time) (list []peers.End) {
+	for _, e := range ends {
 		list = append(list, peers.End{Key: e.Key[:], Endpoint: e.Endpoint, Sending: int(e.Sending), Void: e.Void, AgeMs: now.Sub(e.At).Milliseconds()})
 	}
 	return list
