internal/decide/roster, internal/gateway, internal/peers, internal/sidecar: what a gateway says does not grow with the fleet

Cause: each gateway greeted each other one and each sidecar, so messages grew with the square: by arithmetic 437,000 a second at 531 gateways and 516 sidecars, four fifths of them between failure domains, and each sidecar told its own load to all gateways beside its leader, 266,000 a second more. Change: gateways greet three relays of their domain and two others, relays greet those of other domains, and whoever is greeted answers, on demand with whom it hears (internal/decide/roster). Relays greet the sidecars of their domain, each gateway two others; hellos name some gateways of each domain, and a sidecar tells one of each, which passes it on. A sidecar is silent while its leader says that it tells all loads.

--- /dev/null
+++ b/internal/decide/roster/roster_test.go
@@ -0,0 +1,330 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package roster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+var origin = time.Unix(1_800_000_000, 0)
+
+// process is a gateway of a played fleet.
+type process struct {
+	*Roster
+	dead bool
+	sent int // Messages, greetings and answers.
+	told int // Gateways named in them.
+}
+
+// played is a fleet in scripted time. Messages arrive at once or are lost.
+type played struct {
+	random *rand.Rand
+	list   []*process
+	by     map[string]*process
+	seeds  []string
+	now    time.Time
+	loss   float64
+	cut    string // A failure domain that is cut off; "" for none.
+}
+
+func play(gateways, domains int) *played {
+	p := &played{random: rand.New(rand.NewPCG(1, uint64(gateways))), by: map[string]*process{}, now: origin}
+	for i := range gateways {
+		g := Gateway{Address: fmt.Sprintf("10.%d.0.%d:7000", i%domains, i/domains), Domain: fmt.Sprintf("domain-%02d", i%domains)}
+		if i < domains {
+			p.seeds = append(p.seeds, g.Address)
+		}
+		proc := &process{Roster: New(g, nil, p.now)}
+		p.list, p.by[g.Address] = append(p.list, proc), proc
+	}
+	for _, proc := range p.list {
+		proc.seeds = p.seeds
+	}
+	return p
+}
+
+// run plays so many rounds, in each of which the gateways greet in an order drawn anew.
+func (p *played) run(rounds int) {
+	for range rounds {
+		p.random.Shuffle(len(p.list), func(i, j int) { p.list[i], p.list[j] = p.list[j], p.list[i] })
+		for _, from := range p.list {
+			p.now = p.now.Add(Every / time.Duration(len(p.list)))
+			if !from.dead {
+				p.greet(from)
+			}
+		}
+	}
+}
+
+func (p *played) greet(from *process) {
+	from.Lapse(p.now)
+	for _, greeting := range from.Greet(p.now, p.random.IntN) {
+		from.sent++
+		to := p.by[greeting.Address]
+		if !p.arrives(from, to) {
+			continue
+		}
+		to.Hear(from.self, p.now)
+		to.sent++
+		var told []Seen
+		if greeting.Asks != "" {
+			told = to.Answer(from.self.Domain, greeting.Asks, p.now)
+			to.told += len(told)
+		}
+		if p.arrives(to, from) {
+			from.Hear(to.self, p.now)
+			from.HearOf(told, p.now)
+		}
+	}
+}
+
+func (p *played) arrives(from, to *process) bool {
+	apart := p.cut != "" && (from.self.Domain == p.cut) != (to.self.Domain == p.cut)
+	return !to.dead && !apart && p.random.Float64() >= p.loss
+}
+
+// known returns the least and the greatest number of other gateways that a living one of
+// some has as there.
+func (p *played) known(some func(*process) bool) (least, most int) {
+	least = len(p.list)
+	for _, proc := range p.list {
+		if proc.dead || !some(proc) {
+			continue
+		}
+		n := len(proc.There(p.now))
+		least, most = min(least, n), max(most, n)
+	}
+	return least, most
+}
+
+func all(*process) bool { return true }
+
+// expectKnown expects that each living gateway has so many others as there.
+func (p *played) expectKnown(g *WithT, n int) {
+	g.THelper()
+	least, most := p.known(all)
+	g.Expect([]int{least, most}).To(Equal([]int{n, n}))
+}
+
+// rounds returns how many rounds fit into a time.
+func rounds(d time.Duration) int { return int(d / Every) }
+
+// What a gateway sends must not grow with the number of gateways: greeting all others made
+// four fifths of the messages of a fleet of five hundred.
+func TestTheTalkOfAGatewayDoesNotGrowWithTheFleet(t *testing.T) {
+	const watched = 8
+	perRound := func(gateways int) (mean float64) {
+		p := play(gateways, 5)
+		p.run(rounds(HeardFor) + 8)
+		for _, proc := range p.list {
+			proc.sent = 0
+		}
+		p.run(watched)
+		for _, proc := range p.list {
+			mean += float64(proc.sent) / watched / float64(gateways)
+		}
+		return mean
+	}
+	g := NewWithT(t)
+	small, large := perRound(40), perRound(240)
+	t.Logf("messages a round and gateway: %.1f of 40, %.1f of 240", small, large)
+	g.Expect(large).To(BeNumerically("<", 1.2*small))
+	g.Expect(large).To(BeNumerically("<", 15))
+}
+
+// The busiest gateway is a relay: it hears each gateway of its failure domain once a round
+// and names all of them to a third of these.
+func TestARelayBearsItsFailureDomain(t *testing.T) {
+	const watched = 8
+	g := NewWithT(t)
+	p := play(400, 2)
+	p.run(rounds(HeardFor) + 2)
+	for _, proc := range p.list {
+		proc.sent, proc.told = 0, 0
+	}
+	p.run(watched)
+	sent, told := 0, 0
+	for _, proc := range p.list {
+		sent, told = max(sent, proc.sent), max(told, proc.told)
+	}
+	t.Logf("the busiest of 400 in 2 domains: %.0f messages and %.0f gateways named a second",
+		float64(sent)/watched/Every.Seconds(), float64(told)/watched/Every.Seconds())
+	g.Expect(float64(sent) / watched).To(BeNumerically("<", 1.5*200))
+	g.Expect(float64(told) / watched).To(BeNumerically("<", 200/Relays*2*2*200))
+}
+
+func TestAllKnowAllSoonAfterAStart(t *testing.T) {
+	for _, tc := range []struct{ gateways, domains int }{{2, 1}, {7, 3}, {32, 4}, {149, 5}, {200, 21}} {
+		t.Run(fmt.Sprintf("%d in %d domains", tc.gateways, tc.domains), func(t *testing.T) {
+			p := play(tc.gateways, tc.domains)
+			p.run(4 + tc.domains)
+			p.expectKnown(NewWithT(t), tc.gateways-1)
+		})
+	}
+}
+
+func TestNobodyIsForgottenWhereMessagesAreLost(t *testing.T) {
+	g := NewWithT(t)
+	p := play(150, 5)
+	p.run(15)
+	p.loss = 0.02
+	for range 40 {
+		p.run(1)
+		p.expectKnown(g, 149)
+	}
+}
+
+// Half of all gateways end at one moment, relays and seeds among them.
+func TestThoseThatEndTogetherAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	p := play(150, 5)
+	p.run(15)
+	left := 0
+	for _, proc := range p.list {
+		proc.dead = slices.Contains(p.seeds, proc.self.Address) || p.random.IntN(2) == 0 || isFirst(p, proc)
+		if !proc.dead {
+			left++
+		}
+	}
+	p.run(rounds(HeardFor) + 2)
+	near := func(proc *process) (n int) { return len(within(proc.there(p.now), proc.self.Domain)) }
+	for _, proc := range p.list {
+		if !proc.dead {
+			g.Expect(near(proc)).To(Equal(p.living(proc.self.Domain)-1), "of the own failure domain")
+		}
+	}
+	p.run(2*5 + 3) // Those of other domains are told of in turn.
+	p.expectKnown(g, left-1)
+}
+
+// isFirst reports whether a gateway is one of the first of its failure domain.
+func isFirst(p *played, proc *process) bool {
+	before := 0
+	for _, other := range p.list {
+		if other.self.Domain == proc.self.Domain && other.self.Address < proc.self.Address {
+			before++
+		}
+	}
+	return before < Relays
+}
+
+func (p *played) living(domain string) (n int) {
+	for _, proc := range p.list {
+		if !proc.dead && proc.self.Domain == domain {
+			n++
+		}
+	}
+	return n
+}
+
+func TestAFailureDomainThatWasCutOffIsFoundAgain(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		cut   time.Duration
+		seeds bool
+	}{
+		{"for less than it counts as there", 4 * time.Second, true},
+		{"for longer", 20 * time.Second, true},
+		{"for longer, and the seeds have ended", 20 * time.Second, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			p := play(100, 5)
+			p.run(20)
+			left := len(p.list)
+			for _, proc := range p.list {
+				if !tc.seeds && slices.Contains(p.seeds, proc.self.Address) {
+					proc.dead = true
+					left--
+				}
+			}
+			p.run(30)
+			p.cut = "domain-02"
+			p.run(rounds(tc.cut))
+			inside := func(proc *process) bool { return proc.self.Domain == p.cut }
+			if least, _ := p.known(inside); tc.cut > HeardFor+2*5*Every+3*Every {
+				g.Expect(least).To(Equal(p.living(p.cut) - 1))
+			}
+			p.cut = ""
+			p.run(2*farEvery + 5)
+			p.expectKnown(g, left-1)
+		})
+	}
+}
+
+// While all relays of a failure domain have just ended, the others still hear of somebody:
+// one that hears nobody takes itself for cut off and turns callers away.
+func TestNobodyIsAloneWhenTheRelaysEnd(t *testing.T) {
+	g := NewWithT(t)
+	p := play(100, 5)
+	p.run(20)
+	for _, proc := range p.list {
+		proc.dead = isFirst(p, proc)
+	}
+	for range rounds(HeardFor) {
+		p.run(1)
+		for _, proc := range p.list {
+			if !proc.dead {
+				g.Expect(p.now.Sub(proc.LastHeard())).To(BeNumerically("<", FreshFor))
+			}
+		}
+	}
+}
+
+func TestOneThatStartsAnewIsNew(t *testing.T) {
+	g := NewWithT(t)
+	r := New(Gateway{Address: "a", Domain: "d"}, nil, origin)
+	b := Gateway{Address: "b", Domain: "d", Life: 1}
+	g.Expect(r.Hear(b, origin)).To(BeTrue())
+	g.Expect(r.Hear(b, origin)).To(BeFalse())
+	r.HearOf([]Seen{{Gateway: Gateway{Address: "b", Domain: "d"}}}, origin.Add(time.Second))
+	g.Expect(r.Hear(b, origin.Add(time.Second))).To(BeFalse(), "hearsay tells no life")
+	b.Life = 2
+	g.Expect(r.Hear(b, origin.Add(2*time.Second))).To(BeTrue())
+}
+
+func TestTheNewestWordOnAGatewayCounts(t *testing.T) {
+	g := NewWithT(t)
+	r := New(Gateway{Address: "a", Domain: "d"}, nil, origin)
+	now := origin.Add(3 * time.Second)
+	r.Hear(Gateway{Address: "b", Domain: "d", Left: true}, now)
+	told := func(age time.Duration) []Seen {
+		return []Seen{{Gateway: Gateway{Address: "b", Domain: "d"}, Age: age}}
+	}
+	r.HearOf(told(time.Second), now)
+	g.Expect(r.There(now)).To(BeEmpty(), "an older word than that it leaves")
+	r.HearOf(told(time.Second), now.Add(2*time.Second))
+	g.Expect(r.There(now.Add(2*time.Second))).To(HaveLen(1), "it is back")
+	r.HearOf([]Seen{{Gateway: Gateway{Address: "a", Domain: "d"}}, {Gateway: Gateway{Address: "c", Domain: "d"}, Age: HeardFor + 1}, {Gateway: Gateway{Address: "c", Domain: "d"}, Age: -1}}, now)
+	g.Expect(r.There(now.Add(2*time.Second))).To(HaveLen(1), "not itself, and nobody on a word that is too old or of the future")
+}
+
+func TestASampleNamesEachFailureDomain(t *testing.T) {
+	g := NewWithT(t)
+	p := play(100, 4)
+	p.run(20)
+	count := map[string]int{}
+	drawn := map[string]bool{}
+	for range 100 {
+		clear(count)
+		for _, s := range p.list[0].Sample(p.now, p.random.IntN) {
+			count[s.Domain]++
+			drawn[s.Address] = true
+		}
+		g.Expect(count).To(HaveLen(4))
+		for domain, n := range count {
+			want := sampleFar
+			if domain == p.list[0].self.Domain {
+				want = sampleNear
+			}
+			g.Expect(n).To(Equal(want))
+		}
+	}
+	g.Expect(drawn).To(HaveLen(99), "drawn anew each time")
+}
--- /dev/null
+++ b/internal/gateway/known.go
@@ -0,0 +1,66 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/roster"
+	"github.com/canvaspulley/canvaspulley/internal/peers"
+)
+
+// inPackets splits a list so that each part fits into one hello; it returns one part at
+// least.
+func inPackets(list []roster.Seen) (parts [][]roster.Seen) {
+	parts = slices.Collect(slices.Chunk(list, peers.MostKnown))
+	if len(parts) == 0 {
+		return [][]roster.Seen{nil}
+	}
+	return parts
+}
+
+// knownOf returns gateways as a hello names them. One whose address is no IP number and port
+// cannot be named.
+func knownOf(list []roster.Seen) (known []peers.Known) {
+	at := map[string]int{} // Places in known, by failure domain.
+	for _, s := range list {
+		a, err := netip.ParseAddrPort(s.Address)
+		if err != nil {
+			continue
+		}
+		raw, err := a.MarshalBinary()
+		if err != nil {
+			continue
+		}
+		i, ok := at[s.Domain]
+		if !ok {
+			i = len(known)
+			at[s.Domain] = i
+			known = append(known, peers.Known{Domain: s.Domain})
+		}
+		known[i].Gateways = append(known[i].Gateways, peers.KnownGateway{Address: raw, AgeMs: s.Age.Milliseconds(), Blind: s.Blind, Left: s.Left})
+	}
+	return known
+}
+
+// seenOf returns the gateways that a hello names. Those that cannot be read are left out; the
+// error tells of the last one.
+func seenOf(known []peers.Known) (list []roster.Seen, err error) {
+	for _, k := range known {
+		for _, g := range k.Gateways {
+			var a netip.AddrPort
+			if bad := a.UnmarshalBinary(g.Address); bad != nil {
+				err = errors.Wrapf(bad, "gateway of %s", k.Domain)
+				continue
+			}
+			s := roster.Seen{Age: time.Duration(g.AgeMs) * time.Millisecond}
+			s.Address, s.Domain, s.Blind, s.Left = a.String(), k.Domain, g.Blind, g.Left
+			list = append(list, s)
+		}
+	}
+	return list, err
+}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -25,9 +25,6 @@
 	// readersPerDomain is how many gateways of a domain read the store: with two,
 	// the loss of one leaves another that is up to date.
 	readersPerDomain = 2
-	// readerHeard is how long after its last hello a gateway counts as one that
-	// reads: three hellos.
-	readerHeard = 3 * helloEvery
 	// holdTime is how long a call for news is held: a reader has news, if only
 	// that nothing changed, after each wait of one second and the answer's way.
 	holdTime = 1300 * time.Millisecond
@@ -94,24 +91,21 @@
 // when there are none and this one cannot either, those that try to. Seeing is
 // false then.
 func (n *Neighbours) readersThat(able bool) (list []string, seeing bool) {
-	now := time.Now()
 	var blind []string
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	for a, other := range n.heard {
-		switch {
-		case other.domain != n.domain || now.Sub(other.at) > readerHeard:
-		case other.blind:
-			blind = append(blind, a)
-		default:
-			list = append(list, a)
+	near := n.roster.Near(time.Now())
+	n.mu.Unlock()
+	for _, g := range near {
+		if g.Blind {
+			blind = append(blind, g.Address)
+		} else {
+			list = append(list, g.Address)
 		}
 	}
 	seeing = len(list) > 0
 	if !seeing && !able {
 		list = blind
 	}
-	slices.Sort(list)
 	return list, seeing
 }
 
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -46,11 +46,11 @@
 
 // passOn tells loads to the other gateways of the own failure domain.
 func (n *Neighbours) passOn(m peers.Message) {
+	var to []string
 	n.mu.Lock()
-	to := make([]string, 0, len(n.heard))
-	for a, other := range n.heard {
-		if other.domain == n.domain {
-			to = append(to, a)
+	for _, g := range n.roster.There(time.Now()) {
+		if g.Domain == n.domain {
+			to = append(to, g.Address)
 		}
 	}
 	n.mu.Unlock()
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -14,17 +14,17 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/canvaspulley/canvaspulley/internal/decide/roster"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 )
 
 // Times of the talk with other processes.
 const (
-	// helloEvery is the time between two hellos; sidecars send loads for some
-	// seconds after each.
-	helloEvery = 700 * time.Millisecond
+	// helloEvery is the time between two rounds of hellos.
+	helloEvery = roster.Every
 	// heardFor is how long a gateway counts as there after its last hello.
-	heardFor = 5 * time.Second
+	heardFor = roster.HeardFor
 	// unheardEvery is the time between two hellos to sidecars while none is heard: gateways
 	// and sidecars that lost power together were up within a second of each other, and
 	// each hello that is missed keeps the callers of a gateway waiting.
@@ -33,17 +33,13 @@
 	// one rank tells holds for all, and hellos of all gateways to all sidecars would be
 	// most of what goes over their links after an outage.
 	unheardSidecars = 16
-	// maxKnown bounds the gateways named in a hello, which are drawn anew for each:
-	// a newcomer hears of all within some hellos. With all of 40 named, hellos were
-	// half of the bytes between failure domains.
-	maxKnown = 6
-	// sidecarsEvery is how many hellos to gateways come to one to sidecars, whose
+	// sidecarsEvery is how many rounds of hellos come to one to sidecars, whose
 	// subscriptions last longer.
 	sidecarsEvery = 2
-	// farEvery is how many hellos to gateways of the own failure domain come to one to
-	// those of others: bytes between domains are dear, and a gateway counts as there
-	// for longer than three of these.
-	farEvery = 2
+	// someSidecars is how many sidecars, drawn anew each time, each gateway greets besides
+	// those of its failure domain that relays greet: a sidecar hears of gateways also when
+	// all of its domain have ended.
+	someSidecars = 2
 	// borrowAge is the age of the configuration from which a neighbour is asked
 	// for it: the store's answers keep it below this while the store is there.
 	borrowAge = 2200 * time.Millisecond
@@ -57,24 +53,22 @@
 // Neighbours finds other gateways, tells sidecars and gateways of this one, and
 // borrows the published state from a neighbour while the store does not answer.
 type Neighbours struct {
-	g       *Gateway
-	socket  *peers.Socket
-	log     *zap.Logger
-	decode  func(raw []byte) (*fleet.Config, error)
-	client  *http.Client
-	self    string
-	life    int64
-	started time.Time
-	spread  time.Duration // Within which all read the store, where what they hear is old.
-	first   bool          // The whole system starts for the first time.
-	name    string
-	seeds   []string
-	port    int // Of sidecars.
-	domain  string
-	mu      sync.Mutex
-	heard   map[string]neighbour // Gateways by address.
-	// heardLast is when another gateway was last heard, also one that is forgotten.
-	heardLast  time.Time
+	g          *Gateway
+	socket     *peers.Socket
+	log        *zap.Logger
+	decode     func(raw []byte) (*fleet.Config, error)
+	client     *http.Client
+	self       string
+	life       int64
+	started    time.Time
+	spread     time.Duration // Within which all read the store, where what they hear is old.
+	first      bool          // The whole system starts for the first time.
+	name       string
+	seeds      []string
+	port       int // Of sidecars.
+	domain     string
+	mu         sync.Mutex
+	roster     *roster.Roster
 	borrows    bool
 	subscribed bool       // Sidecars were greeted as soon as they were listed; of the duty that greets.
 	greeted    int        // Hellos so far; of the duty that greets.
@@ -82,14 +76,6 @@
 	heardOf    listenedTo // What the last answers to listening were.
 }
 
-// neighbour is another gateway.
-type neighbour struct {
-	at     time.Time // Last word.
-	life   int64     // Start of its process; 0 while it is known by hearsay only.
-	domain string    // "" while it is known by hearsay only.
-	blind  bool
-}
-
 // NeighboursConfig is the setting of Neighbours.
 type NeighboursConfig struct {
 	Name         string
@@ -113,8 +99,9 @@
 	n = &Neighbours{
 		g: g, socket: socket, log: log, decode: cfg.Decode, client: &http.Client{Transport: t},
 		self: cfg.Address, life: time.Now().UnixMilli(), started: time.Now(), first: cfg.First, spread: max(cfg.InForce-turnMargin, 0), name: cfg.Name, domain: cfg.Domain, seeds: cfg.Seeds, port: cfg.SidecarsPort,
-		heard: map[string]neighbour{}, heardOf: listenedTo{},
+		heardOf: listenedTo{},
 	}
+	n.roster = roster.New(roster.Gateway{Address: n.self, Domain: n.domain}, n.seeds, n.started)
 	g.mu.Lock()
 	g.ownerOf = n.owns
 	g.mu.Unlock()
@@ -136,6 +123,9 @@
 		if n.hear(*m.Hello) {
 			n.tellNewcomer(from)
 		}
+		if !m.Hello.Answer {
+			n.answer(from, *m.Hello)
+		}
 	case m.Load != nil:
 		n.takeLoad(*m.Load)
 	case m.Loads != nil:
@@ -145,56 +135,45 @@
 
 // hear takes in a hello; it reports whether the gateway's process has not spoken before.
 func (n *Neighbours) hear(h peers.Hello) (fresh bool) {
+	known, err := seenOf(h.Known)
+	if err != nil {
+		n.log.Warn("gateways left out", zap.String("told-by", h.Address), zap.String("error", err.Error()))
+	}
 	now := time.Now()
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	if h.Leaving {
-		delete(n.heard, h.Address)
-	} else if h.Address != n.self {
-		if fresh = n.heard[h.Address].life != h.Life; fresh {
-			n.log.Info("gateway heard", zap.String("name", h.Name), zap.String("address", h.Address))
-		}
-		n.heard[h.Address] = neighbour{at: now, life: h.Life, domain: h.Domain, blind: h.Blind}
-	}
-	for _, a := range h.Known {
-		if _, ok := n.heard[a]; !ok && a != n.self {
-			n.heard[a] = neighbour{at: now.Add(-heardFor + 2*helloEvery)} // By hearsay: it must speak for itself soon.
-		}
+	fresh = n.roster.Hear(roster.Gateway{Address: h.Address, Domain: h.Domain, Life: h.Life, Blind: h.Blind, Left: h.Leaving}, now)
+	n.roster.HearOf(known, now)
+	n.mu.Unlock()
+	if fresh {
+		n.log.Info("gateway heard", zap.String("name", h.Name), zap.String("address", h.Address))
 	}
 	return fresh
 }
 
-// others returns the gateways that are there.
-func (n *Neighbours) others() (list []string) {
+// answer answers a hello, and names the gateways that it asks for.
+func (n *Neighbours) answer(to netip.AddrPort, h peers.Hello) {
 	now := time.Now()
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	for a, other := range n.heard {
-		if now.Sub(other.at) > heardFor {
-			delete(n.heard, a)
-			n.log.Info("gateway not heard any more", zap.String("address", a))
-			continue
-		}
-		list = append(list, a)
+	var told []roster.Seen
+	if h.Asks != "" {
+		told = n.roster.Answer(h.Domain, h.Asks, now)
+	}
+	n.mu.Unlock()
+	for _, part := range inPackets(told) {
+		own := n.hello(now)
+		own.Answer, own.Known = true, knownOf(part)
+		n.socket.Send(to, peers.Message{Hello: own})
 	}
-	slices.Sort(list)
-	return list
 }
 
-// lastHeard returns when another gateway was last heard; zero when none ever was.
-func (n *Neighbours) lastHeard() (at time.Time) {
+// others returns the gateways that are there.
+func (n *Neighbours) others() (list []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, other := range n.heard {
-		if other.domain != "" && other.at.After(at) {
-			at = other.at
-		}
+	for _, g := range n.roster.There(time.Now()) {
+		list = append(list, g.Address)
 	}
-	if at.IsZero() {
-		return n.heardLast
-	}
-	n.heardLast = at
-	return at
+	return list
 }
 
 // Run talks to other processes until ctx ends.
@@ -246,7 +225,7 @@
 		return
 	}
 	n.subscribed = true
-	n.socket.SendAll(to, peers.Message{Hello: n.helloToSidecars()})
+	n.greetSidecars(to)
 }
 
 // greetUnheard says hello to sidecars while none of them is heard: after an outage of
@@ -256,55 +235,67 @@
 	if leaving, _ := n.g.leaving(time.Now()); leaving || n.g.hearsRanks(time.Now()) {
 		return
 	}
-	n.socket.SendAll(some(n.sidecars(), unheardSidecars), peers.Message{Hello: n.helloToSidecars()})
+	n.socket.SendAll(addressesOf(some(n.sidecars(), unheardSidecars)), peers.Message{Hello: n.helloToSidecars()})
+}
+
+// hello returns what this gateway tells of itself.
+func (n *Neighbours) hello(now time.Time) *peers.Hello {
+	leaving, _ := n.g.leaving(now)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return &peers.Hello{Name: n.name, Life: n.life, Address: n.self, Domain: n.domain, Blind: n.blind, Leaving: leaving}
 }
 
-// helloToSidecars returns what sidecars are told of this gateway: they need no more than
-// its address and domain.
+// helloToSidecars returns what sidecars are told of this gateway and of others, which greet
+// other sidecars.
 func (n *Neighbours) helloToSidecars() *peers.Hello {
-	return &peers.Hello{Name: n.name, Life: n.life, Address: n.self, Domain: n.domain}
+	now := time.Now()
+	h := n.hello(now)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h.Gateways = len(n.roster.There(now)) + 1
+	h.Known = knownOf(first(peers.MostKnown, n.roster.Sample(now, random)))
+	return h
 }
 
-// greet says hello to sidecars and gateways.
+// greet says hello to gateways and sidecars.
 func (n *Neighbours) greet() {
-	others := n.others()
-	n.g.SetOthers(len(others), n.lastHeard())
-	leaving, _ := n.g.leaving(time.Now())
+	now := time.Now()
 	n.mu.Lock()
-	blind := n.blind
+	lapsed := n.roster.Lapse(now)
+	greetings := n.roster.Greet(now, random)
+	others, heard := len(n.roster.There(now)), n.roster.LastHeard()
 	n.mu.Unlock()
-	m := peers.Message{Hello: &peers.Hello{Name: n.name, Life: n.life, Address: n.self, Domain: n.domain, Blind: blind, Known: some(others, maxKnown), Leaving: leaving}}
-	to := slices.Clone(others)
-	if n.greeted++; !leaving && n.greeted%farEvery != 1 {
-		to = n.near(others)
-	} else {
-		m.Ends = n.g.suspects.Tell(n.g.cfg.Now()) // Where all are told the same.
+	n.g.SetOthers(others, heard)
+	for _, a := range lapsed {
+		n.log.Info("gateway not heard any more", zap.String("address", a))
 	}
-	for _, s := range n.seeds {
-		if s != n.self && !slices.Contains(to, s) {
-			to = append(to, s)
-		}
+	ends := n.g.suspects.Tell(n.g.cfg.Now()) // All are told the same.
+	for _, greeting := range greetings {
+		h := n.hello(now)
+		h.Asks = greeting.Asks
+		n.socket.SendAll(addresses([]string{greeting.Address}), peers.Message{Hello: h, Ends: ends})
 	}
-	n.socket.SendAll(addresses(to), m)
-	if !leaving && n.greeted%sidecarsEvery != 1 {
+	n.greeted++
+	if leaving, _ := n.g.leaving(now); !leaving && n.greeted%sidecarsEvery != 1 {
 		return
 	}
-	m.Hello.Known = nil // Sidecars need no more than the address.
-	m.Ends = nil
 	sidecars := n.sidecars()
-	n.socket.SendAll(sidecars, m)
+	n.greetSidecars(sidecars)
 	n.entrust(sidecars)
 }
 
-// near returns which of the gateways are in the own failure domain, or in one that
-// is not known yet.
-func (n *Neighbours) near(others []string) []string {
+// greetSidecars says hello to some of the sidecars, and, where this gateway is a relay, to
+// those of its failure domain.
+func (n *Neighbours) greetSidecars(all []sidecar) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(others), func(a string) bool {
-		d := n.heard[a].domain
-		return d != "" && d != n.domain
-	})
+	relay := n.roster.IsRelay(time.Now())
+	n.mu.Unlock()
+	to := some(all, someSidecars)
+	if relay {
+		to = append(to, slices.DeleteFunc(slices.Clone(all), func(s sidecar) bool { return s.domain != n.domain })...)
+	}
+	n.socket.SendAll(addressesOf(to), peers.Message{Hello: n.helloToSidecars()})
 }
 
 // some returns so many of list, drawn anew each time.
@@ -317,8 +308,24 @@
 	return drawn[:min(n, len(drawn))]
 }
 
-// sidecars returns the addresses of the sidecars beside listed engines.
-func (n *Neighbours) sidecars() (list []netip.AddrPort) {
+// first returns the first so many of a list.
+func first[T any](n int, list []T) []T { return list[:min(n, len(list))] }
+
+// sidecar is the process beside a listed engine.
+type sidecar struct {
+	address netip.AddrPort
+	domain  string
+}
+
+func addressesOf(list []sidecar) (addresses []netip.AddrPort) {
+	for _, s := range list {
+		addresses = append(addresses, s.address)
+	}
+	return addresses
+}
+
+// sidecars returns the sidecars beside listed engines.
+func (n *Neighbours) sidecars() (list []sidecar) {
 	s := n.g.view.State()
 	if s.Config == nil {
 		return nil
@@ -329,7 +336,7 @@
 		}
 		for _, e := range endpoints {
 			if a, err := peers.Beside(e.Address, n.port); err == nil {
-				list = append(list, a)
+				list = append(list, sidecar{a, e.Domain})
 			}
 		}
 	}
--- a/internal/gateway/tell_ends.go
+++ b/internal/gateway/tell_ends.go
@@ -48,9 +48,9 @@
 }
 
 // entrust tells some sidecars of ends: they tell gateways that have just started.
-func (n *Neighbours) entrust(sidecars []netip.AddrPort) {
+func (n *Neighbours) entrust(sidecars []sidecar) {
 	if list := n.g.suspects.TellOne(n.g.cfg.Now()); len(list) > 0 {
-		n.socket.SendAll(some(sidecars, entrusted), peers.Message{Ends: list})
+		n.socket.SendAll(addressesOf(some(sidecars, entrusted)), peers.Message{Ends: list})
 	}
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -24,18 +24,41 @@
 	Ends  []End  `cbor:"5,keyasint,omitempty"` // MostEnds at most; also beside a Hello.
 }
 
-// Hello tells that a gateway is there. Sidecars answer it with loads; other
-// gateways learn whom they may ask.
+// Hello tells that a gateway is there. A gateway answers it with a hello of its own; sidecars
+// tell loads to those they hear of.
 type Hello struct {
-	Name    string   `cbor:"1,keyasint"`
-	Life    int64    `cbor:"2,keyasint"` // Start of the process, Unix milliseconds.
-	Address string   `cbor:"3,keyasint"` // Peer listener.
-	Domain  string   `cbor:"4,keyasint,omitempty"`
-	Blind   bool     `cbor:"5,keyasint,omitempty"` // The store does not answer it.
-	Known   []string `cbor:"6,keyasint,omitempty"` // Other gateways that it hears.
-	Leaving bool     `cbor:"7,keyasint,omitempty"`
+	Name    string  `cbor:"1,keyasint"`
+	Life    int64   `cbor:"2,keyasint"` // Start of the process, Unix milliseconds.
+	Address string  `cbor:"3,keyasint"` // Peer listener.
+	Domain  string  `cbor:"4,keyasint,omitempty"`
+	Blind   bool    `cbor:"5,keyasint,omitempty"` // The store does not answer it.
+	Known   []Known `cbor:"6,keyasint,omitempty"` // Other gateways; MostKnown at most.
+	Leaving bool    `cbor:"7,keyasint,omitempty"`
+	Answer  bool    `cbor:"8,keyasint,omitempty"` // It answers a hello, and is not answered.
+	Asks    string  `cbor:"9,keyasint,omitempty"` // The failure domain whose gateways the answer is to name.
+	// Gateways is how many gateways the sender knows of, itself included.
+	Gateways int `cbor:"10,keyasint,omitempty"`
 }
 
+// Known is some gateways of one failure domain that the sender of a Hello knows of.
+type Known struct {
+	_        struct{} `cbor:",toarray"`
+	Domain   string
+	Gateways []KnownGateway
+}
+
+// KnownGateway is another gateway that the sender of a Hello knows of.
+type KnownGateway struct {
+	_       struct{} `cbor:",toarray"`
+	Address []byte   // Peer listener: IP number and port, as netip.AddrPort writes them.
+	AgeMs   int64    // Since its last word.
+	Blind   bool
+	Left    bool
+}
+
+// MostKnown is how many gateways one Hello names: it stays within a packet of 1,400 bytes.
+const MostKnown = 48
+
 // Load tells the load of an engine.
 type Load struct {
 	Address string  `cbor:"1,keyasint"` // Of the engine.
@@ -92,6 +115,7 @@
 	Epoch uint64 `cbor:"2,keyasint"`
 	Rank  int    `cbor:"3,keyasint"`
 	Fence uint64 `cbor:"4,keyasint"`
+	Tells bool   `cbor:"5,keyasint,omitempty"` // It has just told gateways the loads of all ranks.
 }
 
 // End tells that an endpoint's process ended while it ran a request.
--- a/internal/sidecar/leadership.go
+++ b/internal/sidecar/leadership.go
@@ -18,6 +18,9 @@
 const (
 	leadEvery = 200 * time.Millisecond
 	leadLapse = 900 * time.Millisecond
+	// tellsFor is how long after it told the loads of all ranks a leader says that it tells
+	// them: a look at a group with a silent rank takes half of it.
+	tellsFor = 600 * time.Millisecond
 	// leadStagger keeps the next ranks from taking over at once together.
 	leadStagger = 120 * time.Millisecond
 )
@@ -135,6 +138,7 @@
 func (s *Sidecar) tellLead(context.Context) {
 	s.mu.Lock()
 	lead, to := s.leading, s.tellTo
+	lead.Tells = time.Since(s.toldAllAt) < tellsFor
 	s.mu.Unlock()
 	for _, a := range to {
 		s.socket.Send(a, peers.Message{Lead: &lead})
--- a/internal/sidecar/loads.go
+++ b/internal/sidecar/loads.go
@@ -14,21 +14,22 @@
 	"github.com/canvaspulley/canvaspulley/internal/rank"
 )
 
-// Each sidecar tells the load of its own engine, the less often the larger the group
-// is. The leader of a large group, which has just asked all ranks, tells in their
-// place, all loads in one message a failure domain. Should it fail, what each tells
-// for itself is still there.
+// Each sidecar tells the load of its own engine, the less often the larger the group is.
+// The leader of a large group, which has just asked all ranks, tells in their place, all
+// loads in one message a failure domain. Should it fail, each tells for itself again: were
+// all to go on meanwhile, what gateways hear would grow with all ranks of all groups.
 
-// ledPause is how many times longer a sidecar waits between two reports of its own
-// while its leader tells for it: below the time for which a report counts.
-const ledPause = 2
+// ledPoll is the time between two looks whether the leader still tells for a sidecar, by
+// which it hears again of its own engine: below the time for which a report counts.
+const ledPoll = 250 * time.Millisecond
 
 // hearHello takes in a gateway's hello. One that was not known has just started or was
 // away, and is told at once: it lets nobody in before it hears of a rank.
 func (s *Sidecar) hearHello(from netip.AddrPort, h peers.Hello) {
 	now := time.Now()
 	s.mu.Lock()
-	fresh := s.gateways.hello(from, h.Domain, h.Life, now)
+	fresh := s.gateways.hello(from, h, now)
+	s.hearOfGateways(h.Known, now)
 	var load *peers.Load
 	if fresh && !s.reportAt.IsZero() {
 		load = s.load(s.report, false)
@@ -43,15 +44,36 @@
 	}
 }
 
+// hearOfGateways takes in the gateways that a hello names. The caller holds mu.
+func (s *Sidecar) hearOfGateways(known []peers.Known, now time.Time) {
+	for _, k := range known {
+		for _, g := range k.Gateways {
+			var a netip.AddrPort
+			if err := a.UnmarshalBinary(g.Address); err != nil {
+				s.log.Warn("gateway left out", zap.String("domain", k.Domain), zap.String("error", err.Error()))
+				continue
+			}
+			age := time.Duration(g.AgeMs) * time.Millisecond
+			if !g.Left && age >= 0 && age < subscribed {
+				s.gateways.hearOf(a, k.Domain, now.Add(-age))
+			}
+		}
+	}
+}
+
+// led reports whether a leader of the group tells the own load. The caller holds mu.
+func (s *Sidecar) led(now time.Time) bool {
+	return s.lead.heard.Tells && s.lead.heard.Group == s.report.Group && now.Sub(s.lead.at) < leadLapse
+}
+
 // reportPause is the time between two reports of a sidecar's own load.
 func (s *Sidecar) reportPause(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	pause := ownPause(s.report.Size)
-	if pause > reportEvery && s.lead.heard.Group == s.report.Group && now.Sub(s.lead.at) < leadLapse {
-		return ledPause * pause
+	if s.led(now) {
+		return ledPoll
 	}
-	return pause
+	return ownPause(s.report.Size)
 }
 
 // ownPause is the time between two reports of one's own load in a group of a size
@@ -72,9 +94,10 @@
 	s.mu.Lock()
 	pass := s.passes.pass
 	told := peers.Loads{Group: own.Group, Closed: s.still, PassMs: int(pass.Milliseconds()), Onward: true}
-	told.Epoch, told.Gateways = own.Epoch, len(s.gateways.list)
+	told.Epoch, told.Gateways = own.Epoch, s.gateways.gateways()
 	told.Limit = float32(l.limit(pass, now))
 	to := s.gateways.onePerDomain(now)
+	s.toldAllAt = now
 	s.mu.Unlock()
 	for part := range slices.Chunk(l.rankLoads(), peers.MostRanks) {
 		told.Ranks = part
--- a/internal/sidecar/loads_test.go
+++ b/internal/sidecar/loads_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
@@ -104,3 +105,63 @@
 		})
 	}
 }
+
+// A sidecar is silent while its leader tells all loads, and only then: a leader may be heard
+// that cannot tell.
+func TestASidecarIsSilentWhileItsLeaderTellsForIt(t *testing.T) {
+	tells := peers.Lead{Group: "g", Tells: true}
+	for _, tc := range []struct {
+		name   string
+		size   int
+		lead   peers.Lead
+		age    time.Duration
+		turned bool
+		lost   bool // Its engine.
+		pause  time.Duration
+		told   bool
+	}{
+		{"a small group", 12, peers.Lead{Group: "g"}, 0, false, false, reportEvery, true},
+		{"a large one that nobody leads", 129, peers.Lead{}, time.Hour, false, false, 129 * perRank, true},
+		{"the leader tells", 129, tells, 0, false, false, ledPoll, false},
+		{"the leader does not tell", 129, peers.Lead{Group: "g"}, 0, false, false, 129 * perRank, true},
+		{"the leader has fallen silent", 129, tells, leadLapse, false, false, 129 * perRank, true},
+		{"another group's leader tells", 129, peers.Lead{Group: "h", Tells: true}, 0, false, false, 129 * perRank, true},
+		{"the leader tells, but the group has just opened", 129, tells, 0, true, false, ledPoll, true},
+		{"the leader tells, but the engine is lost", 129, tells, 0, false, true, ledPoll, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			own, _ := listen(t, g, "127.0.0.1:0")
+			gateway, received := listen(t, g, "127.0.0.1:0")
+			report := rank.Report{Group: "g", Size: tc.size, Open: true}
+			now := time.Now()
+			s := &Sidecar{
+				cfg: Config{Address: "10.0.0.1:80"}, log: zap.NewNop(), socket: own, gateways: newSubscribers("a"), turned: make(chan struct{}, 1),
+				report: report, reportAt: now, lead: leadership{heard: tc.lead, at: now.Add(-tc.age)},
+			}
+			s.engine.Report = func(context.Context) (rank.Report, error) {
+				if tc.lost {
+					return rank.Report{}, errors.New("no answer")
+				}
+				return report, nil
+			}
+			s.gateways.hello(netip.MustParseAddrPort(gateway.Address()), peers.Hello{Domain: "a"}, now)
+			g.Expect(s.reportPause(now)).To(Equal(tc.pause))
+			s.readReport(context.Background(), tc.turned)
+			if !tc.told {
+				g.Consistently(received, 50*time.Millisecond).ShouldNot(Receive())
+				return
+			}
+			var m peers.Message
+			g.Eventually(received, eventually).Should(Receive(&m))
+			g.Expect(m.Load.Closed).To(Equal(tc.lost))
+		})
+	}
+}
+
+// The pauses must leave no gap in which a gateway's last word on a rank is too old: it ends when
+// its leader has gone.
+func TestOwnLoadsAreToldBeforeThoseOfALostLeaderLapse(t *testing.T) {
+	const reportAge = 1500 * time.Millisecond // For which a gateway goes by a report.
+	NewWithT(t).Expect(leadLapse + ledPoll + reportEvery).To(BeNumerically("<", reportAge))
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -102,6 +102,7 @@
 	orderTook estimate.Time    // Until the own engine answered an order.
 	leading   peers.Lead       // What this sidecar announces.
 	tellTo    []netip.AddrPort // Whom; nil while it does not lead.
+	toldAllAt time.Time        // When this sidecar, as the leader, last told gateways the loads of all ranks.
 
 	suspects *suspects.Set // Only kept for gateways that start anew.
 	figures  figures
@@ -180,22 +181,24 @@
 // tellReports tells the own engine's load until ctx ends.
 func (s *Sidecar) tellReports(ctx context.Context) error {
 	for ctx.Err() == nil {
-		s.awaitReport(ctx)
-		s.readReport(ctx)
+		turned := s.awaitReport(ctx)
+		s.readReport(ctx, turned)
 	}
 	return nil
 }
 
 // awaitReport waits until the own load is to be told: after a pause, or as soon as the
-// group has opened or closed.
-func (s *Sidecar) awaitReport(ctx context.Context) {
+// group has opened or closed, which it reports.
+func (s *Sidecar) awaitReport(ctx context.Context) (turned bool) {
 	timer := time.NewTimer(s.reportPause(time.Now()))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-s.turned:
+		return true
 	case <-ctx.Done():
 	}
+	return false
 }
 
 func (s *Sidecar) receive(from netip.AddrPort, m peers.Message) {
@@ -208,17 +211,23 @@
 	}
 }
 
-// readReport asks the engine and tells the gateways.
-func (s *Sidecar) readReport(ctx context.Context) {
+// readReport asks the engine and tells the gateways, unless a leader tells for it and nothing
+// has turned.
+func (s *Sidecar) readReport(ctx context.Context, turned bool) {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	r, err := s.engine.Report(ctx)
 	if !s.noteReport(r, err) {
 		return
 	}
+	now := time.Now()
 	s.mu.Lock()
+	if err == nil && !turned && s.led(now) {
+		s.mu.Unlock()
+		return
+	}
 	load := s.load(r, err != nil)
-	near, far := s.gateways.next(time.Now())
+	near, far := s.gateways.next(now)
 	s.mu.Unlock()
 	s.socket.SendAll(near, peers.Message{Load: load})
 	onward := *load
@@ -231,7 +240,7 @@
 func (s *Sidecar) load(r rank.Report, lost bool) *peers.Load {
 	return &peers.Load{
 		Address: s.cfg.Address, Born: r.Born, Running: r.Running, Waiting: r.Waiting, Pace: r.Pace,
-		Group: r.Group, Epoch: r.Epoch, PassMs: int(s.passes.pass.Milliseconds()), Gateways: len(s.gateways.list),
+		Group: r.Group, Epoch: r.Epoch, PassMs: int(s.passes.pass.Milliseconds()), Gateways: s.gateways.gateways(),
 		Closed: lost || r.Group != "" && !r.Open || s.standsStill(r),
 	}
 }
