internal/follow: news in a row are gathered longer

Cause: whoever follows asked again 40 ms after each answer that brought news. As the fleet's 536 endpoints were listed one after the other (4.5 s), each reader called the store and each of 529 listeners its reader some 20 times a second, and a history that is forgotten faster than it is read cost a whole reading each time. Change: the pause doubles with each call in a row that brought news, up to a sixteenth of the time in which a configuration must be in force; a change by itself is read as soon as before.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -82,7 +82,7 @@
 	group.Go(func() error {
 		return p.signals(ctx, func() { g.Stop(); close(stop) }, cancel)
 	})
-	follower := follow.NewFollower(view, store.Source(), p.log)
+	follower := follow.NewFollower(view, store.Source(), p.set.InForce, p.log)
 	follower.ListenTo(neighbours.Follow())
 	group.Go(func() error { return follower.Run(ctx, g.Changed) })
 	group.Go(func() error { return g.Run(ctx) })
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -56,9 +56,13 @@
 	// blindTime is how long a process for which the source failed does not count
 	// as one that others may listen to.
 	blindTime = 5 * time.Second
-	// gatherTime is waited after news, so that several changes in a row cost one
+	// gatherTime is waited after a call, so that several changes in a row cost one
 	// call.
 	gatherTime = 40 * time.Millisecond
+	// gatherShare is the part of the time in which a configuration must be in force that
+	// is waited at most where each call brings news, as while hundreds of endpoints start:
+	// whoever reads and whoever listens to it each wait so long.
+	gatherShare = 1.0 / 16
 	// startGatherTime takes its place while there is no configuration: all endpoints
 	// are published one after the other then, and nothing can be served yet.
 	startGatherTime = 200 * time.Millisecond
@@ -85,6 +89,11 @@
 	source Source
 	log    *zap.Logger
 	now    func() time.Time
+
+	inForce   time.Duration // In which a new configuration must be in force.
+	known     mark          // What the view held after the last call.
+	gathering time.Duration // That was last waited after news; 0 after a call without any.
+
 	lost   bool      // The last call failed.
 	failed int       // Failed calls in a row.
 	heard  time.Time // Last answer.
@@ -98,9 +107,10 @@
 	blind    time.Time         // When the source last failed.
 }
 
-// NewFollower returns a follower of source into view.
-func NewFollower(view *View, source Source, log *zap.Logger) *Follower {
-	return &Follower{view: view, source: source, log: log, now: clock.Now, reported: map[string]uint64{}}
+// NewFollower returns a follower of source into view, for a process in which a new
+// configuration must be in force within a time.
+func NewFollower(view *View, source Source, inForce time.Duration, log *zap.Logger) *Follower {
+	return &Follower{view: view, source: source, inForce: inForce, log: log, now: clock.Now, reported: map[string]uint64{}}
 }
 
 // ListenTo makes the follower listen to others where it is not one of the few
@@ -197,6 +207,7 @@
 		if errors.Is(err, ErrForgotten) {
 			f.log.Info("history forgotten", zap.Uint64("after", f.view.revision()))
 			whole = true
+			wait.For(ctx, f.gatherAfter(true)) // There are news, only not in this answer.
 			continue
 		}
 		f.lose(err)
@@ -208,12 +219,26 @@
 	return nil
 }
 
-// gather is how long news are gathered before the next call.
+// gather returns how long news are gathered before the next call, after one that was answered.
 func (f *Follower) gather() time.Duration {
-	if f.view.State().Config == nil {
+	before := f.known
+	f.known = f.view.mark()
+	return f.gatherAfter(f.known != before)
+}
+
+// gatherAfter returns how long news are gathered before the next call: twice as long with each
+// call in a row that brought some.
+func (f *Follower) gatherAfter(news bool) time.Duration {
+	switch longest := time.Duration(gatherShare * float64(f.inForce)); {
+	case f.view.State().Config == nil:
 		return startGatherTime
+	case news:
+		f.gathering = min(max(2*f.gathering, gatherTime), max(longest, gatherTime))
+		return f.gathering
+	default:
+		f.gathering = 0
+		return gatherTime
 	}
-	return gatherTime
 }
 
 func (f *Follower) snapshot(ctx context.Context) error {
--- a/internal/follow/life_test.go
+++ b/internal/follow/life_test.go
@@ -161,7 +161,7 @@
 func TestABadEntryIsLoggedOnceARevision(t *testing.T) {
 	g := NewWithT(t)
 	core, logs := observer.New(zap.WarnLevel)
-	f := NewFollower(NewView(), Source{}, zap.New(core))
+	f := NewFollower(NewView(), Source{}, time.Second, zap.New(core))
 	f.now = func() time.Time { return at(0) }
 	bad := func(revision uint64) []BadEntry {
 		return []BadEntry{{Name: "a", Revision: revision, Err: errors.New("state: missing")}}
--- a/internal/follow/told.go
+++ b/internal/follow/told.go
@@ -100,6 +100,20 @@
 	return t
 }
 
+// mark tells states of a view apart: another one after each change of its configuration, its
+// endpoints or evacuations.
+type mark struct {
+	number  uint64 // Of the newest change.
+	version uint64 // Of the configuration.
+}
+
+// mark returns what tells the present state from earlier ones.
+func (v *View) mark() mark {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return mark{number: v.log.number, version: v.state.Load().version()}
+}
+
 // ChangedSince reports whether Tell has anything to tell after a number.
 func (v *View) ChangedSince(number uint64) bool {
 	v.mu.Lock()
--- a/internal/follow/view_test.go
+++ b/internal/follow/view_test.go
@@ -130,7 +130,7 @@
 func TestFollowerReadsAllAgainWhenHistoryIsForgotten(t *testing.T) {
 	g := NewWithT(t)
 	s := &script{changes: []error{nil, ErrForgotten, errors.New("lost"), nil}}
-	f := NewFollower(NewView(), s.source(), zap.NewNop())
+	f := NewFollower(NewView(), s.source(), time.Second, zap.NewNop())
 	ctx, cancel := context.WithCancel(context.Background())
 	n := 0
 	g.Expect(f.Run(ctx, func() {
@@ -160,7 +160,7 @@
 			return Changes{}, nil
 		},
 	}
-	f := NewFollower(v, source, zap.NewNop())
+	f := NewFollower(v, source, time.Second, zap.NewNop())
 	now := time.Now()
 	f.now = func() time.Time { return now }
 	heard := 0
@@ -200,7 +200,7 @@
 			g := NewWithT(t)
 			v := NewView()
 			v.Replace(Snapshot{Config: version(1), At: 1}, at(0), false)
-			f := NewFollower(v, Source{}, zap.NewNop())
+			f := NewFollower(v, Source{}, time.Second, zap.NewNop())
 			now := at(listenAge)
 			f.now = func() time.Time { return now }
 			f.ListenTo(Listener{
