internal/decide/retry, internal/gateway: fractions of a repeat add up

Cause: each gateway's share of the published budget of repeats is cut off to whole ones. At 531 gateways the spare is 0.69 of a repeat a window each, so the fleet used none of it for services of which a gateway sees less than two requests a window.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 )
@@ -134,7 +135,7 @@
 func (q *request) takeRepeat() bool {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	if !q.g.window(q.service).Take(q.g.cfg.Now()) {
+	if !q.g.window(q.service).Take(q.g.cfg.Now(), rand.Float64) {
 		return false
 	}
 	q.g.figures.repeats.Inc(1)
--- a/internal/gateway/vacate.go
+++ b/internal/gateway/vacate.go
@@ -3,6 +3,8 @@
 package gateway
 
 import (
+	"math/rand/v2"
+
 	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
@@ -41,7 +43,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for q, at := range g.at[id] {
-		if !at.mayRetry || q.moved || !g.window(q.service).Take(g.cfg.Now()) {
+		if !at.mayRetry || q.moved || !g.window(q.service).Take(g.cfg.Now(), rand.Float64) {
 			continue
 		}
 		g.figures.moved.Inc(1)
