internal/gateway, internal/httpjson: what is published goes down a tree of listeners, compressed

Cause: all gateways of a failure domain listened to the two that read the store. Change: a gateway listens to the one an eighth of its place before it, so that nobody has more than eight listeners; one that does not answer is asked last for a while. Those that start go by the tree too, and only the first of each domain by the seeds. Answers are compressed. What is borrowed is asked by turns of the own domain. Tests: at 1,000 gateways four steps and at most eight listeners each; order of trial while settling, with one that is deaf, with one that leaves.

--- a/internal/gateway/borrow.go
+++ b/internal/gateway/borrow.go
@@ -41,16 +41,10 @@
 		n.borrows = false
 		return
 	}
-	others := n.others()
-	for _, s := range n.seeds {
-		if s != n.self && !slices.Contains(others, s) {
-			others = append(others, s)
-		}
-	}
-	if len(others) == 0 {
+	from, ok := n.lender()
+	if !ok {
 		return
 	}
-	from := others[random(len(others))]
 	asked := n.g.cfg.Now()
 	p, err := n.ask(ctx, from)
 	if err != nil {
@@ -67,6 +61,23 @@
 	}
 }
 
+// lender returns whom to ask: by turns one of the own failure domain and any, drawn anew each
+// time. Bytes between domains are dear, but all of a domain may be as old.
+func (n *Neighbours) lender() (address string, ok bool) {
+	n.lenders++
+	list := n.readers()
+	if len(list) == 0 || n.lenders%2 == 0 {
+		list = n.others()
+	}
+	if len(list) == 0 {
+		list = keep(n.seeds, func(a string) bool { return a != n.self })
+	}
+	if len(list) == 0 {
+		return "", false
+	}
+	return list[random(len(list))], true
+}
+
 // ask asks a neighbour for all that it knows.
 func (n *Neighbours) ask(ctx context.Context, from string) (p published, err error) {
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -13,18 +14,31 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/canvaspulley/canvaspulley/internal/decide/roster"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
-// Few gateways of a failure domain read the store, and the others wait for news
-// from one of them. Nothing depends on their agreeing who reads: whoever does
-// not hear of anything new enough reads the store itself.
+// Few gateways of a failure domain read the store. The others wait for news from one of
+// them, or, where there are many, from another one that waits itself: each has few
+// listeners, so that what is published goes over no link more than some times. Nothing
+// depends on their agreeing: a gateway listens to those before it in the order of addresses
+// only, and whoever does not hear of anything new enough reads the store itself.
 const (
 	// readersPerDomain is how many gateways of a domain read the store: with two,
 	// the loss of one leaves another that is up to date.
 	readersPerDomain = 2
+	// mostListeners is how many listeners a gateway has: a configuration of some 100 KB
+	// reaches them within a fraction of a second over a link of 40 Mbit/s. With 53 it took
+	// longer than is waited for it, and all read the store at once.
+	mostListeners = 8
+	// deafFor is how long a gateway that did not answer is asked after all others: whoever
+	// died is not known by then.
+	deafFor = roster.FreshFor
+	// firstAnswers is how long a process that has just started waits to hear of others of
+	// its failure domain, so that not all listen to its seeds.
+	firstAnswers = 100 * time.Millisecond
 	// holdTime is how long a call for news is held: a reader has news, if only
 	// that nothing changed, after each wait of one second and the answer's way.
 	holdTime = 1300 * time.Millisecond
@@ -115,36 +129,69 @@
 	if n.first && time.Since(n.started) < startSpread {
 		wait.For(ctx, startSpread-time.Since(n.started)) // The seeds may not be up yet.
 	}
+	if len(n.readers()) == 0 && time.Since(n.started) < firstAnswers {
+		wait.For(ctx, firstAnswers)
+	}
 	err = errNoReader
-	for _, from := range n.listenable() {
+	for _, from := range n.listenable(time.Now()) {
 		if err = n.listenTo(ctx, from); err == nil || ctx.Err() != nil {
 			return err
 		}
+		n.mu.Lock()
+		n.deaf[from] = time.Now()
+		n.mu.Unlock()
 		n.log.Info("not heard", zap.String("from", from), zap.String("error", err.Error()))
 	}
 	return err
 }
 
-// listenable returns whom to listen to, in the order of trial: the one that answered
-// last, else each begins with another one.
-func (n *Neighbours) listenable() []string {
-	readers := n.seeds
-	if !n.settling(time.Now()) {
-		all, _ := n.readersThat(false)
-		readers = all[:min(len(all), readersPerDomain)]
-	}
-	if len(readers) == 0 {
-		return nil
+// listenable returns whom to listen to, in the order of trial.
+func (n *Neighbours) listenable(now time.Time) []string {
+	list, place := n.before()
+	if n.settling(now) && place < readersPerDomain {
+		list = n.seeds
+		begin := int(n.life) % len(list) // Each begins with another one.
+		list = slices.Concat(list[begin:], list[:begin])
 	}
-	first := int(n.life) % len(readers)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for i, a := range readers {
-		if _, heard := n.heardOf[a]; heard {
-			first = i
+	maps.DeleteFunc(n.deaf, func(_ string, at time.Time) bool { return now.Sub(at) > deafFor })
+	answers := func(a string) bool { _, deaf := n.deaf[a]; return !deaf && a != n.self }
+	fails := func(a string) bool { return !answers(a) && a != n.self }
+	return slices.Concat(keep(list, answers), keep(list, fails))
+}
+
+// before returns this gateway's place in the order of its failure domain, and those that it
+// may listen to: the one that it is a listener of, and those that read the store.
+func (n *Neighbours) before() (list []string, place int) {
+	all, _ := n.readersThat(false)
+	place, _ = slices.BinarySearch(all, n.self)
+	readers := first(readersPerDomain, all)
+	if place < readersPerDomain {
+		return readers, place
+	}
+	parent := all[listensTo(place)]
+	return append([]string{parent}, keep(readers, func(a string) bool { return a != parent })...), place
+}
+
+// listensTo returns the place, in the order of addresses, of the gateway to which the one at a
+// place listens that is not among the readers.
+func listensTo(place int) int {
+	listener := place - readersPerDomain
+	if listener < readersPerDomain*mostListeners {
+		return listener % readersPerDomain
+	}
+	return listener / mostListeners
+}
+
+// keep returns those of a list that a function keeps.
+func keep[T any](list []T, f func(T) bool) (kept []T) {
+	for _, v := range list {
+		if f(v) {
+			kept = append(kept, v)
 		}
 	}
-	return slices.Concat(readers[first:], readers[:first])
+	return kept
 }
 
 // listenTo waits for news from one gateway and takes it in.
@@ -233,7 +280,7 @@
 	// told may only be newer than it says.
 	p.Held = time.Since(began)
 	p.Age = n.g.view.CheckAge(n.g.cfg.Now())
-	httpjson.Reply(w, p)
+	httpjson.ReplyPacked(w, r, p)
 }
 
 // awaitNews waits until the view changes or is confirmed, at most holdTime, if
--- a/internal/gateway/listen_test.go
+++ b/internal/gateway/listen_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -181,7 +182,7 @@
 	for range 2 {
 		g.Expect(listener.Listen(ctx)).To(Succeed())
 		g.Expect(listener.view.State().Config.Version()).To(BeEquivalentTo(3))
-		g.Expect(listener.listenable()[0]).To(Equal(reader.self), "the one that answered comes first from then on")
+		g.Expect(listener.listenable(time.Now())[0]).To(Equal(reader.self), "the one that answered comes first from then on")
 	}
 	listener.moveTo(listener.self)
 	listener.hear(hello(dead, "a", false))
@@ -218,3 +219,83 @@
 	g.Expect(borrower.view.State().Endpoints).To(HaveKey("there"))
 	g.Expect(borrower.view.State().Endpoints).NotTo(HaveKey("missed"))
 }
+
+// Where a hundred gateways waited for two, a new configuration did not go over their links in
+// the time for which it was waited, and all read the store at once.
+func TestNobodyHasManyListeners(t *testing.T) {
+	for _, gateways := range []int{3, 10, 18, 19, 106, 200, 1000} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			g := NewWithT(t)
+			listeners, depth := map[int]int{}, make([]int, gateways)
+			deepest := 0
+			for place := readersPerDomain; place < gateways; place++ {
+				to := listensTo(place)
+				g.Expect(to).To(BeNumerically("<", place), "so that nobody waits for itself by way of others")
+				listeners[to]++
+				depth[place] = depth[to] + 1
+				deepest = max(deepest, depth[place])
+			}
+			for _, n := range listeners {
+				g.Expect(n).To(BeNumerically("<=", mostListeners))
+			}
+			g.Expect(deepest).To(BeNumerically("<=", 4))
+		})
+	}
+}
+
+// In a domain of many, what is published goes from one to the next.
+func TestAGatewayListensToTheOneBeforeIt(t *testing.T) {
+	g := NewWithT(t)
+	s := newStation(t, 1)
+	at := func(place int) string { return fmt.Sprintf("10.0.0.%d:80", 100+place) }
+	knowAll := func(place int) {
+		s.moveTo(at(place))
+		s.started = time.Now().Add(-2 * heardFor)
+		for other := range 60 {
+			if other != place {
+				s.hear(peers.Hello{Life: 1, Address: at(other), Domain: "a"})
+			}
+		}
+	}
+	knowAll(40)
+	g.Expect(s.listenable(time.Now())).To(Equal([]string{at(4), at(0), at(1)}))
+	g.Expect(s.Reads(true)).To(BeFalse())
+	s.deaf[at(4)] = time.Now()
+	g.Expect(s.listenable(time.Now())).To(Equal([]string{at(0), at(1), at(4)}), "one that did not answer comes last for a time")
+	g.Expect(s.listenable(time.Now().Add(2 * deafFor))).To(HaveExactElements(at(4), at(0), at(1)))
+	s.hear(peers.Hello{Life: 1, Address: at(4), Domain: "a", Leaving: true})
+	g.Expect(s.listenable(time.Now())[0]).To(Equal(at(4+1)), "the next one takes the place of one that leaves")
+
+	knowAll(1)
+	s.seeds = []string{"10.9.0.1:80"}
+	g.Expect(s.Reads(true)).To(BeTrue())
+	s.started = time.Now()
+	g.Expect(s.Reads(true)).To(BeFalse())
+	g.Expect(s.listenable(time.Now())).To(Equal(s.seeds), "one of the first goes by its seeds while it settles")
+	knowAll(40)
+	s.started = time.Now()
+	g.Expect(s.listenable(time.Now())[0]).To(Equal(at(4)), "the seeds would have too many listeners")
+}
+
+func TestWhatIsBorrowedComesFromTheOwnDomainByTurns(t *testing.T) {
+	g := NewWithT(t)
+	s := newStation(t, 1)
+	_, ok := s.lender()
+	g.Expect(ok).To(BeFalse())
+	s.seeds = []string{s.self, "10.9.0.1:80"}
+	from, ok := s.lender()
+	g.Expect(ok).To(BeTrue())
+	g.Expect(from).To(Equal("10.9.0.1:80"))
+	s.hear(peers.Hello{Life: 1, Address: "10.0.0.1:80", Domain: "a"})
+	for i := range 20 {
+		s.hear(peers.Hello{Life: 1, Address: fmt.Sprintf("10.1.0.%d:80", i), Domain: "b"})
+	}
+	near := 0
+	for range 100 {
+		if from, _ = s.lender(); from == "10.0.0.1:80" {
+			near++
+		}
+	}
+	g.Expect(near).To(BeNumerically(">=", 50))
+	g.Expect(near).To(BeNumerically("<", 90))
+}
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -70,10 +70,12 @@
 	mu         sync.Mutex
 	roster     *roster.Roster
 	borrows    bool
-	subscribed bool       // Sidecars were greeted as soon as they were listed; of the duty that greets.
-	greeted    int        // Hellos so far; of the duty that greets.
-	blind      bool       // As the follower last said; others do not listen to this gateway then.
-	heardOf    listenedTo // What the last answers to listening were.
+	lenders    int                  // Asked so far; of the duty that borrows.
+	subscribed bool                 // Sidecars were greeted as soon as they were listed; of the duty that greets.
+	greeted    int                  // Hellos so far; of the duty that greets.
+	blind      bool                 // As the follower last said; others do not listen to this gateway then.
+	heardOf    listenedTo           // What the last answers to listening were.
+	deaf       map[string]time.Time // When gateways did not answer a listener, by address.
 }
 
 // NeighboursConfig is the setting of Neighbours.
@@ -94,12 +96,11 @@
 	t := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: borrowTimeout}).DialContext,
 		MaxIdleConnsPerHost: 1,
-		DisableCompression:  true,
 	}
 	n = &Neighbours{
 		g: g, socket: socket, log: log, decode: cfg.Decode, client: &http.Client{Transport: t},
 		self: cfg.Address, life: time.Now().UnixMilli(), started: time.Now(), first: cfg.First, spread: max(cfg.InForce-turnMargin, 0), name: cfg.Name, domain: cfg.Domain, seeds: cfg.Seeds, port: cfg.SidecarsPort,
-		heardOf: listenedTo{},
+		heardOf: listenedTo{}, deaf: map[string]time.Time{},
 	}
 	n.roster = roster.New(roster.Gateway{Address: n.self, Domain: n.domain}, n.seeds, n.started)
 	g.mu.Lock()
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -6,9 +6,12 @@
 package httpjson
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 )
 
 // Reply answers with v. A value that cannot be written is a fault of the
@@ -22,6 +25,40 @@
 	Bytes(w, "application/json", raw)
 }
 
+// ReplyPacked answers with v, compressed where whoever asked can read that: text of many
+// entries that are alike, which goes to many over one link.
+func ReplyPacked(w http.ResponseWriter, r *http.Request, v any) {
+	raw, err := json.Marshal(v)
+	if err == nil && len(raw) >= leastPacked && strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		w.Header().Set("Content-Encoding", "gzip")
+		raw, err = pack(raw)
+	}
+	if err != nil {
+		w.Header().Del("Content-Encoding")
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	Bytes(w, "application/json", raw)
+}
+
+// leastPacked is the length in bytes below which nothing is compressed: it fits a packet.
+const leastPacked = 1400
+
+func pack(raw []byte) (packed []byte, err error) {
+	var b bytes.Buffer
+	z, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err = z.Write(raw); err != nil {
+		return nil, err
+	}
+	if err = z.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
 // Binary answers with bytes.
 func Binary(w http.ResponseWriter, raw []byte) {
 	Bytes(w, "application/octet-stream", raw)
