internal/sidecar: the work of sidecars does not grow with ranks of other groups, nor with looks that nobody asks for

Cause: each leader told its loads ten times a second, so that a gateway heard of 5,160 ranks a second at four groups of 129; and each sidecar read its engine's counts 40 times a second (some 4,100 numbers), of which a leader of 129 takes one reading in three. Change: leaders tell each 0.5 ms a rank of the service, 0.1 to 0.3 s; ranks look for passes each 0.4 ms a rank of their group where that is longer than 25 ms.

--- a/internal/sidecar/loads.go
+++ b/internal/sidecar/loads.go
@@ -82,11 +82,28 @@
 	return max(reportEvery, time.Duration(size)*perRank)
 }
 
+// Pauses of leaders that tell loads.
+const (
+	// perServiceRank is what one rank of the service, of whatever group, adds to the time
+	// between two messages of a leader: gateways hear of 2,000 ranks a second, and of more
+	// only where the time would be longer than the next one.
+	perServiceRank = 500 * time.Microsecond
+	// longestTell is the longest such time. The last word of a leader that was lost must
+	// still count when each rank tells for itself again.
+	longestTell = 300 * time.Millisecond
+)
+
+// tellPause is the time between two messages of a leader to gateways, where so many ranks of
+// the service are told of by it and by the leaders of other groups.
+func tellPause(ranks int) time.Duration {
+	return min(max(reportEvery, time.Duration(ranks)*perServiceRank), longestTell)
+}
+
 // tellLoads tells gateways the loads of all ranks that were heard, where that is
 // sooner than each tells its own.
 func (l *leader) tellLoads(own rank.Report) {
 	now := time.Now()
-	if ownPause(own.Size) <= reportEvery || now.Sub(l.toldAt) < reportEvery {
+	if ownPause(own.Size) <= reportEvery || now.Sub(l.toldAt) < tellPause(len(l.all)) {
 		return
 	}
 	l.toldAt = now
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -22,6 +22,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
 	"github.com/canvaspulley/canvaspulley/internal/suspects"
+	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
 // Config is the setting of a Sidecar.
@@ -40,10 +41,14 @@
 	// reportEvery is the least time between two reports: gateways choose by them, and
 	// the load of an engine changes with each pass of some ten milliseconds.
 	reportEvery = 100 * time.Millisecond
-	// passPoll is the time between two looks at the own engine, which cost nothing,
-	// for a new pass: counts are read once a pass, so that those after a shift of
-	// demand are soon had alone. Passes take some ten milliseconds.
+	// passPoll is the least time between two looks at the own engine, which cost nothing
+	// to others, for a new pass: counts are read once a pass, so that those after a shift
+	// of demand are soon had alone. Passes take some ten milliseconds.
 	passPoll = 25 * time.Millisecond
+	// pollPerRank is what one rank of the group adds where that is longer: the larger a
+	// group is, the less often its leader asks for counts, and reading those that nobody
+	// asks for was most of a sidecar's work.
+	pollPerRank = 400 * time.Microsecond
 	// turnTellers is one in how many ranks tells at once that the group has opened or
 	// closed: one word is enough for all ranks, and some are lost. In a group of 72 most
 	// callers were still refused half a second after it had opened.
@@ -158,7 +163,13 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.socket.Run(ctx, s.receive) })
 	g.Go(func() error { return s.tellReports(ctx) })
-	g.Go(func() error { return every(ctx, passPoll, s.watchPasses) })
+	g.Go(func() error {
+		for ctx.Err() == nil {
+			wait.For(ctx, s.pollPause())
+			s.watchPasses(ctx)
+		}
+		return nil
+	})
 	g.Go(func() error { return every(ctx, leadEvery, s.tellLead) })
 	g.Go(func() error { return newLeader(s).run(ctx) })
 	return g.Wait()
@@ -315,6 +326,13 @@
 	return s.report, !s.reportAt.IsZero() && time.Since(s.reportAt) < 5*reportEvery
 }
 
+// pollPause is the time between two looks at the own engine.
+func (s *Sidecar) pollPause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(passPoll, time.Duration(s.report.Size)*pollPerRank)
+}
+
 // watchPasses reads the counts when a new pass has begun.
 func (s *Sidecar) watchPasses(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -233,3 +233,10 @@
 		netip.MustParseAddrPort("10.0.0.2:7"), netip.MustParseAddrPort("10.0.0.3:7"), netip.MustParseAddrPort("10.0.0.5:7"),
 	), "the own group, who is in none that is known, and who may have joined the own one since")
 }
+
+func TestRanksOfLargeGroupsLookForPassesLessOften(t *testing.T) {
+	for size, want := range map[int]time.Duration{0: passPoll, 24: passPoll, 72: 28800 * time.Microsecond, 129: 51600 * time.Microsecond} {
+		s := &Sidecar{report: rank.Report{Size: size}}
+		NewWithT(t).Expect(s.pollPause()).To(Equal(want), "%d ranks", size)
+	}
+}
