internal/follow: what is heard says how far it holds

Cause: a view that is heard kept no revision up to which it holds, so what a listener told on as a whole removed nothing, and whoever heard of it anew kept endpoints that had gone. Change: the revision is taken in with what is told. Test: TestAListenerOfAListenerDropsWhatHasGone, which failed before.

--- a/internal/follow/told.go
+++ b/internal/follow/told.go
@@ -121,14 +121,16 @@
 	return v.log.number != number
 }
 
-// Hear takes in what another process tells. Nothing that is known to be newer
-// is changed or removed by it.
+// Hear takes in what another process tells: everything, or what follows on what it told
+// last. Nothing that is known to be newer is changed or removed by it.
 func (v *View) Hear(t Told, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	// Others who hear it from this process go by how far it holds.
+	defer func() { v.at = max(v.at, t.At) }()
 	if !t.Whole && len(t.Endpoints)+len(t.Gone)+len(t.Evacuations) == 0 {
 		return
 	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
 	next := *v.state.Load()
 	old := next
 	next.own()
--- a/internal/gateway/listen_test.go
+++ b/internal/gateway/listen_test.go
@@ -299,3 +299,21 @@
 	g.Expect(near).To(BeNumerically(">=", 50))
 	g.Expect(near).To(BeNumerically("<", 90))
 }
+
+// What a gateway tells that listens itself holds up to where its own source's word does: whoever
+// hears it anew drops what has gone meanwhile.
+func TestAListenerOfAListenerDropsWhatHasGone(t *testing.T) {
+	g := NewWithT(t)
+	ctx := context.Background()
+	reader, middle, leaf := newStation(t, 7), newStation(t, 8), newStation(t, 9)
+	reader.view.Replace(follow.Snapshot{Config: configOf(3), Endpoints: []fleet.Endpoint{endpointAt("one", 5), endpointAt("two", 6)}, At: 6}, time.Now(), false)
+	for _, s := range []station{middle, leaf} {
+		g.Expect(s.listenTo(ctx, reader.self)).To(Succeed())
+		g.Expect(s.view.State().Endpoints).To(HaveLen(2))
+	}
+	reader.view.Apply(follow.Changes{Gone: []follow.Gone{{Name: "one", Revision: 8}}, At: 8}, time.Now(), false)
+	g.Expect(middle.listenTo(ctx, reader.self)).To(Succeed())
+	g.Expect(leaf.listenTo(ctx, middle.self)).To(Succeed())
+	g.Expect(leaf.view.State().Endpoints).To(HaveLen(1))
+	g.Expect(leaf.view.State().Endpoints).To(HaveKey("two"))
+}
