--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -36,9 +36,11 @@
 	// deafFor is how long a gateway that did not answer is asked after all others: whoever
 	// died is not known by then.
 	deafFor = roster.FreshFor
-	// firstAnswers is how long a process that has just started waits to hear of others of
-	// its failure domain, so that not all listen to its seeds.
-	firstAnswers = 100 * time.Millisecond
+	// firstAnswers is how long a process that has just started waits at most to hear of
+	// others of its failure domain, so that not all listen to the seeds: some round trips
+	// to these, looked at each firstLook.
+	firstAnswers = 30 * time.Millisecond
+	firstLook    = 5 * time.Millisecond
 	// holdTime is how long a call for news is held: a reader has news, if only
 	// that nothing changed, after each wait of one second and the answer's way.
 	holdTime = 1300 * time.Millisecond
@@ -129,8 +131,8 @@
 	if n.first && time.Since(n.started) < startSpread {
 		wait.For(ctx, startSpread-time.Since(n.started)) // The seeds may not be up yet.
 	}
-	if len(n.readers()) == 0 && time.Since(n.started) < firstAnswers {
-		wait.For(ctx, firstAnswers)
+	for ctx.Err() == nil && time.Since(n.started) < firstAnswers && len(n.readers()) == 0 {
+		wait.For(ctx, firstLook)
 	}
 	err = errNoReader
 	for _, from := range n.listenable(time.Now()) {
