--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -3,11 +3,11 @@
 // Package roster decides which gateways are there, whom a gateway greets, and what it
 // tells of others, so that what each one sends stays the same however many there are.
 //
-// In each failure domain the first few gateways by address are its relays. All others of
-// the domain greet them and ask them in turn whom they hear; relays of different domains
-// greet and ask each other. Nothing depends on all agreeing who the relays are: whoever
+// In each failure domain the first few gateways by address are its hubs. All others of
+// the domain greet them and ask them in turn whom they hear; hubs of different domains
+// greet and ask each other. Nothing depends on all agreeing who the hubs are: whoever
 // is greeted answers, and whoever is asked tells what it knows. Each gateway greets two
-// others by chance besides, so that it is not left alone when the relays end together.
+// others by chance besides, so that it is not left alone when the hubs end together.
 //
 // A Roster is the view of one gateway. It is a pure state machine: time and chance come in
 // as arguments, and the caller serialises access and sends the messages. It is not for
@@ -35,13 +35,13 @@
 )
 
 const (
-	// Relays is how many gateways of a failure domain all others of it greet: one more
+	// Hubs is how many gateways of a failure domain all others of it greet: one more
 	// than are listened to, so that the next one is known when one of these ends.
-	Relays = 3
-	// farRelays is how many of another failure domain a relay greets: bytes between
+	Hubs = 3
+	// farHubs is how many of another failure domain a hub greets: bytes between
 	// domains are dear, and one of two may be lost.
-	farRelays = 2
-	// farEvery is how many rounds come to one in which relays greet other domains.
+	farHubs = 2
+	// farEvery is how many rounds come to one in which hubs greet other domains.
 	farEvery = 2
 	// farFreshFor is FreshFor for gateways of other failure domains.
 	farFreshFor = FreshFor + farEvery*Every
@@ -246,15 +246,15 @@
 	return lately
 }
 
-// IsRelay reports whether this gateway is one of the relays of its failure domain.
-func (r *Roster) IsRelay(now time.Time) bool {
+// IsHub reports whether this gateway is one of the hubs of its failure domain.
+func (r *Roster) IsHub(now time.Time) bool {
 	before := 0
 	for _, g := range r.Near(now) {
 		if g.Address < r.self.Address {
 			before++
 		}
 	}
-	return before < Relays
+	return before < Hubs
 }
 
 // Greet returns whom to greet in the next round. Random returns a number from 0 up to its
@@ -263,7 +263,7 @@
 	r.round++
 	there := r.there(now)
 	list := r.greetNear(within(there, r.self.Domain), now, random)
-	if r.IsRelay(now) {
+	if r.IsHub(now) {
 		list = append(list, r.greetDomains(there, now, random)...)
 	} else {
 		list = append(list, drawn(there, 1, random)...)
@@ -272,18 +272,18 @@
 	return r.withSeeds(once(list), len(there) == 0 || now.Sub(r.started) < HeardFor)
 }
 
-// greetNear returns the greetings to relays of the own failure domain, one of which is
+// greetNear returns the greetings to hubs of the own failure domain, one of which is
 // asked, and to one other gateway of it.
 func (r *Roster) greetNear(near []*entry, now time.Time, random func(n int) int) (list []Greeting) {
-	relays := first(Relays, fresh(near, FreshFor, now))
-	for i, e := range relays {
+	hubs := first(Hubs, fresh(near, FreshFor, now))
+	for i, e := range hubs {
 		g := Greeting{Address: e.Address}
-		if i == r.round%len(relays) {
+		if i == r.round%len(hubs) {
 			g.Asks = r.asked()
 		}
 		list = append(list, g)
 	}
-	return append(list, drawn(near, 1+Relays-len(relays), random)...)
+	return append(list, drawn(near, 1+Hubs-len(hubs), random)...)
 }
 
 // first returns the first so many of a list.
@@ -299,7 +299,7 @@
 	return others[r.round%len(others)]
 }
 
-// greetDomains returns a relay's greetings to the relays of the other failure domains: to
+// greetDomains returns a hub's greetings to the hubs of the other failure domains: to
 // some that were there before where none is now.
 func (r *Roster) greetDomains(there []*entry, now time.Time, random func(n int) int) (list []Greeting) {
 	if r.round%farEvery != 1 {
@@ -324,10 +324,10 @@
 // greetFar returns the greetings to some gateways of another failure domain: its first ones,
 // or any where these have not been heard lately.
 func (r *Roster) greetFar(far []*entry, now time.Time, random func(n int) int) (list []Greeting) {
-	for _, e := range first(farRelays, fresh(far, farFreshFor, now)) {
+	for _, e := range first(farHubs, fresh(far, farFreshFor, now)) {
 		list = append(list, Greeting{Address: e.Address})
 	}
-	return once(append(list, drawn(far, farRelays-len(list), random)...))
+	return once(append(list, drawn(far, farHubs-len(list), random)...))
 }
 
 // withSeeds adds greetings to the seeds where those are needed, and asks one of them.
@@ -388,7 +388,7 @@
 	heads := map[string]int{}
 	for _, e := range r.tellable(now) {
 		whole := e.Domain == asks || e.Domain == domain && domain == r.self.Domain
-		if heads[e.Domain]++; whole || heads[e.Domain] <= Relays {
+		if heads[e.Domain]++; whole || heads[e.Domain] <= Hubs {
 			list = append(list, e.seen(now))
 		}
 	}
--- a/internal/decide/roster/roster_test.go
+++ b/internal/decide/roster/roster_test.go
@@ -138,9 +138,9 @@
 	g.Expect(large).To(BeNumerically("<", 15))
 }
 
-// The busiest gateway is a relay: it hears each gateway of its failure domain once a round
+// The busiest gateway is a hub: it hears each gateway of its failure domain once a round
 // and names all of them to a third of these.
-func TestARelayBearsItsFailureDomain(t *testing.T) {
+func TestAHubBearsItsFailureDomain(t *testing.T) {
 	const watched = 8
 	g := NewWithT(t)
 	p := play(400, 2)
@@ -156,7 +156,7 @@
 	t.Logf("the busiest of 400 in 2 domains: %.0f messages and %.0f gateways named a second",
 		float64(sent)/watched/Every.Seconds(), float64(told)/watched/Every.Seconds())
 	g.Expect(float64(sent) / watched).To(BeNumerically("<", 1.5*200))
-	g.Expect(float64(told) / watched).To(BeNumerically("<", 200/Relays*2*2*200))
+	g.Expect(float64(told) / watched).To(BeNumerically("<", 200/Hubs*2*2*200))
 }
 
 func TestAllKnowAllSoonAfterAStart(t *testing.T) {
@@ -180,7 +180,7 @@
 	}
 }
 
-// Half of all gateways end at one moment, relays and seeds among them.
+// Half of all gateways end at one moment, hubs and seeds among them.
 func TestThoseThatEndTogetherAreForgotten(t *testing.T) {
 	g := NewWithT(t)
 	p := play(150, 5)
@@ -211,7 +211,7 @@
 			before++
 		}
 	}
-	return before < Relays
+	return before < Hubs
 }
 
 func (p *played) living(domain string) (n int) {
@@ -258,9 +258,9 @@
 	}
 }
 
-// While all relays of a failure domain have just ended, the others still hear of somebody:
+// While all hubs of a failure domain have just ended, the others still hear of somebody:
 // one that hears nobody takes itself for cut off and turns callers away.
-func TestNobodyIsAloneWhenTheRelaysEnd(t *testing.T) {
+func TestNobodyIsAloneWhenTheHubsEnd(t *testing.T) {
 	g := NewWithT(t)
 	p := play(100, 5)
 	p.run(20)
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -37,7 +37,7 @@
 	// subscriptions last longer.
 	sidecarsEvery = 2
 	// someSidecars is how many sidecars, drawn anew each time, each gateway greets besides
-	// those of its failure domain that relays greet: a sidecar hears of gateways also when
+	// those of its failure domain that hubs greet: a sidecar hears of gateways also when
 	// all of its domain have ended.
 	someSidecars = 2
 	// borrowAge is the age of the configuration from which a neighbour is asked
@@ -286,14 +286,14 @@
 	n.entrust(sidecars)
 }
 
-// greetSidecars says hello to some of the sidecars, and, where this gateway is a relay, to
+// greetSidecars says hello to some of the sidecars, and, where this gateway is a hub, to
 // those of its failure domain.
 func (n *Neighbours) greetSidecars(all []sidecar) {
 	n.mu.Lock()
-	relay := n.roster.IsRelay(time.Now())
+	hub := n.roster.IsHub(time.Now())
 	n.mu.Unlock()
 	to := some(all, someSidecars)
-	if relay {
+	if hub {
 		to = append(to, slices.DeleteFunc(slices.Clone(all), func(s sidecar) bool { return s.domain != n.domain })...)
 	}
 	n.socket.SendAll(addressesOf(to), peers.Message{Hello: n.helloToSidecars()})
