--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -349,14 +349,14 @@
 
 // drawn returns greetings to so many of a list, drawn anew each time.
 func drawn(list []*entry, n int, random func(n int) int) (greetings []Greeting) {
-	for _, e := range some(list, n, random) {
+	for _, e := range Some(list, n, random) {
 		greetings = append(greetings, Greeting{Address: e.Address})
 	}
 	return greetings
 }
 
-// some returns so many of a list, drawn anew each time.
-func some[T any](list []T, n int, random func(n int) int) []T {
+// Some returns so many of a list, drawn anew each time.
+func Some[T any](list []T, n int, random func(n int) int) []T {
 	list = slices.Clone(list)
 	n = min(n, len(list))
 	for i := range n {
@@ -411,7 +411,7 @@
 		if domain == r.self.Domain {
 			n = sampleNear
 		}
-		for _, e := range some(within(there, domain), n, random) {
+		for _, e := range Some(within(there, domain), n, random) {
 			list = append(list, e.seen(now))
 		}
 	}
--- a/internal/decide/roster/roster_test.go
+++ b/internal/decide/roster/roster_test.go
@@ -328,3 +328,21 @@
 	}
 	g.Expect(drawn).To(HaveLen(99), "drawn anew each time")
 }
+
+func TestSomeAreDrawnAnew(t *testing.T) {
+	g := NewWithT(t)
+	list := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}
+	seen := map[string]bool{}
+	for range 200 {
+		drawn := Some(list, 3, rand.IntN)
+		g.Expect(drawn).To(HaveLen(3))
+		for _, a := range drawn {
+			seen[a] = true
+			g.Expect(list).To(ContainElement(a))
+		}
+		g.Expect(drawn[0]).NotTo(Equal(drawn[1]))
+	}
+	g.Expect(seen).To(HaveLen(len(list)))
+	g.Expect(Some(list[:2], 3, rand.IntN)).To(ConsistOf("a", "b"))
+	g.Expect(Some([]string(nil), 3, rand.IntN)).To(BeEmpty())
+}
--- a/internal/gateway/listen_test.go
+++ b/internal/gateway/listen_test.go
@@ -189,24 +189,6 @@
 	g.Expect(listener.Listen(ctx)).NotTo(Succeed())
 }
 
-func TestHellosNameSomeGatewaysDrawnAnew(t *testing.T) {
-	g := NewWithT(t)
-	list := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i"}
-	seen := map[string]bool{}
-	for range 200 {
-		drawn := some(list, 3)
-		g.Expect(drawn).To(HaveLen(3))
-		for _, a := range drawn {
-			seen[a] = true
-			g.Expect(list).To(ContainElement(a))
-		}
-		g.Expect(drawn[0]).NotTo(Equal(drawn[1]))
-	}
-	g.Expect(seen).To(HaveLen(len(list)))
-	g.Expect(some(list[:2], 3)).To(ConsistOf("a", "b"))
-	g.Expect(some([]string(nil), 3)).To(BeEmpty())
-}
-
 func TestWhatMayHaveLapsedIsNotBorrowed(t *testing.T) {
 	g := NewWithT(t)
 	ctx := context.Background()
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -236,7 +236,7 @@
 	if leaving, _ := n.g.leaving(time.Now()); leaving || n.g.hearsRanks(time.Now()) {
 		return
 	}
-	n.socket.SendAll(addressesOf(some(n.sidecars(), unheardSidecars)), peers.Message{Hello: n.helloToSidecars()})
+	n.socket.SendAll(addressesOf(roster.Some(n.sidecars(), unheardSidecars, random)), peers.Message{Hello: n.helloToSidecars()})
 }
 
 // hello returns what this gateway tells of itself.
@@ -292,23 +292,13 @@
 	n.mu.Lock()
 	hub := n.roster.IsHub(time.Now())
 	n.mu.Unlock()
-	to := some(all, someSidecars)
+	to := roster.Some(all, someSidecars, random)
 	if hub {
 		to = append(to, slices.DeleteFunc(slices.Clone(all), func(s sidecar) bool { return s.domain != n.domain })...)
 	}
 	n.socket.SendAll(addressesOf(to), peers.Message{Hello: n.helloToSidecars()})
 }
 
-// some returns so many of list, drawn anew each time.
-func some[T any](list []T, n int) []T {
-	drawn := slices.Clone(list)
-	for i := range min(n, len(drawn)) {
-		j := i + random(len(drawn)-i)
-		drawn[i], drawn[j] = drawn[j], drawn[i]
-	}
-	return drawn[:min(n, len(drawn))]
-}
-
 // first returns the first so many of a list.
 func first[T any](n int, list []T) []T { return list[:min(n, len(list))] }
 
--- a/internal/gateway/tell_ends.go
+++ b/internal/gateway/tell_ends.go
@@ -9,6 +9,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/own"
 	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
+	"github.com/canvaspulley/canvaspulley/internal/decide/roster"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
@@ -50,7 +51,7 @@
 // entrust tells some sidecars of ends: they tell gateways that have just started.
 func (n *Neighbours) entrust(sidecars []sidecar) {
 	if list := n.g.suspects.TellOne(n.g.cfg.Now()); len(list) > 0 {
-		n.socket.SendAll(addressesOf(some(sidecars, entrusted)), peers.Message{Ends: list})
+		n.socket.SendAll(addressesOf(roster.Some(sidecars, entrusted, random)), peers.Message{Ends: list})
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -163,13 +163,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.socket.Run(ctx, s.receive) })
 	g.Go(func() error { return s.tellReports(ctx) })
-	g.Go(func() error {
-		for ctx.Err() == nil {
-			wait.For(ctx, s.pollPause())
-			s.watchPasses(ctx)
-		}
-		return nil
-	})
+	g.Go(func() error { return s.pollPasses(ctx) })
 	g.Go(func() error { return every(ctx, leadEvery, s.tellLead) })
 	g.Go(func() error { return newLeader(s).run(ctx) })
 	return g.Wait()
@@ -326,6 +320,15 @@
 	return s.report, !s.reportAt.IsZero() && time.Since(s.reportAt) < 5*reportEvery
 }
 
+// pollPasses looks for passes until ctx ends.
+func (s *Sidecar) pollPasses(ctx context.Context) error {
+	for ctx.Err() == nil {
+		wait.For(ctx, s.pollPause())
+		s.watchPasses(ctx)
+	}
+	return nil
+}
+
 // pollPause is the time between two looks at the own engine.
 func (s *Sidecar) pollPause() time.Duration {
 	s.mu.Lock()
