--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -6,33 +6,18 @@
 	"context"
 	"fmt"
 	"maps"
-	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/roster"
-	"github.com/canvaspulley/canvaspulley/internal/follow"
-	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
-// Few gateways of a failure domain read the store. The others wait for news from one of
-// them, or, where there are many, from another one that waits itself: each has few
-// listeners, so that what is published goes over no link more than some times. Nothing
-// depends on their agreeing: a gateway listens to those before it in the order of addresses
-// only, and whoever does not hear of anything new enough reads the store itself.
+// Times of listening.
 const (
-	// readersPerDomain is how many gateways of a domain read the store: with two,
-	// the loss of one leaves another that is up to date.
-	readersPerDomain = 2
-	// mostListeners is how many listeners a gateway has: a configuration of some 100 KB
-	// reaches them within a fraction of a second over a link of 40 Mbit/s. With 53 it took
-	// longer than is waited for it, and all read the store at once.
-	mostListeners = 8
 	// deafFor is how long a gateway that did not answer is asked after all others: whoever
 	// died is not known by then.
 	deafFor = roster.FreshFor
@@ -66,65 +51,6 @@
 	number uint64
 }
 
-// Reads reports whether this gateway is one of the few of its domain that read
-// the store.
-func (n *Neighbours) Reads(able bool) bool {
-	n.mu.Lock()
-	n.blind = !able
-	n.mu.Unlock()
-	leaving, _ := n.g.leaving(time.Now())
-	if leaving {
-		return len(n.readers()) == 0
-	}
-	if n.settling(time.Now()) {
-		return false
-	}
-	readers, seeing := n.readersThat(able)
-	if !able && seeing {
-		return false
-	}
-	before, _ := slices.BinarySearch(readers, n.self)
-	return before < readersPerDomain
-}
-
-// settling reports whether this gateway has started so lately that it has not
-// heard of all others yet. It listens to its seeds then: were it to go by whom it
-// has heard of, nearly all gateways would take themselves for one of the few at a
-// start of the whole system. Seeds read, and so does whoever hears nothing from
-// them.
-func (n *Neighbours) settling(now time.Time) bool {
-	return now.Sub(n.started) < heardFor && len(n.seeds) > 0 && !slices.Contains(n.seeds, n.self)
-}
-
-// readers returns the other gateways of the domain that read the store, in the
-// order in which they do.
-func (n *Neighbours) readers() []string {
-	list, _ := n.readersThat(true)
-	return list
-}
-
-// readersThat returns the other gateways of the domain that can read the store;
-// when there are none and this one cannot either, those that try to. Seeing is
-// false then.
-func (n *Neighbours) readersThat(able bool) (list []string, seeing bool) {
-	var blind []string
-	n.mu.Lock()
-	near := n.roster.Near(time.Now())
-	n.mu.Unlock()
-	for _, g := range near {
-		if g.Blind {
-			blind = append(blind, g.Address)
-		} else {
-			list = append(list, g.Address)
-		}
-	}
-	seeing = len(list) > 0
-	if !seeing && !able {
-		list = blind
-	}
-	return list, seeing
-}
-
 // Listen waits for news from a gateway that reads the store and takes it in. When
 // that does not answer, the other ones are asked, too.
 func (n *Neighbours) Listen(ctx context.Context) (err error) {
@@ -163,29 +89,6 @@
 	return slices.Concat(keep(list, answers), keep(list, fails))
 }
 
-// before returns this gateway's place in the order of its failure domain, and those that it
-// may listen to: the one that it is a listener of, and those that read the store.
-func (n *Neighbours) before() (list []string, place int) {
-	all, _ := n.readersThat(false)
-	place, _ = slices.BinarySearch(all, n.self)
-	readers := first(readersPerDomain, all)
-	if place < readersPerDomain {
-		return readers, place
-	}
-	parent := all[listensTo(place)]
-	return append([]string{parent}, keep(readers, func(a string) bool { return a != parent })...), place
-}
-
-// listensTo returns the place, in the order of addresses, of the gateway to which the one at a
-// place listens that is not among the readers.
-func listensTo(place int) int {
-	listener := place - readersPerDomain
-	if listener < readersPerDomain*mostListeners {
-		return listener % readersPerDomain
-	}
-	return listener / mostListeners
-}
-
 // keep returns those of a list that a function keeps.
 func keep[T any](list []T, f func(T) bool) (kept []T) {
 	for _, v := range list {
@@ -227,95 +130,3 @@
 	n.log.Info("heard of changes", zap.String("from", from), zap.Uint64("version", p.Version), zap.Uint64("revision", p.At),
 		zap.Duration("age", p.Age), zap.Bool("whole", p.Whole), zap.Int("endpoints", len(p.Endpoints)), zap.Int("gone", len(p.Gone)))
 }
-
-// question is what a gateway wants to know of another one.
-type question struct {
-	version uint64 // Of its configuration.
-	life    int64  // Of the process that gave after.
-	after   uint64 // Number of the newest change that it knows.
-	hold    bool   // Wait for news.
-}
-
-func readQuestion(r *http.Request) (q question, err error) {
-	values := r.URL.Query()
-	if q.version, err = strconv.ParseUint(values.Get("version"), 10, 64); err != nil {
-		return q, errors.Wrap(err, "version")
-	}
-	q.hold = values.Get("hold") == "1"
-	if !q.hold {
-		return q, nil
-	}
-	if q.life, err = strconv.ParseInt(values.Get("life"), 10, 64); err != nil {
-		return q, errors.Wrap(err, "life")
-	}
-	q.after, err = strconv.ParseUint(values.Get("after"), 10, 64)
-	return q, errors.Wrap(err, "after")
-}
-
-// servePublished tells another gateway what this one knows.
-func (n *Neighbours) servePublished(w http.ResponseWriter, r *http.Request) {
-	began := time.Now()
-	q, err := readQuestion(r)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	if q.life != n.life {
-		q.after = 0
-	}
-	if q.hold {
-		n.awaitNews(r.Context(), q)
-	}
-	s := n.g.view.State()
-	if s.Config == nil && !q.hold {
-		http.Error(w, "nothing known yet", http.StatusServiceUnavailable)
-		return
-	}
-	p := published{Life: n.life, Revision: s.ConfigRevision, Told: n.g.view.Tell(q.after)}
-	if s.Config != nil {
-		p.Version = s.Config.Version()
-	}
-	if p.Version > q.version {
-		p.Config = s.Config.Raw()
-	}
-	// The age is taken after the state, and the time of holding before it: what is
-	// told may only be newer than it says.
-	p.Held = time.Since(began)
-	p.Age = n.g.view.CheckAge(n.g.cfg.Now())
-	httpjson.ReplyPacked(w, r, p)
-}
-
-// awaitNews waits until the view changes or is confirmed, at most holdTime, if
-// it holds nothing that is new to the other gateway.
-func (n *Neighbours) awaitNews(ctx context.Context, q question) {
-	moved := n.g.view.Moved()
-	s := n.g.view.State()
-	if s.Config != nil && s.Config.Version() > q.version || n.g.view.ChangedSince(q.after) {
-		return
-	}
-	timer := time.NewTimer(holdTime)
-	defer timer.Stop()
-	select {
-	case <-moved:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// turnMargin is what a gateway's turn to read the store itself keeps from the time
-// in which a configuration must be in force: that after which it notices that it
-// hears nothing new, and that of reading.
-const turnMargin = listenTimeout + 300*time.Millisecond
-
-// Follow returns what makes a follower listen to these neighbours.
-func (n *Neighbours) Follow() follow.Listener {
-	return follow.Listener{Reads: n.Reads, Listen: n.Listen, Turn: n.turn, Spread: n.spread}
-}
-
-// turn returns this gateway's place among those of its domain, in the order in which
-// they read the store: 0 for the first.
-func (n *Neighbours) turn() float64 {
-	list, _ := n.readersThat(true)
-	before, _ := slices.BinarySearch(list, n.self)
-	return float64(before) / float64(len(list)+1)
-}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -46,8 +46,8 @@
 	// of demand are soon had alone. Passes take some ten milliseconds.
 	passPoll = 25 * time.Millisecond
 	// pollPerRank is what one rank of the group adds where that is longer: the larger a
-	// group is, the less often its leader asks for counts, and reading those that nobody
-	// asks for was most of a sidecar's work.
+	// group is, the less often its leader asks for counts, and reading them is most of a
+	// sidecar's work.
 	pollPerRank = 400 * time.Microsecond
 	// turnTellers is one in how many ranks tells at once that the group has opened or
 	// closed: one word is enough for all ranks, and some are lost. In a group of 72 most
