internal/sidecar: a gateway that was away is told at once, also by sidecars that tell nobody

Cause: found by reading. Who is not heard any more was forgotten only as loads were told, which a sidecar whose leader tells for it does not do; so a gateway that had been cut off was taken as known and got no load at its first hello. Change: one whose subscription has lapsed counts as new. Test: TestAGatewayThatWasAwayIsFresh, which failed before.

--- a/internal/sidecar/subscribers.go
+++ b/internal/sidecar/subscribers.go
@@ -42,10 +42,11 @@
 
 func newSubscribers(domain string) subscribers { return subscribers{domain: domain} }
 
-// hello takes in a gateway's hello; it reports whether its process was not known.
+// hello takes in a gateway's hello; it reports whether its process was not known, or not heard
+// for so long that it gets no loads any more.
 func (s *subscribers) hello(from netip.AddrPort, h peers.Hello, now time.Time) (fresh bool) {
 	g, known := s.of(from, h.Domain)
-	fresh = !known || g.life != h.Life
+	fresh = !known || g.life != h.Life || now.Sub(g.at) > subscribed
 	g.life, g.at, g.knows = h.Life, now, h.Gateways
 	return fresh
 }
--- a/internal/sidecar/subscribers_test.go
+++ b/internal/sidecar/subscribers_test.go
@@ -118,3 +118,15 @@
 	s.hello(gatewayAt(1, 0), peers.Hello{Domain: "b", Life: 1, Gateways: 7}, now.Add(-time.Hour))
 	g.Expect(s.onePerDomain(later)).To(ConsistOf(gatewayAt(0, 0), gatewayAt(1, 1)), "an older word lapses")
 }
+
+// A sidecar whose leader tells for it tells nobody, so it forgets nobody either; one that was
+// cut off is still to be told at once when it is back.
+func TestAGatewayThatWasAwayIsFresh(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(1000, 0)
+	s := newSubscribers("a")
+	h := peers.Hello{Domain: "b", Life: 1}
+	g.Expect(s.hello(gatewayAt(1, 0), h, now)).To(BeTrue())
+	g.Expect(s.hello(gatewayAt(1, 0), h, now.Add(subscribed))).To(BeFalse())
+	g.Expect(s.hello(gatewayAt(1, 0), h, now.Add(2*subscribed+time.Millisecond))).To(BeTrue())
+}
