--- a/internal/gateway/known_test.go
+++ b/internal/gateway/known_test.go
@@ -102,3 +102,42 @@
 	g.Expect(m.Hello).NotTo(BeNil())
 	return m.Hello
 }
+
+// Whatever bytes come as a hello, those that it names are told on as gateways with an address,
+// and the view goes on.
+func FuzzHello(f *testing.F) {
+	for _, h := range []peers.Hello{
+		{Name: "g", Life: 1, Address: "10.0.0.1:80", Domain: "a", Asks: "b"},
+		{Address: "10.0.0.1:80", Known: knownOf(gatewaysIn(3, 5))},
+		{Life: -1, Known: []peers.Known{{Domain: "a", Gateways: []peers.KnownGateway{{Address: []byte{1, 2, 3}, AgeMs: -1}, {AgeMs: 1 << 62}}}}},
+	} {
+		raw, err := cbor.Marshal(peers.Message{Hello: &h})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var m peers.Message
+		if cbor.Unmarshal(raw, &m) != nil || m.Hello == nil {
+			return
+		}
+		g := NewWithT(t)
+		now := time.Unix(1_800_000_000, 0)
+		seen, _ := seenOf(m.Hello.Known) // What cannot be read is left out.
+		r := roster.New(roster.Gateway{Address: "10.0.0.9:80", Domain: "a"}, nil, now)
+		r.HearOf(seen, now)
+		r.Hear(roster.Gateway{Address: "10.0.0.8:80", Domain: m.Hello.Domain, Life: m.Hello.Life}, now)
+		told := r.Answer("a", m.Hello.Asks, now)
+		for _, s := range told {
+			_, err := netip.ParseAddrPort(s.Address)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(s.Age).To(BeNumerically(">=", 0))
+		}
+		g.Expect(len(told)).To(BeNumerically("<=", len(seen)+1))
+		g.Expect(len(r.There(now))).To(BeNumerically("<=", len(seen)+1))
+		r.Greet(now, func(n int) int { return n - 1 })
+		r.Lapse(now.Add(time.Hour))
+		g.Expect(r.There(now.Add(time.Hour))).To(BeEmpty())
+	})
+}
