internal/peers, internal/gateway, internal/sidecar: what messages name is packed and read in one place

Gateways and sidecars each read the gateways that a hello names, and each packed addresses, by lines of their own; a hello was made anew for each part of an answer and each greeting of a round. Behaviour is as it was.

--- a/internal/gateway/known.go
+++ b/internal/gateway/known.go
@@ -3,9 +3,7 @@
 package gateway
 
 import (
-	"net/netip"
 	"slices"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -28,11 +26,7 @@
 func knownOf(list []roster.Seen) (known []peers.Known) {
 	at := map[string]int{} // Places in known, by failure domain.
 	for _, s := range list {
-		a, err := netip.ParseAddrPort(s.Address)
-		if err != nil {
-			continue
-		}
-		raw, err := a.MarshalBinary()
+		raw, err := peers.Packed(s.Address)
 		if err != nil {
 			continue
 		}
@@ -52,12 +46,12 @@
 func seenOf(known []peers.Known) (list []roster.Seen, err error) {
 	for _, k := range known {
 		for _, g := range k.Gateways {
-			var a netip.AddrPort
-			if bad := a.UnmarshalBinary(g.Address); bad != nil {
-				err = errors.Wrapf(bad, "gateway of %s", k.Domain)
+			a, bad := g.Peer()
+			if bad != nil {
+				err = errors.Wrap(bad, k.Domain)
 				continue
 			}
-			s := roster.Seen{Age: time.Duration(g.AgeMs) * time.Millisecond}
+			s := roster.Seen{Age: g.Age()}
 			s.Address, s.Domain, s.Blind, s.Left = a.String(), k.Domain, g.Blind, g.Left
 			list = append(list, s)
 		}
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -160,9 +159,10 @@
 		told = n.roster.Answer(h.Domain, h.Asks, now)
 	}
 	n.mu.Unlock()
+	own := n.hello(now)
+	own.Answer = true
 	for _, part := range inPackets(told) {
-		own := n.hello(now)
-		own.Answer, own.Known = true, knownOf(part)
+		own.Known = knownOf(part)
 		n.socket.Send(to, peers.Message{Hello: own})
 	}
 }
@@ -272,8 +272,8 @@
 		n.log.Info("gateway not heard any more", zap.String("address", a))
 	}
 	ends := n.g.suspects.Tell(n.g.cfg.Now()) // All are told the same.
+	h := n.hello(now)
 	for _, greeting := range greetings {
-		h := n.hello(now)
 		h.Asks = greeting.Asks
 		n.socket.SendAll(addresses([]string{greeting.Address}), peers.Message{Hello: h, Ends: ends})
 	}
@@ -294,7 +294,7 @@
 	n.mu.Unlock()
 	to := roster.Some(all, someSidecars, random)
 	if hub {
-		to = append(to, slices.DeleteFunc(slices.Clone(all), func(s sidecar) bool { return s.domain != n.domain })...)
+		to = append(to, keep(all, func(s sidecar) bool { return s.domain == n.domain })...)
 	}
 	n.socket.SendAll(addressesOf(to), peers.Message{Hello: n.helloToSidecars()})
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -9,6 +9,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -56,6 +57,25 @@
 	Left    bool
 }
 
+// Peer returns the peer listener of the gateway.
+func (g KnownGateway) Peer() (a netip.AddrPort, err error) {
+	err = a.UnmarshalBinary(g.Address)
+	return a, errors.Wrap(err, "gateway named by another one")
+}
+
+// Age returns how long ago the gateway's last word was.
+func (g KnownGateway) Age() time.Duration { return time.Duration(g.AgeMs) * time.Millisecond }
+
+// Packed returns an address, IP number and port, as messages name it.
+func Packed(address string) (raw []byte, err error) {
+	defer func() { err = errors.Wrapf(err, "address %q", address) }()
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	return a.MarshalBinary()
+}
+
 // MostKnown is how many gateways one Hello names: it stays within a packet of 1,400 bytes.
 const MostKnown = 48
 
--- a/internal/sidecar/loads.go
+++ b/internal/sidecar/loads.go
@@ -48,12 +48,12 @@
 func (s *Sidecar) hearOfGateways(known []peers.Known, now time.Time) {
 	for _, k := range known {
 		for _, g := range k.Gateways {
-			var a netip.AddrPort
-			if err := a.UnmarshalBinary(g.Address); err != nil {
+			a, err := g.Peer()
+			if err != nil {
 				s.log.Warn("gateway left out", zap.String("domain", k.Domain), zap.String("error", err.Error()))
 				continue
 			}
-			age := time.Duration(g.AgeMs) * time.Millisecond
+			age := g.Age()
 			if !g.Left && age >= 0 && age < subscribed {
 				s.gateways.hearOf(a, k.Domain, now.Add(-age))
 			}
@@ -148,12 +148,7 @@
 		if m == nil {
 			continue
 		}
-		a, err := netip.ParseAddrPort(m.endpoint.Address)
-		if err != nil {
-			l.s.log.Warn("load not told", zap.String("endpoint", m.endpoint.ID), zap.String("error", err.Error()))
-			continue
-		}
-		raw, err := a.MarshalBinary()
+		raw, err := peers.Packed(m.endpoint.Address)
 		if err != nil {
 			l.s.log.Warn("load not told", zap.String("endpoint", m.endpoint.ID), zap.String("error", err.Error()))
 			continue
