platform, internal/gateway, internal/decide/throttle: rate limits that endpoints name are read, logged and counted

Change: the header is decoded, what is not a plain decimal number is left out and noted; the newest word of each endpoint is kept, its changes are logged and counted. Requests are sent as before.

--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -39,4 +39,8 @@
 	AtFault  string // Endpoint that a group's refusal is blamed on, when told.
 	Encoded  bool   // The body is not in the form that callers expect.
 	Weights  string // Version of the weights that made it, when told.
+
+	Limited bool     // The endpoint names a rate limit.
+	Limit   float64  // Requests a second that it takes from all gateways together; where it is limited.
+	Invalid []string // Headers that are taken as absent since their values are not valid, for the log.
 }
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -20,6 +20,9 @@
 	silent    metrics.Counter      // Tries that were given up since nothing came, and went on elsewhere.
 	toCold    metrics.Counter      // Requests sent to endpoints that are taken as cold.
 	limit     metrics.GaugeFloat64 // Requests that a rank may hold in the mean, as last told by a leader.
+	limited   metrics.Gauge        // Endpoints that name a rate limit.
+	toLimited metrics.Counter      // Requests sent to endpoints that name a rate limit.
+	invalid   metrics.Counter      // Answers with a header that was left out as not valid.
 	evacuated metrics.Gauge        // Failure domains that are evacuated.
 	notJoined metrics.Counter      // Answers and events that did not go on where a stream had been cut.
 	ended     metrics.Counter      // Tries that broke off as their endpoint ended.
@@ -42,6 +45,9 @@
 		silent:    metrics.GetOrRegisterCounter("gateway.silent-tries", reg),
 		toCold:    metrics.GetOrRegisterCounter("gateway.to-cold", reg),
 		limit:     metrics.GetOrRegisterGaugeFloat64("gateway.limit-per-rank", reg),
+		limited:   metrics.GetOrRegisterGauge("gateway.limited-endpoints", reg),
+		toLimited: metrics.GetOrRegisterCounter("gateway.to-limited", reg),
+		invalid:   metrics.GetOrRegisterCounter("gateway.invalid-headers", reg),
 		evacuated: metrics.GetOrRegisterGauge("gateway.evacuated-domains", reg),
 		notJoined: metrics.GetOrRegisterCounter("gateway.not-joined", reg),
 		ended:     metrics.GetOrRegisterCounter("gateway.ended-under-try", reg),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
 	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
 	"github.com/canvaspulley/canvaspulley/internal/decide/room"
+	"github.com/canvaspulley/canvaspulley/internal/decide/throttle"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/suspects"
@@ -89,6 +90,7 @@
 
 	started       time.Time
 	cold          *cold.Pacer
+	limits        *throttle.Limits
 	coldTold      map[string]uint64 // Revisions of entries whose cold times were taken in, by endpoint.
 	toldSenders   int               // Gateways that a sidecar hears, the most that was lately told.
 	toldSendersAt time.Time
@@ -133,6 +135,7 @@
 
 		started:   time.Now(),
 		cold:      cold.New(),
+		limits:    throttle.New(),
 		coldTold:  map[string]uint64{},
 		evacuated: evacuatedDomains{},
 	}
@@ -168,6 +171,8 @@
 	g.table.Forget(listed)
 	g.passes.Forget(listed)
 	g.forgetCold(listed, time.Now())
+	g.limits.Forget(listed, g.cfg.Now())
+	g.figures.limited.Update(int64(g.limits.Count()))
 	g.mu.Unlock()
 	if s.Config != nil {
 		g.conns.closeIdle(s.Config.Limits().IdleTimeout)
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -39,6 +39,9 @@
 	}
 	g.table.Start(e.ID)
 	q.sendsTo(e.ID, time.Now())
+	if _, _, limited := g.limits.Limited(e.ID); limited {
+		g.figures.toLimited.Inc(1)
+	}
 	g.mu.Unlock()
 	defer func() {
 		g.mu.Lock()
@@ -155,6 +158,7 @@
 // relay judges an answer, whose head has come, by what it says of itself, and passes
 // on what is the caller's.
 func (q *request) relay(e fleet.Endpoint, x *upstream.Exchange, resp *http.Response, answer fleet.Answer) result {
+	q.hearAnswer(e, resp.StatusCode, answer)
 	if answer.NotRun {
 		q.finished = true
 		q.turnedAway(e, resp.StatusCode, answer)
