internal/decide/throttle, internal/gateway: endpoints get no more than the rate limit that they name

Callers saw nothing; an endpoint that named a limit of 1 a second got 12 to 14 requests in 4 s, as many as before it named one. Cause: what an endpoint says of itself in its answers was not read, so its limit was no input to the choice of an endpoint. A gateway by itself could not keep to it either: it counts for all. Change: gateways tell each other what answers say, and each has a part of the limit by rendezvous hashing among those it knows. At most the limit + 1 gateways have one, so what can come at once does not grow with the fleet; they change every 10 s. An endpoint without a token is passed over; where that leaves none, the caller is refused at once and told when there is room for it.

--- a/internal/decide/limit/bucket.go
+++ b/internal/decide/limit/bucket.go
@@ -20,6 +20,20 @@
 	return &Bucket{rate: rate, burst: burst, tokens: burst, at: now}
 }
 
+// NewBucketWith returns a bucket that holds so many tokens.
+func NewBucketWith(rate, burst, tokens float64, now time.Time) *Bucket {
+	return &Bucket{rate: rate, burst: burst, tokens: min(max(tokens, 0), burst), at: now}
+}
+
+// Holds reports whether there is a token to take.
+func (b *Bucket) Holds(now time.Time) bool {
+	b.refill(now)
+	return b.tokens >= 1
+}
+
+// GiveBack gives back a token that was taken and not used.
+func (b *Bucket) GiveBack() { b.tokens = min(b.tokens+1, b.burst) }
+
 // Set changes rate and burst from now on; tokens above the burst are lost.
 func (b *Bucket) Set(rate, burst float64, now time.Time) {
 	b.refill(now)
--- a/internal/decide/throttle/throttle.go
+++ b/internal/decide/throttle/throttle.go
@@ -1,10 +1,18 @@
 // Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
 
-// Package throttle keeps the rate limits that endpoints name in their answers. It is a pure
-// state machine: time comes in as an argument, and the caller serialises access.
+// Package throttle keeps what gateways send to endpoints within the rate limits that these
+// name in their answers. A limit counts for all gateways together; each takes a part of it
+// by the gateways that it knows, and tells the others what endpoints say. It is a pure state
+// machine: time comes in as an argument, and the caller serialises access and carries the
+// messages.
 package throttle
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/limit"
+)
 
 // Word is what an answer of an endpoint said of its rate limit.
 type Word struct {
@@ -18,40 +26,75 @@
 	return w.Limited == v.Limited && (!w.Limited || w.Limit == v.Limit)
 }
 
+// Told is a word and the endpoint that it is of.
+type Told struct {
+	Endpoint string
+	Word
+}
+
+// tellTimes is how often a change is told, since messages may be lost.
+const tellTimes = 3
+
 // endpoint is what is known of one endpoint's limit.
 type endpoint struct {
-	word  Word      // The newest.
-	since time.Time // When the first answer said the same as word.
+	word    Word          // The newest.
+	since   time.Time     // When the first answer said the same as word.
+	told    int           // How often word was told to others.
+	bucket  *limit.Bucket // This gateway's part; nil while it has none.
+	turn    int64         // For which the bucket was made.
+	version int           // Of the gateways by which it was made.
 }
 
 // Limits holds what is known of all endpoints.
 type Limits struct {
-	by map[string]*endpoint
+	by       map[string]*endpoint
+	self     string
+	gateways []string // All that are known, this one among them; sorted.
+	version  int      // Changes with gateways.
+}
+
+// New returns limits that know of none, at a gateway that knows of no other.
+func New() *Limits { return &Limits{by: map[string]*endpoint{}, gateways: []string{""}} }
+
+// SetGateways tells the name of this gateway and those of all that are there.
+func (l *Limits) SetGateways(self string, all []string) {
+	all = slices.Clone(all)
+	slices.Sort(all)
+	if self == l.self && slices.Equal(all, l.gateways) {
+		return
+	}
+	l.self, l.gateways = self, all
+	l.version++
 }
 
-// New returns limits that know of none.
-func New() *Limits { return &Limits{by: map[string]*endpoint{}} }
+// Gateways returns among how many gateways limits are shared.
+func (l *Limits) Gateways() int { return len(l.gateways) }
+
+// Answered takes in what an answer to this gateway said. It reports whether that is news,
+// which others are to be told.
+func (l *Limits) Answered(id string, w Word) (news bool) { return l.hear(id, w, 0) }
 
-// Hear takes in a word of an endpoint. It reports false where that says what is known
-// already, or is older.
-func (l *Limits) Hear(id string, w Word) (changed bool) {
+// Hear takes in what another gateway told. It reports whether that is news here.
+func (l *Limits) Hear(t Told) (news bool) { return l.hear(t.Endpoint, t.Word, tellTimes) }
+
+func (l *Limits) hear(id string, w Word, told int) (news bool) {
 	e, known := l.by[id]
 	if !known {
 		if !w.Limited {
 			return false
 		}
-		l.by[id] = &endpoint{word: w, since: w.At}
-		return true
+		e = &endpoint{since: w.At}
+		l.by[id] = e
 	}
 	if w.At.Before(e.word.At) {
 		return false
 	}
-	changed = !w.same(e.word)
+	news = !w.same(e.word)
 	e.word = w
-	if changed {
-		e.since = w.At
+	if news {
+		e.since, e.told, e.version = w.At, told, l.version-1
 	}
-	return changed
+	return news
 }
 
 // Limited returns the limit that an endpoint names, and since when.
@@ -73,6 +116,89 @@
 	return n
 }
 
+// Due reports whether this gateway may send a request to an endpoint now.
+func (l *Limits) Due(id string, now time.Time) bool {
+	e := l.by[id]
+	if e == nil || !e.word.Limited {
+		return true
+	}
+	b := l.share(id, e, now)
+	return b != nil && b.Holds(now)
+}
+
+// Take notes that a request goes to an endpoint for which one is due.
+func (l *Limits) Take(id string, now time.Time) {
+	if e := l.by[id]; e != nil && e.word.Limited {
+		if b := l.share(id, e, now); b != nil {
+			b.Take(now)
+		}
+	}
+}
+
+// GiveBack takes back a Take of a request that was not sent.
+func (l *Limits) GiveBack(id string) {
+	if e := l.by[id]; e != nil && e.bucket != nil {
+		e.bucket.GiveBack()
+	}
+}
+
+// share returns this gateway's part of an endpoint's limit, nil where it has none.
+func (l *Limits) share(id string, e *endpoint, now time.Time) *limit.Bucket {
+	turn := turnOf(now)
+	if e.turn == turn && e.version == l.version {
+		return e.bucket
+	}
+	e.turn, e.version = turn, l.version
+	s := ShareOf(e.word.Limit, placeOf(id, turn, l.self, l.gateways), len(l.gateways))
+	switch {
+	case s.Rate == 0:
+		e.bucket = nil
+	case e.bucket == nil:
+		e.bucket = limit.NewBucketWith(s.Rate, s.Burst, s.First, now)
+	default:
+		e.bucket.Set(s.Rate, s.Burst, now)
+	}
+	return e.bucket
+}
+
+// Tell returns changes that are to be told to others, at most so many.
+func (l *Limits) Tell(most int) (list []Told) {
+	for id, e := range l.by {
+		if len(list) == most {
+			break
+		}
+		if e.told < tellTimes {
+			e.told++
+			list = append(list, Told{id, e.word})
+		}
+	}
+	return list
+}
+
+// Untold reports whether there is a change that was never told.
+func (l *Limits) Untold() bool {
+	for _, e := range l.by {
+		if e.told == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Named returns the limits that are known, at most so many, for a gateway that may know
+// none.
+func (l *Limits) Named(most int) (list []Told) {
+	for id, e := range l.by {
+		if len(list) == most {
+			break
+		}
+		if e.word.Limited {
+			list = append(list, Told{id, e.word})
+		}
+	}
+	return list
+}
+
 // endedAge is for how long an endpoint is remembered that names no limit any more: older
 // words of other gateways arrive within it.
 const endedAge = 10 * time.Second
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -24,6 +24,7 @@
 // choose picks the next endpoint.
 func (q *request) choose(now time.Time) (e fleet.Endpoint, ok bool) {
 	q.allDown = false
+	q.throttled = 0
 	if !q.mayTryOn() {
 		return e, false
 	}
@@ -36,6 +37,7 @@
 	terms := coldTerms(q.config, q.service)
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
+	q.returnPermit() // What was chosen before was not sent to.
 	if ranked && terms.Rate > 0 {
 		if list, ok = q.heard(list, now); !ok {
 			q.note("no rank is heard yet")
@@ -44,6 +46,11 @@
 		}
 	}
 	q.markCold(list, terms, now)
+	q.markThrottled(list, q.g.cfg.Now())
+	if rate, all := q.throttledRate(list); all {
+		q.throttled, q.full = rate, false
+		return e, false
+	}
 	if ranked {
 		if q.g.table.Down(list, now) {
 			if q.waited == 0 { // Else it was said before.
@@ -72,6 +79,7 @@
 		return e, false
 	}
 	q.toCold = list[i].Paced
+	q.takePermit(list[i].ID)
 	at := slices.IndexFunc(candidates, func(e fleet.Endpoint) bool { return e.ID == list[i].ID })
 	return candidates[at], true
 }
@@ -110,7 +118,7 @@
 	q.turnover = passes.Turnover{}
 	for _, name := range names {
 		ranks := members[name]
-		if q.g.table.Down(ranks, now) {
+		if _, all := q.throttledRate(ranks); all || q.g.table.Down(ranks, now) {
 			continue
 		}
 		o, known := q.offer(name, ranks, now)
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -22,6 +22,7 @@
 	limit     metrics.GaugeFloat64 // Requests that a rank may hold in the mean, as last told by a leader.
 	limited   metrics.Gauge        // Endpoints that name a rate limit.
 	toLimited metrics.Counter      // Requests sent to endpoints that name a rate limit.
+	throttled metrics.Counter      // Requests refused since the limits of all endpoints were used up.
 	invalid   metrics.Counter      // Answers with a header that was left out as not valid.
 	evacuated metrics.Gauge        // Failure domains that are evacuated.
 	notJoined metrics.Counter      // Answers and events that did not go on where a stream had been cut.
@@ -47,6 +48,7 @@
 		limit:     metrics.GetOrRegisterGaugeFloat64("gateway.limit-per-rank", reg),
 		limited:   metrics.GetOrRegisterGauge("gateway.limited-endpoints", reg),
 		toLimited: metrics.GetOrRegisterCounter("gateway.to-limited", reg),
+		throttled: metrics.GetOrRegisterCounter("gateway.throttled", reg),
 		invalid:   metrics.GetOrRegisterCounter("gateway.invalid-headers", reg),
 		evacuated: metrics.GetOrRegisterGauge("gateway.evacuated-domains", reg),
 		notJoined: metrics.GetOrRegisterCounter("gateway.not-joined", reg),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,8 +91,10 @@
 	started       time.Time
 	cold          *cold.Pacer
 	limits        *throttle.Limits
-	coldTold      map[string]uint64 // Revisions of entries whose cold times were taken in, by endpoint.
-	toldSenders   int               // Gateways that a sidecar hears, the most that was lately told.
+	limitNews     chan struct{}                // Holds a value while a change of limits waits to be told.
+	backlogs      map[string]*throttle.Backlog // By service; of callers refused by limits.
+	coldTold      map[string]uint64            // Revisions of entries whose cold times were taken in, by endpoint.
+	toldSenders   int                          // Gateways that a sidecar hears, the most that was lately told.
 	toldSendersAt time.Time
 	evacuated     evacuatedDomains
 	ownerOf       func(k quarantine.Key) bool // Whether this gateway owns the key; nil for one without others.
@@ -136,6 +138,8 @@
 		started:   time.Now(),
 		cold:      cold.New(),
 		limits:    throttle.New(),
+		limitNews: make(chan struct{}, 1),
+		backlogs:  map[string]*throttle.Backlog{},
 		coldTold:  map[string]uint64{},
 		evacuated: evacuatedDomains{},
 	}
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -118,6 +118,7 @@
 // Receive takes in a message.
 func (n *Neighbours) Receive(from netip.AddrPort, m peers.Message) {
 	n.g.suspects.Hear(m.Ends, n.g.cfg.Now())
+	n.g.hearLimits(from, m.Limits)
 	switch {
 	case m.Hello != nil:
 		if n.hear(*m.Hello) {
@@ -145,6 +146,7 @@
 	n.roster.HearOf(known, now)
 	n.mu.Unlock()
 	if fresh {
+		n.g.setGateways(n.self, n.others())
 		n.log.Info("gateway heard", zap.String("name", h.Name), zap.String("address", h.Address))
 	}
 	return fresh
@@ -268,6 +270,8 @@
 	others, heard := len(n.roster.There(now)), n.roster.LastHeard()
 	n.mu.Unlock()
 	n.g.SetOthers(others, heard)
+	n.g.setGateways(n.self, n.others())
+	n.tellLimits()
 	for _, a := range lapsed {
 		n.log.Info("gateway not heard any more", zap.String("address", a))
 	}
--- a/internal/gateway/ratelimit.go
+++ b/internal/gateway/ratelimit.go
@@ -3,12 +3,17 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
+	"net/netip"
+	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
 	"github.com/canvaspulley/canvaspulley/internal/decide/throttle"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/peers"
 )
 
 // hearAnswer takes in what an answer says of its endpoint.
@@ -20,29 +25,148 @@
 		q.note(e.ID + ": header left out, " + header)
 		q.g.figures.invalid.Inc(1)
 	}
-	if !a.Limited && !a.Signed {
+	w := throttle.Word{Limited: a.Limited, Limit: a.Limit, At: q.g.cfg.Now()}
+	switch {
+	case a.Limited:
+	case a.Signed:
+		w.At = q.wentAt // A limit that is named since then still holds.
+	default:
 		return // Only an answer to a request that ran shows that a limit has ended.
 	}
-	q.g.hearRateLimit(e.ID, throttle.Word{Limited: a.Limited, Limit: a.Limit, At: q.g.cfg.Now()}, zap.String("request", q.call.ID))
+	if q.g.hearRateLimit(e.ID, zap.String("request", q.call.ID), func(l *throttle.Limits) bool { return l.Answered(e.ID, w) }) {
+		q.g.tellLimitsSoon()
+	}
 }
 
-// hearRateLimit takes in what is known of an endpoint's rate limit, by the answer or the
-// gateway that source names.
-func (g *Gateway) hearRateLimit(id string, w throttle.Word, source zap.Field) {
+// hearRateLimit takes in a word of an endpoint's rate limit and logs what it changes. The
+// source is the answer or the gateway that it is from.
+func (g *Gateway) hearRateLimit(id string, source zap.Field, hear func(l *throttle.Limits) bool) (news bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	limit, since, limited := g.limits.Limited(id)
-	if !g.limits.Hear(id, w) {
-		return
+	before, since, limited := g.limits.Limited(id)
+	if !hear(g.limits) {
+		return false
 	}
 	g.figures.limited.Update(int64(g.limits.Count()))
-	fields := []zap.Field{zap.String("endpoint", id), source, zap.Time("answered", w.At)}
+	fields := []zap.Field{zap.String("endpoint", id), source}
 	if limited {
-		fields = append(fields, zap.Float64("before-per-second", limit), zap.Time("since", since))
+		fields = append(fields, zap.Float64("before-per-second", before), zap.Time("since", since))
 	}
-	if !w.Limited {
+	now, _, limited := g.limits.Limited(id)
+	if !limited {
 		g.log.Info("endpoint names no rate limit any more", fields...)
-		return
+		return true
+	}
+	g.log.Info("endpoint names a rate limit", append(fields, zap.Float64("per-second", now), zap.Int("gateways", g.limits.Gateways()))...)
+	return true
+}
+
+// tellLimitsSoon notes that a change of a limit waits to be told.
+func (g *Gateway) tellLimitsSoon() {
+	select {
+	case g.limitNews <- struct{}{}:
+	default: // It is noted already.
+	}
+}
+
+// hearLimits takes in the limits that another gateway tells.
+func (g *Gateway) hearLimits(from netip.AddrPort, list []peers.Limit) {
+	for _, told := range list {
+		if !validLimit(told) {
+			g.log.Warn("rate limit of an endpoint left out", zap.Stringer("told-by", from), zap.Float64("per-second", told.PerSecond), zap.Int64("age-ms", told.AgeMs))
+			continue
+		}
+		w := throttle.Word{Limited: told.Limited, Limit: told.PerSecond, At: g.cfg.Now().Add(-told.Age())}
+		g.hearRateLimit(told.Endpoint, zap.Stringer("told-by", from), func(l *throttle.Limits) bool { return l.Hear(throttle.Told{Endpoint: told.Endpoint, Word: w}) })
+	}
+}
+
+// Bounds of what another gateway may tell of a limit.
+const (
+	longestID     = 255            // Bytes of an endpoint's id.
+	oldestMention = 24 * time.Hour // Far above the age of a word that counts.
+)
+
+func validLimit(l peers.Limit) bool {
+	return l.Endpoint != "" && len(l.Endpoint) <= longestID &&
+		l.PerSecond >= 0 && !math.IsInf(l.PerSecond, 0) && // No NaN either.
+		l.AgeMs >= 0 && l.Age() <= oldestMention
+}
+
+// toldLimits returns limits as a message tells them.
+func (g *Gateway) toldLimits(pick func(l *throttle.Limits) []throttle.Told) (list []peers.Limit) {
+	now := g.cfg.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, t := range pick(g.limits) {
+		list = append(list, peers.Limit{Endpoint: t.Endpoint, Limited: t.Limited, PerSecond: t.Limit, AgeMs: max(now.Sub(t.At).Milliseconds(), 0)})
+	}
+	return list
+}
+
+// untoldLimits reports whether a change of a limit was never told.
+func (g *Gateway) untoldLimits() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limits.Untold()
+}
+
+// setGateways tells among which gateways, by their peer listeners, limits are shared.
+func (g *Gateway) setGateways(self string, others []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limits.SetGateways(self, append(others, self))
+}
+
+// markThrottled notes on the candidates to which of them this gateway may send nothing now
+// by the limits that they name. The caller holds mu.
+func (q *request) markThrottled(list []balance.Candidate, now time.Time) {
+	for i, c := range list {
+		if !q.g.limits.Due(c.ID, now) {
+			list[i].Throttled = true
+		}
+	}
+}
+
+// throttledRate returns the requests a second that all gateways together may send to the
+// candidates, where limits alone keep a request from all of them. The caller holds mu.
+func (q *request) throttledRate(list []balance.Candidate) (rate float64, ok bool) {
+	for _, c := range list {
+		perSecond, _, limited := q.g.limits.Limited(c.ID)
+		if !limited || !c.Throttled {
+			return 0, false
+		}
+		rate += throttle.RateOf(perSecond)
+	}
+	return rate, len(list) > 0
+}
+
+// takePermit takes for the request what it may send to the endpoint that it has chosen. The
+// caller holds mu.
+func (q *request) takePermit(id string) {
+	q.g.limits.Take(id, q.g.cfg.Now())
+	q.permit = id
+}
+
+// returnPermit gives back what was taken for a request that was not sent. The caller holds mu.
+func (q *request) returnPermit() {
+	if q.permit != "" {
+		q.g.limits.GiveBack(q.permit)
+		q.permit = ""
+	}
+}
+
+// throttledRetry returns when there is room under the limits for one more of the callers who
+// are refused here. They come to any gateway then, and so do those of the others.
+func (q *request) throttledRetry() time.Duration {
+	g := q.g
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.figures.throttled.Inc(1)
+	b := g.backlogs[q.service]
+	if b == nil {
+		b = &throttle.Backlog{}
+		g.backlogs[q.service] = b
 	}
-	g.log.Info("endpoint names a rate limit", append(fields, zap.Float64("per-second", w.Limit))...)
+	return b.Next(q.throttled/float64(g.limits.Gateways()), g.cfg.Now())
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -25,6 +25,11 @@
 
 // run tries endpoints until the request has its final answer.
 func (q *request) run() {
+	defer func() {
+		q.g.mu.Lock()
+		defer q.g.mu.Unlock()
+		q.returnPermit()
+	}()
 	last := unreached
 	for {
 		now := time.Now()
@@ -116,6 +121,8 @@
 	switch {
 	case q.heldFor > 0:
 		return q.heldFor
+	case q.throttled > 0:
+		return q.throttledRetry()
 	case q.groupDown || q.allDown:
 		return groupRetry
 	case q.tooOld && q.g.alone():
--- a/internal/gateway/tell_ends.go
+++ b/internal/gateway/tell_ends.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/own"
 	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
 	"github.com/canvaspulley/canvaspulley/internal/decide/roster"
+	"github.com/canvaspulley/canvaspulley/internal/decide/throttle"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
@@ -23,6 +25,9 @@
 	// entrusted is how many sidecars are told of ends at a time, drawn anew each time: all
 	// know within some hellos of some gateways, and the bytes do not grow with their number.
 	entrusted = 4
+	// mostNamed is how many rate limits a newcomer is told by each gateway: it hears of the
+	// others by its own requests.
+	mostNamed = 4 * peers.MostLimits
 )
 
 // tellNews tells all other gateways at once of ends that were seen here, until ctx ends.
@@ -33,6 +38,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-n.g.suspects.News():
+		case <-n.g.limitNews:
+		}
+		for n.g.untoldLimits() {
+			n.tellLimits()
 		}
 		for n.g.suspects.Untold() {
 			n.socket.SendAll(addresses(n.others()), peers.Message{Ends: n.g.suspects.Tell(n.g.cfg.Now())})
@@ -41,8 +50,20 @@
 	}
 }
 
-// tellNewcomer tells a gateway that has just started, or was away, of ends.
+// tellLimits tells all other gateways of rate limits that have changed.
+func (n *Neighbours) tellLimits() {
+	list := n.g.toldLimits(func(l *throttle.Limits) []throttle.Told { return l.Tell(peers.MostLimits) })
+	if len(list) > 0 {
+		n.socket.SendAll(addresses(n.others()), peers.Message{Limits: list})
+	}
+}
+
+// tellNewcomer tells a gateway that has just started, or was away, of ends and rate limits.
 func (n *Neighbours) tellNewcomer(to netip.AddrPort) {
+	limits := n.g.toldLimits(func(l *throttle.Limits) []throttle.Told { return l.Named(mostNamed) })
+	for part := range slices.Chunk(limits, peers.MostLimits) {
+		n.socket.Send(to, peers.Message{Limits: part})
+	}
 	if list := n.g.suspects.TellOne(n.g.cfg.Now()); len(list) > 0 {
 		n.socket.Send(to, peers.Message{Ends: list})
 	}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -124,6 +124,7 @@
 	q.sentAt = sentAt
 	q.noteSending()
 	q.finished = false
+	q.permit = "" // It is used.
 	defer func() {
 		if !q.finished && len(q.tried) > 0 && q.tried[len(q.tried)-1] == e.ID {
 			q.noteUnfinished(e)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -23,6 +23,8 @@
 	Lead  *Lead  `cbor:"3,keyasint,omitempty"`
 	Loads *Loads `cbor:"4,keyasint,omitempty"`
 	Ends  []End  `cbor:"5,keyasint,omitempty"` // MostEnds at most; also beside a Hello.
+	// Limits has MostLimits at most, beside nothing else.
+	Limits []Limit `cbor:"6,keyasint,omitempty"`
 }
 
 // Hello tells that a gateway is there. A gateway answers it with a hello of its own; sidecars
@@ -152,6 +154,21 @@
 // 1,400 bytes.
 const MostEnds = 12
 
+// Limit tells what an endpoint's answer to a gateway said of its rate limit.
+type Limit struct {
+	_         struct{} `cbor:",toarray"`
+	Endpoint  string   // One life of it.
+	Limited   bool     // It names a limit.
+	PerSecond float64  // Requests from all gateways together.
+	AgeMs     int64    // Of the word.
+}
+
+// Age returns how long ago the word was.
+func (l Limit) Age() time.Duration { return time.Duration(l.AgeMs) * time.Millisecond }
+
+// MostLimits is how many limits one message names: it stays within a packet of 1,400 bytes.
+const MostLimits = 24
+
 // Beside returns the address of the sidecar beside an engine, which listens on
 // the engine's instance at a port that is alike everywhere.
 func Beside(engine string, port int) (a netip.AddrPort, err error) {
