--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -111,6 +111,8 @@
 		q.fail(http.StatusBadGateway, "no answer that can be passed on")
 	case late:
 		q.refuse("time over before anything ran", fullRetry)
+	case q.throttled > 0:
+		q.refuse("all endpoints are at the rate limits that they name", q.comeBack())
 	default:
 		q.refuse("not run", q.comeBack())
 	}
