platform, internal/gateway, internal/decide/backoff: rest and leaving that endpoints tell are read, logged and counted

Change: both headers are decoded, kept by endpoint, logged and counted. Requests are sent as before.

--- /dev/null
+++ b/internal/decide/backoff/backoff.go
@@ -0,0 +1,89 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package backoff keeps which endpoints have asked this gateway to send them nothing: for a
+// while, with a refusal, or for good, as they leave. It is a pure state machine: time comes in
+// as an argument, and the caller serialises access.
+package backoff
+
+import "time"
+
+// pause is what is known of one endpoint.
+type pause struct {
+	leaving bool
+	until   time.Time // End of its rest.
+}
+
+// Set holds what is known of all endpoints.
+type Set struct {
+	by map[string]*pause
+}
+
+// New returns a set that knows of no wish.
+func New() *Set { return &Set{by: map[string]*pause{}} }
+
+func (s *Set) of(id string) *pause {
+	p := s.by[id]
+	if p == nil {
+		p = &pause{}
+		s.by[id] = p
+	}
+	return p
+}
+
+// Rest takes in that an endpoint wants nothing for so long. It reports false where it rests
+// already.
+func (s *Set) Rest(id string, d time.Duration, now time.Time) (news bool) {
+	p := s.of(id)
+	news = !now.Before(p.until)
+	if until := now.Add(d); until.After(p.until) {
+		p.until = until
+	}
+	return news
+}
+
+// Leave takes in that an endpoint leaves. It reports false where that is known.
+func (s *Set) Leave(id string) (news bool) {
+	p := s.of(id)
+	if p.leaving {
+		return false
+	}
+	p.leaving = true
+	return true
+}
+
+// Leaving reports whether an endpoint has said that it leaves.
+func (s *Set) Leaving(id string) bool {
+	p := s.by[id]
+	return p != nil && p.leaving
+}
+
+// Resting returns how much is left of an endpoint's rest; ok is false when it rests no more.
+func (s *Set) Resting(id string, now time.Time) (left time.Duration, ok bool) {
+	p := s.by[id]
+	if p == nil || !now.Before(p.until) {
+		return 0, false
+	}
+	return p.until.Sub(now), true
+}
+
+// Counts returns how many endpoints rest and how many leave.
+func (s *Set) Counts(now time.Time) (resting, leaving int) {
+	for id, p := range s.by {
+		if p.leaving {
+			leaving++
+		}
+		if _, ok := s.Resting(id, now); ok {
+			resting++
+		}
+	}
+	return resting, leaving
+}
+
+// Forget drops endpoints that are not listed any more, and rests that have ended.
+func (s *Set) Forget(listed func(id string) bool, now time.Time) {
+	for id, p := range s.by {
+		if !listed(id) || !p.leaving && !now.Before(p.until) {
+			delete(s.by, id)
+		}
+	}
+}
--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -40,7 +40,9 @@
 	Encoded  bool   // The body is not in the form that callers expect.
 	Weights  string // Version of the weights that made it, when told.
 
-	Limited bool     // The endpoint names a rate limit.
-	Limit   float64  // Requests a second that it takes from all gateways together; where it is limited.
-	Invalid []string // Headers that are taken as absent since their values are not valid, for the log.
+	Limited bool          // The endpoint names a rate limit.
+	Limit   float64       // Requests a second that it takes from all gateways together; where it is limited.
+	Rest    time.Duration // For which the endpoint wants nothing more from this gateway; 0 when it does not ask.
+	Leaving bool          // The endpoint leaves: it wants nothing new.
+	Invalid []string      // Headers that are taken as absent since their values are not valid, for the log.
 }
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -20,6 +20,10 @@
 	silent    metrics.Counter      // Tries that were given up since nothing came, and went on elsewhere.
 	toCold    metrics.Counter      // Requests sent to endpoints that are taken as cold.
 	limit     metrics.GaugeFloat64 // Requests that a rank may hold in the mean, as last told by a leader.
+	resting   metrics.Gauge        // Endpoints that have asked this gateway for rest.
+	leaving   metrics.Gauge        // Endpoints that have said in an answer that they leave.
+	toResting metrics.Counter      // Requests sent to endpoints in their rest.
+	toLeaving metrics.Counter      // Requests sent to endpoints that have said that they leave.
 	limited   metrics.Gauge        // Endpoints that name a rate limit.
 	toLimited metrics.Counter      // Requests sent to endpoints that name a rate limit.
 	throttled metrics.Counter      // Requests refused since the limits of all endpoints were used up.
@@ -46,6 +50,10 @@
 		silent:    metrics.GetOrRegisterCounter("gateway.silent-tries", reg),
 		toCold:    metrics.GetOrRegisterCounter("gateway.to-cold", reg),
 		limit:     metrics.GetOrRegisterGaugeFloat64("gateway.limit-per-rank", reg),
+		resting:   metrics.GetOrRegisterGauge("gateway.resting-endpoints", reg),
+		leaving:   metrics.GetOrRegisterGauge("gateway.leaving-endpoints", reg),
+		toResting: metrics.GetOrRegisterCounter("gateway.to-resting", reg),
+		toLeaving: metrics.GetOrRegisterCounter("gateway.to-leaving", reg),
 		limited:   metrics.GetOrRegisterGauge("gateway.limited-endpoints", reg),
 		toLimited: metrics.GetOrRegisterCounter("gateway.to-limited", reg),
 		throttled: metrics.GetOrRegisterCounter("gateway.throttled", reg),
@@ -58,6 +66,11 @@
 	}
 }
 
+func (f *figures) countBackoffs(resting, leaving int) {
+	f.resting.Update(int64(resting))
+	f.leaving.Update(int64(leaving))
+}
+
 // outcome counts how a request ended.
 func (f *figures) outcome(o outcome) {
 	metrics.GetOrRegisterCounter("gateway.outcome."+string(o), f.reg).Inc(1)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/canvaspulley/canvaspulley/internal/clock"
+	"github.com/canvaspulley/canvaspulley/internal/decide/backoff"
 	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
 	"github.com/canvaspulley/canvaspulley/internal/decide/cold"
 	"github.com/canvaspulley/canvaspulley/internal/decide/estimate"
@@ -90,6 +91,7 @@
 
 	started       time.Time
 	cold          *cold.Pacer
+	backoffs      *backoff.Set
 	limits        *throttle.Limits
 	limitNews     chan struct{}                // Holds a value while a change of limits waits to be told.
 	backlogs      map[string]*throttle.Backlog // By service; of callers refused by limits.
@@ -137,6 +139,7 @@
 
 		started:   time.Now(),
 		cold:      cold.New(),
+		backoffs:  backoff.New(),
 		limits:    throttle.New(),
 		limitNews: make(chan struct{}, 1),
 		backlogs:  map[string]*throttle.Backlog{},
@@ -175,6 +178,8 @@
 	g.table.Forget(listed)
 	g.passes.Forget(listed)
 	g.forgetCold(listed, time.Now())
+	g.backoffs.Forget(listed, g.cfg.Now())
+	g.figures.countBackoffs(g.backoffs.Counts(g.cfg.Now()))
 	g.limits.Forget(listed, g.cfg.Now())
 	g.figures.limited.Update(int64(g.limits.Count()))
 	g.mu.Unlock()
--- a/internal/gateway/ratelimit.go
+++ b/internal/gateway/ratelimit.go
@@ -4,7 +4,6 @@
 
 import (
 	"math"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -16,15 +15,8 @@
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 )
 
-// hearAnswer takes in what an answer says of its endpoint.
-func (q *request) hearAnswer(e fleet.Endpoint, status int, a fleet.Answer) {
-	if status == http.StatusMisdirectedRequest && a.Endpoint != e.Name() {
-		return // Another endpoint has this one's address.
-	}
-	for _, header := range a.Invalid {
-		q.note(e.ID + ": header left out, " + header)
-		q.g.figures.invalid.Inc(1)
-	}
+// hearLimit takes in what an answer says of its endpoint's rate limit.
+func (q *request) hearLimit(e fleet.Endpoint, a fleet.Answer) {
 	w := throttle.Word{Limited: a.Limited, Limit: a.Limit, At: q.g.cfg.Now()}
 	switch {
 	case a.Limited:
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -39,9 +39,7 @@
 	}
 	g.table.Start(e.ID)
 	q.sendsTo(e.ID, time.Now())
-	if _, _, limited := g.limits.Limited(e.ID); limited {
-		g.figures.toLimited.Inc(1)
-	}
+	q.countSend(e.ID)
 	g.mu.Unlock()
 	defer func() {
 		g.mu.Lock()
