--- a/internal/gateway/asks.go
+++ b/internal/gateway/asks.go
@@ -4,9 +4,11 @@
 
 import (
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/canvaspulley/canvaspulley/internal/decide/throttle"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 )
 
@@ -26,12 +28,15 @@
 
 // hearBackoff takes in that an endpoint wants nothing for a while, or nothing more at all.
 func (q *request) hearBackoff(e fleet.Endpoint, a fleet.Answer) {
-	if a.Rest == 0 && !a.Leaving {
-		return
-	}
 	g, now := q.g, q.g.cfg.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if a.Rest == 0 {
+		g.backoffs.Answered(e.ID, q.wentAt)
+	}
+	if a.Rest == 0 && !a.Leaving {
+		return
+	}
 	if a.Rest > 0 && g.backoffs.Rest(e.ID, a.Rest, now) {
 		g.log.Info("endpoint asks for rest", zap.String("endpoint", e.ID), zap.String("request", q.call.ID), zap.Duration("for", a.Rest))
 	}
@@ -54,3 +59,67 @@
 		q.g.figures.toLeaving.Inc(1)
 	}
 }
+
+// leaves reports whether an endpoint is to get nothing new, by its entry or by its answers.
+func (g *Gateway) leaves(e fleet.Endpoint) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return e.Leaving || g.backoffs.Leaving(e.ID)
+}
+
+// rests reports whether an endpoint has asked this gateway for rest.
+func (g *Gateway) rests(id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, resting := g.backoffs.Resting(id, g.cfg.Now())
+	return resting
+}
+
+// barred is what keeps a request from all endpoints that it could be sent to: each rests or is
+// at its rate limit.
+type barred struct {
+	rate float64       // Requests a second that the limits leave to all gateways; 0 where none is limited.
+	rest time.Duration // Until the first rest ends; 0 where none rests.
+}
+
+func (b barred) any() bool { return b.rate > 0 || b.rest > 0 }
+
+// barredFromAll returns what bars requests from all endpoints of the service, also from those
+// that the request was sent to already; none where any of them may get one now.
+func (q *request) barredFromAll() (b barred) {
+	g := q.g
+	s, now := g.view.State(), g.cfg.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, e := range s.ByService[q.service] {
+		if _, missing := s.Missing[e.ID]; missing || e.Leaving || g.backoffs.Leaving(e.ID) || s.Evacuated(e.Domain) {
+			continue
+		}
+		left, resting := g.backoffs.Resting(e.ID, now)
+		perSecond, _, limited := g.limits.Limited(e.ID)
+		switch {
+		case resting && (b.rest == 0 || left < b.rest):
+			b.rest = left
+		case resting:
+		case limited && !g.limits.Due(e.ID, now):
+			b.rate += throttle.RateOf(perSecond)
+		default:
+			return barred{}
+		}
+	}
+	return b
+}
+
+// barredRetry returns when the request could be sent to an endpoint.
+func (q *request) barredRetry() (after time.Duration) {
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	after = q.barred.rest
+	if q.barred.rate > 0 {
+		q.g.figures.throttled.Inc(1)
+		if room := q.throttledRetry(q.barred.rate); after == 0 || room < after {
+			after = room
+		}
+	}
+	return after
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -23,21 +23,20 @@
 
 // choose picks the next endpoint.
 func (q *request) choose(now time.Time) (e fleet.Endpoint, ok bool) {
-	q.allDown = false
-	q.throttled = 0
+	q.allDown, q.barred = false, barred{}
 	if !q.mayTryOn() {
 		return e, false
 	}
-	candidates := q.candidates()
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
+	q.returnPermit() // What was chosen before was not sent to.
+	candidates, rest := q.candidates()
 	list := make([]balance.Candidate, len(candidates))
 	shape, ranked := q.g.shape(q.config, q.service)
 	for i, e := range candidates {
 		list[i] = balance.Candidate{ID: e.ID, Near: e.Domain == q.g.cfg.Domain, Slow: e.ColdLeft > 0, Slots: e.Slots, Base: int(shape.Base)}
 	}
 	terms := coldTerms(q.config, q.service)
-	q.g.mu.Lock()
-	defer q.g.mu.Unlock()
-	q.returnPermit() // What was chosen before was not sent to.
 	if ranked && terms.Rate > 0 {
 		if list, ok = q.heard(list, now); !ok {
 			q.note("no rank is heard yet")
@@ -47,8 +46,8 @@
 	}
 	q.markCold(list, terms, now)
 	q.markThrottled(list, q.g.cfg.Now())
-	if rate, all := q.throttledRate(list); all {
-		q.throttled, q.full = rate, false
+	if rate, throttled := q.throttledRate(list); throttled || len(list) == 0 && rest > 0 {
+		q.barred, q.full = barred{rate: rate, rest: rest}, false
 		return e, false
 	}
 	if ranked {
@@ -80,6 +79,7 @@
 	}
 	q.toCold = list[i].Paced
 	q.takePermit(list[i].ID)
+	q.g.backoffs.Sent(list[i].ID, q.g.cfg.Now())
 	at := slices.IndexFunc(candidates, func(e fleet.Endpoint) bool { return e.ID == list[i].ID })
 	return candidates[at], true
 }
@@ -89,22 +89,33 @@
 	return len(q.tried) < q.route.Attempts && len(q.unsent) <= maxUnreached
 }
 
-// candidates returns the endpoints of the service that may be tried.
-func (q *request) candidates() (list []fleet.Endpoint) {
+// candidates returns the endpoints of the service that may be tried, and until when the first
+// of the others rests, 0 when none does. The caller holds mu.
+func (q *request) candidates() (list []fleet.Endpoint, rest time.Duration) {
 	s := q.g.view.State()
+	now := q.g.cfg.Now()
 	for _, e := range s.ByService[q.service] {
-		if e.Leaving || s.Evacuated(e.Domain) || slices.Contains(q.tried, e.ID) || slices.Contains(q.unsent, e.ID) {
+		if e.Leaving || q.g.backoffs.Leaving(e.ID) || s.Evacuated(e.Domain) {
+			continue
+		}
+		if left, resting := q.g.backoffs.Resting(e.ID, now); resting {
+			if rest == 0 || left < rest {
+				rest = left
+			}
+			continue
+		}
+		if slices.Contains(q.tried, e.ID) || slices.Contains(q.unsent, e.ID) {
 			continue
 		}
 		if _, missing := s.Missing[e.ID]; missing {
 			continue
 		}
-		if q.groupDown && q.g.groupOf(e.ID) == q.downGroup {
+		if q.groupDown && q.g.passes.Group(e.ID) == q.downGroup {
 			continue // All ranks of a group stand and fall together.
 		}
 		list = append(list, e)
 	}
-	return list
+	return list, rest
 }
 
 // chooseGroup draws one of the groups that the ranks in list are in, by the room
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -84,7 +84,7 @@
 // to their end there, unless it was planned.
 func (g *Gateway) endpointEnded(e fleet.Endpoint) {
 	list := g.unfinished.take(e.ID, time.Now())
-	if listed, ok := g.view.State().Endpoints[e.ID]; ok && listed.Leaving {
+	if listed, ok := g.view.State().Endpoints[e.ID]; ok && g.leaves(listed) {
 		return
 	}
 	for _, u := range list {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -195,7 +195,7 @@
 	g.noteCold(s, time.Now())
 	g.pool.Forget(func(id string) bool {
 		e, ok := s.Endpoints[id]
-		return ok && !e.Leaving
+		return ok && !g.leaves(e)
 	})
 }
 
@@ -235,13 +235,6 @@
 	}
 }
 
-// groupOf returns the group of ranks that an endpoint is in.
-func (g *Gateway) groupOf(id string) string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.passes.Group(id)
-}
-
 // alone reports whether no other gateway was heard lately although there were some:
 // this one is cut off.
 func (g *Gateway) alone() bool {
--- a/internal/gateway/ratelimit.go
+++ b/internal/gateway/ratelimit.go
@@ -148,17 +148,15 @@
 	}
 }
 
-// throttledRetry returns when there is room under the limits for one more of the callers who
-// are refused here. They come to any gateway then, and so do those of the others.
-func (q *request) throttledRetry() time.Duration {
+// throttledRetry returns when there is room under limits of so many requests a second for one
+// more of the callers who are refused here. They come to any gateway then, and so do those of
+// the others. The caller holds mu.
+func (q *request) throttledRetry(rate float64) time.Duration {
 	g := q.g
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.figures.throttled.Inc(1)
 	b := g.backlogs[q.service]
 	if b == nil {
 		b = &throttle.Backlog{}
 		g.backlogs[q.service] = b
 	}
-	return b.Next(q.throttled/float64(g.limits.Gateways()), g.cfg.Now())
+	return b.Next(rate/float64(g.limits.Gateways()), g.cfg.Now())
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -46,7 +46,7 @@
 	keeps        int64           // Bytes that are kept for it.
 	toCold       bool            // The endpoint that was chosen last is cold.
 	full         bool            // No endpoint can take it now.
-	throttled    float64         // Requests a second that all gateways may send, where the endpoints' limits keep it from all; else 0.
+	barred       barred          // What endpoints ask for that keeps it from all of them.
 	permit       string          // Endpoint under whose limit a request was taken that is not sent yet; "" for none.
 	turnover     passes.Turnover // Of all groups, as last looked at.
 	waited       time.Duration   // For room.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -111,20 +111,30 @@
 		q.fail(http.StatusBadGateway, "no answer that can be passed on")
 	case late:
 		q.refuse("time over before anything ran", fullRetry)
-	case q.throttled > 0:
-		q.refuse("all endpoints are at the rate limits that they name", q.comeBack())
 	default:
-		q.refuse("not run", q.comeBack())
+		q.refuseNotRun()
 	}
 }
 
+// refuseNotRun refuses a request that no endpoint could be found for.
+func (q *request) refuseNotRun() {
+	if !q.barred.any() {
+		q.barred = q.barredFromAll() // The last endpoint that turned it away may have been the last to ask.
+	}
+	cause := "not run"
+	if q.barred.any() {
+		cause = "all endpoints have asked for rest, or are at the rate limits that they name"
+	}
+	q.refuse(cause, q.comeBack())
+}
+
 // comeBack says when a request that has not run should be tried again.
 func (q *request) comeBack() time.Duration {
 	switch {
 	case q.heldFor > 0:
 		return q.heldFor
-	case q.throttled > 0:
-		return q.throttledRetry()
+	case q.barred.any():
+		return q.barredRetry()
 	case q.groupDown || q.allDown:
 		return groupRetry
 	case q.tooOld && q.g.alone():
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -99,10 +99,14 @@
 func (q *request) mayStillSend(e fleet.Endpoint) bool {
 	s := q.g.view.State()
 	now, ok := s.Endpoints[e.ID]
-	if !ok || now.Leaving || now.Address != e.Address {
+	if !ok || q.g.leaves(now) || now.Address != e.Address {
 		q.note(e.ID + " leaves")
 		return false
 	}
+	if q.g.rests(e.ID) {
+		q.note(e.ID + " has asked for rest")
+		return false
+	}
 	if s.Evacuated(e.Domain) {
 		q.note(e.ID + ": its failure domain is evacuated")
 		return false
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -76,7 +76,7 @@
 	s := q.g.view.State()
 	_, missing := s.Missing[e.ID]
 	now, listed := s.Endpoints[e.ID]
-	return missing || !listed || now.Leaving
+	return missing || !listed || q.g.leaves(now)
 }
 
 // mayAskAnother reports whether the request could be sent to a further
