internal/gateway, internal/soak, platform/standin: room of a group leaves out ranks that ask for less; the soak plays limits, rest and leaving

Cause: a rank at its limit was passed over only after the group's room was worked out with it, so the others got more than their part. Change: such ranks are no candidates, as those that rest; one place says what bars an endpoint. Stand-ins name limits, ask for rest and say that they leave; the soak makes that as trouble and checks what reaches them. Figures: tests of ranks, alone and beside an endpoint without a group.

--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -295,16 +295,11 @@
 	Slow  bool // Still cold after its start.
 	Paced bool // It is cold and bears few requests a second.
 	Spent bool // It is paced and has got all that this process may send to it for now.
-	// Throttled is set where its rate limit leaves nothing for this process now.
-	Throttled bool
-	Slots     int // Requests that it runs at once; 0 when not told.
-	Base      int // Requests whose work equals that of a pass without any; 0 where there are no passes.
+	Slots int  // Requests that it runs at once; 0 when not told.
+	Base  int  // Requests whose work equals that of a pass without any; 0 where there are no passes.
 }
 
-// barred reports whether nothing may be sent to the candidate now.
-func (c Candidate) barred() bool { return c.Spent || c.Throttled }
-
-// Pick returns the index of the least busy candidate that is not out and not barred, ok
+// Pick returns the index of the least busy candidate that is not out and not spent, ok
 // false when there is none. Endpoints that were taken out count again when too many
 // are out. Ties go to the own failure domain and then to chance.
 func (t *Table) Pick(list []Candidate, random func(n int) int, now time.Time) (index int, ok bool) {
@@ -361,7 +356,7 @@
 	for i, c := range list {
 		e := t.of(c.ID)
 		s := t.score(e, c, now)
-		if c.barred() || i != least && (s < floor || s >= floor+slowScore/2 || now.Before(e.outUntil) || e.trial && e.own > 0) {
+		if c.Spent || i != least && (s < floor || s >= floor+slowScore/2 || now.Before(e.outUntil) || e.trial && e.own > 0) {
 			continue
 		}
 		scores = append(scores, s)
@@ -400,7 +395,7 @@
 	best, ties := 0, 0
 	for i, c := range list {
 		e := t.of(c.ID)
-		if c.barred() || e.gone && now.Before(e.outUntil) {
+		if c.Spent || e.gone && now.Before(e.outUntil) {
 			continue
 		}
 		if judge && (now.Before(e.outUntil) || e.trial && e.own > 0) {
--- a/internal/gateway/asks.go
+++ b/internal/gateway/asks.go
@@ -75,8 +75,8 @@
 	return resting
 }
 
-// barred is what keeps a request from all endpoints that it could be sent to: each rests or is
-// at its rate limit.
+// barred is what keeps a request from endpoints that it could be sent to: each rests or is at
+// its rate limit.
 type barred struct {
 	rate float64       // Requests a second that the limits leave to all gateways; 0 where none is limited.
 	rest time.Duration // Until the first rest ends; 0 where none rests.
@@ -84,26 +84,31 @@
 
 func (b barred) any() bool { return b.rate > 0 || b.rest > 0 }
 
-// barredFromAll returns what bars requests from all endpoints of the service, also from those
+// bars reports whether what an endpoint asks for keeps requests from it now, and adds that to
+// b. The caller holds mu.
+func (g *Gateway) bars(b *barred, id string, now time.Time) bool {
+	if left, resting := g.backoffs.Resting(id, now); resting {
+		if b.rest == 0 || left < b.rest {
+			b.rest = left
+		}
+		return true
+	}
+	if g.limits.Due(id, now) {
+		return false
+	}
+	perSecond, _, _ := g.limits.Limited(id)
+	b.rate += throttle.RateOf(perSecond)
+	return true
+}
+
+// barredFromAll returns what keeps requests from all endpoints of the service, also from those
 // that the request was sent to already; none where any of them may get one now.
 func (q *request) barredFromAll() (b barred) {
-	g := q.g
-	s, now := g.view.State(), g.cfg.Now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	s, now := q.g.view.State(), q.g.cfg.Now()
+	q.g.mu.Lock()
+	defer q.g.mu.Unlock()
 	for _, e := range s.ByService[q.service] {
-		if _, missing := s.Missing[e.ID]; missing || e.Leaving || g.backoffs.Leaving(e.ID) || s.Evacuated(e.Domain) {
-			continue
-		}
-		left, resting := g.backoffs.Resting(e.ID, now)
-		perSecond, _, limited := g.limits.Limited(e.ID)
-		switch {
-		case resting && (b.rest == 0 || left < b.rest):
-			b.rest = left
-		case resting:
-		case limited && !g.limits.Due(e.ID, now):
-			b.rate += throttle.RateOf(perSecond)
-		default:
+		if q.g.staysIn(s, e) && !q.g.bars(&b, e.ID, now) {
 			return barred{}
 		}
 	}
--- /dev/null
+++ b/internal/gateway/asks_test.go
@@ -0,0 +1,97 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/throttle"
+)
+
+// bar has an endpoint ask for what keeps requests from it, and uses up what its limit leaves.
+type bar func(s site, id string)
+
+var bars = map[string]bar{
+	"rests": func(s site, id string) { s.backoffs.Rest(id, time.Minute, s.cfg.Now()) },
+	"is at its limit": func(s site, id string) {
+		s.limits.Answered(id, throttle.Word{Limited: true, At: s.cfg.Now()})
+		s.limits.Take(id, s.cfg.Now())
+	},
+}
+
+// assertServedBy sends requests, each after a new round of reports.
+func assertServedBy(t *testing.T, s site, at *streamer, requests int, report func()) {
+	t.Helper()
+	for i := range requests {
+		report()
+		status, _, body, err := s.ask(fmt.Sprint("r", i))
+		NewWithT(t).Expect(err).NotTo(HaveOccurred())
+		NewWithT(t).Expect(status).To(Equal(http.StatusOK))
+		NewWithT(t).Expect(body).To(Equal(wholeStream()))
+	}
+	NewWithT(t).Expect(at.firsts()).To(HaveLen(requests))
+}
+
+func TestRequestsGoPastEndpointsThatAskForLess(t *testing.T) {
+	for name, bar := range bars {
+		for _, grouped := range []bool{true, false} {
+			t.Run(fmt.Sprintf("a rank %s, another endpoint is of its group: %v", name, grouped), func(t *testing.T) {
+				barred, other := newStreamer(0), newStreamer(0)
+				s := newSite(t, barred, other)
+				bar(s, "0")
+				assertServedBy(t, s, other, 5, func() {
+					s.tell(0, 0, 1)
+					if grouped {
+						s.tell(1, 0, 1)
+					}
+				})
+				NewWithT(t).Expect(barred.firsts()).To(BeEmpty())
+				NewWithT(t).Expect(s.figures.waited.Count()).To(BeZero(), "nobody waits for the rank")
+			})
+		}
+	}
+}
+
+func TestRequestsAreRefusedAtOnceWhileAllRanksAskForLess(t *testing.T) {
+	for name, bar := range bars {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			ranks := []*streamer{newStreamer(0), newStreamer(0)}
+			s := newSite(t, ranks[0], ranks[1])
+			for i := range ranks {
+				s.tell(i, 0, 1)
+				bar(s, fmt.Sprint(i))
+			}
+			status, after, _, err := s.ask("one")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(status).To(Equal(http.StatusServiceUnavailable))
+			seconds, err := strconv.ParseFloat(after, 64)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(seconds).To(And(BeNumerically(">", 0.5), BeNumerically("<=", 60)))
+			g.Expect(s.figures.waited.Count()).To(BeZero())
+			g.Expect(append(ranks[0].firsts(), ranks[1].firsts()...)).To(BeEmpty())
+		})
+	}
+}
+
+// A choice that nothing was sent by takes nothing of a limit.
+func TestAPermitThatIsNotUsedIsGivenBack(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t, newStreamer(0))
+	s.limits.Answered("0", throttle.Word{Limited: true, Limit: 0, At: s.cfg.Now()})
+	q := &request{g: s.Gateway, service: "s", config: s.view.State().Config, route: s.view.State().Config.Route("caller.test", "/")}
+	for range 3 {
+		_, ok := q.choose(time.Now())
+		g.Expect(ok).To(BeTrue(), "the choice before was not used")
+	}
+	q.permit = "" // It is sent.
+	_, ok := q.choose(time.Now())
+	g.Expect(ok).To(BeFalse())
+	g.Expect(q.barred.rate).To(BeNumerically(">", 0))
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -13,6 +13,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/decide/passes"
 	"github.com/canvaspulley/canvaspulley/internal/decide/room"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/follow"
 )
 
 // againShare is the part of what a group may hold up to which callers are let in
@@ -30,7 +31,11 @@
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
 	q.returnPermit() // What was chosen before was not sent to.
-	candidates, rest := q.candidates()
+	candidates, bars := q.candidates()
+	if len(candidates) == 0 && bars.any() {
+		q.barred, q.full = bars, false
+		return e, false
+	}
 	list := make([]balance.Candidate, len(candidates))
 	shape, ranked := q.g.shape(q.config, q.service)
 	for i, e := range candidates {
@@ -45,11 +50,6 @@
 		}
 	}
 	q.markCold(list, terms, now)
-	q.markThrottled(list, q.g.cfg.Now())
-	if rate, throttled := q.throttledRate(list); throttled || len(list) == 0 && rest > 0 {
-		q.barred, q.full = barred{rate: rate, rest: rest}, false
-		return e, false
-	}
 	if ranked {
 		if q.g.table.Down(list, now) {
 			if q.waited == 0 { // Else it was said before.
@@ -89,25 +89,13 @@
 	return len(q.tried) < q.route.Attempts && len(q.unsent) <= maxUnreached
 }
 
-// candidates returns the endpoints of the service that may be tried, and until when the first
-// of the others rests, 0 when none does. The caller holds mu.
-func (q *request) candidates() (list []fleet.Endpoint, rest time.Duration) {
+// candidates returns the endpoints of the service that may be tried, and what keeps the request
+// from others for now. The caller holds mu.
+func (q *request) candidates() (list []fleet.Endpoint, bars barred) {
 	s := q.g.view.State()
 	now := q.g.cfg.Now()
 	for _, e := range s.ByService[q.service] {
-		if e.Leaving || q.g.backoffs.Leaving(e.ID) || s.Evacuated(e.Domain) {
-			continue
-		}
-		if left, resting := q.g.backoffs.Resting(e.ID, now); resting {
-			if rest == 0 || left < rest {
-				rest = left
-			}
-			continue
-		}
-		if slices.Contains(q.tried, e.ID) || slices.Contains(q.unsent, e.ID) {
-			continue
-		}
-		if _, missing := s.Missing[e.ID]; missing {
+		if !q.g.staysIn(s, e) || q.g.bars(&bars, e.ID, now) || slices.Contains(q.tried, e.ID) || slices.Contains(q.unsent, e.ID) {
 			continue
 		}
 		if q.groupDown && q.g.passes.Group(e.ID) == q.downGroup {
@@ -115,7 +103,13 @@
 		}
 		list = append(list, e)
 	}
-	return list, rest
+	return list, bars
+}
+
+// staysIn reports whether an endpoint of a state may get anything new. The caller holds mu.
+func (g *Gateway) staysIn(s *follow.State, e fleet.Endpoint) bool {
+	_, missing := s.Missing[e.ID]
+	return !missing && !e.Leaving && !g.backoffs.Leaving(e.ID) && !s.Evacuated(e.Domain)
 }
 
 // chooseGroup draws one of the groups that the ranks in list are in, by the room
@@ -129,7 +123,7 @@
 	q.turnover = passes.Turnover{}
 	for _, name := range names {
 		ranks := members[name]
-		if _, all := q.throttledRate(ranks); all || q.g.table.Down(ranks, now) {
+		if q.g.table.Down(ranks, now) {
 			continue
 		}
 		o, known := q.offer(name, ranks, now)
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -135,10 +135,10 @@
 	}
 }
 
-// allSpent reports whether nothing but the pace of cold endpoints and the limits of others
-// keep a request from them.
+// allSpent reports whether nothing but the pace of cold endpoints keeps a request from
+// them.
 func allSpent(list []balance.Candidate) bool {
-	return len(list) > 0 && !slices.ContainsFunc(list, func(c balance.Candidate) bool { return !c.Spent && !c.Throttled })
+	return len(list) > 0 && !slices.ContainsFunc(list, func(c balance.Candidate) bool { return !c.Spent })
 }
 
 // paceTurnover has the request wait for one of so many cold endpoints as for room that
--- a/internal/gateway/ratelimit.go
+++ b/internal/gateway/ratelimit.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
 	"github.com/canvaspulley/canvaspulley/internal/decide/throttle"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
@@ -110,29 +109,6 @@
 	g.limits.SetGateways(self, append(others, self))
 }
 
-// markThrottled notes on the candidates to which of them this gateway may send nothing now
-// by the limits that they name. The caller holds mu.
-func (q *request) markThrottled(list []balance.Candidate, now time.Time) {
-	for i, c := range list {
-		if !q.g.limits.Due(c.ID, now) {
-			list[i].Throttled = true
-		}
-	}
-}
-
-// throttledRate returns the requests a second that all gateways together may send to the
-// candidates, where limits alone keep a request from all of them. The caller holds mu.
-func (q *request) throttledRate(list []balance.Candidate) (rate float64, ok bool) {
-	for _, c := range list {
-		perSecond, _, limited := q.g.limits.Limited(c.ID)
-		if !limited || !c.Throttled {
-			return 0, false
-		}
-		rate += throttle.RateOf(perSecond)
-	}
-	return rate, len(list) > 0
-}
-
 // takePermit takes for the request what it may send to the endpoint that it has chosen. The
 // caller holds mu.
 func (q *request) takePermit(id string) {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -39,6 +39,9 @@
 	startAgain   // An endpoint ends without a word and starts again under its name.
 	evacuate     // Nothing new goes to the endpoints of a failure domain for a while.
 	crashing     // A request ends each endpoint that runs it, and comes again and again.
+	nameLimit    // An endpoint names a rate limit in its answers.
+	askRest      // An endpoint turns all requests away and asks for rest.
+	sayLeaving   // An endpoint leaves and tells so in its answers only.
 )
 
 // Kinds is a set of kinds of trouble, and of callers. A seed that showed a fault
@@ -51,6 +54,7 @@
 	SecondKinds
 	ThirdKinds
 	FourthKinds
+	FifthKinds
 	AllKinds
 )
 
@@ -74,15 +78,18 @@
 	if k >= FourthKinds {
 		list = append(list, evacuate, evacuate)
 	}
-	if k >= AllKinds {
+	if k >= FifthKinds {
 		list = append(list, crashing, crashing)
 	}
+	if k >= AllKinds {
+		list = append(list, nameLimit, nameLimit, askRest, askRest, sayLeaving, sayLeaving)
+	}
 	return list
 }
 
 var faultNames = [...]string{"kill gateway", "stop gateway", "pause gateway", "reload gateway", "kill sidecar", "pause sidecar",
 	"spoil link", "spoil store link", "store refuses", "store silent", "store forgets", "take key", "move route", "many versions",
-	"replace endpoint", "crash endpoint", "misbehave", "shift load", "fail at random", "start again", "evacuate", "crashing request"}
+	"replace endpoint", "crash endpoint", "misbehave", "shift load", "fail at random", "start again", "evacuate", "crashing request", "name limit", "ask for rest", "say leaving"}
 
 // fault is one trouble of a schedule.
 type fault struct {
@@ -171,6 +178,12 @@
 		s.evacuate(f)
 	case crashing:
 		s.sendCrashing(f)
+	case nameLimit:
+		s.nameLimit(f)
+	case askRest:
+		s.askRest(f)
+	case sayLeaving:
+		return s.sayLeaving(f)
 	case shiftLoad:
 		s.group.Shift(f.how)
 	}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -82,16 +82,17 @@
 	taken     map[string]time.Time // Keys that were taken away, by when that was acknowledged.
 	moved     time.Time            // When the route last moved to another service.
 	movedTo   string
-	domains   map[string]string    // Failure domains of endpoints.
-	evacuated map[string][]span    // Evacuations by failure domain, those that are over.
-	left      map[string]time.Time // Endpoints that leave, by when that was acknowledged.
-	strangers []string             // Runs that no caller asked for.
-	ends      []string             // Processes that ended by themselves or not at all.
+	domains   map[string]string            // Failure domains of endpoints.
+	evacuated map[string][]span            // Evacuations by failure domain, those that are over.
+	left      map[string]time.Time         // Endpoints that leave, by when that was acknowledged.
+	arrivals  map[string][]standin.Arrival // By endpoint.
+	strangers []string                     // Runs that no caller asked for.
+	ends      []string                     // Processes that ended by themselves or not at all.
 }
 
 func newLedger() *ledger {
 	return &ledger{requests: map[string]*request{}, spans: map[int][]span{}, stopping: map[int][]span{}, taken: map[string]time.Time{}, left: map[string]time.Time{},
-		domains: map[string]string{}, evacuated: map[string][]span{}}
+		domains: map[string]string{}, evacuated: map[string][]span{}, arrivals: map[string][]standin.Arrival{}}
 }
 
 func (l *ledger) begin(r *request) {
@@ -149,6 +150,7 @@
 	broken = append(broken, l.ends...)
 	if timed {
 		broken = append(broken, l.judgeCrashing()...)
+		broken = append(broken, l.judgeAsks()...)
 	}
 	for _, r := range l.requests {
 		if r.answer.wrong != "" {
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -62,6 +62,9 @@
 	does  []standin.Behaviour
 	part  int // In 100 requests: those that are not served.
 	until time.Time
+
+	asks       standin.Asks // But for its rest.
+	restsUntil time.Time
 }
 
 // behave returns what the endpoint does with an attempt: each draws for itself,
@@ -248,7 +251,7 @@
 func (s *site) addEndpoint(service, domain string, last int, engine http.Handler) (e *endpointAt, err error) {
 	s.births++
 	e = &endpointAt{name: fmt.Sprintf("%s-%d", service, s.births), service: service, domain: domain, seed: s.cfg.Seed, born: time.Now().UnixMilli()}
-	e.handler = &standin.Endpoint{Name: e.name, Behave: e.behave, Pause: passTime, Engine: engine, Ran: s.ledger.ran, End: func() { s.end(e) }}
+	e.handler = &standin.Endpoint{Name: e.name, Behave: e.behave, Pause: passTime, Engine: engine, Ran: s.ledger.ran, Asks: e.wishes, Arrived: s.ledger.arrived, End: func() { s.end(e) }}
 	s.ledger.note(func(l *ledger) { l.domains[e.name] = domain })
 	if e.target, e.srv, err = s.serve(s.ip(last), e.handler); err != nil {
 		return nil, err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -143,7 +143,22 @@
 		{
 			name:  "a request that ends endpoints is sent on and on",
 			edits: []edit{{"../gateway/ended.go", "v, left := q.g.suspects.Judge(q.key, now)", "v, left := quarantine.Free, time.Duration(0)"}},
-			finds: `request crashing-\S+ reached endpoints \d+ times more`, seed: 2013, kinds: AllKinds,
+			finds: `request crashing-\S+ reached endpoints \d+ times more`, seed: 2013, kinds: FifthKinds,
+		},
+		{
+			name:  "endpoints get more than the limits that they name",
+			edits: []edit{{"../decide/throttle/throttle.go", "if e == nil || !e.word.Limited {\n\t\treturn true", "if e != nil || e == nil {\n\t\treturn true"}},
+			finds: `named a limit of \S+ a second and got`, seed: 5001, kinds: AllKinds,
+		},
+		{
+			name:  "endpoints that ask for rest get none",
+			edits: []edit{{"../decide/backoff/backoff.go", "if p == nil || !now.Before(p.until) {", "if p == nil || p != nil {"}},
+			finds: `of rest at \S+ and got`, seed: 5001, kinds: AllKinds,
+		},
+		{
+			name:  "endpoints whose answers say that they leave get more",
+			edits: []edit{{"../decide/backoff/backoff.go", "return p != nil && p.leaving", "return p != nil && false"}},
+			finds: `after it said in an answer that it leaves`, seed: 5001, kinds: AllKinds,
 		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -159,7 +174,7 @@
 }
 
 func TestSchedulesFollowFromTheirSeed(t *testing.T) {
-	for set, want := range map[Kinds]int{FirstKinds: int(shiftLoad) + 1, SecondKinds: int(failAtRandom) + 1, ThirdKinds: int(startAgain) + 1, FourthKinds: int(evacuate) + 1, AllKinds: int(crashing) + 1} {
+	for set, want := range map[Kinds]int{FirstKinds: int(shiftLoad) + 1, SecondKinds: int(failAtRandom) + 1, ThirdKinds: int(startAgain) + 1, FourthKinds: int(evacuate) + 1, FifthKinds: int(crashing) + 1, AllKinds: int(sayLeaving) + 1} {
 		t.Run(fmt.Sprint(set), func(t *testing.T) {
 			g := NewWithT(t)
 			a, b := schedule(7, time.Minute, set), schedule(7, time.Minute, set)
