internal/gateway, internal/decide/throttle: a trial after a long rest is sent, limits that still hold are told again

Cause: read in the code: the look right before a send took the trial's own mark for a rest, so no trial was ever sent; a gateway that was cut off as a limit ended kept to it until it sent there itself, which with many gateways is hours; callers on their last try could wait for a group while all of its ranks rest. Change: the mark is set as the request is sent; a limit that holds is told again each 30 s and lapses after 90 s without a word; such callers are refused at once.

--- a/internal/decide/throttle/throttle.go
+++ b/internal/decide/throttle/throttle.go
@@ -32,14 +32,22 @@
 	Word
 }
 
-// tellTimes is how often a change is told, since messages may be lost.
-const tellTimes = 3
+const (
+	// tellTimes is how often a change is told, since messages may be lost.
+	tellTimes = 3
+	// tellAgain is after how long a limit that still holds is told again, for gateways that
+	// were cut off as it changed.
+	tellAgain = 30 * time.Second
+	// lapseAfter is how long a limit holds of which nothing is heard.
+	lapseAfter = 3 * tellAgain
+)
 
 // endpoint is what is known of one endpoint's limit.
 type endpoint struct {
 	word    Word          // The newest.
 	since   time.Time     // When the first answer said the same as word.
 	told    int           // How often word was told to others.
+	toldAt  time.Time     // The word's time when it was last told or heard.
 	bucket  *limit.Bucket // This gateway's part; nil while it has none.
 	turn    int64         // For which the bucket was made.
 	version int           // Of the gateways by which it was made.
@@ -91,8 +99,13 @@
 	}
 	news = !w.same(e.word)
 	e.word = w
-	if news {
-		e.since, e.told, e.version = w.At, told, l.version-1
+	switch {
+	case news:
+		e.since, e.told, e.toldAt, e.version = w.At, told, w.At, l.version-1
+	case told == tellTimes:
+		e.toldAt = w.At
+	case w.Limited && w.At.Sub(e.toldAt) > tellAgain:
+		e.told = min(e.told, tellTimes-1)
 	}
 	return news
 }
@@ -169,6 +182,7 @@
 		}
 		if e.told < tellTimes {
 			e.told++
+			e.toldAt = e.word.At
 			list = append(list, Told{id, e.word})
 		}
 	}
@@ -203,10 +217,12 @@
 // words of other gateways arrive within it.
 const endedAge = 10 * time.Second
 
-// Forget drops endpoints that are not listed any more, and limits that ended long ago.
+// Forget drops endpoints that are not listed any more, and limits that ended long ago or of
+// which nothing was heard for long.
 func (l *Limits) Forget(listed func(id string) bool, now time.Time) {
 	for id, e := range l.by {
-		if !listed(id) || !e.word.Limited && now.Sub(e.word.At) > endedAge {
+		age := now.Sub(e.word.At)
+		if !listed(id) || age > lapseAfter || !e.word.Limited && age > endedAge {
 			delete(l.by, id)
 		}
 	}
--- a/internal/decide/throttle/throttle_test.go
+++ b/internal/decide/throttle/throttle_test.go
@@ -188,6 +188,33 @@
 	g.Expect(l.by).To(BeEmpty())
 }
 
+// Guards against a gateway that was cut off as a limit ended and keeps to it for good.
+func TestALimitThatHoldsIsToldAgainAndOneThatIsNotHeardOfLapses(t *testing.T) {
+	g := NewWithT(t)
+	teller, other := New(), New()
+	listed := func(string) bool { return true }
+	tell := func() {
+		for _, told := range teller.Tell(9) {
+			other.Hear(told)
+		}
+	}
+	word := func(after time.Duration) Word { return Word{Limited: true, Limit: 1, At: start.Add(after)} }
+	teller.Answered(endpointID, word(0))
+	for range tellTimes {
+		tell()
+	}
+	teller.Answered(endpointID, word(tellAgain))
+	g.Expect(teller.Tell(9)).To(BeEmpty(), "nothing has changed")
+	teller.Answered(endpointID, word(tellAgain+time.Second))
+	g.Expect(teller.Untold()).To(BeFalse(), "it is no news")
+	tell()
+	g.Expect(teller.Tell(9)).To(BeEmpty())
+	other.Forget(listed, start.Add(tellAgain+time.Second+lapseAfter))
+	g.Expect(other.Count()).To(Equal(1))
+	other.Forget(listed, start.Add(tellAgain+2*time.Second+lapseAfter))
+	g.Expect(other.Count()).To(BeZero())
+}
+
 func TestABacklogGivesEachCallerAPlace(t *testing.T) {
 	g := NewWithT(t)
 	b := &Backlog{}
--- a/internal/gateway/asks.go
+++ b/internal/gateway/asks.go
@@ -46,18 +46,23 @@
 	g.figures.countBackoffs(g.backoffs.Counts(now))
 }
 
-// countSend counts a request that is sent to an endpoint which has asked for less. The caller
-// holds mu.
-func (q *request) countSend(id string) {
-	if _, _, limited := q.g.limits.Limited(id); limited {
-		q.g.figures.toLimited.Inc(1)
+// usePermit notes that the request is sent now, and counts it if its endpoint has asked for
+// less.
+func (q *request) usePermit(id string) {
+	g, now := q.g, q.g.cfg.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	q.permit = ""
+	if _, _, limited := g.limits.Limited(id); limited {
+		g.figures.toLimited.Inc(1)
 	}
-	if _, resting := q.g.backoffs.Resting(id, q.g.cfg.Now()); resting {
-		q.g.figures.toResting.Inc(1)
+	if _, resting := g.backoffs.Resting(id, now); resting {
+		g.figures.toResting.Inc(1)
 	}
-	if q.g.backoffs.Leaving(id) {
-		q.g.figures.toLeaving.Inc(1)
+	if g.backoffs.Leaving(id) {
+		g.figures.toLeaving.Inc(1)
 	}
+	g.backoffs.Sent(id, now)
 }
 
 // leaves reports whether an endpoint is to get nothing new, by its entry or by its answers.
--- a/internal/gateway/asks_test.go
+++ b/internal/gateway/asks_test.go
@@ -95,3 +95,11 @@
 	g.Expect(ok).To(BeFalse())
 	g.Expect(q.barred.rate).To(BeNumerically(">", 0))
 }
+
+// Guards against an endpoint that is out for good since it once asked for a very long rest.
+func TestAVeryLongRestIsTried(t *testing.T) {
+	only := newStreamer(0)
+	s := newSite(t, only)
+	s.backoffs.Rest("0", 365*24*time.Hour, s.cfg.Now().Add(-time.Hour))
+	assertServedBy(t, s, only, 2, func() { s.tell(0, 0, 1) })
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -79,7 +79,6 @@
 	}
 	q.toCold = list[i].Paced
 	q.takePermit(list[i].ID)
-	q.g.backoffs.Sent(list[i].ID, q.g.cfg.Now())
 	at := slices.IndexFunc(candidates, func(e fleet.Endpoint) bool { return e.ID == list[i].ID })
 	return candidates[at], true
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -58,7 +58,7 @@
 			return
 		}
 		e, ok := q.choose(now)
-		if !ok && (q.groupDown || q.allDown) {
+		if !ok && !q.barred.any() && (q.groupDown || q.allDown) {
 			e, ok = q.awaitOpen(now)
 		}
 		if !ok && q.full && !q.mayRun && q.kept == nil {
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -39,7 +39,6 @@
 	}
 	g.table.Start(e.ID)
 	q.sendsTo(e.ID, time.Now())
-	q.countSend(e.ID)
 	g.mu.Unlock()
 	defer func() {
 		g.mu.Lock()
@@ -126,7 +125,7 @@
 	q.sentAt = sentAt
 	q.noteSending()
 	q.finished = false
-	q.permit = "" // It is used.
+	q.usePermit(e.ID)
 	defer func() {
 		if !q.finished && len(q.tried) > 0 && q.tried[len(q.tried)-1] == e.ID {
 			q.noteUnfinished(e)
--- a/internal/soak/asks.go
+++ b/internal/soak/asks.go
@@ -63,15 +63,7 @@
 
 // sayLeaving has a plain endpoint leave that tells so in its answers only; another one comes.
 func (s *site) sayLeaving(f fault) error {
-	s.mu.Lock()
-	i := s.cfg.Ranks + f.which%s.cfg.Plain
-	old := s.endpoints[i]
-	next, err := s.addEndpoint(old.service, old.domain, plainIP+s.births%plainIPs, nil)
-	if err == nil {
-		s.endpoints = s.endpoints[:len(s.endpoints)-1]
-		s.endpoints[i] = next
-	}
-	s.mu.Unlock()
+	old, err := s.succeed(f)
 	if err != nil {
 		return err
 	}
@@ -118,7 +110,7 @@
 }
 
 // judgeRests checks one gateway's requests to an endpoint against the rests that it asked for.
-func (l *ledger) judgeRests(endpoint string, g int, list []standin.Arrival) (broken []string) {
+func (l *ledger) judgeRests(endpoint string, g int, list []standin.Arrival) []string {
 	for i, asked := range list {
 		if asked.Asks.Rest == 0 {
 			continue
@@ -126,34 +118,34 @@
 		n := 0
 		for _, a := range list[i+1:] {
 			since := a.At.Sub(asked.At)
-			if since > toldAfter+slack && since < asked.Asks.Rest && l.calm(g, asked.At, a.At) {
+			if since > toldAfter+slack && since < asked.Asks.Rest && !l.halted(g, asked.At, a.At) {
 				n++
 			}
 		}
 		if n > restAllowed {
-			broken = append(broken, fmt.Sprintf("%s asked gateway %d for %v of rest at %s and got %d requests in it", endpoint, g, asked.Asks.Rest, asked.At.Format(clock), n))
+			return []string{fmt.Sprintf("%s asked gateway %d for %v of rest at %s and got %d requests in it", endpoint, g, asked.Asks.Rest, asked.At.Format(clock), n)}
 		}
 	}
-	return broken
+	return nil
 }
 
 // judgeLeaving checks that a gateway sends nothing to an endpoint whose answers say that it leaves.
-func (l *ledger) judgeLeaving(endpoint string, g int, list []standin.Arrival) (broken []string) {
+func (l *ledger) judgeLeaving(endpoint string, g int, list []standin.Arrival) []string {
 	i := slices.IndexFunc(list, func(a standin.Arrival) bool { return a.Asks.Leaving && a.Told })
 	if i < 0 {
 		return nil
 	}
 	for _, a := range list[i:] {
-		if a.At.Sub(list[i].At) > drainBound+slack && l.calm(g, list[i].At, a.At) {
-			broken = append(broken, fmt.Sprintf("%s got a request of gateway %d %v after it said in an answer that it leaves", endpoint, g, a.At.Sub(list[i].At)))
+		if a.At.Sub(list[i].At) > drainBound+slack && !l.halted(g, list[i].At, a.At) {
+			return []string{fmt.Sprintf("%s got a request of gateway %d %v after it said in an answer that it leaves", endpoint, g, a.At.Sub(list[i].At))}
 		}
 	}
-	return broken
+	return nil
 }
 
 // judgeLimit checks all requests to an endpoint against the limits that it named, of gateways
 // that were told.
-func (l *ledger) judgeLimit(endpoint string, list []standin.Arrival) (broken []string) {
+func (l *ledger) judgeLimit(endpoint string, list []standin.Arrival) []string {
 	var first time.Time                // Of the answers that name the limit.
 	var named standin.Asks             // The newest.
 	told := map[int]time.Time{}        // When gateways got the first of them.
@@ -171,16 +163,20 @@
 		}
 		g := gatewayOf(a.From)
 		at, known := told[g]
+		if known && l.halted(g, at, a.At) {
+			delete(told, g) // It may have forgotten.
+			known = false
+		}
 		if !known && a.Told {
 			told[g] = a.At
 		}
-		if !known || a.At.Sub(at) < toldAfter+slack || a.At.Sub(first) < calmBefore || !l.calm(g, a.At.Add(-limitWindow), a.At) {
+		if !known || a.At.Sub(at) < toldAfter+slack || a.At.Sub(first) < calmBefore {
 			continue
 		}
 		counted = append(counted, a)
 		if n := within(a.At); float64(n) > limitShare*named.Limit*limitWindow.Seconds()+limitSlack {
-			return append(broken, fmt.Sprintf("%s named a limit of %v a second and got %d requests in %v at %s", endpoint, named.Limit, n, limitWindow, a.At.Format(clock)))
+			return []string{fmt.Sprintf("%s named a limit of %v a second and got %d requests in %v at %s", endpoint, named.Limit, n, limitWindow, a.At.Format(clock))}
 		}
 	}
-	return broken
+	return nil
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -137,6 +137,7 @@
 	case stopGateway:
 		return s.restart(g, gateway.proc, syscall.SIGTERM, grace)
 	case pauseGateway:
+		s.ledger.halt(g, span{time.Now(), time.Now().Add(f.lasts + slack)})
 		s.disturb(g, f.lasts, func() { gateway.proc.pause(f.lasts) })
 	case reloadGateway:
 		gateway.proc.signal(syscall.SIGHUP)
@@ -146,6 +147,7 @@
 		sidecar.proc.pause(f.lasts)
 	case spoilLink:
 		e := s.endpoint(f.which / 7)
+		s.ledger.halt(g, span{time.Now(), time.Now().Add(f.lasts + slack)})
 		s.spoil(g, e.proxy, f)
 	case spoilStoreLink:
 		s.spoil(g, s.storeVia, f)
@@ -222,6 +224,7 @@
 	within(over, grace)
 	ended := time.Now()
 	if gateway >= 0 {
+		s.ledger.halt(gateway, span{began, ended.Add(restartPause + slack)})
 		s.ledger.note(func(l *ledger) {
 			if sig == syscall.SIGTERM {
 				l.stopping[gateway] = append(l.stopping[gateway], span{began, ended})
@@ -296,21 +299,33 @@
 	return s.publish()
 }
 
-// replace makes a plain endpoint leave as planned, and another one come.
-func (s *site) replace(f fault) error {
+// succeed has another plain endpoint come in the place of one, which is still listed.
+func (s *site) succeed(f fault) (old *endpointAt, err error) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	i := s.cfg.Ranks + f.which%s.cfg.Plain
-	old := s.endpoints[i]
+	old = s.endpoints[i]
 	next, err := s.addEndpoint(old.service, old.domain, plainIP+s.births%plainIPs, nil)
-	if err == nil {
-		s.endpoints = s.endpoints[:len(s.endpoints)-1]
-		s.endpoints[i] = next
-		err = s.store.List(old.entry(true))
+	if err != nil {
+		return nil, err
 	}
-	s.mu.Unlock()
+	s.endpoints = s.endpoints[:len(s.endpoints)-1]
+	s.endpoints[i] = next
+	return old, nil
+}
+
+// replace makes a plain endpoint leave as planned, and another one come.
+func (s *site) replace(f fault) error {
+	old, err := s.succeed(f)
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
+	leaving := old.entry(true)
+	s.mu.Unlock()
+	if err := s.store.List(leaving); err != nil {
+		return err
+	}
 	s.ledger.note(func(l *ledger) { l.left[old.name] = time.Now() })
 	time.Sleep(drainBound + slack)
 	s.store.Remove(old.name)
@@ -377,19 +392,11 @@
 // crash makes a plain endpoint go without a word; its entry goes later, and
 // another one comes.
 func (s *site) crash(f fault) error {
-	s.mu.Lock()
-	i := s.cfg.Ranks + f.which%s.cfg.Plain
-	old := s.endpoints[i]
-	old.misbehave(time.Hour, 100, standin.LosesAnswer) // What it has begun is lost, too.
-	next, err := s.addEndpoint(old.service, old.domain, plainIP+s.births%plainIPs, nil)
-	if err == nil {
-		s.endpoints = s.endpoints[:len(s.endpoints)-1]
-		s.endpoints[i] = next
-	}
-	s.mu.Unlock()
+	old, err := s.succeed(f)
 	if err != nil {
 		return err
 	}
+	old.misbehave(time.Hour, 100, standin.LosesAnswer) // What it has begun is lost, too.
 	if err := old.srv.Close(); err != nil {
 		return err
 	}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -78,6 +78,7 @@
 	mu        sync.Mutex
 	requests  map[string]*request
 	spans     map[int][]span       // Disturbances by gateway.
+	halts     map[int][]span       // Restarts, pauses and cuts by gateway; all but planned stops are disturbances.
 	stopping  map[int][]span       // Planned stops by gateway; they are no disturbance.
 	taken     map[string]time.Time // Keys that were taken away, by when that was acknowledged.
 	moved     time.Time            // When the route last moved to another service.
@@ -92,7 +93,7 @@
 
 func newLedger() *ledger {
 	return &ledger{requests: map[string]*request{}, spans: map[int][]span{}, stopping: map[int][]span{}, taken: map[string]time.Time{}, left: map[string]time.Time{},
-		domains: map[string]string{}, evacuated: map[string][]span{}, arrivals: map[string][]standin.Arrival{}}
+		domains: map[string]string{}, evacuated: map[string][]span{}, arrivals: map[string][]standin.Arrival{}, halts: map[int][]span{}}
 }
 
 func (l *ledger) begin(r *request) {
@@ -133,6 +134,18 @@
 	})
 }
 
+// halt notes that a gateway was restarted, paused or cut off.
+func (l *ledger) halt(gateway int, s span) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.halts[gateway] = append(l.halts[gateway], s)
+}
+
+// halted reports whether a gateway was restarted, paused or cut off in a time.
+func (l *ledger) halted(gateway int, from, to time.Time) bool {
+	return slices.ContainsFunc(l.halts[gateway], func(s span) bool { return s.from.Before(to) && s.to.After(from) })
+}
+
 // promisesNotRun are the statuses that say that a request never runs.
 var promisesNotRun = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
 
