internal/agent, internal/entry, internal/adapter: an endpoint of the own interface that asks for rest gets it

Callers' requests went on to an engine or service that had turned them away and asked for rest. Change: the adapters read the rest, the agent refuses within it with what is left and tells it with its load, entries pass such endpoints over, and say when the first rest ends where none is left.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,7 @@
 type statusError struct {
 	code int
 	text string
+	rest time.Duration // That the answer asks for.
 }
 
 func (e *statusError) Error() string { return http.StatusText(e.code) + ": " + e.text }
@@ -38,6 +40,32 @@
 	return 0
 }
 
+// Rest returns for how long the one that failed a call wants nothing more, 0 when it did not
+// say so.
+func Rest(err error) time.Duration {
+	var se *statusError
+	if errors.As(err, &se) {
+		return se.rest
+	}
+	return 0
+}
+
+// longestRest bounds what is read of a time to rest, so that it fits a duration.
+const longestRest = 365 * 24 * time.Hour
+
+// restOf reads for how long an answer asks to be left alone. Seconds may have a fraction; what
+// is no such number counts as absent.
+func restOf(resp *http.Response) time.Duration {
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		return 0
+	}
+	s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if err != nil || !(s > 0) { // No NaN either.
+		return 0
+	}
+	return time.Duration(min(s, longestRest.Seconds()) * float64(time.Second))
+}
+
 // notSentError marks a call of which no byte left the process.
 type notSentError struct{ error }
 
@@ -123,7 +151,7 @@
 func readOK(resp *http.Response) (raw []byte, err error) {
 	if resp.StatusCode != http.StatusOK {
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, statusText)) // The status says enough.
-		return nil, &statusError{resp.StatusCode, string(text)}
+		return nil, &statusError{resp.StatusCode, string(text), restOf(resp)}
 	}
 	return ReadWhole(resp, maxAnswer)
 }
--- a/internal/adapter/engine.go
+++ b/internal/adapter/engine.go
@@ -149,7 +149,7 @@
 	if resp.StatusCode != http.StatusOK {
 		defer func() { _ = resp.Body.Close() }()
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, statusText))
-		return nil, &statusError{resp.StatusCode, string(text)}
+		return nil, &statusError{resp.StatusCode, string(text), restOf(resp)}
 	}
 	return resp.Body, nil
 }
--- a/internal/adapter/service.go
+++ b/internal/adapter/service.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -26,6 +27,7 @@
 	Status int
 	Type   string
 	Body   []byte
+	Rest   time.Duration // For which the service wants nothing more; 0 when it did not say so.
 }
 
 // Service is the adapter to one plain service.
@@ -78,5 +80,5 @@
 	if err != nil {
 		return r, err
 	}
-	return Reply{Status: resp.StatusCode, Type: resp.Header.Get("Content-Type"), Body: raw}, nil
+	return Reply{Status: resp.StatusCode, Type: resp.Header.Get("Content-Type"), Body: raw, Rest: restOf(resp)}, nil
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -13,11 +13,14 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
+	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/decide/admit"
+	"github.com/canvaspulley/canvaspulley/internal/decide/backoff"
 	"github.com/canvaspulley/canvaspulley/internal/decide/once"
 	"github.com/canvaspulley/canvaspulley/internal/node"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
@@ -52,6 +55,7 @@
 	step    uint64                 // Engine's step number by its last report.
 	moved   time.Time              // When step last changed, or when nothing ran.
 	stalled bool
+	rests   *backoff.Set // Of the endpoint, under its own name.
 }
 
 // ticket is the queue's word on one waiting request.
@@ -84,6 +88,7 @@
 		}),
 		waiting: map[string]chan ticket{},
 		moved:   n.Started(),
+		rests:   backoff.New(),
 	}
 }
 
@@ -206,10 +211,40 @@
 		StepMS:  float64(a.queue.Step()) / float64(time.Millisecond),
 		Step:    a.step,
 		Stalled: a.stalled,
+		RestMS:  a.restLeft().Milliseconds(),
 		Leaving: a.node.State() == node.Draining || a.node.State() == node.Stopped,
 	}
 }
 
+// rest takes in that the endpoint wants nothing for a while.
+func (a *Agent) rest(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	a.mu.Lock()
+	news := a.rests.Rest(a.node.Settings().Endpoint, d, clock.Now())
+	a.mu.Unlock()
+	if news {
+		a.count("endpoint.rests")
+		a.node.Log().Info("endpoint asks for rest", zap.Duration("for", d))
+	}
+}
+
+// restLeft returns how much is left of the endpoint's rest. The caller holds mu.
+func (a *Agent) restLeft() time.Duration {
+	left, _ := a.rests.Resting(a.node.Settings().Endpoint, clock.Now())
+	return left
+}
+
+// refuseInRest refuses what the endpoint has asked not to get now; nil when it does not rest.
+// The caller holds mu.
+func (a *Agent) refuseInRest() *wire.Refusal {
+	if left := a.restLeft(); left > 0 {
+		return wire.Refuse(http.StatusServiceUnavailable, left, "the endpoint has asked for rest")
+	}
+	return nil
+}
+
 // Busy returns the number of requests that run or wait.
 func (a *Agent) Busy() int {
 	a.mu.Lock()
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -140,6 +140,9 @@
 	if a.stalled {
 		return wire.Refuse(http.StatusServiceUnavailable, time.Second, "engine group stands still")
 	}
+	if refusal := a.refuseInRest(); refusal != nil {
+		return refusal
+	}
 	if v, _ := a.ids.Begin(j.name, 0, at, now); v != once.Run {
 		return refusalOfAttempt(v)
 	}
@@ -259,7 +262,9 @@
 	if d, ok := j.env.Deadline(); ok && !now.Before(d) {
 		return wire.Refuse(http.StatusGatewayTimeout, 0, "deadline has passed")
 	}
-	return nil
+	j.agent.mu.Lock()
+	defer j.agent.mu.Unlock()
+	return j.agent.refuseInRest() // It may have asked while the request waited.
 }
 
 // end applies the last event and settles the marks by where it led.
@@ -314,6 +319,7 @@
 		a.refuse(w, doubt)
 		return
 	}
+	a.rest(reply.Rest)
 	j.finishKey(once.Answer{Status: reply.Status, Type: reply.Type, Body: reply.Body})
 	j.end(eventFinish)
 	a.count("calls.done")
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -3,6 +3,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -33,7 +34,9 @@
 	switch {
 	case adapter.NotSent(err) || adapter.Status(err) == http.StatusServiceUnavailable:
 		j.end(eventRefuse)
-		a.refuse(w, wire.Refuse(http.StatusServiceUnavailable, time.Second, "engine cannot be reached"))
+		rest := adapter.Rest(err)
+		a.rest(rest)
+		a.refuse(w, wire.Refuse(http.StatusServiceUnavailable, cmp.Or(rest, time.Second), "engine cannot be reached or takes nothing"))
 		return
 	case err != nil:
 		j.end(eventBreak)
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -207,7 +207,7 @@
 	}
 	c, ok := choose(list, s.prefix)
 	if !ok {
-		return c, wire.Refuse(http.StatusServiceUnavailable, time.Second, "no endpoint is there")
+		return c, s.entry.noEndpoint(s.groups)
 	}
 	return c, nil
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -48,7 +48,7 @@
 	}
 	c, ok := choose(e.candidates(services, nil), "")
 	if !ok {
-		return wire.Refuse(http.StatusServiceUnavailable, time.Second, "no endpoint is there")
+		return e.noEndpoint(services)
 	}
 	return req.out.json(struct {
 		Key string `json:"key"`
@@ -115,7 +115,7 @@
 
 // target is the owner of the key, if there is one, and else a chosen endpoint.
 func (e *Entry) target(req *request, s *published.Service, env *wire.Envelope, avoid map[string]bool) (c candidate, refusal *wire.Refusal) {
-	none := wire.Refuse(http.StatusServiceUnavailable, time.Second, "no endpoint is there")
+	none := e.noEndpoint([]*published.Service{s})
 	if env.Key == "" {
 		c, ok := choose(e.candidates([]*published.Service{s}, avoid), "")
 		if !ok {
--- a/internal/entry/tracker.go
+++ b/internal/entry/tracker.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -25,6 +26,7 @@
 	life    int64 // Life of the process that said it.
 	sent    int   // Own requests since that report that have not ended.
 	blocked time.Time
+	rests   time.Time                    // Until when the endpoint wants nothing.
 	cancels map[*context.CancelFunc]bool // Own requests that have not ended.
 }
 
@@ -85,6 +87,7 @@
 	h := t.get(slot)
 	h.load = l
 	h.sent = 0
+	h.rests = time.Now().Add(time.Duration(l.RestMS) * time.Millisecond)
 	if l.Stalled {
 		h.blocked = time.Now().Add(blockStalled)
 	}
@@ -119,9 +122,9 @@
 			}
 			h := e.tracker.get(ep.Name)
 			if h.life != m.Life && m.Life != 0 {
-				h.life, h.load, h.blocked = m.Life, wire.Load{}, time.Time{} // A new process is judged anew.
+				h.life, h.load, h.blocked, h.rests = m.Life, wire.Load{}, time.Time{}, time.Time{} // A new process is judged anew.
 			}
-			if now.Before(h.blocked) || h.load.Leaving {
+			if now.Before(h.blocked) || now.Before(h.rests) || h.load.Leaving {
 				continue
 			}
 			list = append(list, candidate{
@@ -136,3 +139,26 @@
 	}
 	return list
 }
+
+// emptyRetry is when to come back where no endpoint is there.
+const emptyRetry = time.Second
+
+// noEndpoint refuses a request for which no endpoint of services can be chosen: with the end of
+// the first rest, if any has asked for one.
+func (e *Entry) noEndpoint(services []*published.Service) *wire.Refusal {
+	now := time.Now()
+	var first time.Duration
+	e.tracker.mu.Lock()
+	defer e.tracker.mu.Unlock()
+	for _, s := range services {
+		for _, ep := range s.Endpoints {
+			if left := e.tracker.get(ep.Name).rests.Sub(now); left > 0 && (first == 0 || left < first) {
+				first = left
+			}
+		}
+	}
+	if first > 0 {
+		return wire.Refuse(http.StatusServiceUnavailable, first, "all endpoints that are there have asked for rest")
+	}
+	return wire.Refuse(http.StatusServiceUnavailable, emptyRetry, "no endpoint is there")
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -215,6 +215,7 @@
 	Step    uint64  `json:"n,omitempty"`    // Engine step number.
 	Leaving bool    `json:"leave,omitempty"`
 	Stalled bool    `json:"stall,omitempty"` // The engine group stands still.
+	RestMS  int64   `json:"rest,omitempty"`  // For how long the endpoint wants nothing.
 }
 
 // EncodeLoad returns l as a header value.
