--- a/internal/decide/throttle/throttle_test.go
+++ b/internal/decide/throttle/throttle_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -153,6 +154,50 @@
 	}
 }
 
+// assertBounded checks what so many sets of gateways send that do not know of each other.
+func assertBounded(t *testing.T, f *fleet, sets int, limit float64) {
+	t.Helper()
+	senders := math.Floor(limit) + 1
+	n, _ := f.most()
+	NewWithT(t).Expect(float64(n)).To(BeNumerically("<=", float64(sets)*(senders+(senders+1)/2+RateOf(limit)*window.Seconds())), "requests in %v", window)
+}
+
+func TestTheSidesOfACutAreBoundedEach(t *testing.T) {
+	for _, limit := range limits {
+		t.Run(fmt.Sprint(limit), func(t *testing.T) {
+			f := newFleet(30)
+			f.name(true, limit)
+			f.run(0, 30, 7*time.Second)
+			assertBounded(t, f, 1, limit)
+			for i, l := range f.gateways {
+				l.SetGateways(f.names[i], f.names[i/15*15:i/15*15+15])
+			}
+			f.run(0, 30, 25*time.Second)
+			assertBounded(t, f, 2, limit)
+			f.know(f.names)
+			f.now += window
+			f.sent = nil
+			f.run(0, 30, 25*time.Second)
+			assertWithin(t, f, limit)
+		})
+	}
+}
+
+// Gateways that are suspended one after the other send no more than their part as they wake.
+func TestALimitHoldsWhileGatewaysAreSuspended(t *testing.T) {
+	for _, limit := range limits {
+		t.Run(fmt.Sprint(limit), func(t *testing.T) {
+			f := newFleet(7)
+			f.name(true, limit)
+			for awake := range 14 {
+				f.run(awake%7, 7, 3*time.Second)
+			}
+			f.run(0, 7, 10*time.Second)
+			assertWithin(t, f, limit)
+		})
+	}
+}
+
 func TestALimitThatFallsHoldsAtOnce(t *testing.T) {
 	f := newFleet(7)
 	f.name(true, 50)
