internal/decide/backoff, internal/gateway: what a life says before it is listed holds when it is

An endpoint that had said that it leaves got a request 3.05 s later. Cause: words were kept under the listed life's id. The endpoint had started again under its name while the store was silent; its second life said that it leaves, which was kept for the first, and was forgotten as the second was listed. Change: words are kept by name with the time at which they were said, and hold for every life that was born before that.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -216,13 +216,16 @@
 	}
 }
 
+// endpoint names the agent's endpoint, whose lives it does not tell apart.
+func (a *Agent) endpoint() backoff.Life { return backoff.Life{Name: a.node.Settings().Endpoint} }
+
 // rest takes in that the endpoint wants nothing for a while.
 func (a *Agent) rest(d time.Duration) {
 	if d <= 0 {
 		return
 	}
 	a.mu.Lock()
-	news := a.rests.Rest(a.node.Settings().Endpoint, d, clock.Now())
+	news := a.rests.Rest(a.endpoint(), d, clock.Now())
 	a.mu.Unlock()
 	if news {
 		a.count("endpoint.rests")
@@ -232,7 +235,7 @@
 
 // restLeft returns how much is left of the endpoint's rest. The caller holds mu.
 func (a *Agent) restLeft() time.Duration {
-	left, _ := a.rests.Resting(a.node.Settings().Endpoint, clock.Now())
+	left, _ := a.rests.Resting(a.endpoint(), clock.Now())
 	return left
 }
 
--- a/internal/decide/backoff/backoff.go
+++ b/internal/decide/backoff/backoff.go
@@ -17,10 +17,23 @@
 	trialTime = 10 * time.Second
 )
 
-// pause is what is known of one endpoint.
+// Life is one run of an endpoint's process.
+type Life struct {
+	Name string
+	Born int64 // Unix milliseconds; 0 when not told.
+}
+
+// said reports whether what the endpoint of the life's name said at a moment was said by that
+// life or a later one. An answer may come of a life that is not listed yet.
+func (l Life) said(at time.Time) bool {
+	return !at.IsZero() && (l.Born == 0 || at.UnixMilli() >= l.Born)
+}
+
+// pause is what is known of the endpoint of one name.
 type pause struct {
-	leaving bool
-	until   time.Time // End of its rest.
+	leftAt   time.Time // When it said that it leaves; zero when it has not.
+	restedAt time.Time // When it last asked for rest.
+	until    time.Time // End of its rest.
 	// trial is set where a rest was cut to longestRest: one request at a time shows whether
 	// it is over.
 	trial bool
@@ -28,66 +41,69 @@
 
 // Set holds what is known of all endpoints.
 type Set struct {
-	by map[string]*pause
+	by map[string]*pause // By name.
 }
 
 // New returns a set that knows of no wish.
 func New() *Set { return &Set{by: map[string]*pause{}} }
 
-func (s *Set) of(id string) *pause {
-	p := s.by[id]
+func (s *Set) of(name string) *pause {
+	p := s.by[name]
 	if p == nil {
 		p = &pause{}
-		s.by[id] = p
+		s.by[name] = p
 	}
 	return p
 }
 
 // Rest takes in that an endpoint wants nothing for so long. It reports false where it rests
 // already.
-func (s *Set) Rest(id string, d time.Duration, now time.Time) (news bool) {
-	p := s.of(id)
-	news = !now.Before(p.until)
+func (s *Set) Rest(l Life, d time.Duration, now time.Time) (news bool) {
+	_, resting := s.Resting(l, now)
+	p := s.of(l.Name)
+	if !l.said(p.restedAt) {
+		p.until, p.trial = time.Time{}, false // Of an earlier life.
+	}
+	p.restedAt = now
 	p.trial = p.trial || d > longestRest
 	if until := now.Add(min(d, longestRest)); until.After(p.until) {
 		p.until = until
 	}
-	return news
+	return !resting
 }
 
 // Leave takes in that an endpoint leaves. It reports false where that is known.
-func (s *Set) Leave(id string) (news bool) {
-	p := s.of(id)
-	news = !p.leaving
-	p.leaving = true
+func (s *Set) Leave(l Life, now time.Time) (news bool) {
+	news = !s.Leaving(l)
+	s.of(l.Name).leftAt = now
 	return news
 }
 
 // Sent notes that a request goes to an endpoint.
-func (s *Set) Sent(id string, now time.Time) {
-	if p := s.by[id]; p != nil && p.trial {
+func (s *Set) Sent(l Life, now time.Time) {
+	if p := s.by[l.Name]; p != nil && p.trial {
 		p.until = now.Add(trialTime)
 	}
 }
 
 // Answered takes in an answer that asks for no rest, to a request that was sent at a moment.
-func (s *Set) Answered(id string, sentAt time.Time) {
+func (s *Set) Answered(l Life, sentAt time.Time) {
 	// A trial ends trialTime after it was sent.
-	if p := s.by[id]; p != nil && p.trial && !sentAt.Before(p.until.Add(-trialTime)) {
+	if p := s.by[l.Name]; p != nil && p.trial && !sentAt.Before(p.until.Add(-trialTime)) {
 		p.trial, p.until = false, sentAt
 	}
 }
 
 // Leaving reports whether an endpoint has said that it leaves.
-func (s *Set) Leaving(id string) bool {
-	p := s.by[id]
-	return p != nil && p.leaving
+func (s *Set) Leaving(l Life) bool {
+	p := s.by[l.Name]
+	return p != nil && l.said(p.leftAt)
 }
 
 // Resting returns how much is left of an endpoint's rest; ok is false when it rests no more.
-func (s *Set) Resting(id string, now time.Time) (left time.Duration, ok bool) {
-	p := s.by[id]
-	if p == nil || !now.Before(p.until) {
+func (s *Set) Resting(l Life, now time.Time) (left time.Duration, ok bool) {
+	p := s.by[l.Name]
+	if p == nil || !l.said(p.restedAt) || !now.Before(p.until) {
 		return 0, false
 	}
 	return p.until.Sub(now), true
@@ -95,22 +111,22 @@
 
 // Counts returns how many endpoints rest and how many leave.
 func (s *Set) Counts(now time.Time) (resting, leaving int) {
-	for id, p := range s.by {
-		if p.leaving {
+	for _, p := range s.by {
+		if !p.leftAt.IsZero() {
 			leaving++
 		}
-		if _, ok := s.Resting(id, now); ok {
+		if now.Before(p.until) {
 			resting++
 		}
 	}
 	return resting, leaving
 }
 
-// Forget drops endpoints that are not listed any more, and rests that have ended.
-func (s *Set) Forget(listed func(id string) bool, now time.Time) {
-	for id, p := range s.by {
-		if !listed(id) || !p.leaving && !p.trial && !now.Before(p.until) {
-			delete(s.by, id)
+// Forget drops endpoints whose names are not listed any more, and rests that have ended.
+func (s *Set) Forget(listed func(name string) bool, now time.Time) {
+	for name, p := range s.by {
+		if !listed(name) || p.leftAt.IsZero() && !p.trial && !now.Before(p.until) {
+			delete(s.by, name)
 		}
 	}
 }
--- a/internal/gateway/asks.go
+++ b/internal/gateway/asks.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/canvaspulley/canvaspulley/internal/decide/backoff"
 	"github.com/canvaspulley/canvaspulley/internal/decide/throttle"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 )
@@ -26,21 +27,24 @@
 	q.hearBackoff(e, a)
 }
 
+// life names the life of an endpoint as its wishes are kept.
+func life(e fleet.Endpoint) backoff.Life { return backoff.Life{Name: e.Name(), Born: e.Born} }
+
 // hearBackoff takes in that an endpoint wants nothing for a while, or nothing more at all.
 func (q *request) hearBackoff(e fleet.Endpoint, a fleet.Answer) {
 	g, now := q.g, q.g.cfg.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if a.Rest == 0 {
-		g.backoffs.Answered(e.ID, q.wentAt)
+		g.backoffs.Answered(life(e), q.wentAt)
 	}
 	if a.Rest == 0 && !a.Leaving {
 		return
 	}
-	if a.Rest > 0 && g.backoffs.Rest(e.ID, a.Rest, now) {
+	if a.Rest > 0 && g.backoffs.Rest(life(e), a.Rest, now) {
 		g.log.Info("endpoint asks for rest", zap.String("endpoint", e.ID), zap.String("request", q.call.ID), zap.Duration("for", a.Rest))
 	}
-	if a.Leaving && g.backoffs.Leave(e.ID) {
+	if a.Leaving && g.backoffs.Leave(life(e), now) {
 		g.log.Info("endpoint says that it leaves", zap.String("endpoint", e.ID), zap.String("request", q.call.ID))
 	}
 	g.figures.countBackoffs(g.backoffs.Counts(now))
@@ -48,35 +52,35 @@
 
 // usePermit notes that the request is sent now, and counts it if its endpoint has asked for
 // less.
-func (q *request) usePermit(id string) {
+func (q *request) usePermit(e fleet.Endpoint) {
 	g, now := q.g, q.g.cfg.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	q.permit = ""
-	if _, _, limited := g.limits.Limited(id); limited {
+	if _, _, limited := g.limits.Limited(e.ID); limited {
 		g.figures.toLimited.Inc(1)
 	}
-	if _, resting := g.backoffs.Resting(id, now); resting {
+	if _, resting := g.backoffs.Resting(life(e), now); resting {
 		g.figures.toResting.Inc(1)
 	}
-	if g.backoffs.Leaving(id) {
+	if g.backoffs.Leaving(life(e)) {
 		g.figures.toLeaving.Inc(1)
 	}
-	g.backoffs.Sent(id, now)
+	g.backoffs.Sent(life(e), now)
 }
 
 // leaves reports whether an endpoint is to get nothing new, by its entry or by its answers.
 func (g *Gateway) leaves(e fleet.Endpoint) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return e.Leaving || g.backoffs.Leaving(e.ID)
+	return e.Leaving || g.backoffs.Leaving(life(e))
 }
 
 // rests reports whether an endpoint has asked this gateway for rest.
-func (g *Gateway) rests(id string) bool {
+func (g *Gateway) rests(e fleet.Endpoint) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	_, resting := g.backoffs.Resting(id, g.cfg.Now())
+	_, resting := g.backoffs.Resting(life(e), g.cfg.Now())
 	return resting
 }
 
@@ -91,17 +95,17 @@
 
 // bars reports whether what an endpoint asks for keeps requests from it now, and adds that to
 // b. The caller holds mu.
-func (g *Gateway) bars(b *barred, id string, now time.Time) bool {
-	if left, resting := g.backoffs.Resting(id, now); resting {
+func (g *Gateway) bars(b *barred, e fleet.Endpoint, now time.Time) bool {
+	if left, resting := g.backoffs.Resting(life(e), now); resting {
 		if b.rest == 0 || left < b.rest {
 			b.rest = left
 		}
 		return true
 	}
-	if g.limits.Due(id, now) {
+	if g.limits.Due(e.ID, now) {
 		return false
 	}
-	perSecond, _, _ := g.limits.Limited(id)
+	perSecond, _, _ := g.limits.Limited(e.ID)
 	b.rate += throttle.RateOf(perSecond)
 	return true
 }
@@ -113,7 +117,7 @@
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
 	for _, e := range s.ByService[q.service] {
-		if q.g.staysIn(s, e) && !q.g.bars(&b, e.ID, now) {
+		if q.g.staysIn(s, e) && !q.g.bars(&b, e, now) {
 			return barred{}
 		}
 	}
--- a/internal/gateway/asks_test.go
+++ b/internal/gateway/asks_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/canvaspulley/canvaspulley/internal/decide/backoff"
 	"github.com/canvaspulley/canvaspulley/internal/decide/throttle"
 )
 
@@ -18,7 +19,7 @@
 type bar func(s site, id string)
 
 var bars = map[string]bar{
-	"rests": func(s site, id string) { s.backoffs.Rest(id, time.Minute, s.cfg.Now()) },
+	"rests": func(s site, id string) { s.backoffs.Rest(backoff.Life{Name: id}, time.Minute, s.cfg.Now()) },
 	"is at its limit": func(s site, id string) {
 		s.limits.Answered(id, throttle.Word{Limited: true, At: s.cfg.Now()})
 		s.limits.Take(id, s.cfg.Now())
@@ -100,6 +101,6 @@
 func TestAVeryLongRestIsTried(t *testing.T) {
 	only := newStreamer(0)
 	s := newSite(t, only)
-	s.backoffs.Rest("0", 365*24*time.Hour, s.cfg.Now().Add(-time.Hour))
+	s.backoffs.Rest(backoff.Life{Name: "0"}, 365*24*time.Hour, s.cfg.Now().Add(-time.Hour))
 	assertServedBy(t, s, only, 2, func() { s.tell(0, 0, 1) })
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -94,7 +94,7 @@
 	s := q.g.view.State()
 	now := q.g.cfg.Now()
 	for _, e := range s.ByService[q.service] {
-		if !q.g.staysIn(s, e) || q.g.bars(&bars, e.ID, now) || slices.Contains(q.tried, e.ID) || slices.Contains(q.unsent, e.ID) {
+		if !q.g.staysIn(s, e) || q.g.bars(&bars, e, now) || slices.Contains(q.tried, e.ID) || slices.Contains(q.unsent, e.ID) {
 			continue
 		}
 		if q.groupDown && q.g.passes.Group(e.ID) == q.downGroup {
@@ -108,7 +108,7 @@
 // staysIn reports whether an endpoint of a state may get anything new. The caller holds mu.
 func (g *Gateway) staysIn(s *follow.State, e fleet.Endpoint) bool {
 	_, missing := s.Missing[e.ID]
-	return !missing && !e.Leaving && !g.backoffs.Leaving(e.ID) && !s.Evacuated(e.Domain)
+	return !missing && !e.Leaving && !g.backoffs.Leaving(life(e)) && !s.Evacuated(e.Domain)
 }
 
 // chooseGroup draws one of the groups that the ranks in list are in, by the room
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,7 +178,11 @@
 	g.table.Forget(listed)
 	g.passes.Forget(listed)
 	g.forgetCold(listed, time.Now())
-	g.backoffs.Forget(listed, g.cfg.Now())
+	names := make(map[string]bool, len(s.Endpoints))
+	for _, e := range s.Endpoints {
+		names[e.Name()] = true
+	}
+	g.backoffs.Forget(func(name string) bool { return names[name] }, g.cfg.Now())
 	g.figures.countBackoffs(g.backoffs.Counts(g.cfg.Now()))
 	g.limits.Forget(listed, g.cfg.Now())
 	g.figures.limited.Update(int64(g.limits.Count()))
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -102,7 +102,7 @@
 		q.note(e.ID + " leaves")
 		return false
 	}
-	if q.g.rests(e.ID) {
+	if q.g.rests(e) {
 		q.note(e.ID + " has asked for rest")
 		return false
 	}
@@ -123,7 +123,7 @@
 func (q *request) exchange(e fleet.Endpoint, conn *upstream.Conn) result {
 	sentAt := time.Now()
 	q.sentAt = sentAt
-	q.usePermit(e.ID)
+	q.usePermit(e)
 	q.noteSending() // After that: a trial's answer counts if it was sent no earlier than the trial.
 	q.finished = false
 	defer func() {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -71,6 +71,7 @@
 }{
 	{246, FirstKinds, 0, "a second SIGTERM in a planned stop ended the process at once and cut requests off"},
 	{121, FirstKinds, 0, "the soak judged runs by a move of the route that had not come yet"},
+	{700210, AllKinds, 0, "what a second life said before it was listed was forgotten as it was: it got a request 3 s after it had said that it leaves"},
 	{105275, SecondKinds, manyCallers, "a stream that was cut off was ended as whole: by the next endpoint's failure, and for HTTP/1.0 by an orderly end"},
 }
 
@@ -152,12 +153,12 @@
 		},
 		{
 			name:  "endpoints that ask for rest get none",
-			edits: []edit{{"../decide/backoff/backoff.go", "if p == nil || !now.Before(p.until) {", "if p == nil || p != nil {"}},
+			edits: []edit{{"../decide/backoff/backoff.go", "if p == nil || !l.said(p.restedAt) || !now.Before(p.until) {", "if p == nil || p != nil {"}},
 			finds: `of rest at \S+ and got`, seed: 6014, kinds: AllKinds, callers: manyCallers,
 		},
 		{
 			name:  "endpoints whose answers say that they leave get more",
-			edits: []edit{{"../decide/backoff/backoff.go", "return p != nil && p.leaving", "return p != nil && false"}},
+			edits: []edit{{"../decide/backoff/backoff.go", "return p != nil && l.said(p.leftAt)", "return p != nil && false"}},
 			finds: `after it said in an answer that it leaves`, seed: 6004, kinds: AllKinds, callers: manyCallers,
 		},
 	} {
