internal/gateway: connections that are closed as idle are logged and counted

Cause: a closed connection left no trace, so that nothing told a caller that left from a connection closed here. Change: each close as idle is logged with the caller's address, the time idle, the limit and the version that set it; gateway.callers-closed-idle counts them, and gateway.callers-closed-under-request those from which a request had been read. Lines of requests tell the caller's address, which joins both. No logic is changed.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -103,9 +103,9 @@
 	if !q.firstAt.IsZero() {
 		q.g.figures.firstByte(q.firstAt.Sub(q.arrived))
 	}
-	fields := make([]zap.Field, 0, 16)
+	fields := make([]zap.Field, 0, 17)
 	fields = append(fields,
-		zap.String("id", q.call.ID), zap.String("outcome", string(q.outcome)), zap.Int("status", q.reply.status),
+		zap.String("id", q.call.ID), zap.String("caller", q.r.RemoteAddr), zap.String("outcome", string(q.outcome)), zap.Int("status", q.reply.status),
 		zap.Int64("ms", now.Sub(q.arrived).Milliseconds()), zap.Int64("age-ms", q.age.Milliseconds()))
 	if q.config != nil {
 		fields = append(fields, zap.Uint64("version", q.config.Version()))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -123,7 +123,7 @@
 		view:    view,
 		log:     log,
 		figures: newFigures(reg),
-		conns:   newConnections(),
+		conns:   newConnections(log, reg),
 
 		suspects:   suspects.New(log, reg),
 		unfinished: newUnfinishedTries(),
@@ -188,7 +188,7 @@
 	g.figures.limited.Update(int64(g.limits.Count()))
 	g.mu.Unlock()
 	if s.Config != nil {
-		g.conns.closeIdle(s.Config.Limits().IdleTimeout)
+		g.conns.closeIdle(s.Config.Limits().IdleTimeout, s.Config.Version())
 	}
 }
 
