internal/keepalive, internal/decide/idle, internal/gateway: a connection is ended as idle by its reader alone

What callers saw: beside a change of the configuration a request that had been passed on got neither an answer nor a refusal; its connection was closed. A request read meanwhile was passed on, and its caller's connection closed under it. Class: one goroutine ends a connection by what it knows of another one's state. Change: only the goroutine that reads a connection ends it as idle, by its read deadline and after a look for bytes that have come; so a request is either read and served, or never passed on. A connection is kept for the longest time by which its caller may go: what its last answer named (Keep-Alive, now sent with each answer), or the limit of any version that may be in force since before it became idle (package idle). Callers are told no more than a planned stop can wait, which now ends when no caller may use its connection any more, within the grace period. Why it works: a read and the end of a connection are steps of one goroutine, so no order of the two loses a request that was read.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -12,22 +12,18 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/canvaspulley/canvaspulley/internal/gateway"
 	"github.com/canvaspulley/canvaspulley/internal/oplog"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/settings"
 )
 
-// callersHeaderTime bounds the arrival of a caller's header. The published
-// bound may change; this one is above what is published.
-const callersHeaderTime = 15 * time.Second
-
 // memoryShare is the part of an instance's memory that the heap may reach
 // before it is collected harder.
 const memoryShare = 0.6
@@ -102,7 +98,7 @@
 func (p *fleetProcess) httpServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           h,
-		ReadHeaderTimeout: callersHeaderTime,
+		ReadHeaderTimeout: gateway.HeaderTime,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          p.serverLog,
 		// An empty success of the server's own is none of an endpoint's.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -23,8 +23,14 @@
 	stopLinger = 3500 * time.Millisecond
 	// stopMargin is kept from the end of the grace period.
 	stopMargin = 700 * time.Millisecond
+	// stopIdle is kept besides, so that a connection that a caller may still use at the
+	// signal to stop ends before the process does.
+	stopIdle = time.Second
 )
 
+// leastIdleTold is what callers are told where the grace period leaves no time.
+const leastIdleTold = time.Second
+
 // keyMargin is kept from the time after which a key that was taken away must
 // not count: it covers the way of a request to its endpoint.
 const keyMargin = 900 * time.Millisecond
@@ -50,6 +56,9 @@
 		RetryWindow: p.set.RetryWindow,
 		RetrySpare:  p.set.RetrySpare,
 		EndSettle:   endSettle,
+
+		LimitsHold:   2 * p.set.InForce, // From before its acknowledgement.
+		MostIdleTold: max(p.set.Grace-stopMargin-stopIdle, leastIdleTold),
 	}, platformCodec(), view, p.log, p.reg)
 	defer closeGateway()
 
@@ -89,12 +98,12 @@
 	group.Go(func() error { return socket.Run(ctx, neighbours.Receive) })
 	group.Go(func() error { return neighbours.Run(ctx) })
 	group.Go(func() error { return serveOn(ctx, p.httpServer(neighbours.Handler()), calls) })
-	group.Go(func() error { return serveOn(ctx, p.callersServer(g), callers) })
+	group.Go(func() error { return serveOn(ctx, p.callersServer(g), g.Callers().Listener(callers)) })
 	group.Go(func() error { return serveOn(ctx, p.httpServer(g.ReadinessHandler()), readiness) })
 	p.serveMetrics(ctx, group)
 	group.Go(func() error {
 		defer cancel()
-		p.drain(ctx, stop, g.Busy)
+		p.drain(ctx, stop, g)
 		return nil
 	})
 	return group.Wait()
@@ -103,13 +112,14 @@
 // callersServer returns the server that takes callers.
 func (p *fleetProcess) callersServer(g *gateway.Gateway) *http.Server {
 	srv := p.httpServer(g.Handler())
-	srv.ConnState = g.ConnState()
 	srv.ConnContext = callerconn.Context // Without it a stream cut short looks whole to HTTP/1.0.
+	g.Callers().Attach(srv)
 	return srv
 }
 
-// drain waits for the signal to stop and then for what runs.
-func (p *fleetProcess) drain(ctx context.Context, stop <-chan struct{}, busy func() int) {
+// drain waits for the signal to stop, then for what runs, and until callers may use none of
+// their connections any more.
+func (p *fleetProcess) drain(ctx context.Context, stop <-chan struct{}, g *gateway.Gateway) {
 	select {
 	case <-ctx.Done():
 		return
@@ -124,11 +134,12 @@
 			return
 		case now := <-ticker.C:
 			after := now.Sub(began)
+			busy, open := g.Busy(), g.Callers().Open()
 			if after > p.set.Grace-stopMargin {
-				p.log.Warn("stopped with requests at work", zap.Int("requests", busy()))
+				p.log.Warn("stopped with connections open", zap.Int("requests", busy), zap.Int("connections", open))
 				return
 			}
-			if after > stopLinger && busy() == 0 {
+			if after > stopLinger && busy == 0 && open == 0 {
 				return
 			}
 		}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -4,7 +4,6 @@
 
 import (
 	"math"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,9 +11,6 @@
 	"go.uber.org/zap"
 )
 
-// netConn names net.Conn in the hook's type.
-type netConn = net.Conn
-
 // Times after which a caller that was refused should come back.
 const (
 	staleRetry = 1 * time.Second       // Another gateway may be asked by then.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/decide/throttle"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
+	"github.com/canvaspulley/canvaspulley/internal/keepalive"
 	"github.com/canvaspulley/canvaspulley/internal/suspects"
 	"github.com/canvaspulley/canvaspulley/internal/upstream"
 )
@@ -53,7 +54,11 @@
 	KeyAge      time.Duration // Greatest age of the configuration at which a key still counts.
 	RetryShare  float64       // Repeats by requests of a service, in RetryWindow.
 	RetryWindow time.Duration
-	RetrySpare  float64 // Repeats of all gateways together that need no request.
+	RetrySpare  float64       // Repeats of all gateways together that need no request.
+	LimitsHold  time.Duration // For how long callers may go by a configuration that was replaced.
+	// MostIdleTold bounds for how long callers are told to keep idle connections, which a
+	// planned stop waits for; 0 for no bound.
+	MostIdleTold time.Duration
 	// EndSettle is how long an endpoint must live on after a stream without framing,
 	// so that the end of its connection counts as the stream's.
 	EndSettle time.Duration
@@ -70,7 +75,7 @@
 	view  *follow.View
 	log   *zap.Logger
 	pool  *upstream.Pool
-	conns *connections
+	conns *keepalive.Tracker // Of callers.
 
 	patience   *patience
 	figures    *figures
@@ -123,7 +128,13 @@
 		view:    view,
 		log:     log,
 		figures: newFigures(reg),
-		conns:   newConnections(log, reg),
+		conns: keepalive.New(keepalive.Config{
+			Name:     "gateway",
+			Unset:    unsetIdle,
+			Holds:    cfg.LimitsHold,
+			MostTold: cfg.MostIdleTold,
+			Header:   HeaderTime,
+		}, log, reg),
 
 		suspects:   suspects.New(log, reg),
 		unfinished: newUnfinishedTries(),
@@ -150,8 +161,14 @@
 	return g, cleanup
 }
 
-// sweepEvery is how often idle connections and endpoints that have gone are
-// looked at.
+// HeaderTime bounds the arrival of a caller's header. The published bound may change; this
+// one is above what is published.
+const HeaderTime = 15 * time.Second
+
+// unsetIdle is the idle time of callers' connections while none is published.
+const unsetIdle = time.Minute
+
+// sweepEvery is how often endpoints that have gone are looked at.
 const sweepEvery = 500 * time.Millisecond
 
 // Run does the housekeeping until ctx ends.
@@ -187,15 +204,15 @@
 	g.limits.Forget(listed, g.cfg.Now())
 	g.figures.limited.Update(int64(g.limits.Count()))
 	g.mu.Unlock()
-	if s.Config != nil {
-		g.conns.closeIdle(s.Config.Limits().IdleTimeout, s.Config.Version())
-	}
 }
 
 // Changed is called after each change of the view: connections to endpoints
 // that leave are closed at once.
 func (g *Gateway) Changed() {
 	s := g.view.State()
+	if s.Config != nil {
+		g.conns.Publish(s.Config.Version(), s.Config.Limits().IdleTimeout, time.Now())
+	}
 	g.noteCold(s, time.Now())
 	g.pool.Forget(func(id string) bool {
 		e, ok := s.Endpoints[id]
@@ -302,6 +319,9 @@
 	return t
 }
 
+// Callers returns the connections of callers, which the callers' server must be attached to.
+func (g *Gateway) Callers() *keepalive.Tracker { return g.conns }
+
 // Busy returns the number of requests that have not ended.
 func (g *Gateway) Busy() int { return int(g.busy.Load()) }
 
@@ -310,6 +330,7 @@
 func (g *Gateway) Stop() {
 	now := time.Now()
 	g.stopping.Store(&now)
+	g.conns.Stop(now)
 }
 
 // stopTakes is how long after the start of a planned stop requests are still
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -101,9 +101,6 @@
 // Handler returns the handler for callers.
 func (g *Gateway) Handler() http.Handler { return http.HandlerFunc(g.serve) }
 
-// ConnState is the hook of the callers' server.
-func (g *Gateway) ConnState() func(c netConn, s http.ConnState) { return g.conns.note }
-
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.busy.Add(1)
 	defer g.busy.Add(-1)
