internal/keepalive, internal/gateway: a planned stop serves what comes on kept connections

Cause: a connection could bring its next request for as long as its published idle time, far beyond the 2.7 s in which a stopping gateway takes anything; and closing a listener resets the connections that callers have made and that are not accepted yet. Change: callers are told to keep a connection for 2 s at most, so that those that heed it come while requests are taken; callers that go by the published time alone keep their connections until the end of the grace period; the listener accepts what is made already before it closes.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -110,7 +110,7 @@
 func serveOn(ctx context.Context, srv *http.Server, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
-	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := srv.Serve(l); !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
 		return err
 	}
 	return nil
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -23,14 +23,8 @@
 	stopLinger = 3500 * time.Millisecond
 	// stopMargin is kept from the end of the grace period.
 	stopMargin = 700 * time.Millisecond
-	// stopIdle is kept besides, so that a connection that a caller may still use at the
-	// signal to stop ends before the process does.
-	stopIdle = time.Second
 )
 
-// leastIdleTold is what callers are told where the grace period leaves no time.
-const leastIdleTold = time.Second
-
 // keyMargin is kept from the time after which a key that was taken away must
 // not count: it covers the way of a request to its endpoint.
 const keyMargin = 900 * time.Millisecond
@@ -56,9 +50,7 @@
 		RetryWindow: p.set.RetryWindow,
 		RetrySpare:  p.set.RetrySpare,
 		EndSettle:   endSettle,
-
-		LimitsHold:   2 * p.set.InForce, // From before its acknowledgement.
-		MostIdleTold: max(p.set.Grace-stopMargin-stopIdle, leastIdleTold),
+		LimitsHold:  2 * p.set.InForce, // It is in force from before its acknowledgement.
 	}, platformCodec(), view, p.log, p.reg)
 	defer closeGateway()
 
@@ -117,8 +109,8 @@
 	return srv
 }
 
-// drain waits for the signal to stop, then for what runs, and until callers may use none of
-// their connections any more.
+// drain waits for the signal to stop, then for what runs and until callers have left their
+// connections, and ends the taking of new ones.
 func (p *fleetProcess) drain(ctx context.Context, stop <-chan struct{}, g *gateway.Gateway) {
 	select {
 	case <-ctx.Done():
@@ -128,6 +120,7 @@
 	began := time.Now()
 	ticker := time.NewTicker(idlePoll)
 	defer ticker.Stop()
+	closing := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -139,9 +132,18 @@
 				p.log.Warn("stopped with connections open", zap.Int("requests", busy), zap.Int("connections", open))
 				return
 			}
-			if after > stopLinger && busy == 0 && open == 0 {
+			if after <= stopLinger || busy > 0 || open > 0 {
+				continue
+			}
+			if closing && !g.Callers().Listening() {
 				return
 			}
+			if !closing {
+				closing = true
+				if err := g.Callers().CloseListeners(now); err != nil {
+					p.log.Warn("listener not closed", zap.String("error", err.Error()))
+				}
+			}
 		}
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,9 +56,6 @@
 	RetryWindow time.Duration
 	RetrySpare  float64       // Repeats of all gateways together that need no request.
 	LimitsHold  time.Duration // For how long callers may go by a configuration that was replaced.
-	// MostIdleTold bounds for how long callers are told to keep idle connections, which a
-	// planned stop waits for; 0 for no bound.
-	MostIdleTold time.Duration
 	// EndSettle is how long an endpoint must live on after a stream without framing,
 	// so that the end of its connection counts as the stream's.
 	EndSettle time.Duration
@@ -132,7 +129,7 @@
 			Name:     "gateway",
 			Unset:    unsetIdle,
 			Holds:    cfg.LimitsHold,
-			MostTold: cfg.MostIdleTold,
+			MostTold: mostIdleTold,
 			Header:   HeaderTime,
 		}, log, reg),
 
@@ -337,6 +334,10 @@
 // taken: whatever is taken must be able to end within the grace period.
 const stopTakes = 2700 * time.Millisecond
 
+// mostIdleTold bounds for how long callers are told to keep an idle connection: one that was
+// idle at the start of a planned stop then brings its next request while those are still taken.
+const mostIdleTold = 2 * time.Second
+
 // leaving reports whether the planned stop has begun, and whether it is so far
 // on that nothing more is taken.
 func (g *Gateway) leaving(now time.Time) (begun, closed bool) {
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -12,10 +12,12 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -35,7 +37,7 @@
 	Name     string        // Begins the names of its metrics.
 	Unset    time.Duration // Idle time while none is published.
 	Holds    time.Duration // For how long callers may go by a limit that was replaced.
-	MostTold time.Duration // Longest time that callers are told: a planned stop waits for as long. 0 for no bound.
+	MostTold time.Duration // Longest time that callers are told to keep a connection; 0 for no bound.
 	Header   time.Duration // From the first byte of a request to the end of its header.
 }
 
@@ -46,21 +48,23 @@
 	counts map[Cause]metrics.Counter
 	open   metrics.Gauge
 
-	mu       sync.Mutex // Guards what follows; taken after a Conn's.
-	limits   *idle.Limits
-	conns    map[*Conn]struct{}
-	stopping time.Time // When the planned stop began; zero before.
+	mu        sync.Mutex // Guards what follows; taken after a Conn's.
+	limits    *idle.Limits
+	conns     map[*Conn]struct{}
+	listeners map[*listener]struct{} // That are open.
+	stopping  time.Time              // When the planned stop began; zero before.
 }
 
 // New returns a tracker that has no connections.
 func New(cfg Config, log *zap.Logger, reg metrics.Registry) *Tracker {
 	t := &Tracker{
-		cfg:    cfg,
-		log:    log,
-		counts: map[Cause]metrics.Counter{},
-		open:   metrics.GetOrRegisterGauge(cfg.Name+".connections-open", reg),
-		limits: idle.New(cfg.Unset, cfg.Holds),
-		conns:  map[*Conn]struct{}{},
+		cfg:       cfg,
+		log:       log,
+		counts:    map[Cause]metrics.Counter{},
+		open:      metrics.GetOrRegisterGauge(cfg.Name+".connections-open", reg),
+		limits:    idle.New(cfg.Unset, cfg.Holds),
+		conns:     map[*Conn]struct{}{},
+		listeners: map[*listener]struct{}{},
 	}
 	for _, c := range causes {
 		t.counts[c] = metrics.GetOrRegisterCounter(cfg.Name+".connections-closed."+string(c), reg)
@@ -90,7 +94,13 @@
 }
 
 // Listener returns a listener whose connections the tracker knows.
-func (t *Tracker) Listener(l net.Listener) net.Listener { return listener{l, t} }
+func (t *Tracker) Listener(l net.Listener) net.Listener {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tracked := &listener{l, t}
+	t.listeners[tracked] = struct{}{}
+	return tracked
+}
 
 // Publish puts the idle time of a version of the configuration in force, for connections
 // that become idle from now on; others are kept for as long as their callers may think. A
@@ -104,8 +114,8 @@
 	t.limits.Publish(idle.Limit{Version: version, Idle: limit}, now)
 }
 
-// Stop begins the planned stop: callers are told to leave their connections, and what is
-// idle is kept only for as long as its caller was told.
+// Stop begins the planned stop: callers are told to leave their connections. Those that do
+// not come again are still kept for as long as in calm.
 func (t *Tracker) Stop(now time.Time) {
 	t.mu.Lock()
 	t.stopping = now
@@ -119,8 +129,8 @@
 	}
 }
 
-// Open returns the number of open connections. In a planned stop it falls to 0 once no
-// caller may send on any.
+// Open returns the number of open connections. In a planned stop it falls to 0 as callers
+// leave them, and at the latest once no caller may use any.
 func (t *Tracker) Open() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -132,15 +142,11 @@
 func (t *Tracker) told() (d time.Duration, stopping bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.atMost(t.limits.InForce().Idle).Truncate(time.Second), !t.stopping.IsZero()
-}
-
-// atMost bounds what callers are told.
-func (t *Tracker) atMost(d time.Duration) time.Duration {
+	d = t.limits.InForce().Idle
 	if t.cfg.MostTold > 0 {
-		return min(d, t.cfg.MostTold)
+		d = min(d, t.cfg.MostTold)
 	}
-	return d
+	return d.Truncate(time.Second), !t.stopping.IsZero()
 }
 
 // tell tells a caller for how long it may keep its connection.
@@ -175,14 +181,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	limit := t.limits.Longest(i.since)
-	stopping := !t.stopping.IsZero()
 	switch {
-	case stopping && i.fresh:
-		return term{cause: Stopped, setting: "planned stop, nothing received", kept: stopFresh}
-	case stopping && i.told > 0:
-		return term{cause: Stopped, setting: "planned stop, told to the caller", kept: i.told + slack}
-	case stopping:
-		return term{cause: Stopped, setting: "planned stop", kept: t.atMost(limit.Idle) + slack}
+	case i.fresh && !t.stopping.IsZero():
+		return term{cause: Idle, setting: "planned stop, nothing received", kept: stopFresh}
 	case i.fresh && limit.Idle < t.cfg.Header:
 		return term{cause: Idle, setting: "header time, nothing received", kept: t.cfg.Header}
 	case i.told > limit.Idle:
@@ -191,14 +192,20 @@
 	return term{cause: Idle, setting: "published idle time", kept: limit.Idle + slack, version: limit.Version}
 }
 
+// listener is a listener whose connections are tracked.
 type listener struct {
 	net.Listener
 	t *Tracker
 }
 
-// Accept returns a Conn for each TCP connection.
-func (l listener) Accept() (nc net.Conn, err error) {
+// Accept returns a Conn for each TCP connection, and net.ErrClosed once CloseListeners has
+// closed the listener.
+func (l *listener) Accept() (nc net.Conn, err error) {
 	if nc, err = l.Listener.Accept(); err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = errors.CombineErrors(net.ErrClosed, l.Close())
+			l.t.forget(l)
+		}
 		return nil, err
 	}
 	tcp, ok := nc.(*net.TCPConn)
@@ -208,6 +215,40 @@
 	return l.t.add(tcp, time.Now()), nil
 }
 
+// acceptLast is for how long connections that were made already are still accepted before a
+// listener is closed.
+const acceptLast = 50 * time.Millisecond
+
+// CloseListeners ends the taking of connections. Those that callers have made already are
+// accepted first: closing a listener resets them, with the requests that are on them.
+func (t *Tracker) CloseListeners(now time.Time) (err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for l := range t.listeners {
+		tcp, ok := l.Listener.(*net.TCPListener)
+		if !ok {
+			err = errors.CombineErrors(err, l.Close())
+			delete(t.listeners, l)
+			continue
+		}
+		err = errors.CombineErrors(err, tcp.SetDeadline(now.Add(acceptLast)))
+	}
+	return err
+}
+
+// Listening reports whether connections are still taken.
+func (t *Tracker) Listening() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.listeners) > 0
+}
+
+func (t *Tracker) forget(l *listener) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.listeners, l)
+}
+
 func (t *Tracker) add(tcp *net.TCPConn, now time.Time) *Conn {
 	c := &Conn{TCPConn: tcp, t: t, idleness: idleness{since: now, fresh: true}}
 	t.mu.Lock()
