--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -207,7 +207,7 @@
 	}
 	fields := []zap.Field{
 		zap.Stringer("caller", c.RemoteAddr()), zap.String("cause", string(c.cause)),
-		zap.Int64("idle-ms", time.Since(c.since).Milliseconds()), zap.Duration("told", c.told),
+		zap.Duration("idle", time.Since(c.since).Truncate(time.Millisecond)), zap.Duration("told", c.told),
 	}
 	if c.why.setting != "" {
 		fields = append(fields, zap.String("setting", c.why.setting), zap.Duration("kept", c.why.kept), zap.Uint64("version", c.why.version))
