internal/keepalive: a pipelined request is served without the deadline of an idle read

Cause: a request that came in full with the one before is served without a read of the connection, so that a planned stop could set the deadline of an idle read on it, right before it is served; the server's read behind the request would end it then. Found by reading; no run showed it. Change: the connection's read has no deadline once a request is served, and none is read after its end.

--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -80,7 +80,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch s {
-	case http.StateActive, http.StateHijacked:
+	case http.StateActive:
+		c.setState(serving)
+		_ = c.SetReadDeadline(time.Time{}) // A pipelined request ends no idle read, which may have been bound meanwhile.
+	case http.StateHijacked:
 		c.setState(serving)
 	case http.StateIdle:
 		c.since, c.fresh = time.Now(), false
@@ -91,13 +94,22 @@
 // Read reads like the connection itself. While it is idle, it ends when its time is over and
 // nothing has come.
 func (c *Conn) Read(p []byte) (n int, err error) {
-	if s := c.state(); s == serving || s == heading {
-		n, err = c.TCPConn.Read(p)
-		if s == heading && errors.Is(err, os.ErrDeadlineExceeded) {
+	switch c.state() {
+	case idling:
+		return c.readIdle(p)
+	case heading:
+		if n, err = c.TCPConn.Read(p); errors.Is(err, os.ErrDeadlineExceeded) {
 			c.end(SlowHeader, term{})
 		}
 		return n, err
+	case ended:
+		return 0, net.ErrClosed
 	}
+	return c.TCPConn.Read(p)
+}
+
+// readIdle reads the first bytes of a request.
+func (c *Conn) readIdle(p []byte) (n int, err error) {
 	var least time.Time
 	for {
 		if err = c.bound(least); err != nil {
