internal/keepalive, internal/gateway: no caller keeps a connection beyond the end of a planned stop

Cause: what callers are told was decided as their request came, and a head that has gone out cannot be taken back. Change: it is decided anew right before a head goes out (Tell); and where the time told with an answer that ends in a stop outlasts the stop, the connection ends with the answer (cause stop), when its caller cannot have sent another request yet, rather than at the end of the process, when it may have. Before: both tests of keepalive fail (the connection stays open; a head that goes out in a stop says Keep-Alive: timeout=2), and that of the gateway. After: 27 of 27 runs with -cpu 1,4,12 and 2 of 2 with -race. Conclusion: a planned stop leaves no connection by which a caller that heeds what it was told could meet the end of the process.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -51,6 +51,7 @@
 		RetrySpare:  p.set.RetrySpare,
 		EndSettle:   endSettle,
 		LimitsHold:  2 * p.set.InForce, // It is in force from before its acknowledgement.
+		StopLasts:   p.set.Grace - stopMargin,
 	}, platformCodec(), view, p.log, p.reg)
 	defer closeGateway()
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,7 @@
 	RetryWindow time.Duration
 	RetrySpare  float64       // Repeats of all gateways together that need no request.
 	LimitsHold  time.Duration // For how long callers may go by a configuration that was replaced.
+	StopLasts   time.Duration // Longest time of a planned stop; 0 for no bound.
 	// EndSettle is how long an endpoint must live on after a stream without framing,
 	// so that the end of its connection counts as the stream's.
 	EndSettle time.Duration
@@ -131,6 +132,8 @@
 			Holds:    cfg.LimitsHold,
 			MostTold: mostIdleTold,
 			Header:   HeaderTime,
+
+			StopLasts: cfg.StopLasts,
 		}, log, reg),
 
 		suspects:   suspects.New(log, reg),
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -29,6 +29,7 @@
 type reply struct {
 	w      http.ResponseWriter
 	r      *http.Request
+	tell   func() // Tells the caller, in the head that is to go out, how long to keep its connection.
 	state  replyState
 	status int    // Of the head that went out; 0 before.
 	disarm func() // Ends the reset of an answer without framing; set when open.
@@ -112,6 +113,7 @@
 	for name, values := range h.header {
 		header[name] = values
 	}
+	p.tell()
 	p.state, p.status = replyOpen, h.status
 	p.w.WriteHeader(h.status)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -104,7 +104,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.busy.Add(1)
 	defer g.busy.Add(-1)
-	q := &request{g: g, ctx: r.Context(), reply: reply{w: w, r: r}, r: r, leavePlace: func() {}, arrived: time.Now(), came: g.cfg.Now(), call: g.codec.ReadCall(r.Header)}
+	q := &request{g: g, ctx: r.Context(), reply: reply{w: w, r: r, tell: func() { g.conns.Tell(w, r) }}, r: r, leavePlace: func() {}, arrived: time.Now(), came: g.cfg.Now(), call: g.codec.ReadCall(r.Header)}
 	defer q.letGo()
 	if err := q.reply.boundWrite(); err != nil {
 		q.note("caller: " + err.Error()) // What is written next tells whether it is gone.
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -21,6 +21,7 @@
 // The causes.
 const (
 	Idle       Cause = "idle"        // Its caller may no longer use it.
+	Stopped    Cause = "stop"        // The process ends before its caller may no longer use it.
 	SlowHeader Cause = "slow-header" // A request began, and its header did not end in time.
 	Left       Cause = "caller"      // The caller ended it between two requests.
 	Answered   Cause = "answered"    // The server ended it after an answer or in the middle of one, or the caller left.
@@ -28,7 +29,7 @@
 	Crossed    Cause = "crossed"     // Counted besides: bytes had come that were not read.
 )
 
-var causes = []Cause{Idle, SlowHeader, Left, Answered, ProcessEnd, Crossed}
+var causes = []Cause{Idle, Stopped, SlowHeader, Left, Answered, ProcessEnd, Crossed}
 
 // state is where a connection is between two requests.
 type state int32
@@ -51,7 +52,7 @@
 	mu       sync.Mutex // Guards what follows, and the read deadline while idling.
 	idleness            // The last.
 	cause    Cause      // That ended it; "" before.
-	why      term       // Of the cause Idle.
+	why      term       // Of the causes Idle and Stopped.
 }
 
 // idleness is what decides for how long a connection is kept.
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -39,6 +39,10 @@
 	Holds    time.Duration // For how long callers may go by a limit that was replaced.
 	MostTold time.Duration // Longest time that callers are told to keep a connection; 0 for no bound.
 	Header   time.Duration // From the first byte of a request to the end of its header.
+
+	// StopLasts is the longest time from the start of a planned stop to the end of the process;
+	// 0 for no bound.
+	StopLasts time.Duration
 }
 
 // Tracker knows the connections of a server.
@@ -77,7 +81,7 @@
 func (t *Tracker) Attach(srv *http.Server) {
 	inner, connContext := srv.Handler, srv.ConnContext
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		t.tell(w, r)
+		t.Tell(w, r)
 		inner.ServeHTTP(w, r)
 	})
 	srv.ConnState = func(nc net.Conn, s http.ConnState) {
@@ -149,15 +153,18 @@
 	return d.Truncate(time.Second), !t.stopping.IsZero()
 }
 
-// tell tells a caller for how long it may keep its connection.
-func (t *Tracker) tell(w http.ResponseWriter, r *http.Request) {
+// Tell tells a caller for how long it may keep its connection, in the head that is to go out.
+// Each request begins with it; a handler repeats it right before a head that took its time,
+// since a planned stop may have begun.
+func (t *Tracker) Tell(w http.ResponseWriter, r *http.Request) {
 	c, _ := r.Context().Value(connKey{}).(*Conn)
 	if c == nil {
 		return
 	}
 	told, stopping := t.told()
-	if stopping {
+	if stopping || w.Header().Get("Connection") == "close" {
 		w.Header().Set("Connection", "close")
+		w.Header().Del("Keep-Alive")
 		return
 	}
 	c.mu.Lock()
@@ -182,6 +189,8 @@
 	defer t.mu.Unlock()
 	limit := t.limits.Longest(i.since)
 	switch {
+	case t.outlastsStop(i):
+		return term{cause: Stopped, setting: "end of the planned stop"}
 	case i.fresh && !t.stopping.IsZero():
 		return term{cause: Idle, setting: "planned stop, nothing received", kept: stopFresh}
 	case i.fresh && limit.Idle < t.cfg.Header:
@@ -192,6 +201,16 @@
 	return term{cause: Idle, setting: "published idle time", kept: limit.Idle + slack, version: limit.Version}
 }
 
+// outlastsStop reports whether the caller of a connection, told to keep it by an answer that
+// ended in a planned stop, could use it when the process has ended. Such a connection ends
+// with the answer: its caller cannot have sent another request yet.
+func (t *Tracker) outlastsStop(i idleness) bool {
+	if t.cfg.StopLasts <= 0 || t.stopping.IsZero() || !i.since.After(t.stopping) || i.told <= 0 {
+		return false
+	}
+	return i.since.Add(i.told + slack).After(t.stopping.Add(t.cfg.StopLasts))
+}
+
 // listener is a listener whose connections are tracked.
 type listener struct {
 	net.Listener
