internal/keepalive: a header that is cut off is not read again; tests of requests at the moment a connection ends

Cause: an error within a line of a header ends the line for net/textproto, which reads on. The read after SlowHeader found the connection ended, took the way of an idle one and, as bytes waited under a deadline that was over, turned round for good: a caller that trickled its header beyond the header time kept a processor busy and its connection open. Change: only an idle connection takes that way.

--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -90,9 +90,10 @@
 }
 
 // Read reads like the connection itself. While it is idle, it ends when its time is over and
-// nothing has come.
+// nothing has come. A server may read again after that: an error within a line of a header
+// ends the line.
 func (c *Conn) Read(p []byte) (n int, err error) {
-	if s := c.state(); s == serving || s == heading {
+	if s := c.state(); s != idling {
 		n, err = c.TCPConn.Read(p)
 		if s == heading && errors.Is(err, os.ErrDeadlineExceeded) {
 			c.end(SlowHeader, term{})
--- /dev/null
+++ b/internal/keepalive/moments_test.go
@@ -0,0 +1,200 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package keepalive
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+)
+
+// ends collects what became of requests that came at some moment.
+type ends struct {
+	s              *site
+	answered, lost atomic.Int64
+}
+
+// ask has a caller send a request. One without an answer must not have run, and must have
+// been sent later than its caller may have; that counts from the request before, which
+// ended no earlier.
+func (e *ends) ask(c *caller, may time.Duration) (ok bool, err error) {
+	before, id := c.sent, c.next()
+	if err = c.send(text(id)); err == nil {
+		done := time.Now()
+		if _, err = c.read(id); err == nil {
+			e.answered.Add(1)
+			return true, nil
+		}
+		if done.Sub(before) <= may {
+			return false, fmt.Errorf("%s, sent within its time, got no answer: %w", id, err)
+		}
+	}
+	e.lost.Add(1)
+	if e.s.runs(id) != 0 {
+		return false, fmt.Errorf("%s ran and got no answer: %w", id, err)
+	}
+	return false, nil
+}
+
+func (e *ends) log(t *testing.T) {
+	t.Logf("%d answered, %d came too late", e.answered.Load(), e.lost.Load())
+}
+
+func TestRequestsAtTheEndOfTheIdleTimeAreAnsweredOrNeverRun(t *testing.T) {
+	t.Parallel()
+	for name, send := range map[string]func(c *caller, s string) error{
+		"whole": func(c *caller, s string) error { return c.send(s) },
+		"in two halves": func(c *caller, s string) error {
+			if err := c.send(s[:len(s)/2]); err != nil {
+				return err
+			}
+			time.Sleep(rand.N(20 * time.Millisecond))
+			return c.send(s[len(s)/2:])
+		},
+		"byte by byte": func(c *caller, s string) (err error) {
+			for i := 0; i < len(s) && err == nil; i++ {
+				err = c.send(s[i : i+1])
+			}
+			return err
+		},
+		"two at once": func(c *caller, s string) error { return c.send(s + strings.Replace(s, c.last(), c.next(), 1)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, defaults())
+			e := &ends{s: s}
+			const around = 20 * time.Millisecond
+			each(t, s.dialMany(t, many), func(i int, c *caller) error {
+				time.Sleep(time.Until(c.sent.Add(shortIdle + slack - around + 2*around*time.Duration(i)/many)))
+				first := c.n + 1
+				err := send(c, text(c.next()))
+				for n := first; n <= c.n; n++ {
+					id := fmt.Sprint(c.name, "-", n)
+					if err == nil {
+						_, err = c.read(id)
+					}
+					if err == nil {
+						e.answered.Add(1)
+						continue
+					}
+					e.lost.Add(1)
+					if s.runs(id) != 0 {
+						return fmt.Errorf("%s ran and got no answer: %w", id, err)
+					}
+				}
+				return nil
+			})
+			e.log(t)
+			NewWithT(t).Eventually(s.Open, enough).Should(BeZero())
+		})
+	}
+}
+
+func TestNoRequestIsLostThatIsSentInTimeInAStormOfLimits(t *testing.T) {
+	t.Parallel()
+	limits := []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, 100 * time.Millisecond, 700 * time.Millisecond, 50 * time.Millisecond}
+	cfg := defaults()
+	cfg.Unset = limits[0]
+	s := newSite(t, cfg)
+	e := &ends{s: s}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var newest atomic.Int64
+	var storm errgroup.Group
+	storm.Go(func() error {
+		for v := uint64(1); ctx.Err() == nil; v++ {
+			limit := limits[v%uint64(len(limits))]
+			s.Publish(v, limit, time.Now())
+			newest.Store(int64(limit))
+			time.Sleep(rand.N(10 * time.Millisecond))
+		}
+		return nil
+	})
+	each(t, s.dialMany(t, many), func(i int, c *caller) error {
+		rng := rand.New(rand.NewPCG(uint64(i), 0))
+		for range 6 {
+			may := time.Duration(newest.Load()) // Its caller may know no newer one while it waits.
+			pause := may
+			if rng.IntN(3) == 0 {
+				pause += slack // Later than it may.
+			}
+			time.Sleep(time.Until(c.sent.Add(pause)))
+			if ok, err := e.ask(c, may); !ok {
+				return err
+			}
+		}
+		return nil
+	})
+	e.log(t)
+	cancel()
+	NewWithT(t).Expect(storm.Wait()).To(Succeed())
+	NewWithT(t).Eventually(s.Open, enough).Should(BeZero())
+}
+
+func TestRequestsAtTheStartOfAPlannedStopAreAnswered(t *testing.T) {
+	t.Parallel()
+	for name, limit := range map[string]time.Duration{"callers were told": 2 * time.Second, "callers were not told": 500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, defaults())
+			s.Publish(1, limit, time.Now())
+			e := &ends{s: s}
+			list := s.dialMany(t, many)
+			moment := time.Now().Add(50 * time.Millisecond)
+			var stop errgroup.Group
+			stop.Go(func() error {
+				time.Sleep(time.Until(moment))
+				s.Stop(time.Now())
+				return nil
+			})
+			each(t, list, func(i int, c *caller) error {
+				time.Sleep(time.Until(moment.Add(time.Duration(i-many/2) * 100 * time.Microsecond)))
+				_, err := e.ask(c, limit)
+				return err
+			})
+			e.log(t)
+			g := NewWithT(t)
+			g.Expect(stop.Wait()).To(Succeed())
+			g.Eventually(s.Open, enough).Should(BeZero(), "the stop ends")
+			g.Expect(s.count(ProcessEnd)).To(BeZero())
+		})
+	}
+}
+
+func TestAllConnectionsEndWithTheServer(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, defaults())
+	s.Publish(1, enough, time.Now())
+	list := s.dialMany(t, many)
+	moment := time.Now().Add(50 * time.Millisecond)
+	var end errgroup.Group
+	end.Go(func() error {
+		time.Sleep(time.Until(moment))
+		return s.srv.Close()
+	})
+	var cut, notRun atomic.Int64
+	each(t, list, func(i int, c *caller) error {
+		time.Sleep(time.Until(moment.Add(time.Duration(i-many/2) * 50 * time.Microsecond)))
+		if _, err := c.ask(); err == nil {
+			return nil
+		}
+		if s.runs(c.last()) == 0 {
+			notRun.Add(1)
+			return nil
+		}
+		cut.Add(1)
+		return nil
+	})
+	g := NewWithT(t)
+	g.Expect(end.Wait()).To(Succeed())
+	g.Eventually(s.Open, enough).Should(BeZero())
+	t.Logf("%d cut, %d not run; %d counted as ended with the process", cut.Load(), notRun.Load(), s.count(ProcessEnd))
+	g.Expect(s.count(Idle) + s.count(Stopped) + s.count(SlowHeader)).To(BeZero())
+}
