internal/keepalive: a caller that leaves within a header is not counted as the end of the process

Cause: what had begun to be read and ended without a request was counted as process-end, with a warning, though the caller had left (some bytes, half a header, the end of TLS) or the server had answered to what is no request (400). The rest of a slow header counted as crossed, as if a request had been lost. Change: the process's end is what closes a connection under a read of it; an error of the read is the caller's leaving. Seen before: TestCausesAreCounted fails in three cases and TestConnectionsOverTLS; after it: go test -race -count=2 ok, 23.0 s; go test -cpu 1,4 -count=3 ok, 61.7 s.

--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -23,10 +23,10 @@
 	Idle       Cause = "idle"        // Its caller may no longer use it.
 	Stopped    Cause = "stop"        // The same, by the shorter times of a planned stop.
 	SlowHeader Cause = "slow-header" // A request began, and its header did not end in time.
-	Left       Cause = "caller"      // The caller ended it between two requests.
-	Answered   Cause = "answered"    // The server ended it after an answer or in the middle of one, or the caller left.
+	Left       Cause = "caller"      // The caller ended it between two requests or in a header.
+	Answered   Cause = "answered"    // The server ended it after an answer or in the middle of one, also to what is no request, or the caller left.
 	ProcessEnd Cause = "process-end" // The process ended while its caller could still use it.
-	Crossed    Cause = "crossed"     // Counted besides: bytes had come that were not read.
+	Crossed    Cause = "crossed"     // Counted besides: bytes of a request had come that were not read.
 )
 
 var causes = []Cause{Idle, Stopped, SlowHeader, Left, Answered, ProcessEnd, Crossed}
@@ -47,6 +47,7 @@
 	t *Tracker
 
 	current atomic.Int32 // The state; written under mu.
+	reading atomic.Bool  // A read is under way.
 	close   sync.Once
 
 	mu       sync.Mutex // Guards what follows, and the read deadline while idling.
@@ -108,10 +109,16 @@
 // nothing has come. A server may read again after that: an error within a line of a header
 // ends the line.
 func (c *Conn) Read(p []byte) (n int, err error) {
+	c.reading.Store(true)
+	defer c.reading.Store(false)
 	if s := c.state(); s != idling {
 		n, err = c.TCPConn.Read(p)
-		if s == heading && errors.Is(err, os.ErrDeadlineExceeded) {
+		switch {
+		case s != heading || err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
 			c.end(SlowHeader, term{})
+		default:
+			c.end(Left, term{})
 		}
 		return n, err
 	}
@@ -214,7 +221,8 @@
 	defer c.mu.Unlock()
 	if c.cause == "" {
 		c.cause = Answered
-		if s := c.state(); s == idling || s == heading {
+		// Who reads a header closes the connection itself when it is none.
+		if s := c.state(); s == idling || s == heading && c.reading.Load() {
 			c.cause = ProcessEnd
 		}
 	}
@@ -230,7 +238,7 @@
 		fields = append(fields, zap.String("setting", c.why.setting), zap.Duration("kept", c.why.kept), zap.Uint64("version", c.why.version))
 	}
 	log := c.t.log.Info
-	crossed := c.waiting()
+	crossed := c.cause != SlowHeader && c.waiting()
 	if crossed {
 		c.t.counts[Crossed].Inc(1)
 	}
--- a/internal/keepalive/hostile_test.go
+++ b/internal/keepalive/hostile_test.go
@@ -81,8 +81,7 @@
 		c.expectCutOff(t)
 		NewWithT(t).Expect(c.Close()).To(Succeed())
 		NewWithT(t).Expect(trickle.Wait()).To(Succeed())
-		NewWithT(t).Eventually(s.Open, enough).Should(BeZero())
-		NewWithT(t).Expect(s.count(SlowHeader)).To(BeEquivalentTo(1))
+		s.expectCauses(t, map[Cause]int{SlowHeader: 1})
 	})
 }
 
@@ -169,7 +168,6 @@
 
 func TestConnectionsOverTLS(t *testing.T) {
 	t.Parallel()
-	g := NewWithT(t)
 	model := httptest.NewUnstartedServer(nil)
 	model.StartTLS()
 	t.Cleanup(model.Close)
@@ -183,15 +181,17 @@
 		c.br.Reset(c.Conn)
 		list = append(list, c)
 	}
-	each(t, list, func(_ int, c *caller) error {
+	each(t, list, func(i int, c *caller) error {
 		for range 5 {
 			if _, err := c.ask(); err != nil {
 				return err
 			}
 			time.Sleep(shortIdle)
 		}
+		if i%2 == 0 {
+			return c.Close()
+		}
 		return nil
 	})
-	g.Eventually(s.Open, enough).Should(BeZero())
-	g.Expect(s.count(Idle)).To(BeEquivalentTo(len(list)))
+	s.expectCauses(t, map[Cause]int{Answered: len(list) / 2, Idle: len(list) / 2})
 }
