internal/gateway: the time in which a body must come is bounded

Cause: nothing bounded the reading of a body. A caller that stopped or trickled held its connection, its bytes and a request for good; a request that was refused unread (no route, no key, stopping) waited in net/http for up to 256 KiB of its body before the answer went out, without a bound, and its write deadline had passed by then: an honest caller with a slow body got no answer. Change: the body must have come a second after the request's own time; after that 408, which says that it has not run, and the connection ends. An answer waits for the rest of a body that nobody reads for 2 s, less than the 4 s in which the answer must be read. A body that ends after the request's time and before the bound is refused as before and not passed on. Order of steps: the bound is set only while the body has not ended, and net/http lifts it as the body ends, before it starts the read in the background whose failure would end the request.

--- a/internal/gateway/kept.go
+++ b/internal/gateway/kept.go
@@ -24,6 +24,12 @@
 	// than the longest silence after which callers of streams leave themselves, and less
 	// than an endpoint waits for its answer to be read.
 	unreadTime = 4 * time.Second
+	// drainTime is how long an answer waits for the rest of a body that nobody wants: less
+	// than it may then be left unread.
+	drainTime = unreadTime / 2
+	// bodyMargin is how long after the time of its request a body may still come: callers
+	// who are a little late are refused on a connection that they keep.
+	bodyMargin = time.Second
 )
 
 // keptBytes counts what is kept in memory for callers who may be slow to send or to read.
@@ -88,3 +94,16 @@
 	}
 	return err
 }
+
+// boundRead bounds until when a body that has not come to its end must come. It ends with
+// the body: the server lifts it there, before it reads on to see whether the caller leaves.
+func (p *reply) boundRead(until time.Time) error {
+	if !p.bodyLeft {
+		return nil
+	}
+	err := http.NewResponseController(p.w).SetReadDeadline(until)
+	if errors.Is(err, http.ErrNotSupported) {
+		return nil // It reads from no connection.
+	}
+	return err
+}
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -32,6 +33,8 @@
 	state  replyState
 	status int    // Of the head that went out; 0 before.
 	disarm func() // Ends the reset of an answer without framing; set when open.
+
+	bodyLeft bool // The request's body has not come to its end.
 }
 
 // replyHead is the head of an answer.
@@ -65,6 +68,9 @@
 	if err := p.boundWrite(); err != nil {
 		return err
 	}
+	if err := p.boundRead(time.Now().Add(drainTime)); err != nil {
+		return err
+	}
 	p.setHeader("Content-Length", fmt.Sprint(len(body)))
 	p.open(h)
 	if _, err := p.w.Write(body); err != nil {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -104,7 +104,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
 	g.busy.Add(1)
 	defer g.busy.Add(-1)
-	q := &request{g: g, ctx: r.Context(), reply: reply{w: w, r: r}, r: r, leavePlace: func() {}, arrived: time.Now(), came: g.cfg.Now(), call: g.codec.ReadCall(r.Header)}
+	q := &request{g: g, ctx: r.Context(), reply: reply{w: w, r: r, bodyLeft: r.Body != http.NoBody}, r: r, leavePlace: func() {}, arrived: time.Now(), came: g.cfg.Now(), call: g.codec.ReadCall(r.Header)}
 	defer q.letGo()
 	if err := q.reply.boundWrite(); err != nil {
 		q.note("caller: " + err.Error()) // What is written next tells whether it is gone.
@@ -270,8 +270,13 @@
 		q.refuse("too many bytes are kept for callers", fullRetry)
 		return false
 	}
+	until := q.final.Add(bodyMargin)
+	if err := q.reply.boundRead(until); err != nil {
+		q.note("caller: " + err.Error()) // As of the next read.
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(q.reply.w, q.r.Body, limit))
 	if err == nil {
+		q.reply.bodyLeft = false
 		q.keep(len(body) - int(q.keeps))
 		q.body = body
 		return true
@@ -282,6 +287,11 @@
 		return false
 	}
 	q.note("body: " + err.Error())
+	if !time.Now().Before(until) {
+		q.closeAfter()
+		q.reject(http.StatusRequestTimeout, "body did not come in time")
+		return false
+	}
 	q.outcome = left
 	q.closeAfter()
 	q.answer(http.StatusBadRequest)
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -129,7 +129,10 @@
 		s.addresses = append(s.addresses, strings.TrimPrefix(srv.URL, "http://"))
 		snap.Endpoints = append(snap.Endpoints, fleet.Endpoint{ID: fmt.Sprint(i), Service: "s", Address: s.addresses[i], Slots: slots, Revision: 1, Made: 1})
 	}
-	srv := httptest.NewServer(gw.Handler())
+	srv := httptest.NewUnstartedServer(gw.Handler())
+	gw.Callers().Attach(srv.Config)
+	srv.Listener = gw.Callers().Listener(srv.Listener)
+	srv.Start()
 	t.Cleanup(srv.Close)
 	s.url = srv.URL
 	return s, view, snap
