internal/gateway: the end of a stream that comes after a silence is not cut off

Cause: for how long a write to the caller may be left unread was counted from the last event. What is written without one - the end of the stream, and what was kept when a try breaks off - met a bound of 4 s that was over after a silence, as if the caller had not read: the server closed its connection, before the head where nothing had gone out yet. Change: the bound begins anew with each of these writes.

Before: go test -run 'Silent|Silence|NotRead' ./internal/gateway: a stream whose end comes 5 s after its last event ends with 'unexpected EOF' at the caller; one that breaks off 5 s after an event and a part of the next is closed with no answer ('EOF'), though it could go on elsewhere. After: both whole. Besides: a caller that does not read its stream is let go (4.0 s). go test -race -count=1 ./internal/gateway ./platform: ok; -cpu 1,4 -count=2 of these tests: ok.

--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -100,6 +100,9 @@
 // flush sends what was written and is still kept.
 func (p *reply) flush() (err error) {
 	defer func() { err = errors.Wrap(err, "flush to the caller") }()
+	if err := p.boundWrite(); err != nil {
+		return err
+	}
 	return http.NewResponseController(p.w).Flush()
 }
 
@@ -108,6 +111,9 @@
 	if p.state != replyOpen || p.disarm == nil {
 		return errNoStream
 	}
+	if err := p.boundWrite(); err != nil { // The server writes the end.
+		return errors.Wrap(err, "end to the caller")
+	}
 	p.disarm()
 	p.state = replyWhole
 	return nil
