internal/daemon, internal/keepalive, internal/adapter: planned stops wait until nobody may use a connection

What callers saw: at the end of a planned stop of an entry or an agent, a request on a kept connection got neither an answer nor a refusal. Cause: the process closed all connections a second after the last request, while callers could use theirs for good (nothing told them otherwise) and peers for 60 s. Connections of the own interface had no idle end at all. Class: a connection is ended by what its server knows, not by what its user may do. Change: all listeners of a daemon are kept by keepalive.Tracker. Callers and operators are told 5 s and kept for a minute; in a planned stop for what they were told and a second more. Peers use a connection for 3 s after an answer (adapter.IdleTime, 60 s before) and are kept for 6 s (5 s and the slack), one they opened in advance for 4 s in a planned stop; so a stop waits for seconds, and no request of theirs meets the end. A stop first tells all to leave, and accepts connections until nothing has run for a second and none is open, or for 6 s; then closes the listeners, waits until these accept no more, and then until no connection is open, for at most 20 s more where nothing runs. Over TLS HTTP/1 only is spoken: in HTTP/2 the server does not say when a connection rests.

internal/keepalive: StopFresh for clients that connect in advance; a connection that its own reader closes between requests counts as left by its caller, which over TLS is told by a message and counted as process-end; so does one that ends in the middle of a header.

Why it works: each connection ends only after the time for which its user may send on it, by its reader; and the process ends after the last of them. Not measured: what more handshakes between processes cost where a link rests for longer than 3 s.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -92,6 +92,10 @@
 	return err
 }
 
+// IdleTime is how long a transport keeps a connection that rests. Servers of ours keep theirs
+// longer, and wait for as long in a planned stop.
+const IdleTime = 3 * time.Second
+
 // NewTransport returns a transport that keeps connections to many peers. It is
 // used only for requests that are harmless to repeat: net/http sends some
 // requests again by itself when a kept connection breaks. source is the IP
@@ -105,7 +109,7 @@
 		Proxy:                 nil,
 		DialContext:           d.DialContext,
 		MaxIdleConnsPerHost:   256,
-		IdleConnTimeout:       60 * time.Second,
+		IdleConnTimeout:       IdleTime,
 		ReadBufferSize:        2 << 10,
 		WriteBufferSize:       2 << 10,
 		ResponseHeaderTimeout: 0,
--- a/internal/daemon/closed_under_request_test.go
+++ b/internal/daemon/closed_under_request_test.go
@@ -20,6 +20,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -39,6 +40,8 @@
 	// untold is for how long after the beginning of a planned stop connections are used
 	// of which nothing was said.
 	untold = 2 * time.Second
+	// freshFor is within which time callers that connect send their first request.
+	freshFor = time.Second
 )
 
 // ownSite is what one daemon needs around it.
@@ -123,13 +126,16 @@
 	return c.Client()
 }
 
-// run starts the daemon and waits until it takes in requests. What is returned waits for
-// the end of its planned stop.
-func (s *ownSite) run(t *testing.T) (d *Daemon, ended func() error) {
+// run starts the daemon and waits until it takes in requests; change may edit it. What is
+// returned waits for the end of its planned stop.
+func (s *ownSite) run(t *testing.T, change func(*Daemon)) (d *Daemon, ended func() error) {
 	t.Helper()
 	g := NewWithT(t)
 	d, _, err := New(s.set, zap.NewNop())
 	g.Expect(err).NotTo(HaveOccurred())
+	if change != nil {
+		change(d)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return d.Run(ctx) })
@@ -160,6 +166,7 @@
 	since time.Time     // When it got its last answer.
 	told  time.Duration // For how long it may keep its connection; 0 if it was not told.
 	left  bool          // It was told to leave its connection.
+	fresh bool          // It connects in advance, and has asked nothing yet.
 }
 
 func (f *face) dial(t *testing.T, id string) *restingCaller {
@@ -207,6 +214,8 @@
 	switch {
 	case k.face.kept > 0:
 		return k.since.Add(min(k.face.kept, longest))
+	case k.fresh:
+		return k.since.Add(freshFor)
 	case k.told > 0:
 		return k.since.Add(min(k.told, longest))
 	}
@@ -216,10 +225,32 @@
 // rest has callers get one answer each and keep their connections.
 func (f *face) rest(t *testing.T) (list []*restingCaller) {
 	t.Helper()
-	g := NewWithT(t)
+	const atOnce = 16
+	var group errgroup.Group
+	group.SetLimit(atOnce)
 	for i := range restingCallers {
 		k := f.dial(t, fmt.Sprint("k", i))
-		g.Expect(k.ask("first-" + k.id)).To(Equal(http.StatusOK))
+		list = append(list, k)
+		group.Go(func() error {
+			if status, err := k.ask("first-" + k.id); err != nil || status != http.StatusOK {
+				return errors.Newf("first answer: status %d, %v", status, err)
+			}
+			return nil
+		})
+	}
+	NewWithT(t).Expect(group.Wait()).To(Succeed())
+	return list
+}
+
+// connect has callers connect in advance.
+func (f *face) connect(t *testing.T, n int) (list []*restingCaller) {
+	t.Helper()
+	for i := range n {
+		k := f.dial(t, fmt.Sprint("f", i))
+		if c, ok := k.c.(*tls.Conn); ok {
+			NewWithT(t).Expect(c.Handshake()).To(Succeed())
+		}
+		k.since, k.fresh = time.Now(), true
 		list = append(list, k)
 	}
 	return list
@@ -227,12 +258,13 @@
 
 // askAgain has all callers send one more request: half of them at any time at which they may,
 // the others as that ends. It returns the errors of those that got no answer, and how many
-// answers did not tell to leave the connection.
+// answers did not tell to leave the connection though one before did.
 func askAgain(t *testing.T, list []*restingCaller, stop time.Time) (lost map[string]error, staying int) {
 	t.Helper()
-	const end = 40 * time.Millisecond
+	const end = 200 * time.Millisecond
 	lost = map[string]error{}
 	late := 0
+	var told time.Time // When the first answer told to leave a connection.
 	var mu sync.Mutex
 	var group errgroup.Group
 	for i, k := range list {
@@ -253,7 +285,11 @@
 				late++
 			case err != nil:
 				lost[k.id] = err
-			case !k.left:
+			case k.left:
+				if told.IsZero() {
+					told = time.Now()
+				}
+			case !told.IsZero() && sent.After(told):
 				staying++
 			}
 			return nil
@@ -262,7 +298,7 @@
 	g := NewWithT(t)
 	g.Expect(group.Wait()).To(Succeed())
 	t.Logf("%d of %d callers got no answer; %d sent too late; %d answers left a connection open", len(lost), len(list), late, staying)
-	g.Expect(late).To(BeNumerically("<", len(list)), "somebody sends in time")
+	g.Expect(told.IsZero()).To(BeFalse(), "somebody asks in time and is told to leave")
 	return lost, staying
 }
 
@@ -328,8 +364,10 @@
 			t.Parallel()
 			g := NewWithT(t)
 			s := newOwnSite(t, tc.role, tc.secure)
-			d, ended := s.run(t)
-			callers := tc.face(s, t, d).rest(t)
+			d, ended := s.run(t, nil)
+			f := tc.face(s, t, d)
+			callers := f.rest(t)
+			callers = append(callers, f.connect(t, restingCallers/4)...)
 			stop := time.Now()
 			d.Node().Leave("test")
 			lost, staying := askAgain(t, callers, stop)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,11 +7,8 @@
 import (
 	"context"
 	"crypto/tls"
-	"io"
-	"log"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
@@ -20,20 +17,12 @@
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/agent"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
-	"github.com/canvaspulley/canvaspulley/internal/callerconn"
 	"github.com/canvaspulley/canvaspulley/internal/entry"
 	"github.com/canvaspulley/canvaspulley/internal/node"
 	"github.com/canvaspulley/canvaspulley/internal/settings"
 	"github.com/canvaspulley/canvaspulley/internal/trust"
 )
 
-// Bounds on what is read from anyone, against slow and endless senders.
-const (
-	headerTimeout  = 10 * time.Second
-	maxHeaderBytes = 64 << 10
-	idlePoll       = 50 * time.Millisecond
-)
-
 // Daemon is one process of the system.
 type Daemon struct {
 	set       *settings.Settings
@@ -41,13 +30,7 @@
 	node      *node.Node
 	agent     *agent.Agent // Nil in the role entry.
 	entry     *entry.Entry // Nil in the role endpoint.
-	listeners []listener
-}
-
-type listener struct {
-	l net.Listener
-	h http.Handler
-	t *tls.Config
+	listeners []*listener
 }
 
 // New opens the listeners, so that faults of the settings show at once. The
@@ -67,14 +50,14 @@
 		_ = peers.Close()
 		return nil, nil, err
 	}
-	d.add(peers, d.role(), "peers", string(adapter.RoleEntry), string(adapter.RoleEndpoint))
+	d.add(peers, d.role(), peersName, string(adapter.RoleEntry), string(adapter.RoleEndpoint))
 	for _, one := range []struct {
 		address string
 		handler func() http.Handler
 		name    string
 	}{
-		{set.Operators, func() http.Handler { return d.node.OperatorsMux() }, "operators"},
-		{set.Callers, func() http.Handler { return d.entry.Handler() }, "callers"},
+		{set.Operators, func() http.Handler { return d.node.OperatorsMux() }, operatorsName},
+		{set.Callers, func() http.Handler { return d.entry.Handler() }, callersName},
 	} {
 		if one.address == "" {
 			continue
@@ -107,17 +90,17 @@
 
 func (d *Daemon) add(l net.Listener, h http.Handler, name string, roles ...string) {
 	var t *tls.Config
-	if name != "callers" {
+	if name != callersName {
 		t = d.node.Credentials().Server(func(err error) {
 			d.node.Trail().Add(audit.PeerRefused, name, err.Error())
 		}, roles...)
 	}
-	d.listeners = append(d.listeners, listener{l, h, t})
+	d.listeners = append(d.listeners, newListener(l, h, t, d.connections(name)))
 }
 
 func (d *Daemon) close() {
 	for _, one := range d.listeners {
-		_ = one.l.Close()
+		_ = one.l.Close() // It may be closed already.
 	}
 }
 
@@ -155,7 +138,7 @@
 		g.Go(func() error { return d.entry.Run(ctx) })
 	}
 	for _, one := range d.listeners {
-		g.Go(func() error { return d.serve(ctx, one) })
+		g.Go(func() error { return one.serve(ctx) })
 	}
 	g.Go(func() error {
 		d.drain(ctx)
@@ -165,55 +148,3 @@
 	d.log.Info("serving", zap.Strings("addresses", d.Addresses()))
 	return g.Wait()
 }
-
-// drain waits for the planned stop and then for everything that runs.
-func (d *Daemon) drain(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-d.node.Left():
-	}
-	ticker := time.NewTicker(idlePoll)
-	defer ticker.Stop()
-	idle := 0
-	for idle < lingerPolls {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		idle++
-		if d.busy() > 0 {
-			idle = 0
-		}
-	}
-	d.node.Idle()
-}
-
-// lingerPolls is how often in a row nothing must run before the process ends:
-// requests on their way in that time get a refusal instead of a broken link.
-const lingerPolls = 20
-
-func (d *Daemon) serve(ctx context.Context, one listener) error {
-	srv := &http.Server{
-		Handler:           one.h,
-		TLSConfig:         one.t,
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          log.New(io.Discard, "", 0), // Refusals are audited; the rest is noise of peers that went.
-		BaseContext:       func(net.Listener) context.Context { return ctx },
-		ConnContext:       callerconn.Context,
-	}
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	var err error
-	if one.t != nil {
-		err = srv.ServeTLS(one.l, "", "")
-	} else {
-		err = srv.Serve(one.l)
-	}
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -47,6 +47,7 @@
 	t *Tracker
 
 	current atomic.Int32 // The state; written under mu.
+	reading atomic.Bool  // A read is under way.
 	close   sync.Once
 
 	mu       sync.Mutex // Guards what follows, and the read deadline while idling.
@@ -92,10 +93,16 @@
 // Read reads like the connection itself. While it is idle, it ends when its time is over and
 // nothing has come.
 func (c *Conn) Read(p []byte) (n int, err error) {
+	c.reading.Store(true)
+	defer c.reading.Store(false)
 	if s := c.state(); s == serving || s == heading {
 		n, err = c.TCPConn.Read(p)
-		if s == heading && errors.Is(err, os.ErrDeadlineExceeded) {
+		switch {
+		case s != heading || err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
 			c.end(SlowHeader, term{})
+		default:
+			c.end(Left, term{})
 		}
 		return n, err
 	}
@@ -197,9 +204,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cause == "" {
-		c.cause = Answered
-		if s := c.state(); s == idling || s == heading {
+		switch s := c.state(); {
+		case s != idling && s != heading:
+			c.cause = Answered
+		case c.reading.Load(): // It is closed under its reader.
 			c.cause = ProcessEnd
+		default: // Its reader closes it: over TLS callers leave with a message.
+			c.cause = Left
 		}
 	}
 	c.t.counts[c.cause].Inc(1)
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -9,6 +9,7 @@
 package keepalive
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -26,8 +27,8 @@
 // its end may still be on its way.
 const slack = time.Second
 
-// stopFresh is how long a connection on which nothing has come is kept in a planned stop. A
-// caller sends its request as soon as it is connected.
+// stopFresh is how long a connection on which nothing has come is kept in a planned stop,
+// unless a Config says otherwise. A caller sends its request as soon as it is connected.
 const stopFresh = 2 * time.Second
 
 // Config is the setting of a Tracker.
@@ -37,6 +38,9 @@
 	Holds    time.Duration // For how long callers may go by a limit that was replaced.
 	MostTold time.Duration // Longest time that callers are told: a planned stop waits for as long. 0 for no bound.
 	Header   time.Duration // From the first byte of a request to the end of its header.
+	// StopFresh is how long a connection on which nothing has come is kept in a planned stop;
+	// 0 for stopFresh. Clients that connect in advance need longer.
+	StopFresh time.Duration
 }
 
 // Tracker knows the connections of a server.
@@ -178,7 +182,7 @@
 	stopping := !t.stopping.IsZero()
 	switch {
 	case stopping && i.fresh:
-		return term{cause: Stopped, setting: "planned stop, nothing received", kept: stopFresh}
+		return term{cause: Stopped, setting: "planned stop, nothing received", kept: cmp.Or(t.cfg.StopFresh, stopFresh)}
 	case stopping && i.told > 0:
 		return term{cause: Stopped, setting: "planned stop, told to the caller", kept: i.told + slack}
 	case stopping:
