--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -9,6 +9,7 @@
 package keepalive
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -28,8 +29,8 @@
 // its end may still be on its way.
 const slack = time.Second
 
-// stopFresh is how long a connection on which nothing has come is kept in a planned stop. A
-// caller sends its request as soon as it is connected.
+// stopFresh is how long a connection on which nothing has come is kept in a planned stop,
+// unless a Config says otherwise. A caller sends its request as soon as it is connected.
 const stopFresh = 2 * time.Second
 
 // Config is the setting of a Tracker.
@@ -43,6 +44,12 @@
 	// StopLasts is the longest time from the start of a planned stop to the end of the process;
 	// 0 for no bound.
 	StopLasts time.Duration
+	// StopTold has connections kept in a planned stop for what their callers were told only,
+	// where nothing that is published lets callers keep them for longer.
+	StopTold bool
+	// StopFresh is how long a connection on which nothing has come is kept in a planned stop;
+	// 0 for stopFresh. Clients that connect in advance need longer.
+	StopFresh time.Duration
 }
 
 // Tracker knows the connections of a server.
@@ -189,11 +196,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	limit := t.limits.Longest(i.since)
+	stopping := !t.stopping.IsZero()
 	switch {
 	case t.outlastsStop(i):
 		return term{cause: Stopped, setting: "end of the planned stop"}
-	case i.fresh && !t.stopping.IsZero():
-		return term{cause: Idle, setting: "planned stop, nothing received", kept: stopFresh}
+	case stopping && i.fresh:
+		return term{cause: Stopped, setting: "planned stop, nothing received", kept: cmp.Or(t.cfg.StopFresh, stopFresh)}
+	case stopping && t.cfg.StopTold && i.told > 0:
+		return term{cause: Stopped, setting: "planned stop, told to the caller", kept: i.told + slack}
 	case i.fresh && limit.Idle < t.cfg.Header:
 		return term{cause: Idle, setting: "header time, nothing received", kept: t.cfg.Header}
 	case i.told > limit.Idle:
