internal/upstream: test that looking at a kept connection does not make it younger, known red

Cause: Pool.Put notes the present as the time since when a connection is idle, also for one that was only taken to see whether its endpoint lives (refusesConnections) and carried nothing. Its endpoint counts from the last answer, and closes it while the pool still hands it out.

--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,62 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// getPool returns a pool before an endpoint whose connections may rest for an hour, and a
+// function that takes one from it.
+func getPool(t *testing.T) (p *Pool, get func(maxIdle time.Duration) *Conn) {
+	g := NewWithT(t)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Keep-Alive", "timeout=3600")
+		_, _ = io.WriteString(w, "x") // A reader that has gone is the test's own doing.
+	}))
+	t.Cleanup(srv.Close)
+	p, cleanup := NewPool("", func() {})
+	t.Cleanup(cleanup)
+	return p, func(maxIdle time.Duration) *Conn {
+		c, err := p.Get(context.Background(), "e", srv.Listener.Addr().String(), maxIdle)
+		g.Expect(err).NotTo(HaveOccurred())
+		return c
+	}
+}
+
+// ask has one request answered on a connection, and gives that back.
+func ask(t *testing.T, p *Pool, c *Conn) {
+	g := NewWithT(t)
+	r := &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
+	x, err := c.Send(r, time.Now().Add(time.Minute))
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = x.Head(r, anyAnswer)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = x.ReadWhole(1 << 10)
+	g.Expect(err).NotTo(HaveOccurred())
+	x.Done(p)
+}
+
+// Guards against the use of connections that their endpoint is about to close.
+func TestAConnectionThatIsLookedAtDoesNotBecomeYounger(t *testing.T) {
+	g := NewWithT(t)
+	p, get := getPool(t)
+	c := get(0)
+	ask(t, p, c)
+	for range 2 {
+		c.idleAt = c.idleAt.Add(-40 * time.Minute)
+		if again := get(2 * time.Hour); again != c {
+			again.Close()
+			return
+		}
+		p.Put(c)
+	}
+	g.Expect(get(2*time.Hour) == c).To(BeFalse(), "it has been idle for 80 minutes")
+}
