internal/upstream: a connection is as old as its last answer

Cause: Pool.Put renewed the age of connections that had only been looked at. Change: the age counts from the dial or the last answer, where Done notes it; Put leaves it. Conclusion: what the pool hands out is never older than it takes it to be, so the margin before the endpoint's own close holds after looks as well.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -168,7 +168,7 @@
 		return
 	}
 	x.conn.served++
-	x.conn.idleFor = idleTime(x.resp.Header)
+	x.conn.idleAt, x.conn.idleFor = time.Now(), idleTime(x.resp.Header)
 	p.Put(x.conn)
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -43,7 +43,7 @@
 	br       *bufio.Reader // Of in.
 	served   int           // Answers that it has brought.
 	idleFor  time.Duration // After which the endpoint closes it.
-	idleAt   time.Time     // When it was last put back.
+	idleAt   time.Time     // Since when it carries nothing, as its endpoint counts.
 }
 
 // Reused reports whether the connection has served before.
@@ -101,7 +101,10 @@
 		return nil, errors.Wrap(err, "socket option")
 	}
 	in := &input{nc: nc}
-	return &Conn{endpoint: endpoint, nc: nc, in: in, br: bufio.NewReaderSize(in, readBuffer), idleFor: defaultIdle}, nil
+	return &Conn{
+		endpoint: endpoint, nc: nc, in: in, br: bufio.NewReaderSize(in, readBuffer),
+		idleFor: defaultIdle, idleAt: time.Now(),
+	}, nil
 }
 
 // take returns the youngest sound idle connection.
@@ -124,7 +127,8 @@
 	}
 }
 
-// Put keeps a connection whose answer was read to its end.
+// Put keeps a connection that carried nothing since it was taken, or whose answer was read
+// to its end.
 func (p *Pool) Put(c *Conn) {
 	if c.br.Buffered() > 0 {
 		c.Close() // Bytes that belong to no request.
@@ -135,7 +139,6 @@
 		return
 	}
 	c.in.watch = nil
-	c.idleAt = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[c.endpoint]
