internal/daemon: tests of connections between processes, known red

Seen, 3 of 3 runs each: each order to another rank's engine leaves a connection open for nobody, 10 s long, of the few that an engine accepts from all callers; servers for other processes bound neither idle connections nor bodies nor answers; and calls that a process has read are cut as it ends.

--- /dev/null
+++ b/internal/daemon/connections_test.go
@@ -0,0 +1,92 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package daemon
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/rank"
+	"github.com/canvaspulley/canvaspulley/internal/settings"
+)
+
+// Guards against connections that another rank's engine holds open for nobody.
+func TestConnectionsToOtherEnginesAreNotKept(t *testing.T) {
+	const orders = 40
+	g := NewWithT(t)
+	var open, asked atomic.Int64
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { asked.Add(1) }))
+	srv.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		switch s {
+		case http.StateNew:
+			open.Add(1)
+		case http.StateClosed:
+			open.Add(-1)
+		}
+	}
+	srv.Start()
+	t.Cleanup(srv.Close)
+	p := &fleetProcess{set: &settings.Fleet{}}
+	for range orders {
+		result, err := p.otherEngine(strings.TrimPrefix(srv.URL, "http://")).Order(context.Background(), rank.Order{Op: rank.Go, Step: 4})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(result).To(Equal(rank.Done))
+	}
+	g.Expect(asked.Load()).To(BeEquivalentTo(orders))
+	g.Eventually(open.Load, "2s").Should(BeZero())
+}
+
+// Guards against peers that hold connections or calls open for good.
+func TestCallsOfPeersAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	srv := (&fleetProcess{}).httpServer(http.NotFoundHandler())
+	g.Expect(srv.IdleTimeout).NotTo(BeZero(), "idle")
+	g.Expect(srv.ReadTimeout).NotTo(BeZero(), "a body that does not end")
+	g.Expect(srv.WriteTimeout).NotTo(BeZero(), "an answer that is not read")
+}
+
+// Guards against the end of a process under calls that it has read.
+func TestCallsUnderWayAreAnsweredAsTheProcessEnds(t *testing.T) {
+	const callers = 200
+	g := NewWithT(t)
+	var begun atomic.Int64
+	end := make(chan struct{})
+	srv := (&fleetProcess{serverLog: log.New(io.Discard, "", 0)}).httpServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		begun.Add(1)
+		<-end
+		w.WriteHeader(http.StatusTeapot)
+	}))
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var serving, calling errgroup.Group
+	serving.Go(func() error { return serveOn(ctx, srv, l) })
+	var answered atomic.Int64
+	for range callers {
+		calling.Go(func() error {
+			resp, err := http.Post("http://"+l.Addr().String(), "", nil)
+			if err != nil {
+				return err
+			}
+			answered.Add(1)
+			return resp.Body.Close()
+		})
+	}
+	g.Eventually(begun.Load, patience).Should(BeEquivalentTo(callers))
+	cancel()
+	close(end)
+	g.Expect(calling.Wait()).To(Succeed())
+	g.Expect(answered.Load()).To(BeEquivalentTo(callers))
+	g.Expect(serving.Wait()).To(Succeed())
+}
