internal/daemon, internal/peers: calls between processes are bounded on both sides

Cause: servers for other processes, readiness and metrics had no bound on idle connections, on a body that does not end or an answer that is not read: whoever reaches the port holds connections for good. Clients dropped none either. Change: callers of other processes drop an idle connection after 30 s, servers end one after 90 s and a call after 2 minutes. The callers' server keeps its own bounds (package keepalive). A plain bound is enough: both sides are ours, and a client looks at the age of a connection, by steady clock and by time of day, before it takes it.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
@@ -92,13 +93,23 @@
 	return socket, calls, func() { closeSocket(); _ = calls.Close() }, nil
 }
 
-// httpServer returns a server of the process. What the server itself has to say, such
+// Bounds on the calls of other processes, against peers that hold connections for good.
+const (
+	// callTime bounds the reading of a call, and its answer with the reading: far above
+	// the largest map over a narrow link.
+	callTime = 2 * time.Minute
+)
+
+// httpServer returns a server for other processes. What the server itself has to say, such
 // as a second head that a handler wrote, goes to the process's log: it is the only
 // sign of a fault in a handler. Callers that break off are not among it.
 func (p *fleetProcess) httpServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: gateway.HeaderTime,
+		ReadTimeout:       callTime,
+		WriteTimeout:      callTime,
+		IdleTimeout:       peers.ServerIdle,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          p.serverLog,
 		// An empty success of the server's own is none of an endpoint's.
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -95,6 +95,7 @@
 	t := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: borrowTimeout}).DialContext,
 		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     peers.CallerIdle,
 	}
 	n = &Neighbours{
 		g: g, socket: socket, log: log, decode: cfg.Decode, client: &http.Client{Transport: t},
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -180,6 +180,13 @@
 	return netip.AddrPortFrom(at.Addr(), uint16(port)), nil
 }
 
+// Times for which connections of calls between processes are kept while they are idle.
+// Whoever calls drops one long before whoever serves ends it, so no call meets that end.
+const (
+	CallerIdle = 30 * time.Second
+	ServerIdle = 3 * CallerIdle
+)
+
 // maxDatagram is above any message; a longer one is dropped.
 const maxDatagram = 8 << 10
 
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -129,7 +129,7 @@
 
 func newPeerClient(cfg Config) (c *peerClient, cleanup func()) {
 	d := &net.Dialer{Timeout: engineTimeout}
-	t := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true}
+	t := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: peers.CallerIdle, DisableCompression: true}
 	return &peerClient{client: &http.Client{Transport: t}, port: cfg.PeersPort}, t.CloseIdleConnections
 }
 
