internal/daemon: calls that were read are answered as the process ends

Cause: the end of a process closed all its servers' connections at once, also under an order that a sidecar had passed on to its engine or a connection that a gateway had just accepted. Change: servers close their listeners first, then serve what was read for at most 0.3 s, and only then close what is left. The test, known red before, gives the bound; it is the same otherwise. Conclusion: what is cut at a process's end was not read, or takes longer than 0.3 s.

--- a/internal/daemon/connections_test.go
+++ b/internal/daemon/connections_test.go
@@ -71,7 +71,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var serving, calling errgroup.Group
-	serving.Go(func() error { return serveOn(ctx, srv, l) })
+	serving.Go(func() error { return serveUntil(ctx, srv, l, patience) })
 	var answered atomic.Int64
 	for range callers {
 		calling.Go(func() error {
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -117,11 +117,30 @@
 	}
 }
 
-// serveOn serves until ctx ends.
+// lastCalls is for how long what was read is still answered as a process ends.
+const lastCalls = 300 * time.Millisecond
+
+// serveOn serves until ctx ends, and then what was read by then.
 func serveOn(ctx context.Context, srv *http.Server, l net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	return serveUntil(ctx, srv, l, lastCalls)
+}
+
+// serveUntil is serveOn with a bound on what is served after ctx.
+func serveUntil(ctx context.Context, srv *http.Server, l net.Listener, atMost time.Duration) error {
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		last, cancel := context.WithTimeout(context.Background(), atMost)
+		defer cancel()
+		if srv.Shutdown(last) != nil {
+			_ = srv.Close() // Its error is that of the listener, which is closed already.
+		}
+	})
+	err := srv.Serve(l)
+	if !stop() {
+		<-ended
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
