internal/gateway: the last try of a request has a connection of its own

Cause: repeats used kept connections like first tries; where several endpoints close what rests, as beside a planned end of some, a request lost both tries in the same way and its caller got 502. Change: the last repeat goes on a new connection; others are as before, and a first try still uses what is kept. Cost: one new connection for each last repeat, which the budget of repeats bounds. Not mended: a route that allows one endpoint only has no repeat.

--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -17,17 +17,18 @@
 
 // onceIdle and repeatIdle are how long a connection may have been idle for a
 // request. One that may not run twice gets a new one, since what a kept
-// connection swallowed may have run.
+// connection swallowed may have run, and so does the last repeat of any.
 const (
 	onceIdle   = 0
 	repeatIdle = 30 * time.Second
 )
 
 func (q *request) maxIdle() time.Duration {
-	if q.route.MayRepeat() {
-		return repeatIdle
+	lastRepeat := len(q.tried) > 0 && len(q.tried)+1 >= q.route.Attempts
+	if !q.route.MayRepeat() || lastRepeat {
+		return onceIdle
 	}
-	return onceIdle
+	return repeatIdle
 }
 
 // try sends the request to one endpoint and relays its answer.
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -132,7 +132,7 @@
 		q.note(e.ID + ": after an answer without a length: " + err.Error())
 		return false
 	}
-	if q.maxIdle() == 0 {
+	if !q.route.MayRepeat() {
 		conn.Close() // No request of this kind would use it.
 		return true
 	}
