--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
@@ -92,13 +93,23 @@
 	return socket, calls, func() { closeSocket(); _ = calls.Close() }, nil
 }
 
-// httpServer returns a server of the process. What the server itself has to say, such
+// Bounds on the calls of other processes, against peers that hold connections for good.
+const (
+	// callTime bounds the reading of a call, and its answer with the reading: far above
+	// the largest map over a narrow link.
+	callTime = 2 * time.Minute
+)
+
+// httpServer returns a server for other processes. What the server itself has to say, such
 // as a second head that a handler wrote, goes to the process's log: it is the only
 // sign of a fault in a handler. Callers that break off are not among it.
 func (p *fleetProcess) httpServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: gateway.HeaderTime,
+		ReadTimeout:       callTime,
+		WriteTimeout:      callTime,
+		IdleTimeout:       peers.ServerIdle,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          p.serverLog,
 		// An empty success of the server's own is none of an endpoint's.
@@ -106,11 +117,30 @@
 	}
 }
 
-// serveOn serves until ctx ends.
+// lastCalls is for how long what was read is still answered as a process ends.
+const lastCalls = 300 * time.Millisecond
+
+// serveOn serves until ctx ends, and then what was read by then.
 func serveOn(ctx context.Context, srv *http.Server, l net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
-	defer stop()
-	if err := srv.Serve(l); !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
+	return serveUntil(ctx, srv, l, lastCalls)
+}
+
+// serveUntil is serveOn with a bound on what is served after ctx.
+func serveUntil(ctx context.Context, srv *http.Server, l net.Listener, atMost time.Duration) error {
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		last, cancel := context.WithTimeout(context.Background(), atMost)
+		defer cancel()
+		if srv.Shutdown(last) != nil {
+			_ = srv.Close() // Its error is that of the listener, which is closed already.
+		}
+	})
+	err := srv.Serve(l)
+	if errors.Is(err, net.ErrClosed) || !stop() { // A listener closed first leaves its connections to be served.
+		<-ended
+	}
+	if !errors.IsAny(err, http.ErrServerClosed, net.ErrClosed) {
 		return err
 	}
 	return nil
