internal/daemon, internal/entry: slow bodies and answers that are not read are bounded in time

What callers and operators saw: a caller of an entry who sends a header and then only a part of the body held its connection, and a planned stop, for good; so did one who does not read a whole answer. Headers were bounded by 10 s, bodies and whole answers by nothing; a refusal of somebody unknown waited for up to 256 KB of the body before it was written. Change: each listener of a daemon bounds the whole body by a minute, also one that its handler does not read; the entry answers 408 not-run and the connection ends. Whole answers and refusals are written in pieces of 64 KB with 30 s for each, the first with a minute more, since the server may read a body before it; the bound is lifted at the end of an answer, so that the connection may be used again.

Not bounded: a planned stop still waits without a bound for a stream that goes on.

--- a/internal/daemon/closed_under_request_test.go
+++ b/internal/daemon/closed_under_request_test.go
@@ -312,7 +312,7 @@
 	return n
 }
 
-func (s *ownSite) path(id string) string { return s.layout.Path + "/read?id=" + id }
+func (s *ownSite) path(id string) string { return s.layout.Path + "read?id=" + id }
 
 // callers returns the face of an entry towards callers.
 func (s *ownSite) callers(d *Daemon) *face {
--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -17,6 +17,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/callerconn"
+	"github.com/canvaspulley/canvaspulley/internal/entry"
 	"github.com/canvaspulley/canvaspulley/internal/keepalive"
 )
 
@@ -24,9 +25,11 @@
 const (
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
-	idlePoll       = 50 * time.Millisecond
 )
 
+// idlePoll is how often a planned stop looks at what is left.
+const idlePoll = 50 * time.Millisecond
+
 // Names of listeners.
 const (
 	peersName     = "peers"
@@ -73,11 +76,12 @@
 	h      http.Handler
 	t      *tls.Config // Nil in the clear.
 	conns  *keepalive.Tracker
+	body   time.Duration // Bound of the time that a request's body takes.
 	served chan struct{} // Closed when no more connections are accepted.
 }
 
 func newListener(l net.Listener, h http.Handler, t *tls.Config, conns *keepalive.Tracker) *listener {
-	return &listener{l: l, h: h, t: t, conns: conns, served: make(chan struct{})}
+	return &listener{l: l, h: h, t: t, conns: conns, body: entry.BodyTimeout, served: make(chan struct{})}
 }
 
 // connections returns what knows the connections of a listener.
@@ -113,7 +117,7 @@
 
 func (one *listener) server(ctx context.Context) *http.Server {
 	srv := &http.Server{
-		Handler:           one.h,
+		Handler:           boundBody(one.h, one.body),
 		TLSConfig:         one.t,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/internal/daemon/listener_test.go
+++ b/internal/daemon/listener_test.go
@@ -43,6 +43,11 @@
 				d.listeners[0].conns = keepalive.New(keepalive.Config{Name: peersName, Unset: idle, Header: headerTimeout}, zap.NewNop(), d.Node().Metrics())
 			})
 			callers := s.peers(t, d).rest(t)
+			ran := map[string]error{}
+			for _, k := range callers {
+				ran["first-"+k.id] = nil
+			}
+			g.Expect(s.passedOn(ran)).To(Equal(restingCallers))
 			lost := map[string]error{}
 			var mu sync.Mutex
 			var group errgroup.Group
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,8 +15,15 @@
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
 
-// writeTimeout bounds one write to a caller that does not read.
-const writeTimeout = 30 * time.Second
+// Bounds on slow callers.
+const (
+	// BodyTimeout is for a whole body. The largest one comes in time at 140 kB a second.
+	BodyTimeout = time.Minute
+	// writeTimeout is for one write.
+	writeTimeout = 30 * time.Second
+	// firstTimeout is for the first write: before it the server reads what is left of the body.
+	firstTimeout = BodyTimeout + writeTimeout
+)
 
 // answerState is how far a caller's answer has come.
 type answerState int
@@ -53,8 +61,47 @@
 	h.Set(wire.HeaderOutcome, string(wire.Done))
 	h.Set("Content-Type", contentType)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
+	a.bound(firstTimeout)
 	a.w.WriteHeader(status)
-	_, _ = a.w.Write(body) // The caller may be gone; a part shows by the length.
+	_, _ = pieces{a}.Write(body) // The caller may be gone; a part shows by the length.
+	a.settle()
+}
+
+// pieces writes the body of a whole answer with a bound of time for each piece.
+type pieces struct{ *answer }
+
+// pieceBytes is how much a caller reads at least in the time of writeTimeout.
+const pieceBytes = 64 << 10
+
+func (p pieces) Header() http.Header { return p.w.Header() }
+
+func (p pieces) WriteHeader(status int) { p.w.WriteHeader(status) }
+
+func (p pieces) Write(body []byte) (n int, err error) {
+	for piece := range slices.Chunk(body, pieceBytes) {
+		if n > 0 {
+			p.bound(writeTimeout)
+		}
+		k, err := p.w.Write(piece)
+		n += k
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
+// bound sets a write deadline.
+func (a *answer) bound(most time.Duration) {
+	_ = a.rc.SetWriteDeadline(time.Now().Add(most)) // Not every connection has deadlines.
+}
+
+// settle sends what is left of a whole answer and lifts the bound, so that the connection may
+// be used again.
+func (a *answer) settle() {
+	if a.rc.Flush() == nil {
+		_ = a.rc.SetWriteDeadline(time.Time{})
+	}
 }
 
 // json gives v as a whole answer.
@@ -105,7 +152,7 @@
 		return
 	}
 	a.dueSet = now
-	_ = a.rc.SetWriteDeadline(now.Add(writeTimeout)) // Not every connection has deadlines.
+	a.bound(writeTimeout)
 }
 
 // end closes a stream that was seen whole. When its last events cannot be
@@ -126,7 +173,9 @@
 func (a *answer) refuse(r *wire.Refusal) {
 	if a.state == unsent {
 		a.state = ended
-		r.Write(a.w)
+		a.bound(firstTimeout)
+		r.Write(pieces{a})
+		a.settle()
 		return
 	}
 	_ = a.event(outcomeEvent(r)) // The caller may be gone.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -132,6 +132,42 @@
 	})
 }
 
+// Guards against callers who hold a connection for good because they don't read an answer.
+func TestWholeAnswersAreWrittenInPiecesThatAreBounded(t *testing.T) {
+	body := strings.Repeat("x", 5*pieceBytes+1)
+	for name, give := range map[string]func(a *answer){
+		"answer": func(a *answer) { a.whole(http.StatusOK, "text/plain", []byte(body)) },
+		"refusal": func(a *answer) {
+			a.refuse(&wire.Refusal{Outcome: wire.Done, Status: http.StatusOK, Repeat: &wire.Repeat{Type: "text/plain", Body: []byte(body)}})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				w := &slowReader{deadlines: deadlines{ResponseRecorder: httptest.NewRecorder()}}
+				give(newAnswer(w, httptest.NewRequest(http.MethodGet, "/", nil)))
+				g.Expect(w.Body.String()).To(gomega.Equal(body))
+				g.Expect(w.left).To(gomega.HaveLen(6))
+				g.Expect(w.left[0]).To(gomega.Equal(BodyTimeout+writeTimeout), "the server may read a slow body first")
+				g.Expect(w.left[1:]).To(gomega.HaveEach(writeTimeout))
+				g.Expect(w.at.IsZero()).To(gomega.BeTrue(), "the next request on the connection has no deadline left over")
+			})
+		})
+	}
+}
+
+// slowReader remembers what time was left for each write, and takes most of it.
+type slowReader struct {
+	deadlines
+	left []time.Duration
+}
+
+func (s *slowReader) Write(p []byte) (n int, err error) {
+	s.left = append(s.left, time.Until(s.at))
+	time.Sleep(writeTimeout - time.Second)
+	return s.deadlines.Write(p)
+}
+
 func FuzzChat(f *testing.F) {
 	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":5}`))
 	f.Add([]byte(`{"model":"m","messages":[null],"max_tokens":-5}`))
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -8,9 +8,12 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
 	"github.com/canvaspulley/canvaspulley/internal/ident"
@@ -57,7 +60,10 @@
 
 func readBody(req *request) (raw []byte, refusal *wire.Refusal) {
 	raw, err := io.ReadAll(http.MaxBytesReader(req.out.w, req.r.Body, wire.MaxBody))
-	if err != nil {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, wire.Refuse(http.StatusRequestTimeout, 0, "body was not read in time")
+	case err != nil:
 		return nil, wire.Refuse(http.StatusRequestEntityTooLarge, 0,
 			"body was not read whole; the limit is "+strconv.Itoa(wire.MaxBody)+" bytes")
 	}
