--- a/internal/daemon/closed_under_request_test.go
+++ b/internal/daemon/closed_under_request_test.go
@@ -375,6 +375,7 @@
 			g.Expect(staying).To(BeZero())
 			g.Expect(s.passedOn(lost)).To(BeZero())
 			g.Expect(ended()).To(Succeed())
+			t.Logf("the planned stop took %v", time.Since(stop))
 		})
 	}
 }
--- a/internal/daemon/listener_test.go
+++ b/internal/daemon/listener_test.go
@@ -89,6 +89,7 @@
 				_, err := io.WriteString(f.dial(t, fmt.Sprint("slow", i)).c, "GET / HT")
 				g.Expect(err).NotTo(HaveOccurred())
 			}
+			stop := time.Now()
 			d.Node().Leave("test")
 			var group errgroup.Group
 			for range some {
@@ -109,6 +110,7 @@
 				})
 			}
 			g.Expect(ended()).To(Succeed())
+			t.Logf("the planned stop took %v", time.Since(stop))
 			g.Expect(group.Wait()).To(Succeed())
 		})
 	}
