internal/daemon: a SIGHUP ends no entry and no agent

What callers saw: a SIGHUP to an entry or an agent ended it at once, and cut off what ran. Change: all roles catch the three signals as the first thing they do; in these roles a SIGHUP is logged and changes nothing. All of daemon, entry, agent, node, adapter, demo and e2e pass in one run each.

--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -39,13 +38,15 @@
 		fmt.Fprintln(stderr, err)
 		return exitSettings
 	}
+	caught, cleanup := catchSignals()
+	defer cleanup()
 	role, err := settings.RoleOf(o.Config)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitSettings
 	}
 	if role == string(settings.Gateway) || role == string(settings.Sidecar) {
-		return mainFleet(o, stderr)
+		return mainFleet(o, caught, stderr)
 	}
 	set, err := settings.Load(o.Config)
 	if err != nil {
@@ -61,7 +62,7 @@
 		return exitSettings
 	}
 	defer func() { _ = log.Sync() }()
-	if err := run(set, log); err != nil {
+	if err := run(set, caught, log); err != nil {
 		log.Error("stopped", zap.Error(err))
 		return exitFailed
 	}
@@ -69,9 +70,7 @@
 }
 
 // mainFleet runs a gateway or a sidecar and returns the exit code.
-func mainFleet(o options, stderr io.Writer) int {
-	caught, cleanup := catchSignals()
-	defer cleanup()
+func mainFleet(o options, caught <-chan os.Signal, stderr io.Writer) int {
 	set, err := settings.LoadFleet(o.Config)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -97,8 +96,9 @@
 }
 
 // run serves until a planned stop. The first SIGTERM or SIGINT begins it, the
-// second ends the process at once.
-func run(set *settings.Settings, log *zap.Logger) (err error) {
+// second ends the process at once. A SIGHUP changes nothing: settings are read at
+// the start, and certificates whenever they change.
+func run(set *settings.Settings, caught <-chan os.Signal, log *zap.Logger) (err error) {
 	d, cleanup, err := New(set, log)
 	if err != nil {
 		return err
@@ -106,26 +106,32 @@
 	defer cleanup()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error {
-		for n := 0; ; n++ {
-			select {
-			case <-ctx.Done():
-				return nil
-			case s := <-signals:
-				if n > 0 {
-					return errors.Newf("second %s: what ran was cut off", s)
-				}
-				d.Node().Leave(s.String())
-			}
-		}
-	})
+	g.Go(func() error { return obey(ctx, caught, log, d.Node().Leave) })
 	g.Go(func() error {
 		defer cancel()
 		return d.Run(ctx)
 	})
 	return g.Wait()
 }
+
+// obey calls leave at the first signal to stop and fails at the second.
+func obey(ctx context.Context, caught <-chan os.Signal, log *zap.Logger, leave func(cause string)) error {
+	stopping := false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-caught:
+			switch {
+			case s == syscall.SIGHUP:
+				log.Info("settings are read at the next start", zap.String("signal", s.String()))
+			case stopping:
+				return errors.Newf("second %s: what ran was cut off", s)
+			default:
+				stopping = true
+				leave(s.String())
+			}
+		}
+	}
+}
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -226,6 +226,21 @@
 		delete(s.procs, s.Entries[0].Name)
 	})
 
+	It("cuts nothing at a SIGHUP and goes on", func() {
+		s := startSite(example.Archive, pair)
+		o := s.open(s.Entries[0], "hangup", 200, "")
+		Expect(o.read(10)).To(BeTrue())
+		first := s.agentOf(o.rank)
+		for range 3 {
+			s.signal(s.Entries[0].Name, syscall.SIGHUP)
+			s.signal(first.Name, syscall.SIGHUP)
+		}
+		o.expectWhole("hangup", 200)
+		Expect(o.ids).To(HaveEach(ContainSubstring(first.Endpoint)), "the stream ended where it began")
+		Expect(s.readiness(s.Entries[0])).To(Equal(http.StatusOK))
+		Expect(s.readiness(first)).To(Equal(http.StatusOK))
+	})
+
 	It("sends nothing to an endpoint that only the platform's list has as leaving", func() {
 		s := startSite(example.Archive, pair)
 		leaving := s.Agents[0]
