--- a/internal/daemon/listener_test.go
+++ b/internal/daemon/listener_test.go
@@ -43,6 +43,11 @@
 				d.listeners[0].conns = keepalive.New(keepalive.Config{Name: peersName, Unset: idle, Header: headerTimeout}, zap.NewNop(), d.Node().Metrics())
 			})
 			callers := s.peers(t, d).rest(t)
+			ran := map[string]error{}
+			for _, k := range callers {
+				ran["first-"+k.id] = nil
+			}
+			g.Expect(s.passedOn(ran)).To(Equal(restingCallers))
 			lost := map[string]error{}
 			var mu sync.Mutex
 			var group errgroup.Group
@@ -84,6 +89,7 @@
 				_, err := io.WriteString(f.dial(t, fmt.Sprint("slow", i)).c, "GET / HT")
 				g.Expect(err).NotTo(HaveOccurred())
 			}
+			stop := time.Now()
 			d.Node().Leave("test")
 			var group errgroup.Group
 			for range some {
@@ -104,6 +110,7 @@
 				})
 			}
 			g.Expect(ended()).To(Succeed())
+			t.Logf("the planned stop took %v", time.Since(stop))
 			g.Expect(group.Wait()).To(Succeed())
 		})
 	}
