internal/gateway: a request that is moved before it is sent blames no endpoint

Cause: vacate may close the connection of a try before its first byte; the failed send counted against the endpoint like one of its own, with full weight. Change: as for tries that were sent, nothing is counted then.

--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -219,7 +219,9 @@
 	if x.Progress() == upstream.Unsent {
 		q.tried = q.tried[:len(q.tried)-1]
 		q.unsent = append(q.unsent, e.ID)
-		q.bad(e, 1, "unsent: "+err.Error())
+		if !q.moving(e) {
+			q.bad(e, 1, "unsent: "+err.Error())
+		}
 		return unreached
 	}
 	if errors.Is(err, upstream.ErrSilent) || q.moving(e) {
