internal/daemon: test with callers who connect as a planned stop ends, known red

A gateway ends once it has seen that no request and no connection is open; whoever connects after that look is cut. Change: a seam for that look, and a listener that can be closed while what it accepted is served (door), not used yet.

--- a/internal/daemon/connections_test.go
+++ b/internal/daemon/connections_test.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"log"
@@ -12,10 +13,15 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/canvaspulley/canvaspulley/internal/follow"
+	"github.com/canvaspulley/canvaspulley/internal/gateway"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
 	"github.com/canvaspulley/canvaspulley/internal/settings"
 )
@@ -90,3 +96,59 @@
 	g.Expect(answered.Load()).To(BeEquivalentTo(callers))
 	g.Expect(serving.Wait()).To(Succeed())
 }
+
+// Guards against the end of a gateway under connections that it accepts right after it was
+// seen to have none.
+func TestCallersWhoConnectAsAPlannedStopEndsAreAnswered(t *testing.T) {
+	t.Parallel()
+	const callers = 200
+	g := NewWithT(t)
+	p := &fleetProcess{set: &settings.Fleet{Grace: time.Minute}, log: zap.NewNop(), reg: metrics.NewRegistry()}
+	gw, cleanup := gateway.New(gateway.Config{}, platformCodec(), follow.NewView(), p.log, p.reg)
+	t.Cleanup(cleanup)
+	l, err := listenTCP("127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	door := newDoor(l)
+	var serving, calling errgroup.Group
+	serving.Go(func() error { return serveOn(ctx, p.callersServer(gw), gw.Callers().Listener(door)) })
+
+	gw.Stop()
+	stop := make(chan struct{})
+	close(stop)
+	began, came := time.Now(), false
+	p.drain(ctx, stop, func() (requests, connections int) {
+		if came {
+			return gw.Busy(), gw.Callers().Open()
+		}
+		if time.Since(began) <= stopLinger+2*idlePoll {
+			return 0, 1 // One that is open until then.
+		}
+		came = true
+		for range callers {
+			c, err := net.Dial("tcp4", l.Addr().String())
+			g.Expect(err).NotTo(HaveOccurred())
+			calling.Go(func() error { return askOver(c) })
+		}
+		g.Eventually(gw.Callers().Open, patience).Should(Equal(callers))
+		return 0, 0 // As seen before they came.
+	}, door)
+	cancel()
+	g.Expect(calling.Wait()).To(Succeed())
+	g.Expect(serving.Wait()).To(Succeed())
+}
+
+// askOver asks over a new connection, which it closes, and returns an error without an answer.
+func askOver(c net.Conn) error {
+	defer func() { _ = c.Close() }()
+	time.Sleep(100 * time.Millisecond) // The stop is over meanwhile, unless it waits.
+	if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -136,13 +136,11 @@
 			_ = srv.Close() // Its error is that of the listener, which is closed already.
 		}
 	})
-	err := srv.Serve(l)
-	if !stop() {
-		<-ended
-	}
-	if !errors.Is(err, http.ErrServerClosed) {
+	defer stop()
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
+	<-ended // A door may be shut before ctx ends.
 	return nil
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -62,10 +62,11 @@
 	}, platformCodec(), view, p.log, p.reg)
 	defer closeGateway()
 
-	callers, err := listenTCP(p.set.Callers)
+	l, err := listenTCP(p.set.Callers)
 	if err != nil {
 		return err
 	}
+	callers := newDoor(l)
 	readiness, err := listenTCP(p.set.Readiness)
 	if err != nil {
 		return err
@@ -103,7 +104,7 @@
 	p.serveMetrics(ctx, group)
 	group.Go(func() error {
 		defer cancel()
-		p.drain(ctx, stop, g)
+		p.drain(ctx, stop, func() (requests, connections int) { return g.Busy(), g.Callers().Open() }, callers)
 		return nil
 	})
 	return group.Wait()
@@ -120,7 +121,7 @@
 
 // drain waits for the signal to stop, then for what runs, and until callers may use none of
 // their connections any more.
-func (p *fleetProcess) drain(ctx context.Context, stop <-chan struct{}, g *gateway.Gateway) {
+func (p *fleetProcess) drain(ctx context.Context, stop <-chan struct{}, left func() (requests, connections int), _ *door) {
 	select {
 	case <-ctx.Done():
 		return
@@ -135,12 +136,12 @@
 			return
 		case now := <-ticker.C:
 			after := now.Sub(began)
-			busy, open := g.Busy(), g.Callers().Open()
+			requests, connections := left()
 			if after > p.set.Grace-stopMargin {
-				p.log.Warn("stopped with connections open", zap.Int("requests", busy), zap.Int("connections", open))
+				p.log.Warn("stopped with connections open", zap.Int("requests", requests), zap.Int("connections", connections))
 				return
 			}
-			if after > stopLinger && busy == 0 && open == 0 {
+			if after > stopLinger && requests+connections == 0 {
 				return
 			}
 		}
