internal/daemon: a planned stop of a gateway looks again once its door is closed

Change: once no request and no connection is open the listener closes, what it accepted is served as before, and the process ends when a second look finds nothing. Why it works: the second look comes after the accept loop has ended, so each accepted connection is counted in it.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -120,8 +120,9 @@
 }
 
 // drain waits for the signal to stop, then for what runs, and until callers may use none of
-// their connections any more.
-func (p *fleetProcess) drain(ctx context.Context, stop <-chan struct{}, left func() (requests, connections int), _ *door) {
+// their connections any more. It looks once more after the door is closed: callers may have
+// come in since it looked.
+func (p *fleetProcess) drain(ctx context.Context, stop <-chan struct{}, left func() (requests, connections int), callers *door) {
 	select {
 	case <-ctx.Done():
 		return
@@ -130,7 +131,7 @@
 	began := time.Now()
 	ticker := time.NewTicker(idlePoll)
 	defer ticker.Stop()
-	for {
+	for closed := false; ; {
 		select {
 		case <-ctx.Done():
 			return
@@ -141,9 +142,14 @@
 				p.log.Warn("stopped with connections open", zap.Int("requests", requests), zap.Int("connections", connections))
 				return
 			}
-			if after > stopLinger && requests+connections == 0 {
+			if after <= stopLinger || requests+connections > 0 {
+				continue
+			}
+			if closed {
 				return
 			}
+			callers.shut(ctx)
+			closed = true
 		}
 	}
 }
