--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/callerconn"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/gateway"
+	"github.com/canvaspulley/canvaspulley/internal/keepalive"
 	"github.com/canvaspulley/canvaspulley/platform"
 )
 
@@ -96,7 +97,7 @@
 	p.serveMetrics(ctx, group)
 	group.Go(func() error {
 		defer cancel()
-		p.drain(ctx, stop, g)
+		p.drain(ctx, stop, func() (requests, connections int) { return g.Busy(), g.Callers().Open() }, g.Callers())
 		return nil
 	})
 	return group.Wait()
@@ -112,8 +113,9 @@
 }
 
 // drain waits for the signal to stop, then for what runs and until callers have left their
-// connections, and ends the taking of new ones.
-func (p *fleetProcess) drain(ctx context.Context, stop <-chan struct{}, g *gateway.Gateway) {
+// connections, and ends the taking of new ones. It looks once more after that: callers may
+// have come in since it looked.
+func (p *fleetProcess) drain(ctx context.Context, stop <-chan struct{}, left func() (requests, connections int), callers *keepalive.Tracker) {
 	select {
 	case <-ctx.Done():
 		return
@@ -122,27 +124,23 @@
 	began := time.Now()
 	ticker := time.NewTicker(idlePoll)
 	defer ticker.Stop()
-	closing := false
-	for {
+	for closing := false; ; {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			after := now.Sub(began)
-			busy, open := g.Busy(), g.Callers().Open()
-			if after > p.set.Grace-stopMargin {
-				p.log.Warn("stopped with connections open", zap.Int("requests", busy), zap.Int("connections", open))
+			after, listening := now.Sub(began), callers.Listening() // Before the look.
+			requests, connections := left()
+			switch {
+			case after > p.set.Grace-stopMargin:
+				p.log.Warn("stopped with connections open", zap.Int("requests", requests), zap.Int("connections", connections))
 				return
-			}
-			if after <= stopLinger || busy > 0 || open > 0 {
-				continue
-			}
-			if closing && !g.Callers().Listening() {
+			case after <= stopLinger || requests+connections > 0:
+			case !listening:
 				return
-			}
-			if !closing {
+			case !closing:
 				closing = true
-				if err := g.Callers().CloseListeners(now); err != nil {
+				if err := callers.CloseListeners(now); err != nil {
 					p.log.Warn("listener not closed", zap.String("error", err.Error()))
 				}
 			}
