--- a/internal/keepalive/causes_test.go
+++ b/internal/keepalive/causes_test.go
@@ -59,12 +59,13 @@
 			NewWithT(t).Expect(resp.StatusCode).To(Equal(http.StatusBadRequest))
 		}, Answered, none},
 		{"process ends", roomy(), func(t *testing.T, s *site, c *caller) {
+			NewWithT(t).Eventually(func() bool { return s.all(idling) }, enough).Should(BeTrue())
 			NewWithT(t).Expect(s.srv.Close()).To(Succeed())
 			c.expectEnded(t)
 		}, ProcessEnd, zapcore.WarnLevel},
 		{"process ends within a header", roomy(), func(t *testing.T, s *site, c *caller) {
 			NewWithT(t).Expect(c.send("GET / HTTP/1.1\r\n")).To(Succeed())
-			NewWithT(t).Eventually(func() bool { return s.inHeader() }, enough).Should(BeTrue())
+			NewWithT(t).Eventually(func() bool { return s.all(heading) }, enough).Should(BeTrue())
 			NewWithT(t).Expect(s.srv.Close()).To(Succeed())
 			c.expectEnded(t)
 		}, ProcessEnd, zapcore.WarnLevel},
@@ -87,16 +88,16 @@
 	}
 }
 
-// inHeader reports whether the header of a request is being read.
-func (s *site) inHeader() bool {
+// all reports whether all connections are in a state.
+func (s *site) all(in state) bool {
 	s.Tracker.mu.Lock()
 	defer s.Tracker.mu.Unlock()
 	for c := range s.conns {
-		if c.state() == heading {
-			return true
+		if c.state() != in {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 func TestTheLogNamesTheSettingThatEndedAConnection(t *testing.T) {
