internal/daemon, internal/gateway: a refusal of the server's own must be read in time

Cause: what net/http answers itself, to what is no request, has no write deadline: a caller that does not read, with its socket full, held the connection and its goroutine for good. Change: the callers' server bounds it by the time in which answers must be read; the gateway sets its own deadline before each write, as before.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -112,7 +112,8 @@
 // callersServer returns the server that takes callers.
 func (p *fleetProcess) callersServer(g *gateway.Gateway) *http.Server {
 	srv := p.httpServer(g.Handler())
-	srv.ConnContext = callerconn.Context // Without it a stream cut short looks whole to HTTP/1.0.
+	srv.WriteTimeout = gateway.UnreadTime // Of what the server says itself; the gateway sets its own.
+	srv.ConnContext = callerconn.Context  // Without it a stream cut short looks whole to HTTP/1.0.
 	g.Callers().Attach(srv)
 	return srv
 }
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -11,10 +11,12 @@
 	"net/http/httptest"
 	"syscall"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/canvaspulley/canvaspulley/internal/callerconn"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
@@ -63,6 +65,46 @@
 	g.Expect(err).To(MatchError(syscall.ECONNRESET))
 }
 
+// pipes is a listener of one connection in memory, on which nothing is written that is not read.
+type pipes struct{ one chan net.Conn }
+
+func (p pipes) Accept() (net.Conn, error) {
+	if c, ok := <-p.one; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+
+func (p pipes) Close() error   { return nil }
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against callers who hold their connection open by not reading what the server says itself.
+func TestACallerWhoDoesNotReadARefusalOfTheServerIsLetGo(t *testing.T) {
+	t.Parallel()
+	g := NewWithT(t)
+	p := &fleetProcess{log: zap.NewNop(), reg: metrics.NewRegistry()}
+	gw, cleanup := gateway.New(gateway.Config{}, platformCodec(), follow.NewView(), p.log, p.reg)
+	t.Cleanup(cleanup)
+	srv := p.callersServer(gw)
+	closed := make(chan struct{})
+	srv.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateClosed {
+			close(closed)
+		}
+	}
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	l := pipes{make(chan net.Conn, 1)}
+	l.one <- near
+	var serving errgroup.Group
+	serving.Go(func() error { return srv.Serve(l) })
+	_, err := io.WriteString(far, "nonsense\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(closed, 30*time.Second).Should(BeClosed())
+	close(l.one)
+	g.Expect(serving.Wait()).To(MatchError(net.ErrClosed))
+}
+
 // A signal that comes before the process serves is acted on once it does.
 func TestSignalsOfTheStartAreKept(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/gateway/kept.go
+++ b/internal/gateway/kept.go
@@ -20,13 +20,13 @@
 	fallbackKept = 64 << 20
 	// chunkedGuess is taken for a body that does not tell its length, until it is read.
 	chunkedGuess = 64 << 10
-	// unreadTime is for how long a caller may leave what is sent to it unread. It is more
+	// UnreadTime is for how long a caller may leave what is sent to it unread. It is more
 	// than the longest silence after which callers of streams leave themselves, and less
 	// than an endpoint waits for its answer to be read.
-	unreadTime = 4 * time.Second
+	UnreadTime = 4 * time.Second
 	// drainTime is how long an answer waits for the rest of a body that nobody wants: less
 	// than it may then be left unread.
-	drainTime = unreadTime / 2
+	drainTime = UnreadTime / 2
 	// bodyMargin is how long after the time of its request a body may still come: callers
 	// who are a little late are refused on a connection that they keep.
 	bodyMargin = time.Second
@@ -88,7 +88,7 @@
 
 // boundWrite bounds for how long the next write to the caller may be left unread.
 func (p *reply) boundWrite() error {
-	err := http.NewResponseController(p.w).SetWriteDeadline(time.Now().Add(unreadTime))
+	err := http.NewResponseController(p.w).SetWriteDeadline(time.Now().Add(UnreadTime))
 	if errors.Is(err, http.ErrNotSupported) {
 		return nil // It writes to no connection.
 	}
--- a/internal/gateway/slow_stream_test.go
+++ b/internal/gateway/slow_stream_test.go
@@ -24,7 +24,7 @@
 			if n == event {
 				_, _ = io.WriteString(w, with) // The caller's view is what is tested.
 				w.(http.Flusher).Flush()
-				time.Sleep(unreadTime + time.Second)
+				time.Sleep(UnreadTime + time.Second)
 			}
 			if n <= streamEvents {
 				fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
@@ -61,7 +61,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	_, _ = io.WriteString(w, "id: 1\ndata: x\n\nid: 2\nda") // As above.
 	w.(http.Flusher).Flush()
-	time.Sleep(unreadTime + time.Second)
+	time.Sleep(UnreadTime + time.Second)
 	panic(http.ErrAbortHandler)
 }
 
