internal/keepalive, internal/daemon: a stop ends once nothing is open and nothing will be taken

Cause, found by reading: a stopping gateway looked first whether a connection is open and then whether its listener is closed; one that was accepted between the two looks ended with the process, with a request on it that may have been passed on. Change: both are looked at together (Drained), and a listener is known until all that it accepted are. Conclusion: by the order of steps no request is read after the look that ends the process.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -136,7 +136,7 @@
 			if after <= stopLinger || busy > 0 || open > 0 {
 				continue
 			}
-			if closing && !g.Callers().Listening() {
+			if g.Callers().Drained() {
 				return
 			}
 			if !closing {
--- /dev/null
+++ b/internal/keepalive/drained_test.go
@@ -0,0 +1,66 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package keepalive_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+)
+
+// Guards against requests that are read when the process has found that it may end.
+func TestADrainedServerReadsNoRequest(t *testing.T) {
+	t.Parallel()
+	for range 10 {
+		g := NewWithT(t)
+		s := newStopSite(t, time.Minute)
+		close(s.begin)
+		close(s.end)
+		g.Expect(s.tracker.Drained()).To(BeFalse(), "it listens")
+		s.tracker.Stop(time.Now())
+		var answered atomic.Int32
+		var callers errgroup.Group
+		for range stopCallers {
+			callers.Go(func() error {
+				for s.askAnew(&answered) {
+				}
+				return nil
+			})
+		}
+		g.Eventually(answered.Load).WithTimeout(time.Minute).Should(BeNumerically(">=", stopCallers))
+		g.Expect(s.tracker.CloseListeners(time.Now())).To(Succeed())
+		for deadline := time.Now().Add(time.Minute); !s.tracker.Drained(); {
+			g.Expect(time.Now()).To(BeTemporally("<", deadline))
+		}
+		begun, served := s.begun.Load(), s.served.Load()
+		g.Expect(callers.Wait()).To(Succeed())
+		g.Expect(served).To(Equal(begun))
+		g.Expect(s.begun.Load()).To(Equal(begun))
+		g.Expect(answered.Load()).To(Equal(served))
+	}
+}
+
+// askAnew sends a request on a new connection, and reports whether it could be made.
+func (s *stopSite) askAnew(answered *atomic.Int32) bool {
+	c, err := net.Dial("tcp4", s.address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(time.Minute)) // A failure shows in what is read.
+	_, _ = fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return true // It was made, and not taken, as the listener closed.
+	}
+	_ = resp.Body.Close()
+	answered.Add(1)
+	return true
+}
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -255,11 +255,12 @@
 	return err
 }
 
-// Listening reports whether connections are still taken.
-func (t *Tracker) Listening() bool {
+// Drained reports whether no connection is open and none will be taken any more: a listener
+// is known until all that it accepted are.
+func (t *Tracker) Drained() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.listeners) > 0
+	return len(t.listeners) == 0 && len(t.conns) == 0
 }
 
 func (t *Tracker) forget(l *listener) {
