--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -33,6 +34,8 @@
 	state  replyState
 	status int    // Of the head that went out; 0 before.
 	disarm func() // Ends the reset of an answer without framing; set when open.
+
+	bodyLeft bool // The request's body has not come to its end.
 }
 
 // replyHead is the head of an answer.
@@ -66,6 +69,9 @@
 	if err := p.boundWrite(); err != nil {
 		return err
 	}
+	if err := p.boundRead(time.Now().Add(drainTime)); err != nil {
+		return err
+	}
 	p.setHeader("Content-Length", fmt.Sprint(len(body)))
 	p.open(h)
 	if _, err := p.w.Write(body); err != nil {
@@ -95,6 +101,9 @@
 // flush sends what was written and is still kept.
 func (p *reply) flush() (err error) {
 	defer func() { err = errors.Wrap(err, "flush to the caller") }()
+	if err := p.boundWrite(); err != nil {
+		return err
+	}
 	return http.NewResponseController(p.w).Flush()
 }
 
@@ -103,6 +112,9 @@
 	if p.state != replyOpen || p.disarm == nil {
 		return errNoStream
 	}
+	if err := p.boundWrite(); err != nil { // The server writes the end.
+		return errors.Wrap(err, "end to the caller")
+	}
 	p.disarm()
 	p.state = replyWhole
 	return nil
--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -23,10 +23,10 @@
 	Idle       Cause = "idle"        // Its caller may no longer use it.
 	Stopped    Cause = "stop"        // The process ends before its caller may no longer use it.
 	SlowHeader Cause = "slow-header" // A request began, and its header did not end in time.
-	Left       Cause = "caller"      // The caller ended it between two requests.
-	Answered   Cause = "answered"    // The server ended it after an answer or in the middle of one, or the caller left.
+	Left       Cause = "caller"      // The caller ended it between two requests or in a header.
+	Answered   Cause = "answered"    // The server ended it after an answer or in the middle of one, also to what is no request, or the caller left.
 	ProcessEnd Cause = "process-end" // The process ended while its caller could still use it.
-	Crossed    Cause = "crossed"     // Counted besides: bytes had come that were not read.
+	Crossed    Cause = "crossed"     // Counted besides: bytes of a request had come that were not read.
 )
 
 var causes = []Cause{Idle, Stopped, SlowHeader, Left, Answered, ProcessEnd, Crossed}
@@ -47,6 +47,7 @@
 	t *Tracker
 
 	current atomic.Int32 // The state; written under mu.
+	reading atomic.Bool  // A read is under way.
 	close   sync.Once
 
 	mu       sync.Mutex // Guards what follows, and the read deadline while idling.
@@ -81,10 +82,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch s {
-	case http.StateActive:
-		c.setState(serving)
-		_ = c.SetReadDeadline(time.Time{}) // A pipelined request ends no idle read, which may have been bound meanwhile.
-	case http.StateHijacked:
+	case http.StateActive, http.StateHijacked:
 		c.setState(serving)
 	case http.StateIdle:
 		c.since, c.fresh = time.Now(), false
@@ -92,15 +90,38 @@
 	}
 }
 
+// SetReadDeadline sets the server's own deadlines. Between two requests Read sets them, until
+// the server sets the one of a header that it has begun to read together with the request
+// before.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state() == idling {
+		if c.fresh || t.IsZero() {
+			return nil
+		}
+		c.setState(heading)
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
 // Read reads like the connection itself. While it is idle, it ends when its time is over and
-// nothing has come.
+// nothing has come. A server may read again after that: an error within a line of a header
+// ends the line.
 func (c *Conn) Read(p []byte) (n int, err error) {
+	c.reading.Store(true)
+	defer c.reading.Store(false)
 	switch c.state() {
 	case idling:
 		return c.readIdle(p)
 	case heading:
-		if n, err = c.TCPConn.Read(p); errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.TCPConn.Read(p)
+		switch {
+		case err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
 			c.end(SlowHeader, term{})
+		default:
+			c.end(Left, term{})
 		}
 		return n, err
 	case ended:
@@ -142,7 +163,7 @@
 	if until.Before(least) {
 		until = least
 	}
-	return c.SetReadDeadline(until)
+	return c.TCPConn.SetReadDeadline(until)
 }
 
 // begin takes in that a request has begun.
@@ -150,7 +171,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.setState(heading)
-	return c.SetReadDeadline(time.Now().Add(c.t.cfg.Header))
+	return c.TCPConn.SetReadDeadline(time.Now().Add(c.t.cfg.Header))
 }
 
 // over reports whether the time of an idle connection is over, which ends it: limits may
@@ -210,7 +231,8 @@
 	defer c.mu.Unlock()
 	if c.cause == "" {
 		c.cause = Answered
-		if s := c.state(); s == idling || s == heading {
+		// Who reads a header closes the connection itself when it is none.
+		if s := c.state(); s == idling || s == heading && c.reading.Load() {
 			c.cause = ProcessEnd
 		}
 	}
@@ -226,7 +248,7 @@
 		fields = append(fields, zap.String("setting", c.why.setting), zap.Duration("kept", c.why.kept), zap.Uint64("version", c.why.version))
 	}
 	log := c.t.log.Info
-	crossed := c.waiting()
+	crossed := c.cause != SlowHeader && c.waiting()
 	if crossed {
 		c.t.counts[Crossed].Inc(1)
 	}
