--- a/internal/keepalive/conn.go
+++ b/internal/keepalive/conn.go
@@ -230,10 +230,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.cause == "" {
-		c.cause = Answered
-		// Who reads a header closes the connection itself when it is none.
-		if s := c.state(); s == idling || s == heading && c.reading.Load() {
+		switch s := c.state(); {
+		case s != idling && s != heading:
+			c.cause = Answered
+		case c.reading.Load(): // It is closed under its reader.
 			c.cause = ProcessEnd
+		case s == heading: // Its reader has answered to what is no request.
+			c.cause = Answered
+		default: // Its reader closes it: over TLS callers leave with a message.
+			c.cause = Left
 		}
 	}
 	c.t.counts[c.cause].Inc(1)
