--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -24,6 +24,8 @@
 	stopLinger = 3500 * time.Millisecond
 	// stopMargin is kept from the end of the grace period.
 	stopMargin = 700 * time.Millisecond
+	// stopLast is kept before that without new connections, so that what was taken can end.
+	stopLast = 500 * time.Millisecond
 )
 
 // keyMargin is kept from the time after which a key that was taken away must
@@ -130,16 +132,16 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			after, listening := now.Sub(began), callers.Listening() // Before the look.
+			after := now.Sub(began)
 			requests, connections := left()
 			switch {
 			case after > p.set.Grace-stopMargin:
 				p.log.Warn("stopped with connections open", zap.Int("requests", requests), zap.Int("connections", connections))
 				return
-			case after <= stopLinger || requests+connections > 0:
-			case !listening:
+			case after <= stopLinger:
+			case callers.Drained():
 				return
-			case !closing:
+			case !closing && (requests+connections == 0 || after > p.set.Grace-stopMargin-stopLast):
 				closing = true
 				if err := callers.CloseListeners(now); err != nil {
 					p.log.Warn("listener not closed", zap.String("error", err.Error()))
