internal/soak: callers rest on their connections while the idle time changes

Cause: the soak published one idle time, and its callers never rested, so it could not meet a connection that is closed under a request. Change: a kind of trouble publishes shorter and longer idle times, alone, in series and at once, also beside a planned stop and SIGHUP; and 20 more callers at each gateway rest on raw connections for as long as they may (what they were told, and four fifths of any idle time that may be in force), often to its last 25 ms, and at times longer. A request that may be sent must get an answer or a refusal unless its gateway was killed or suspended; one without an answer must not have run.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -57,27 +57,33 @@
 	return nil
 }
 
-// ask sends one request and notes what becomes of it.
-func (c *caller) ask(ctx context.Context) {
+// next returns the next request of the caller.
+func (c *caller) next() (r *request, out *http.Request) {
 	c.sent++
-	r := &request{id: fmt.Sprintf("%s-%d", c.name, c.sent), gateway: c.gateway, speech: c.speech, kind: kind(c.rnd.IntN(3))}
+	r = &request{id: fmt.Sprintf("%s-%d", c.name, c.sent), gateway: c.gateway, speech: c.speech, kind: kind(c.rnd.IntN(3))}
 	path := [...]string{movingPath, "/again/x", "/stream/x"}[r.kind]
 	c.s.aim(r, c.rnd)
-	ctx, cancel := context.WithTimeout(ctx, patience)
-	defer cancel()
 	url := "http://" + c.s.gateways[c.gateway].callers + path
 	if r.kind == stream {
 		url += fmt.Sprintf("?events=%d", events)
 	}
-	out, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("body of "+r.id))
+	out, err := http.NewRequest(http.MethodPost, url, strings.NewReader("body of "+r.id))
 	if err != nil {
 		panic(err) // The address is one of ours.
 	}
 	out.Host = host
 	standin.Call(out.Header, r.id, r.key, patience)
+	return r, out
+}
+
+// ask sends one request and notes what becomes of it.
+func (c *caller) ask(ctx context.Context) {
+	r, out := c.next()
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
 	r.sent = time.Now()
 	c.s.ledger.begin(r)
-	resp, err := c.client.Do(out)
+	resp, err := c.client.Do(out.WithContext(ctx))
 	if err == nil {
 		c.read(r, resp)
 		_ = resp.Body.Close()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -42,6 +42,7 @@
 	nameLimit    // An endpoint names a rate limit in its answers.
 	askRest      // An endpoint turns all requests away and asks for rest.
 	sayLeaving   // An endpoint leaves and tells so in its answers only.
+	changeIdle   // Versions set shorter and longer idle times.
 )
 
 // Kinds is a set of kinds of trouble, and of callers. A seed that showed a fault
@@ -55,13 +56,17 @@
 	ThirdKinds
 	FourthKinds
 	FifthKinds
-	AllKinds
+	SixthKinds
+	AllKinds // Some callers rest on their connections.
 )
 
 // randomShare is how many of the other troubles of SecondKinds there are for each
 // failAtRandom: a request must meet two of its draws, which takes many.
 const randomShare = 4
 
+// idleShare is how many of the other troubles there are for each changeIdle.
+const idleShare = 5
+
 // list returns the kinds to draw from.
 func (k Kinds) list() (list []faultKind) {
 	for one := killGateway; one <= shiftLoad; one++ {
@@ -81,15 +86,20 @@
 	if k >= FifthKinds {
 		list = append(list, crashing, crashing)
 	}
-	if k >= AllKinds {
+	if k >= SixthKinds {
 		list = append(list, nameLimit, nameLimit, askRest, askRest, sayLeaving, sayLeaving)
 	}
+	if k >= AllKinds {
+		for range len(list) / idleShare {
+			list = append(list, changeIdle)
+		}
+	}
 	return list
 }
 
 var faultNames = [...]string{"kill gateway", "stop gateway", "pause gateway", "reload gateway", "kill sidecar", "pause sidecar",
 	"spoil link", "spoil store link", "store refuses", "store silent", "store forgets", "take key", "move route", "many versions",
-	"replace endpoint", "crash endpoint", "misbehave", "shift load", "fail at random", "start again", "evacuate", "crashing request", "name limit", "ask for rest", "say leaving"}
+	"replace endpoint", "crash endpoint", "misbehave", "shift load", "fail at random", "start again", "evacuate", "crashing request", "name limit", "ask for rest", "say leaving", "change idle time"}
 
 // fault is one trouble of a schedule.
 type fault struct {
@@ -138,6 +148,7 @@
 		return s.restart(g, gateway.proc, syscall.SIGTERM, grace)
 	case pauseGateway:
 		s.ledger.halt(g, span{time.Now(), time.Now().Add(f.lasts + slack)})
+		s.ledger.broke(g, span{time.Now(), time.Now().Add(f.lasts + slack)})
 		s.disturb(g, f.lasts, func() { gateway.proc.pause(f.lasts) })
 	case reloadGateway:
 		gateway.proc.signal(syscall.SIGHUP)
@@ -186,6 +197,8 @@
 		s.askRest(f)
 	case sayLeaving:
 		return s.sayLeaving(f)
+	case changeIdle:
+		return s.changeIdle(g, f)
 	case shiftLoad:
 		s.group.Shift(f.how)
 	}
@@ -216,8 +229,11 @@
 // sidecar.
 func (s *site) restart(gateway int, p *process, sig syscall.Signal, patience time.Duration) error {
 	began := time.Now()
+	broken := began // When it stopped serving but for a planned stop.
 	over := p.signal(sig)
-	if sig == syscall.SIGTERM && !within(over, patience+slack) {
+	planned := sig == syscall.SIGTERM && within(over, patience+slack)
+	if sig == syscall.SIGTERM && !planned {
+		broken = time.Now()
 		s.ledger.note(func(l *ledger) { l.ends = append(l.ends, p.name+" did not end within its grace period") })
 		p.signal(syscall.SIGKILL)
 	}
@@ -225,6 +241,9 @@
 	ended := time.Now()
 	if gateway >= 0 {
 		s.ledger.halt(gateway, span{began, ended.Add(restartPause + slack)})
+		if !planned {
+			s.ledger.broke(gateway, span{broken, ended})
+		}
 		s.ledger.note(func(l *ledger) {
 			if sig == syscall.SIGTERM {
 				l.stopping[gateway] = append(l.stopping[gateway], span{began, ended})
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -50,6 +50,7 @@
 	speech   speech
 	answer   answer
 	runs     []standin.Run
+	rest     *rest // Of the kept connection that it was sent on; nil for others.
 }
 
 // answer is what a caller makes of what came.
@@ -79,6 +80,7 @@
 	requests  map[string]*request
 	spans     map[int][]span       // Disturbances by gateway.
 	halts     map[int][]span       // Restarts, pauses and cuts by gateway; all but planned stops are disturbances.
+	breaks    map[int][]span       // Kills and pauses by gateway.
 	stopping  map[int][]span       // Planned stops by gateway; they are no disturbance.
 	taken     map[string]time.Time // Keys that were taken away, by when that was acknowledged.
 	moved     time.Time            // When the route last moved to another service.
@@ -89,11 +91,12 @@
 	arrivals  map[string][]standin.Arrival // By endpoint.
 	strangers []string                     // Runs that no caller asked for.
 	ends      []string                     // Processes that ended by themselves or not at all.
+	idles     []idleTime                   // Published, in order.
 }
 
 func newLedger() *ledger {
 	return &ledger{requests: map[string]*request{}, spans: map[int][]span{}, stopping: map[int][]span{}, taken: map[string]time.Time{}, left: map[string]time.Time{},
-		domains: map[string]string{}, evacuated: map[string][]span{}, arrivals: map[string][]standin.Arrival{}, halts: map[int][]span{}}
+		domains: map[string]string{}, evacuated: map[string][]span{}, arrivals: map[string][]standin.Arrival{}, halts: map[int][]span{}, breaks: map[int][]span{}}
 }
 
 func (l *ledger) begin(r *request) {
@@ -146,6 +149,13 @@
 	return slices.ContainsFunc(l.halts[gateway], func(s span) bool { return s.from.Before(to) && s.to.After(from) })
 }
 
+// broke notes that a gateway was killed or paused.
+func (l *ledger) broke(gateway int, s span) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.breaks[gateway] = append(l.breaks[gateway], s)
+}
+
 // promisesNotRun are the statuses that say that a request never runs.
 var promisesNotRun = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
 
@@ -184,6 +194,7 @@
 			}
 		}
 		l.judgeStop(r, say)
+		l.judgeRest(r, say)
 	}
 	slices.Sort(broken)
 	return broken
@@ -242,12 +253,13 @@
 	return end
 }
 
-// served counts the requests sent in a time and those of them that were served.
+// served counts the requests sent in a time and those of them that were served. Those at
+// gateways in a planned stop, which refuse them, are left out.
 func (l *ledger) served(from, to time.Time) (sent, served int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range l.requests {
-		if r.sent.Before(from) || !r.sent.Before(to) || r.crashing != "" {
+		if r.sent.Before(from) || !r.sent.Before(to) || r.crashing != "" || r.rest != nil && r.rest.late || l.stops(r.gateway, r.sent) {
 			continue
 		}
 		sent++
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -120,8 +120,9 @@
 	endpoints []*endpointAt
 	version   uint64
 	movedTo   string
-	keys      [][]string // In force, by customer.
-	taken     []string   // Keys that were taken away, with their customer.
+	keys      [][]string    // In force, by customer.
+	taken     []string      // Keys that were taken away, with their customer.
+	idle      time.Duration // Published; 0 for the stand-in's own.
 	births    int
 	port      int // Of sidecars.
 	// evacuating is how many evacuations of each failure domain are under way.
@@ -298,6 +299,8 @@
 	for i, keys := range s.keys {
 		p.Customers = append(p.Customers, fleet.Customer{Name: customerName(i), Keys: keys})
 	}
+	p.Idle = s.idle
+	defer s.ledger.publishes(s.idle)()
 	return s.store.Publish(p)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -112,6 +112,10 @@
 			c := newCaller(s, g, n)
 			callers.Go(func() error { return c.run(running) })
 		}
+		for n := range cfg.resters() {
+			c := newRester(s, g, n)
+			callers.Go(func() error { return c.run(running) })
+		}
 	}
 	list := schedule(cfg.Seed, cfg.Length, cfg.Kinds)
 	last := s.play(running, began, list, &trouble)
@@ -150,6 +154,8 @@
 	r.Broken = s.ledger.judge(s.cfg.Timed)
 	once, twice, cutThenFailed := s.ledger.met()
 	s.say("%d requests met bad answers, %d of them two or more; %d streams were cut off and failed then", once, twice, cutThenFailed)
+	rested, atEnd, inStop, late, lateLost := s.ledger.rested()
+	s.say("%d requests came on rested connections, %d at the end of their time, %d in a planned stop; %d more came late, %d of them got no answer", rested-late, atEnd, inStop, late, lateLost)
 	r.Maps = s.group.Changes()
 	if _, _, broken := s.group.State(); broken != "" {
 		r.Broken = append(r.Broken, broken)
--- a/internal/soak/speech.go
+++ b/internal/soak/speech.go
@@ -22,9 +22,10 @@
 	keeps   speech = iota // HTTP/1.1 over kept connections.
 	oldHTTP               // HTTP/1.0: the end of the connection may be that of the answer.
 	closes                // HTTP/1.1 with a new connection for each request.
+	rests                 // HTTP/1.1 over one connection, which is kept for as long as is allowed.
 )
 
-var speechNames = [...]string{"kept connections", "HTTP/1.0", "Connection: close"}
+var speechNames = [...]string{"kept connections", "HTTP/1.0", "Connection: close", "a rested connection"}
 
 func (s speech) String() string { return speechNames[s] }
 
