--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -234,7 +234,11 @@
 	planned := sig == syscall.SIGTERM && within(over, patience+slack)
 	if sig == syscall.SIGTERM && !planned {
 		broken = time.Now()
-		s.ledger.note(func(l *ledger) { l.ends = append(l.ends, p.name+" did not end within its grace period") })
+		s.ledger.note(func(l *ledger) {
+			if !l.broken(gateway, began, broken) { // One that is suspended cannot end.
+				l.ends = append(l.ends, p.name+" did not end within its grace period")
+			}
+		})
 		p.signal(syscall.SIGKILL)
 	}
 	within(over, grace)
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -156,6 +156,11 @@
 	l.breaks[gateway] = append(l.breaks[gateway], s)
 }
 
+// broken reports whether a gateway was killed or paused in a time. The caller holds mu.
+func (l *ledger) broken(gateway int, from, to time.Time) bool {
+	return slices.ContainsFunc(l.breaks[gateway], func(s span) bool { return s.from.Before(to) && s.to.After(from) })
+}
+
 // promisesNotRun are the statuses that say that a request never runs.
 var promisesNotRun = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
 
--- a/internal/soak/rest.go
+++ b/internal/soak/rest.go
@@ -78,14 +78,9 @@
 // judgeRest checks that a request on a kept connection gets an answer if its caller may send
 // it, and that one without an answer never reached an endpoint.
 func (l *ledger) judgeRest(r *request, say func(*request, string, ...any)) {
-	if r.rest == nil || r.status != 0 || r.ended.IsZero() {
+	if r.rest == nil || r.status != 0 || r.ended.IsZero() || l.broken(r.gateway, r.rest.since, r.ended) {
 		return
 	}
-	for _, s := range l.breaks[r.gateway] {
-		if s.from.Before(r.ended) && s.to.After(r.rest.since) {
-			return
-		}
-	}
 	how := "was closed with no answer"
 	if l.stops(r.gateway, r.sent) {
 		how += " in a planned stop"
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -72,6 +72,7 @@
 	{246, FirstKinds, 0, "a second SIGTERM in a planned stop ended the process at once and cut requests off"},
 	{121, FirstKinds, 0, "the soak judged runs by a move of the route that had not come yet"},
 	{700210, SixthKinds, 0, "what a second life said before it was listed was forgotten as it was: it got a request 3 s after it had said that it leaves"},
+	{9020, AllKinds, 0, "the soak held a gateway that it had suspended to its grace period"},
 	{9001, AllKinds, 0, "a shorter idle time closed connections that callers may still use"},
 	{105275, SecondKinds, manyCallers, "a stream that was cut off was ended as whole: by the next endpoint's failure, and for HTTP/1.0 by an orderly end"},
 }
