internal/keepalive: callers are told at least a second, also where less is published

What callers saw (the soak, a store that refuses its readers): a request on a kept connection within its time got no answer. Cause: for idle times below one second no Keep-Alive was sent, since it counts in whole seconds. A caller that is told nothing goes by any version that may be in force, also a longer one that its gateway does not know yet, or that a planned stop cannot wait for; the gateway ends the connection by the short time. Change: the least that is told is one second, and the connection is kept for that and the slack.

--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -30,6 +30,10 @@
 // caller sends its request as soon as it is connected.
 const stopFresh = 2 * time.Second
 
+// leastTold is told to callers where less is published: one that is told nothing goes by
+// whatever is published next, which this instance may not know yet.
+const leastTold = time.Second
+
 // Config is the setting of a Tracker.
 type Config struct {
 	Name     string        // Begins the names of its metrics.
@@ -127,12 +131,11 @@
 	return len(t.conns)
 }
 
-// told returns for how long a caller is told to keep its connection, in whole seconds; 0 if
-// that is less than one.
+// told returns for how long a caller is told to keep its connection, in whole seconds.
 func (t *Tracker) told() (d time.Duration, stopping bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.atMost(t.limits.InForce().Idle).Truncate(time.Second), !t.stopping.IsZero()
+	return max(t.atMost(t.limits.InForce().Idle).Truncate(time.Second), leastTold), !t.stopping.IsZero()
 }
 
 // atMost bounds what callers are told.
@@ -157,9 +160,7 @@
 	c.mu.Lock()
 	c.told = told
 	c.mu.Unlock()
-	if told > 0 {
-		w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(told/time.Second)))
-	}
+	w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(told/time.Second)))
 }
 
 // term is for how long an idle connection is kept, and why.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -73,6 +73,7 @@
 	{121, FirstKinds, 0, "the soak judged runs by a move of the route that had not come yet"},
 	{700210, SixthKinds, 0, "what a second life said before it was listed was forgotten as it was: it got a request 3 s after it had said that it leaves"},
 	{9020, AllKinds, 0, "the soak held a gateway that it had suspended to its grace period"},
+	{12089, AllKinds, 0, "callers were told nothing of an idle time below a second and went by a longer one, which their gateway did not know"},
 	{9001, AllKinds, 0, "a shorter idle time closed connections that callers may still use"},
 	{105275, SecondKinds, manyCallers, "a stream that was cut off was ended as whole: by the next endpoint's failure, and for HTTP/1.0 by an orderly end"},
 }
@@ -170,6 +171,12 @@
 					"for c := range t.conns { if c.state() == idling && now.Sub(c.since) > limit+slack { _ = c.TCPConn.Close() } }\n"}},
 			finds: `its kept connection was closed with no answer \(`, seed: 9001, kinds: AllKinds,
 		},
+		{
+			name: "callers are not told of idle times below a second",
+			edits: []edit{{"../keepalive/keepalive.go", `w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(told/time.Second)))`,
+				`if t.limits.InForce().Idle >= leastTold { w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(told/time.Second))) }`}},
+			finds: `its kept connection was closed with no answer \(told 0s`, seed: 12089, kinds: AllKinds,
+		},
 		{
 			name: "a planned stop ends connections that callers may still use",
 			edits: []edit{{"../keepalive/keepalive.go", `setting: "planned stop, told to the caller", kept: i.told + slack`,
