--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -33,6 +33,10 @@
 // unless a Config says otherwise. A caller sends its request as soon as it is connected.
 const stopFresh = 2 * time.Second
 
+// leastTold is told to callers where less is published: one that is told nothing goes by
+// whatever is published next, which this instance may not know yet.
+const leastTold = time.Second
+
 // Config is the setting of a Tracker.
 type Config struct {
 	Name     string        // Begins the names of its metrics.
@@ -149,8 +153,7 @@
 	return len(t.conns)
 }
 
-// told returns for how long a caller is told to keep its connection, in whole seconds; 0 if
-// that is less than one.
+// told returns for how long a caller is told to keep its connection, in whole seconds.
 func (t *Tracker) told() (d time.Duration, stopping bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -158,7 +161,7 @@
 	if t.cfg.MostTold > 0 {
 		d = min(d, t.cfg.MostTold)
 	}
-	return d.Truncate(time.Second), !t.stopping.IsZero()
+	return max(d.Truncate(time.Second), leastTold), !t.stopping.IsZero()
 }
 
 // Tell tells a caller for how long it may keep its connection, in the head that is to go out.
@@ -178,9 +181,7 @@
 	c.mu.Lock()
 	c.told = told
 	c.mu.Unlock()
-	if told > 0 {
-		w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(told/time.Second)))
-	}
+	w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(told/time.Second)))
 }
 
 // term is for how long an idle connection is kept, and why.
