internal/gateway: a whole answer is bounded by piece, not in all

Cause: reply.sendWhole wrote the body in one call under one write deadline of 4 s, so a caller that read all the time, but slowly, was cut in the middle of an answer that its endpoint had given whole. The own interface bounds by pieces already.

Change: pieces of 64 KiB, each with the bound that the whole had. A caller that reads nothing is still let go after 4 s; one that reads as slowly as it may holds 16 MiB for 256 times that at most, counted in kept-bytes.

--- a/internal/gateway/kept.go
+++ b/internal/gateway/kept.go
@@ -24,6 +24,8 @@
 	// than the longest silence after which callers of streams leave themselves, and less
 	// than an endpoint waits for its answer to be read.
 	unreadTime = 4 * time.Second
+	// pieceBytes is how much of a whole answer a caller reads at least in that time.
+	pieceBytes = 64 << 10
 	// drainTime is how long an answer waits for the rest of a body that nobody wants: less
 	// than it may then be left unread.
 	drainTime = unreadTime / 2
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -74,8 +75,13 @@
 	}
 	p.setHeader("Content-Length", fmt.Sprint(len(body)))
 	p.open(h)
-	if _, err := p.w.Write(body); err != nil {
-		return err
+	for piece := range slices.Chunk(body, pieceBytes) {
+		if err := p.boundWrite(); err != nil {
+			return err
+		}
+		if _, err := p.w.Write(piece); err != nil {
+			return err
+		}
 	}
 	p.state = replyWhole
 	return nil
