internal/keepalive: an idle time that grows counts before it is known here

Cause: callers may go by a version from the moment it is sent, gateways know it up to the time in which it must be in force later. A limit that grows let callers use connections that a gateway still ended by the shorter one, one second after it: the slack covers the way of a request, not the news (2 s, more from the sending to the acknowledgement).

Change: in calm a connection is kept for Holds (4 s at gateways) after the published time rather than one second. In a planned stop it stays one second, so that the stop takes no longer: there the hole is open.

--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -37,7 +37,7 @@
 type Config struct {
 	Name     string        // Begins the names of its metrics.
 	Unset    time.Duration // Idle time while none is published.
-	Holds    time.Duration // For how long callers may go by a limit that was replaced.
+	Holds    time.Duration // For how long callers may go by a limit that was replaced, or by one not published yet.
 	MostTold time.Duration // Longest time that callers are told to keep a connection; 0 for no bound.
 	Header   time.Duration // From the first byte of a request to the end of its header.
 
@@ -206,10 +206,15 @@
 		return term{cause: Stopped, setting: "planned stop, told to the caller", kept: i.told + slack}
 	case i.fresh && limit.Idle < t.cfg.Header:
 		return term{cause: Idle, setting: "header time, nothing received", kept: t.cfg.Header}
-	case i.told > limit.Idle:
+	}
+	late := slack
+	if !stopping {
+		late = max(slack, t.cfg.Holds) // A longer limit may be known to callers before it is here.
+	}
+	if i.told+slack > limit.Idle+late {
 		return term{cause: Idle, setting: "told to the caller", kept: i.told + slack}
 	}
-	return term{cause: Idle, setting: "published idle time", kept: limit.Idle + slack, version: limit.Version}
+	return term{cause: Idle, setting: "published idle time", kept: limit.Idle + late, version: limit.Version}
 }
 
 // outlastsStop reports whether the caller of a connection, told to keep it by an answer that
