internal/upstream: a status below 100 is no answer

Cause: http.ReadResponse takes any three digits, and ResponseWriter.WriteHeader panics at a status below 100: the caller of a request that had been passed on got its connection closed without an answer.

Change: such a head counts as a broken answer, and the caller gets 502 or another try.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -124,7 +124,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if resp.StatusCode < 100 {
+			return nil, errors.Newf("status %d", resp.StatusCode) // The caller's server cannot write it.
+		}
+		if resp.StatusCode < 200 {
 			continue
 		}
 		if ours(resp.StatusCode, resp.Header) {
