internal/gateway: a panic is answered where nothing has gone out

Cause: net/http ends the connection of a handler that panics, so a fault of the gateway's own took the answer from a request that may have run, and its log line.

Change: the panic is logged with its stack under the request's id, and a caller that has no head yet gets 500 (it may have run: never a refusal).

A panic while the gateway's mutex is held still blocks: not covered.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/passes"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
@@ -116,17 +117,30 @@
 	if begun {
 		q.closeAfter()
 	}
+	q.decide(closed)
+	if q.onTrial {
+		g.suspects.EndTrial(q.key())
+	}
+	q.finish()
+	q.reply.close()
+}
+
+// decide gives the request its final answer, also where a fault of the gateway's own ends it.
+func (q *request) decide(closed bool) {
+	defer func() {
+		if v := recover(); v != nil {
+			q.g.log.Error("panic", zap.String("id", q.call.ID), zap.Any("value", v), zap.Stack("stack"))
+			if !q.reply.begun() {
+				q.fail(http.StatusInternalServerError, "panic")
+			}
+		}
+	}()
 	switch {
 	case closed:
 		q.refuse("instance is stopping", stopRetry)
 	case q.admit() && q.readBody():
 		q.run()
 	}
-	if q.onTrial {
-		g.suspects.EndTrial(q.key())
-	}
-	q.finish()
-	q.reply.close()
 }
 
 // admit finds the route and the customer; it reports false when the request
