internal/gateway, internal/daemon: requests under way are answered as the process ends

Cause: at the end of the grace period (0.7 s before it), and wherever a part of the process fails, callers' connections were closed after 0.3 s: requests that had been passed on, and those that waited for room, ended without an answer.

Change: as the process's context ends the gateway ends the time of all requests. Their connections to endpoints close, and callers get 504 or 502 (may have run), or 503 where nothing was sent. A stream that has begun is broken off, as before.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -91,7 +92,7 @@
 	group.Go(func() error { return socket.Run(ctx, neighbours.Receive) })
 	group.Go(func() error { return neighbours.Run(ctx) })
 	group.Go(func() error { return serveOn(ctx, p.httpServer(neighbours.Handler()), calls) })
-	group.Go(func() error { return serveOn(ctx, p.callersServer(g), g.Callers().Listener(callers)) })
+	group.Go(func() error { return p.serveCallers(ctx, g, callers) })
 	group.Go(func() error { return serveOn(ctx, p.httpServer(g.ReadinessHandler()), readiness) })
 	p.serveMetrics(ctx, group)
 	group.Go(func() error {
@@ -102,6 +103,12 @@
 	return group.Wait()
 }
 
+// serveCallers serves callers until ctx ends; requests that have not ended are answered then.
+func (p *fleetProcess) serveCallers(ctx context.Context, g *gateway.Gateway, l net.Listener) error {
+	defer context.AfterFunc(ctx, g.End)()
+	return serveOn(ctx, p.callersServer(g), g.Callers().Listener(l))
+}
+
 // callersServer returns the server that takes callers.
 func (p *fleetProcess) callersServer(g *gateway.Gateway) *http.Server {
 	srv := p.httpServer(g.Handler())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,6 +112,8 @@
 	lastWaiter atomic.Uint64
 	busy       atomic.Int64
 	stopping   atomic.Pointer[time.Time] // When the planned stop began; nil before.
+	ended      context.Context           // Ends with the process: no request has time left.
+	end        context.CancelFunc        // Of ended.
 }
 
 // New returns a gateway that serves what view holds. The function closes its
@@ -157,6 +159,7 @@
 		coldTold:  map[string]uint64{},
 		evacuated: evacuatedDomains{},
 	}
+	g.ended, g.end = context.WithCancel(context.Background())
 	g.pool, cleanup = upstream.NewPool(cfg.Source, func() { g.figures.dialed.Inc(1) })
 	return g, cleanup
 }
@@ -333,6 +336,10 @@
 	g.conns.Stop(now)
 }
 
+// End ends the time of all requests, since the process ends: those that can still be answered
+// are. Connections to endpoints that they use are closed.
+func (g *Gateway) End() { g.end() }
+
 // stopTakes is how long after the start of a planned stop requests are still
 // taken: whatever is taken must be able to end within the grace period.
 const stopTakes = 2700 * time.Millisecond
--- a/internal/gateway/recover.go
+++ b/internal/gateway/recover.go
@@ -51,7 +51,7 @@
 		return e, false // It would wait in vain.
 	}
 	q.g.figures.held.Inc(1)
-	for now.Before(until) && q.ctx.Err() == nil {
+	for now.Before(until) && q.ctx.Err() == nil && q.g.ended.Err() == nil {
 		wait.For(q.ctx, min(openPoll, until.Sub(now)))
 		now = time.Now()
 		q.waited = now.Sub(q.arrived)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -54,7 +54,7 @@
 	inLine       bool            // It waits for room.
 	asked        *lastAsked      // When it last wanted a place; nil before.
 	sentAt       time.Time       // When it was last sent to an endpoint.
-	unhold       func() bool     // Ends what closes the try's connection when the caller leaves; false if it closes it.
+	unhold       func() bool     // Ends what closes the try's connection when the caller leaves or the process ends; false if it closes it.
 	leavePlace   func()          // Ends what vacate may do to the try; never nil.
 	moved        bool            // Its try was ended by vacate, which took a repeat for it; guarded by the gateway's mu.
 	paid         bool            // The next try's repeat is taken already.
@@ -188,6 +188,9 @@
 // left returns how much of the request's time is left. A suspension of the machine counts:
 // its caller did not wait the less for it, and an endpoint would be given time that is over.
 func (q *request) left() time.Duration {
+	if q.g.ended.Err() != nil {
+		return 0
+	}
 	now := time.Now()
 	suspended := q.g.cfg.Now().Sub(q.came) - now.Sub(q.arrived)
 	return q.final.Sub(now) - max(suspended, 0)
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -74,12 +74,17 @@
 	return q.exchange(e, conn)
 }
 
-// hold ends the connection with the caller, for as long as the request uses it. The
+// hold ends the connection with the caller or the process, for as long as the request uses it. The
 // function ends that; a connection that is handed back is another request's.
 func (q *request) hold(conn *upstream.Conn) (release func()) {
-	stop := context.AfterFunc(q.ctx, conn.Close)
-	q.unhold = stop
-	return func() { stop() }
+	left := context.AfterFunc(q.ctx, conn.Close)
+	ended := context.AfterFunc(q.g.ended, conn.Close)
+	unhold := func() bool {
+		there, goesOn := left(), ended()
+		return there && goesOn
+	}
+	q.unhold = unhold
+	return func() { unhold() }
 }
 
 // handBack gives the connection of an answer that was read to its end to the pool.
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -46,7 +46,7 @@
 		g.line(q.service).Leave(w.ID, ok, time.Now())
 		g.mu.Unlock()
 	}()
-	for now.Before(until) && q.ctx.Err() == nil {
+	for now.Before(until) && q.ctx.Err() == nil && q.g.ended.Err() == nil {
 		wait.For(q.ctx, min(waitPoll, until.Sub(now)))
 		now = time.Now()
 		q.waited = now.Sub(q.arrived)
