internal/keepalive: connections that were made are accepted however late

Cause: CloseListeners gives a listener 50 ms more. A process that is not scheduled for as long found the deadline over, and Accept looks at no queue then: the listener closed and reset connections with requests on them.

Change: past the deadline the queue itself is looked at, and the listener closes only when it is empty.

--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -21,6 +21,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/idle"
 )
@@ -236,11 +237,16 @@
 // Accept returns a Conn for each TCP connection, and net.ErrClosed once CloseListeners has
 // closed the listener.
 func (l *listener) Accept() (nc net.Conn, err error) {
-	if nc, err = l.Listener.Accept(); err != nil {
-		if errors.Is(err, os.ErrDeadlineExceeded) {
+	nc, err = l.Listener.Accept()
+	for errors.Is(err, os.ErrDeadlineExceeded) {
+		if !l.waiting() {
 			err = errors.CombineErrors(net.ErrClosed, l.Close())
 			l.t.forget(l)
+			break
 		}
+		nc, err = l.acceptWaiting()
+	}
+	if err != nil {
 		return nil, err
 	}
 	tcp, ok := nc.(*net.TCPConn)
@@ -250,6 +256,36 @@
 	return l.t.add(tcp, time.Now()), nil
 }
 
+// waiting reports whether a connection has been made that was not accepted: after its
+// deadline a listener does not look for any.
+func (l *listener) waiting() (some bool) {
+	tcp, ok := l.Listener.(*net.TCPListener)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	err = raw.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		some = err == nil && n > 0
+	})
+	return err == nil && some
+}
+
+// acceptWaiting accepts a connection that waits.
+func (l *listener) acceptWaiting() (nc net.Conn, err error) {
+	tcp := l.Listener.(*net.TCPListener)
+	if err = tcp.SetDeadline(time.Now().Add(acceptLast)); err != nil {
+		return nil, err
+	}
+	if nc, err = tcp.Accept(); err != nil {
+		return nil, err
+	}
+	return nc, tcp.SetDeadline(time.Unix(1, 0)) // The next looks again.
+}
+
 // acceptLast is for how long connections that were made already are still accepted before a
 // listener is closed.
 const acceptLast = 50 * time.Millisecond
