internal/daemon: the drain counts connections after it has seen the listener closed

Cause: the drain read the number of open connections first and whether the listener is closed after that. A connection accepted between both, as the last one, was not counted, and the process ended under its first request.

Change: the order of both. No test: the moment cannot be met from outside; found by reading.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -136,6 +136,7 @@
 			return
 		case now := <-ticker.C:
 			after := now.Sub(began)
+			listening := g.Callers().Listening() // Before the count: what is accepted meanwhile is in it.
 			busy, open := g.Busy(), g.Callers().Open()
 			if after > p.set.Grace-stopMargin {
 				p.log.Warn("stopped with connections open", zap.Int("requests", busy), zap.Int("connections", open))
@@ -144,7 +145,7 @@
 			if after <= stopLinger || busy > 0 || open > 0 {
 				continue
 			}
-			if closing && !g.Callers().Listening() {
+			if closing && !listening {
 				return
 			}
 			if !closing {
