--- a/internal/entry/ends_test.go
+++ b/internal/entry/ends_test.go
@@ -95,6 +95,7 @@
 	end     context.CancelFunc // Ends the requests' base context, as the end of a process does.
 	scripts atomic.Pointer[[]script]
 	passed  atomic.Int64 // How far the entry's clock is ahead, in nanoseconds.
+	faulty  atomic.Bool  // The entry panics when it looks at its clock.
 	next    atomic.Int32
 }
 
@@ -152,7 +153,12 @@
 	group := &errgroup.Group{}
 	group.Go(func() error { return n.Run(ctx) })
 	e := New(n)
-	e.now = func() time.Time { return time.Now().Add(time.Duration(r.passed.Load())) }
+	e.now = func() time.Time {
+		if r.faulty.Load() {
+			panic("a fault")
+		}
+		return time.Now().Add(time.Duration(r.passed.Load()))
+	}
 	r.callers = httptest.NewUnstartedServer(e.Handler())
 	base, end := context.WithCancel(context.Background())
 	r.end = end
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/audit"
@@ -124,7 +125,7 @@
 		out := newAnswer(w, r)
 		req, refusal := e.admit(id, out)
 		if refusal == nil {
-			refusal = handle(req)
+			refusal = e.handled(handle, req)
 			e.endTrial(req)
 		}
 		if refusal != nil {
@@ -138,6 +139,18 @@
 	}
 }
 
+// handled calls a handler; a fault of the entry's own is answered as well.
+func (e *Entry) handled(handle func(*request) *wire.Refusal, req *request) (refusal *wire.Refusal) {
+	defer func() {
+		if v := recover(); v != nil {
+			e.count("panics")
+			e.node.Log().Error("panic", zap.String("request", req.id), zap.Any("value", v), zap.Stack("stack"))
+			refusal = wire.Doubt(http.StatusInternalServerError, "fault of the entry")
+		}
+	}()
+	return handle(req)
+}
+
 // wholeTruth returns the final refusal of a request. That its last attempt was not run
 // says nothing of those before.
 func (req *request) wholeTruth(last *wire.Refusal) *wire.Refusal {
