internal/gateway: a stream is ended to go on elsewhere only where it may

Cause: vacate (a slow rank) and the watch of silent answers end a try so that the request goes on at another endpoint. Neither asked whether the newest configuration still allows that: after a change that moved or dropped the route (or took the key) the try was ended, the loop found the request no longer allowed, and a stream that its endpoint was still running was cut. vacate did not ask either whether any other endpoint takes new requests.

Change: both look first; where the request may not be sent again, it stays.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -255,6 +255,22 @@
 	return "", true
 }
 
+// staysAllowed reports whether the newest configuration would let the request be sent once
+// more, where it is bound to the same service if its answer has begun. It changes nothing.
+func (q *request) staysAllowed(begun bool) bool {
+	c := q.g.view.State().Config
+	if c != q.config {
+		route := c.Route(q.r.Host, q.r.URL.EscapedPath())
+		if route == nil || c.NeedsKey(route) && c.Customer(q.call.Key) == nil {
+			return false
+		}
+		if begun && !slices.ContainsFunc(route.Split, func(s fleet.Share) bool { return s.Service == q.service && s.Weight > 0 }) {
+			return false
+		}
+	}
+	return q.keyFresh()
+}
+
 // pickService draws a service by the route's weights.
 func (q *request) pickService() string {
 	total := 0
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -73,6 +73,9 @@
 // place among what is under way and needs no new room: a full group kept such requests at
 // a rank whose instance was frozen until their callers left, and it took them as it woke.
 func (q *request) mayMove() bool {
+	if !q.staysAllowed(q.reply.begun()) {
+		return false
+	}
 	before := q.mayRun
 	q.mayRun = true // Of the try under way; whether it was turned away is not known yet.
 	defer func() { q.mayRun = before }()
--- a/internal/gateway/vacate.go
+++ b/internal/gateway/vacate.go
@@ -12,7 +12,8 @@
 )
 
 // place is where a request is that may be moved. The request's own fields are its
-// goroutine's, so what vacate needs of them is kept here.
+// goroutine's, so what vacate needs of them is kept here, but for what a request does not
+// change while it is at an endpoint: its configuration, service and customer.
 type place struct {
 	conn     *upstream.Conn
 	mayRetry bool // It may be sent to one more endpoint.
@@ -42,8 +43,11 @@
 func (g *Gateway) vacate(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !g.othersTake(id) {
+		return
+	}
 	for q, at := range g.at[id] {
-		if !at.mayRetry || q.moved || !g.window(q.service).Take(g.cfg.Now(), rand.Float64) {
+		if !at.mayRetry || q.moved || !q.staysAllowed(true) || !g.window(q.service).Take(g.cfg.Now(), rand.Float64) {
 			continue
 		}
 		g.figures.moved.Inc(1)
@@ -53,6 +57,19 @@
 	}
 }
 
+// othersTake reports whether another endpoint of the same service takes anything new. The
+// caller holds mu.
+func (g *Gateway) othersTake(id string) bool {
+	s := g.view.State()
+	service := s.Endpoints[id].Service
+	for _, e := range s.Endpoints {
+		if e.ID != id && e.Service == service && !e.Leaving && !g.backoffs.Leaving(life(e)) && !s.Evacuated(e.Domain) {
+			return true
+		}
+	}
+	return false
+}
+
 // takeMoved reports whether the try that has just ended was ended by vacate, and
 // forgets it.
 func (q *request) takeMoved() bool {
