--- a/internal/gateway/slow_reader_test.go
+++ b/internal/gateway/slow_reader_test.go
@@ -30,7 +30,7 @@
 	defer func() { g.Expect(resp.Body.Close()).To(Succeed()) }()
 	var got int64
 	for err == nil {
-		time.Sleep(2 * unreadTime / pieces)
+		time.Sleep(2 * UnreadTime / pieces)
 		var n int64
 		n, err = io.CopyN(io.Discard, resp.Body, maxAnswer/pieces)
 		got += n
