--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/passes"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
@@ -53,7 +54,7 @@
 	inLine       bool            // It waits for room.
 	asked        *lastAsked      // When it last wanted a place; nil before.
 	sentAt       time.Time       // When it was last sent to an endpoint.
-	unhold       func() bool     // Ends what closes the try's connection when the caller leaves; false if it closes it.
+	unhold       func() bool     // Ends what closes the try's connection when the caller leaves or the process ends; false if it closes it.
 	leavePlace   func()          // Ends what vacate may do to the try; never nil.
 	moved        bool            // Its try was ended by vacate, which took a repeat for it; guarded by the gateway's mu.
 	paid         bool            // The next try's repeat is taken already.
@@ -116,17 +117,30 @@
 	if begun {
 		q.closeAfter()
 	}
+	q.decide(closed)
+	if q.onTrial {
+		g.suspects.EndTrial(q.key())
+	}
+	q.finish()
+	q.reply.close()
+}
+
+// decide gives the request its final answer, also where a fault of the gateway's own ends it.
+func (q *request) decide(closed bool) {
+	defer func() {
+		if v := recover(); v != nil {
+			q.g.log.Error("panic", zap.String("id", q.call.ID), zap.Any("value", v), zap.Stack("stack"))
+			if !q.reply.begun() {
+				q.fail(http.StatusInternalServerError, "panic")
+			}
+		}
+	}()
 	switch {
 	case closed:
 		q.refuse("instance is stopping", stopRetry)
 	case q.admit() && q.readBody():
 		q.run()
 	}
-	if q.onTrial {
-		g.suspects.EndTrial(q.key())
-	}
-	q.finish()
-	q.reply.close()
 }
 
 // admit finds the route and the customer; it reports false when the request
@@ -174,6 +188,9 @@
 // left returns how much of the request's time is left. A suspension of the machine counts:
 // its caller did not wait the less for it, and an endpoint would be given time that is over.
 func (q *request) left() time.Duration {
+	if q.g.ended.Err() != nil {
+		return 0
+	}
 	now := time.Now()
 	suspended := q.g.cfg.Now().Sub(q.came) - now.Sub(q.arrived)
 	return q.final.Sub(now) - max(suspended, 0)
@@ -238,6 +255,22 @@
 	return "", true
 }
 
+// staysAllowed reports whether the newest configuration would let the request be sent once
+// more, where it is bound to the same service if its answer has begun. It changes nothing.
+func (q *request) staysAllowed(begun bool) bool {
+	c := q.g.view.State().Config
+	if c != q.config {
+		route := c.Route(q.r.Host, q.r.URL.EscapedPath())
+		if route == nil || c.NeedsKey(route) && c.Customer(q.call.Key) == nil {
+			return false
+		}
+		if begun && !slices.ContainsFunc(route.Split, func(s fleet.Share) bool { return s.Service == q.service && s.Weight > 0 }) {
+			return false
+		}
+	}
+	return q.keyFresh()
+}
+
 // pickService draws a service by the route's weights.
 func (q *request) pickService() string {
 	total := 0
