internal/keepalive: a planned stop keeps connections that were made ahead of their first request

Cause: the 2 s for which unused connections are kept in a stop counted from their own start. Change: they count from the start of the stop, or of the connection if that is later. Why it works: a client sends as soon as it is connected, or has the time that others have.

--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -30,8 +30,8 @@
 // its end may still be on its way.
 const slack = time.Second
 
-// stopFresh is how long a connection on which nothing has come is kept in a planned stop,
-// unless a Config says otherwise. A caller sends its request as soon as it is connected.
+// stopFresh is how long a connection on which nothing has come is kept in a planned stop, unless
+// a Config says otherwise. A caller sends its request as soon as it is connected.
 const stopFresh = 2 * time.Second
 
 // leastTold is told to callers where less is published: one that is told nothing goes by
@@ -52,8 +52,8 @@
 	// StopTold has connections kept in a planned stop for what their callers were told only,
 	// where nothing that is published lets callers keep them for longer.
 	StopTold bool
-	// StopFresh is how long a connection on which nothing has come is kept in a planned stop;
-	// 0 for stopFresh. Clients that connect in advance need longer.
+	// StopFresh is how long a connection on which nothing has come is kept in a planned stop, from
+	// the start of both; 0 for stopFresh. Clients that connect in advance need longer.
 	StopFresh time.Duration
 }
 
@@ -203,7 +203,8 @@
 	case t.outlastsStop(i):
 		return term{cause: Stopped, setting: "end of the planned stop"}
 	case stopping && i.fresh:
-		return term{cause: Stopped, setting: "planned stop, nothing received", kept: cmp.Or(t.cfg.StopFresh, stopFresh)}
+		before := max(t.stopping.Sub(i.since), 0) // A client may have connected in advance.
+		return term{cause: Stopped, setting: "planned stop, nothing received", kept: before + cmp.Or(t.cfg.StopFresh, stopFresh)}
 	case stopping && t.cfg.StopTold && i.told > 0:
 		return term{cause: Stopped, setting: "planned stop, told to the caller", kept: i.told + slack}
 	case i.fresh && limit.Idle < t.cfg.Header:
--- a/internal/keepalive/moments_test.go
+++ b/internal/keepalive/moments_test.go
@@ -198,3 +198,27 @@
 	t.Logf("%d cut, %d not run; %d counted as ended with the process", cut.Load(), notRun.Load(), s.count(ProcessEnd))
 	g.Expect(s.count(Idle) + s.count(Stopped) + s.count(SlowHeader)).To(BeZero())
 }
+
+// Guards against a stop that ends connections which were made ahead of their first request.
+func TestAPlannedStopKeepsConnectionsThatWereMadeAhead(t *testing.T) {
+	t.Parallel()
+	cfg := roomy()
+	cfg.StopFresh = 5 * time.Second
+	for name, before := range map[string]time.Duration{"made just now": 0, "made long before": cfg.StopFresh + 100*time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t, cfg)
+			list := make([]*caller, many)
+			for i := range list {
+				list[i] = s.dial(t, fmt.Sprint("ahead", i))
+			}
+			NewWithT(t).Eventually(s.Open, enough).Should(Equal(many))
+			time.Sleep(before)
+			s.Stop(time.Now())
+			each(t, list, func(_ int, c *caller) error {
+				_, err := c.ask()
+				return err
+			})
+		})
+	}
+}
