internal/decide/throttle: parts of a rate limit may be lent

Cause: what gateways without callers leave unused of their parts of a limit stays unused. Change: asks, grants, refusals and returns of parts as a pure state machine; parts that are at a gateway are one bucket, so that fractions of tokens add up. Nothing sends these messages yet. The bucket of package limit tells its tokens, and takes some in.

--- a/internal/decide/limit/bucket.go
+++ b/internal/decide/limit/bucket.go
@@ -34,6 +34,18 @@
 // GiveBack gives back a token that was taken and not used.
 func (b *Bucket) GiveBack() { b.tokens = min(b.tokens+1, b.burst) }
 
+// Tokens returns how many tokens the bucket holds.
+func (b *Bucket) Tokens(now time.Time) float64 {
+	b.refill(now)
+	return b.tokens
+}
+
+// Add puts tokens in, or takes them out where n is below 0.
+func (b *Bucket) Add(n float64, now time.Time) {
+	b.refill(now)
+	b.tokens = min(max(b.tokens+n, 0), b.burst)
+}
+
 // Set changes rate and burst from now on; tokens above the burst are lost.
 func (b *Bucket) Set(rate, burst float64, now time.Time) {
 	b.refill(now)
--- a/internal/decide/throttle/share.go
+++ b/internal/decide/throttle/share.go
@@ -54,10 +54,13 @@
 // turnOf numbers the turns; gateways agree on it as far as their clocks do.
 func turnOf(now time.Time) int64 { return now.UnixNano() / int64(turnTime) }
 
+// turnKey names an endpoint in a turn.
+func turnKey(id string, turn int64) string { return strconv.FormatInt(turn, 10) + "\x00" + id }
+
 // placeOf returns the place of a gateway among all for an endpoint in a turn, by rendezvous
 // hashing: gateways that know of each other agree on it without a word.
 func placeOf(id string, turn int64, self string, all []string) (place int) {
-	key := strconv.FormatInt(turn, 10) + "\x00" + id
+	key := turnKey(id, turn)
 	mine := own.Score(key, self)
 	for _, name := range all {
 		if s := own.Score(key, name); name != self && (s > mine || s == mine && name < self) {
--- a/internal/decide/throttle/throttle.go
+++ b/internal/decide/throttle/throttle.go
@@ -48,9 +48,12 @@
 	since   time.Time     // When the first answer said the same as word.
 	told    int           // How often word was told to others.
 	toldAt  time.Time     // The word's time when it was last told or heard.
-	bucket  *limit.Bucket // This gateway's part; nil while it has none.
+	bucket  *limit.Bucket // Of all parts that are here; nil while there are none.
+	owns    bool          // This gateway has a part in the turn.
+	part    Share         // What each gateway has that has a part.
 	turn    int64         // For which the bucket was made.
 	version int           // Of the gateways by which it was made.
+	loans   loans
 }
 
 // Limits holds what is known of all endpoints.
@@ -59,6 +62,7 @@
 	self     string
 	gateways []string // All that are known, this one among them; sorted.
 	version  int      // Changes with gateways.
+	asked    int64    // Number of the last ask for a part.
 }
 
 // New returns limits that know of none, at a gateway that knows of no other.
@@ -78,6 +82,12 @@
 // Gateways returns among how many gateways limits are shared.
 func (l *Limits) Gateways() int { return len(l.gateways) }
 
+// Knows reports whether another gateway of this name is there.
+func (l *Limits) Knows(name string) bool {
+	_, known := slices.BinarySearch(l.gateways, name)
+	return known && name != l.self
+}
+
 // Answered takes in what an answer to this gateway said. It reports whether that is news,
 // which others are to be told.
 func (l *Limits) Answered(id string, w Word) (news bool) { return l.hear(id, w, 0) }
@@ -136,7 +146,9 @@
 		return true
 	}
 	b := l.share(id, e, now)
-	return b != nil && b.Holds(now)
+	due := b != nil && b.Holds(now)
+	e.loans.use(due, now)
+	return due
 }
 
 // Take notes that a request goes to an endpoint for which one is due.
@@ -155,21 +167,24 @@
 	}
 }
 
-// share returns this gateway's part of an endpoint's limit, nil where it has none.
+// share returns the parts of an endpoint's limit that are at this gateway, nil where there are
+// none.
 func (l *Limits) share(id string, e *endpoint, now time.Time) *limit.Bucket {
+	e.settle(now)
 	turn := turnOf(now)
 	if e.turn == turn && e.version == l.version {
 		return e.bucket
 	}
 	e.turn, e.version = turn, l.version
-	s := ShareOf(e.word.Limit, placeOf(id, turn, l.self, l.gateways), len(l.gateways))
-	switch {
-	case s.Rate == 0:
-		e.bucket = nil
-	case e.bucket == nil:
-		e.bucket = limit.NewBucketWith(s.Rate, s.Burst, s.First, now)
-	default:
-		e.bucket.Set(s.Rate, s.Burst, now)
+	e.loans.renew()
+	place := placeOf(id, turn, l.self, l.gateways)
+	e.part = ShareOf(e.word.Limit, 0, len(l.gateways))
+	owned := e.owns
+	s := ShareOf(e.word.Limit, place, len(l.gateways))
+	e.owns = s.Rate > 0
+	e.fit(now)
+	if e.owns && !owned && !e.loans.away(now) {
+		e.bucket.Add(s.First, now)
 	}
 	return e.bucket
 }
