internal/gateway, internal/peers: gateways lend each other parts of rate limits

Cause: with all callers at one of six gateways 8 of 48 requests were served that fit the limits of two endpoints at 4 a second. Change: a request that finds no token has its gateway ask at once those that have the other parts, in a message of its own; callers who are refused are told to come when the parts that are here have room. Messages that are not valid, or of gateways that are not heard, are left out and counted.

--- a/internal/gateway/asks.go
+++ b/internal/gateway/asks.go
@@ -88,6 +88,7 @@
 // its rate limit.
 type barred struct {
 	rate float64       // Requests a second that the limits leave to all gateways; 0 where none is limited.
+	held float64       // Requests a second that the parts of these limits allow that are here.
 	rest time.Duration // Until the first rest ends; 0 where none rests.
 }
 
@@ -107,6 +108,8 @@
 	}
 	perSecond, _, _ := g.limits.Limited(e.ID)
 	b.rate += throttle.RateOf(perSecond)
+	b.held += g.limits.Held(e.ID, now)
+	g.wantParts()
 	return true
 }
 
@@ -131,7 +134,7 @@
 	after = q.barred.rest
 	if q.barred.rate > 0 {
 		q.g.figures.throttled.Inc(1)
-		if room := q.throttledRetry(q.barred.rate); after == 0 || room < after {
+		if room := q.throttledRetry(q.barred); after == 0 || room < after {
 			after = room
 		}
 	}
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -27,6 +27,10 @@
 	limited   metrics.Gauge        // Endpoints that name a rate limit.
 	toLimited metrics.Counter      // Requests sent to endpoints that name a rate limit.
 	throttled metrics.Counter      // Requests refused since the limits of all endpoints were used up.
+	asked     metrics.Counter      // Asks for parts of rate limits that other gateways have.
+	borrowed  metrics.Counter      // Grants of such parts that came.
+	lent      metrics.Counter      // Grants of such parts that were given.
+	badParts  metrics.Counter      // Messages on parts that were left out as not valid.
 	invalid   metrics.Counter      // Answers with a header that was left out as not valid.
 	evacuated metrics.Gauge        // Failure domains that are evacuated.
 	notJoined metrics.Counter      // Answers and events that did not go on where a stream had been cut.
@@ -57,6 +61,10 @@
 		limited:   metrics.GetOrRegisterGauge("gateway.limited-endpoints", reg),
 		toLimited: metrics.GetOrRegisterCounter("gateway.to-limited", reg),
 		throttled: metrics.GetOrRegisterCounter("gateway.throttled", reg),
+		asked:     metrics.GetOrRegisterCounter("gateway.parts-asked", reg),
+		borrowed:  metrics.GetOrRegisterCounter("gateway.parts-borrowed", reg),
+		lent:      metrics.GetOrRegisterCounter("gateway.parts-lent", reg),
+		badParts:  metrics.GetOrRegisterCounter("gateway.parts-invalid", reg),
 		invalid:   metrics.GetOrRegisterCounter("gateway.invalid-headers", reg),
 		evacuated: metrics.GetOrRegisterGauge("gateway.evacuated-domains", reg),
 		notJoined: metrics.GetOrRegisterCounter("gateway.not-joined", reg),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,8 @@
 	backoffs      *backoff.Set
 	limits        *throttle.Limits
 	limitNews     chan struct{}                // Holds a value while a change of limits waits to be told.
+	partWants     chan struct{}                // Holds a value while a request found no token of a limit.
+	badPartsAt    time.Time                    // When a line on parts that were left out was logged.
 	backlogs      map[string]*throttle.Backlog // By service; of callers refused by limits.
 	coldTold      map[string]uint64            // Revisions of entries whose cold times were taken in, by endpoint.
 	toldSenders   int                          // Gateways that a sidecar hears, the most that was lately told.
@@ -153,6 +155,7 @@
 		backoffs:  backoff.New(),
 		limits:    throttle.New(),
 		limitNews: make(chan struct{}, 1),
+		partWants: make(chan struct{}, 1),
 		backlogs:  map[string]*throttle.Backlog{},
 		coldTold:  map[string]uint64{},
 		evacuated: evacuatedDomains{},
--- /dev/null
+++ b/internal/gateway/lend.go
@@ -0,0 +1,146 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"context"
+	"math"
+	"net/netip"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/throttle"
+	"github.com/canvaspulley/canvaspulley/internal/peers"
+	"github.com/canvaspulley/canvaspulley/internal/wait"
+)
+
+const (
+	// lendEvery is the time between two looks at what is to be asked for or given back, while
+	// there may be any.
+	lendEvery = 25 * time.Millisecond
+	// badPartsEvery is the least time between two lines on messages that are left out.
+	badPartsEvery = 10 * time.Second
+	// longestLent is far above the lease of a part.
+	longestLent = time.Hour
+)
+
+// wantParts notes that a request found no token of a limit.
+func (g *Gateway) wantParts() {
+	select {
+	case g.partWants <- struct{}{}:
+	default: // It is noted already.
+	}
+}
+
+// lend asks other gateways for parts of limits and gives them back, until ctx ends.
+func (n *Neighbours) lend(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.g.partWants:
+		}
+		for n.sendParts() && ctx.Err() == nil {
+			wait.For(ctx, lendEvery)
+		}
+	}
+}
+
+// sendParts sends what is due; it reports whether more may fall due without another request.
+func (n *Neighbours) sendParts() (more bool) {
+	now := n.g.cfg.Now()
+	n.g.mu.Lock()
+	letters := n.g.limits.Letters(now)
+	more = n.g.limits.Lending(now)
+	n.g.mu.Unlock()
+	by := map[string][]peers.Part{}
+	for _, l := range letters {
+		if l.Kind == throttle.Ask {
+			n.g.figures.asked.Inc(1)
+		}
+		by[l.To] = append(by[l.To], partOf(l.Part))
+	}
+	for to, parts := range by {
+		n.tellParts(to, parts)
+	}
+	return more
+}
+
+func (n *Neighbours) tellParts(to string, parts []peers.Part) {
+	for list := range slices.Chunk(parts, peers.MostParts) {
+		n.socket.SendAll(addresses([]string{to}), peers.Message{Lend: &peers.Lend{Address: n.self, Parts: list}})
+	}
+}
+
+// hearParts takes in what another gateway says of parts, and answers it.
+func (n *Neighbours) hearParts(from netip.AddrPort, m peers.Lend) {
+	if bad := n.g.badParts(m); bad != "" {
+		n.g.leaveOut(from, bad)
+		return
+	}
+	var answers []peers.Part
+	now := n.g.cfg.Now()
+	n.g.mu.Lock()
+	for _, p := range m.Parts {
+		part := throttle.Part{Kind: throttle.Kind(p.Kind), Endpoint: p.Endpoint, Number: p.Number, Tokens: p.Tokens, Lasts: p.Lasts()}
+		answer, ok := n.g.limits.Receive(m.Address, part, now)
+		if ok {
+			answers = append(answers, partOf(answer))
+		}
+		if answer.Kind == throttle.Grant {
+			n.g.figures.lent.Inc(1)
+		}
+		if part.Kind == throttle.Grant {
+			n.g.figures.borrowed.Inc(1)
+		}
+	}
+	n.g.mu.Unlock()
+	n.tellParts(m.Address, answers)
+}
+
+func partOf(p throttle.Part) peers.Part {
+	return peers.Part{Kind: int(p.Kind), Endpoint: p.Endpoint, Number: p.Number, Tokens: p.Tokens, LastsMs: p.Lasts.Milliseconds()}
+}
+
+// badParts says what is not valid in a message, "" where all is.
+func (g *Gateway) badParts(m peers.Lend) string {
+	if len(m.Parts) > peers.MostParts {
+		return "too many parts"
+	}
+	g.mu.Lock()
+	known := g.limits.Knows(m.Address)
+	g.mu.Unlock()
+	if !known {
+		return "of a gateway that is not heard"
+	}
+	for _, p := range m.Parts {
+		if !validPart(p) {
+			return "a part with a value that it cannot have"
+		}
+	}
+	return ""
+}
+
+func validPart(p peers.Part) bool {
+	return p.Kind >= int(throttle.Ask) && p.Kind <= int(throttle.Return) &&
+		p.Endpoint != "" && len(p.Endpoint) <= longestID && p.Number > 0 &&
+		p.Tokens >= 0 && !math.IsInf(p.Tokens, 0) && // No NaN either.
+		p.LastsMs >= 0 && p.LastsMs <= longestLent.Milliseconds()
+}
+
+// leaveOut counts a message that is left out, and logs some.
+func (g *Gateway) leaveOut(from netip.AddrPort, cause string) {
+	g.figures.badParts.Inc(1)
+	now := g.cfg.Now()
+	g.mu.Lock()
+	said := now.Sub(g.badPartsAt) < badPartsEvery
+	if !said {
+		g.badPartsAt = now
+	}
+	g.mu.Unlock()
+	if !said {
+		g.log.Warn("parts of rate limits left out", zap.Stringer("told-by", from), zap.String("cause", cause))
+	}
+}
--- /dev/null
+++ b/internal/gateway/lend_test.go
@@ -0,0 +1,98 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+package gateway
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/throttle"
+	"github.com/canvaspulley/canvaspulley/internal/peers"
+)
+
+const borrowerAddress = "10.0.0.1:80"
+
+// newLender returns a gateway with a part of the limit of the endpoint "i", beside another one.
+func newLender(t *testing.T) station {
+	n := newStation(t, 1)
+	socket, closeSocket, err := peers.Listen("127.0.0.1:0", zap.NewNop())
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(closeSocket)
+	n.socket = socket
+	n.moveTo(socket.Address())
+	n.g.setGateways(n.self, []string{borrowerAddress})
+	n.g.limits.Answered("i", throttle.Word{Limited: true, Limit: 1, At: n.g.cfg.Now()})
+	return n
+}
+
+func TestMessagesOnPartsThatAreNotValidAreLeftOut(t *testing.T) {
+	valid := peers.Part{Kind: int(throttle.Ask), Endpoint: "i", Number: 1}
+	change := func(f func(p *peers.Part)) peers.Lend {
+		p := valid
+		f(&p)
+		return peers.Lend{Address: borrowerAddress, Parts: []peers.Part{p}}
+	}
+	assertLeft := func(t *testing.T, m peers.Lend, lent, bad int64) {
+		t.Helper()
+		g := NewWithT(t)
+		n := newLender(t)
+		n.Receive(netip.AddrPort{}, peers.Message{Lend: &m})
+		g.Expect(n.g.figures.lent.Count()).To(Equal(lent))
+		g.Expect(n.g.figures.badParts.Count()).To(Equal(bad))
+	}
+	t.Run("valid", func(t *testing.T) { assertLeft(t, change(func(*peers.Part) {}), 1, 0) })
+	for name, m := range map[string]peers.Lend{
+		"kind 0":                change(func(p *peers.Part) { p.Kind = 0 }),
+		"kind 6":                change(func(p *peers.Part) { p.Kind = 6 }),
+		"kind below 0":          change(func(p *peers.Part) { p.Kind = -1 }),
+		"no endpoint":           change(func(p *peers.Part) { p.Endpoint = "" }),
+		"a long endpoint":       change(func(p *peers.Part) { p.Endpoint = strings.Repeat("i", longestID+1) }),
+		"number 0":              change(func(p *peers.Part) { p.Number = 0 }),
+		"tokens below 0":        change(func(p *peers.Part) { p.Tokens = -1 }),
+		"tokens that are none":  change(func(p *peers.Part) { p.Tokens = math.NaN() }),
+		"tokens without end":    change(func(p *peers.Part) { p.Tokens = math.Inf(1) }),
+		"a time below 0":        change(func(p *peers.Part) { p.LastsMs = -1 }),
+		"a time that overflows": change(func(p *peers.Part) { p.LastsMs = math.MaxInt64 }),
+		"an unknown gateway":    {Address: "10.0.0.9:80", Parts: []peers.Part{valid}},
+		"no gateway":            {Parts: []peers.Part{valid}},
+		"more parts than fit":   {Address: borrowerAddress, Parts: make([]peers.Part, peers.MostParts+1)},
+	} {
+		t.Run(name, func(t *testing.T) { assertLeft(t, m, 0, 1) })
+	}
+	t.Run("its own address", func(t *testing.T) {
+		n := newLender(t)
+		n.Receive(netip.AddrPort{}, peers.Message{Lend: &peers.Lend{Address: n.self, Parts: []peers.Part{valid}}})
+		NewWithT(t).Expect(n.g.figures.lent.Count()).To(BeZero())
+	})
+}
+
+func TestAMessageOnPartsFitsAPacket(t *testing.T) {
+	g := NewWithT(t)
+	m := peers.Message{Lend: &peers.Lend{Address: "100.100.100.100:10000"}}
+	for i := range peers.MostParts {
+		m.Lend.Parts = append(m.Lend.Parts, peers.Part{Kind: int(throttle.Grant), Endpoint: fmt.Sprintf("%s-%d@1786946211702", strings.Repeat("x", 24), i), Number: time.Now().UnixNano(), Tokens: 0.123, LastsMs: 1000})
+	}
+	raw, err := cbor.Marshal(m)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(raw)).To(BeNumerically("<", 1400), "within one packet")
+}
+
+// Callers are told to come when the parts that are here have room.
+func TestCallersAreToldWhenBorrowedPartsHaveRoom(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t, newStreamer(0))
+	q := &request{g: s.Gateway, service: "s", barred: barred{rate: 4}}
+	s.setGateways("10.0.0.2:80", []string{"10.0.0.3:80", "10.0.0.4:80", "10.0.0.5:80"})
+	g.Expect(q.barredRetry()).To(BeNumerically("~", time.Second, 50*time.Millisecond))
+	s.backlogs = map[string]*throttle.Backlog{}
+	q.barred.held = 4
+	g.Expect(q.barredRetry()).To(BeNumerically("~", 250*time.Millisecond, 50*time.Millisecond))
+}
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -120,6 +120,9 @@
 func (n *Neighbours) Receive(from netip.AddrPort, m peers.Message) {
 	n.g.suspects.Hear(m.Ends, n.g.cfg.Now())
 	n.g.hearLimits(from, m.Limits)
+	if m.Lend != nil {
+		n.hearParts(from, *m.Lend)
+	}
 	switch {
 	case m.Hello != nil:
 		if n.hear(*m.Hello) {
@@ -185,6 +188,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.greetAndBorrow(ctx) })
 	group.Go(func() error { return n.tellNews(ctx) })
+	group.Go(func() error { return n.lend(ctx) })
 	return group.Wait()
 }
 
--- a/internal/gateway/ratelimit.go
+++ b/internal/gateway/ratelimit.go
@@ -124,15 +124,15 @@
 	}
 }
 
-// throttledRetry returns when there is room under limits of so many requests a second for one
-// more of the callers who are refused here. They come to any gateway then, and so do those of
-// the others. The caller holds mu.
-func (q *request) throttledRetry(rate float64) time.Duration {
+// throttledRetry returns when there is room under limits for one more of the callers who are
+// refused here. They come to any gateway then, and so do those of the others; where parts are
+// borrowed, most callers come here. The caller holds mu.
+func (q *request) throttledRetry(by barred) time.Duration {
 	g := q.g
 	b := g.backlogs[q.service]
 	if b == nil {
 		b = &throttle.Backlog{}
 		g.backlogs[q.service] = b
 	}
-	return b.Next(rate/float64(g.limits.Gateways()), g.cfg.Now())
+	return b.Next(max(by.rate/float64(g.limits.Gateways()), by.held), g.cfg.Now())
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -25,6 +25,7 @@
 	Ends  []End  `cbor:"5,keyasint,omitempty"` // MostEnds at most; also beside a Hello.
 	// Limits has MostLimits at most, beside nothing else.
 	Limits []Limit `cbor:"6,keyasint,omitempty"`
+	Lend   *Lend   `cbor:"7,keyasint,omitempty"`
 }
 
 // Hello tells that a gateway is there. A gateway answers it with a hello of its own; sidecars
@@ -169,6 +170,28 @@
 // MostLimits is how many limits one message names: it stays within a packet of 1,400 bytes.
 const MostLimits = 24
 
+// Lend tells another gateway what is asked for and given of parts of rate limits.
+type Lend struct {
+	Address string `cbor:"1,keyasint"` // Peer listener of the sender.
+	Parts   []Part `cbor:"2,keyasint"` // MostParts at most.
+}
+
+// Part tells of one gateway's part of an endpoint's rate limit.
+type Part struct {
+	_        struct{} `cbor:",toarray"`
+	Kind     int      // As package throttle counts it.
+	Endpoint string   // One life of it.
+	Number   int64    // Of the ask.
+	Tokens   float64  // That go with the part.
+	LastsMs  int64    // For which it is lent.
+}
+
+// Lasts returns for how long a part is lent.
+func (p Part) Lasts() time.Duration { return time.Duration(p.LastsMs) * time.Millisecond }
+
+// MostParts is how many parts one message names: it stays within a packet of 1,400 bytes.
+const MostParts = 20
+
 // Beside returns the address of the sidecar beside an engine, which listens on
 // the engine's instance at a port that is alike everywhere.
 func Beside(engine string, port int) (a netip.AddrPort, err error) {
