--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -235,7 +235,7 @@
 	}
 	for _, s := range l.stopping[r.gateway] {
 		if s.from.Before(r.ended) && s.to.After(r.sent) {
-			say(r, "was cut off in a planned stop that began %s", s.from.Format(clock))
+			say(r, "was cut off after %v in a planned stop that began %s", r.ended.Sub(r.sent), s.from.Format(clock))
 		}
 	}
 }
