internal/daemon: the listeners of entries and agents accept what callers have made before they close

Cause: closing a listener resets connections in its queue, with requests on them; gateways accepted these first, entries and agents did not. Found by the review. Change: the same way of closing. Seen: go test ./internal/daemon -count=2 ok; TestAPlannedStopEnds with -cpu 1,3 ok.

--- a/internal/daemon/listener.go
+++ b/internal/daemon/listener.go
@@ -153,8 +153,10 @@
 	}) {
 		return
 	}
-	for _, one := range d.listeners {
-		_ = one.l.Close() // Whoever connects now knows that nothing was sent.
+	for _, one := range d.listeners { // Whoever connects after that knows that nothing was sent.
+		if err := one.conns.CloseListeners(time.Now()); err != nil {
+			d.log.Warn("listener not closed", zap.Error(err))
+		}
 	}
 	for _, one := range d.listeners {
 		select {
