--- a/internal/upstream/churn_test.go
+++ b/internal/upstream/churn_test.go
@@ -146,6 +146,7 @@
 	f := newFickle(t)
 	var opened atomic.Int64
 	p, cleanup := NewPool("", func() { opened.Add(1) })
+	p.dialer.Timeout = time.Minute // However busy the machine is.
 	n := &tally{results: map[Progress][]string{}}
 	over := make(chan struct{})
 	var keeping, sending errgroup.Group
