--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -233,6 +233,9 @@
 	if r.answer.whole || len(r.runs) == 0 || r.spoiled() || !l.calm(r.gateway, r.sent, r.ended) {
 		return
 	}
+	if r.ended.Sub(r.sent) >= patience { // Its caller has given up.
+		return
+	}
 	for _, s := range l.stopping[r.gateway] {
 		if s.from.Before(r.ended) && s.to.After(r.sent) {
 			say(r, "was cut off after %v in a planned stop that began %s", r.ended.Sub(r.sent), s.from.Format(clock))
