internal/soak: say how late the soak was, and quote the gateways' logs

A violation now tells when its connection was made, when the request was written and the longest stall of the soak's process meanwhile; the report quotes the lines of the gateway's log about the request and its connection, and the directory of a failed test is kept.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -65,6 +65,9 @@
 		for _, b := range r.Violations {
 			fmt.Fprintln(v.app.out, "  broken:", b)
 		}
+		for _, line := range r.Evidence {
+			fmt.Fprintln(v.app.out, "   ", line)
+		}
 		violations += len(r.Violations)
 	}
 	if violations > 0 {
--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -3,11 +3,9 @@
 package soak
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -126,10 +124,11 @@
 		}
 		change = fmt.Sprintf("%v after a change", at.Sub(l.versionsSent[i-1]).Round(time.Microsecond))
 	}
-	report(r, "%s at %s, %v after it was sent, %s, status %d, %d runs, from %s over %s, connected %v before, rested %v: %v; process of its connection: %v", outcomeNames[result],
+	l.unexplained = append(l.unexplained, r)
+	report(r, "%s at %s, %v after it was sent, %s, status %d, %d runs, from %s over %s, connected from %s to %s, written at %s, rested %v, the soak stood still for up to %v: %v; process of its connection: %v", outcomeNames[result],
 		at.Format(timeFormat), at.Sub(r.sent).Round(time.Microsecond), change, r.status, len(r.runs), r.conn.LocalAddr(), r.mode,
-		r.sent.Sub(r.conn.dialed.to).Round(time.Millisecond), r.idleTime.Round(time.Millisecond), err,
-		l.incarnationsDuring(r.gateway, r.conn.dialed))
+		r.conn.dialed.from.Format(timeFormat), r.conn.dialed.to.Format(timeFormat), r.conn.lastWrite().Format(timeFormat), r.idleTime.Round(time.Millisecond),
+		l.longestStall(span{r.sent, at}).Round(time.Millisecond), err, l.incarnationsDuring(r.gateway, r.conn.dialed))
 }
 
 // countOutcomes counts the requests by outcome, and lists those whose callers timed out at a gateway
@@ -173,27 +172,19 @@
 }
 
 func countCloses(file string, byCause map[string]int) error {
-	f, err := os.Open(file)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = f.Close() }() // The file is only read.
-	lines := bufio.NewScanner(f)
-	lines.Buffer(nil, 1<<20)
-	for lines.Scan() {
+	return eachLine(file, func(raw []byte) {
 		var line struct {
 			Msg, Cause string
 			Crossed    bool
 		}
-		if json.Unmarshal(lines.Bytes(), &line) != nil || line.Msg != "connection closed" {
-			continue // A killed process may leave an incomplete line.
+		if json.Unmarshal(raw, &line) != nil || line.Msg != "connection closed" {
+			return // A killed process may leave an incomplete line.
 		}
 		if line.Crossed {
 			line.Cause += ", crossed"
 		}
 		byCause[line.Cause]++
-	}
-	return lines.Err()
+	})
 }
 
 // Outcomes counts how the requests of a run ended, and why gateways closed connections.
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -99,6 +99,8 @@
 	versionsSent   []time.Time                  // When versions of the configuration were sent, in order.
 	endpointExits  map[string][]time.Time       // When endpoints were about to end.
 	linkFaults     map[gatewayLink][]span       // When links were disrupted; recorded at the end of the disruption.
+	stalls         []span                       // When the soak's own process did not get to run.
+	unexplained    []*request                   // Requests whose connections ended without an explanation, as found by violations.
 }
 
 func newLedger() *ledger {
@@ -179,6 +181,7 @@
 func (l *ledger) violations(checkTiming bool) (found []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.unexplained = nil
 	report := func(r *request, format string, args ...any) {
 		found = append(found, fmt.Sprintf("request %s at gateway %d, sent %s: ", r.id, r.gateway, r.sent.Format(timeFormat))+fmt.Sprintf(format, args...))
 	}
--- a/internal/soak/life.go
+++ b/internal/soak/life.go
@@ -99,6 +99,7 @@
 
 	mu             sync.Mutex // Guards the fields below.
 	lastReadAt     time.Time  // When bytes were last received; zero before.
+	lastWriteAt    time.Time  // When bytes were last sent; zero before.
 	err            error      // Error that showed the end by the gateway; nil before.
 	errAt          time.Time
 	closedByCaller bool // The caller has closed the connection.
@@ -125,10 +126,17 @@
 // Write writes, and records the end of the connection.
 func (t *trackedConn) Write(b []byte) (n int, err error) {
 	n, err = t.Conn.Write(b)
+	t.recordWrite()
 	t.record(0, err)
 	return n, err
 }
 
+func (t *trackedConn) recordWrite() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lastWriteAt = time.Now()
+}
+
 func (t *trackedConn) record(read int, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -164,6 +172,13 @@
 	return t.lastReadAt
 }
 
+// lastWrite returns when bytes were last sent; zero for never.
+func (t *trackedConn) lastWrite() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastWriteAt
+}
+
 // recordConn records that a request is sent on a connection. The caller holds mu.
 func (l *ledger) recordConn(r *request, conn net.Conn) {
 	t, ok := conn.(*trackedConn)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -73,6 +73,7 @@
 	KilledGateways int // Gateway processes that the soak killed.
 	Outcomes       Outcomes
 	Violations     []string
+	Evidence       []string // Log lines of gateways about requests whose connections ended without an explanation.
 }
 
 // minServedShare is the share of the requests that must be served from settleTime after the start of
@@ -108,7 +109,8 @@
 	began := time.Now()
 	runCtx, stop := context.WithDeadline(ctx, began.Add(cfg.Length))
 	defer stop()
-	var callers, faults errgroup.Group
+	var callers, faults, watch errgroup.Group
+	watch.Go(func() error { s.ledger.watchStalls(runCtx); return nil })
 	for g := range cfg.Gateways {
 		for n := range cfg.Callers {
 			c := newCaller(s, g, n)
@@ -127,11 +129,18 @@
 	if err := callers.Wait(); err != nil {
 		return r, err
 	}
+	stop()
+	if err := watch.Wait(); err != nil {
+		return r, err
+	}
 	if err := ctx.Err(); err != nil {
 		return r, err // The run was aborted: its observations are incomplete.
 	}
 	r = s.report(began, max(last, time.Since(began)-cfg.Length))
 	r.Faults = len(list)
+	if r.Evidence, err = s.quoteLogs(); err != nil {
+		return r, err
+	}
 	r.Outcomes.closedByCause, err = s.closedByGateways()
 	return r, err
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -57,10 +57,24 @@
 	if callers > 0 {
 		cfg.Callers = callers
 	}
-	cfg.Length, cfg.Daemon, cfg.Dir, cfg.CheckTiming, cfg.Log = 16*time.Second, daemon, t.TempDir(), false, t.Output()
+	cfg.Length, cfg.Daemon, cfg.Dir, cfg.CheckTiming, cfg.Log = 16*time.Second, daemon, keptDir(t), false, t.Output()
 	return cfg
 }
 
+// keptDir returns a temporary directory that is kept if the test fails.
+func keptDir(t *testing.T) string {
+	dir, err := os.MkdirTemp("", "soak-")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logs are kept in %s", dir)
+			return
+		}
+		NewWithT(t).Expect(os.RemoveAll(dir)).To(Succeed())
+	})
+	return dir
+}
+
 // manyCallers is a number of callers for bugs that affect only a few requests in a thousand.
 const manyCallers = 8
 
@@ -90,7 +104,7 @@
 			g := NewWithT(t)
 			r, err := Run(context.Background(), shortConfig(t, tc.seed, tc.kinds, tc.callers, daemon))
 			g.Expect(err).NotTo(HaveOccurred())
-			g.Expect(r.Violations).To(BeEmpty())
+			g.Expect(r.Violations).To(BeEmpty(), "%s", strings.Join(r.Evidence, "\n"))
 			g.Expect(r.Served).To(BeNumerically(">", 0))
 		})
 	}
