internal/daemon, keepalive: unused connections keep their time in a planned stop

Callers saw: beside load, a first request on a new connection to a gateway in its planned stop ended with no answer (EOF).

Cause: listeners closed 0.5 s before the end of the stop, while an unused connection is kept for 2 s; and unused connections were closed 2 s after the signal although the process ran on for up to 5 s.

Evidence: the gateways' lines about these connections: accepted 6.6 to 6.9 s after SIGTERM, closed as process-end after 0.76 to 0.97 s without a byte, the request written 0.03 to 0.7 s later; and one closed as 'planned stop, nothing received' 2 s after the signal, its request written 0.15 s later.

Fix: listeners close 2.4 s before the end, so that the connection accepted last has its 2 s; an unused connection is kept to the end of the stop. Later callers are refused by the kernel and know that nothing was sent.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -27,9 +27,9 @@
 	stopAcceptTime = 3500 * time.Millisecond
 	// stopMargin is how long before the end of the grace period the stop ends.
 	stopMargin = 700 * time.Millisecond
-	// stopClosedTime is how long before stopMargin no new connections are accepted, so that
-	// accepted requests can end.
-	stopClosedTime = 500 * time.Millisecond
+	// stopClosedTime is how long before stopMargin the listeners are closed, so that the connection
+	// accepted last is kept for its whole time without a request, and accepted requests can end.
+	stopClosedTime = keepalive.ListenerCloseTime + keepalive.StopNewConnTimeout + stopDrainMargin
 	// stopDrainMargin is how long before stopMargin idle connections are closed, so that the stop
 	// ends as drained.
 	stopDrainMargin = 150 * time.Millisecond
--- a/internal/keepalive/keepalive.go
+++ b/internal/keepalive/keepalive.go
@@ -28,9 +28,10 @@
 
 const transitMargin = idletimeout.TransitMargin
 
-// stopNewConnTimeout is the default of Config.StopNewConnTimeout. It can be short because a caller
+// StopNewConnTimeout is the default of Config.StopNewConnTimeout, and the time that a process with a
+// GracePeriod leaves between the close of its listeners and its end. It can be short because a caller
 // usually sends its request as soon as it is connected.
-const stopNewConnTimeout = 2 * time.Second
+const StopNewConnTimeout = 2 * time.Second
 
 // minAdvertised is the shortest keep-alive timeout that is advertised. A caller to whom none is
 // advertised uses the next published limit, which this instance may not know yet.
@@ -51,8 +52,9 @@
 	// because callers do not know the published limits.
 	StopAtAdvertised bool
 	// StopNewConnTimeout limits how long a connection without a request is kept in a planned
-	// stop, counted from the later of its opening and the start of the stop; 0 for
-	// stopNewConnTimeout. Clients that connect in advance need longer.
+	// stop of unknown length, counted from the later of its opening and the start of the stop; 0
+	// for the default. Clients that connect in advance need longer. With a GracePeriod such a
+	// connection is kept until the end of the stop.
 	StopNewConnTimeout time.Duration
 }
 
@@ -218,8 +220,9 @@
 }
 
 // chooseTimeout chooses the timeout of an idle connection. Special rules come first: for a
-// connection that its caller may believe usable after the end of the process, for a planned stop,
-// and for a connection that has carried no request while the limit is below ReadHeaderTimeout.
+// connection that its caller may believe usable after the end of the process, or that it may have
+// opened in advance, for a planned stop, and for a connection that has carried no request while the
+// limit is below ReadHeaderTimeout.
 // Otherwise the timeout is the published limit or the advertised timeout, each with a margin,
 // whichever is longer.
 func (t *Tracker) chooseTimeout(i idlePeriod) idleTimeout {
@@ -228,11 +231,11 @@
 	limit := t.limits.Longest(i.since)
 	stopping := !t.stopBegan.IsZero()
 	switch {
-	case t.usableAfterExit(i):
+	case stopping && i.isNew && t.cfg.GracePeriod > 0, t.usableAfterExit(i):
 		return idleTimeout{cause: Stopped, setting: "end of the planned stop", timeout: t.stopBegan.Add(t.cfg.GracePeriod).Sub(i.since)}
 	case stopping && i.isNew:
 		before := max(t.stopBegan.Sub(i.since), 0) // A client may connect in advance.
-		return idleTimeout{cause: Stopped, setting: "planned stop, nothing received", timeout: before + cmp.Or(t.cfg.StopNewConnTimeout, stopNewConnTimeout)}
+		return idleTimeout{cause: Stopped, setting: "planned stop, nothing received", timeout: before + cmp.Or(t.cfg.StopNewConnTimeout, StopNewConnTimeout)}
 	case stopping && t.cfg.StopAtAdvertised && i.advertised > 0:
 		return idleTimeout{cause: Stopped, setting: "planned stop, advertised to the caller", timeout: i.advertised + transitMargin}
 	case i.isNew && limit.Idle < t.cfg.ReadHeaderTimeout:
@@ -339,6 +342,9 @@
 // once would reset connections that callers have already established.
 const closeAcceptTime = 50 * time.Millisecond
 
+// ListenerCloseTime is how long after CloseListeners the last connection is accepted.
+const ListenerCloseTime = closeAcceptTime + pendingAcceptTime
+
 // CloseListeners makes the listeners accept the connections that callers have already established
 // and then close, because closing a listener resets those connections and loses their requests.
 func (t *Tracker) CloseListeners(now time.Time) (err error) {
--- a/internal/keepalive/moments_test.go
+++ b/internal/keepalive/moments_test.go
@@ -222,3 +222,23 @@
 		})
 	}
 }
+
+// Guards against a stop that closes unused connections long before the process ends, while their
+// callers may still send a first request.
+func TestAPlannedStopKeepsUnusedConnectionsUntilItsEnd(t *testing.T) {
+	t.Parallel()
+	cfg := longIdleConfig()
+	cfg.GracePeriod, cfg.StopNewConnTimeout = testTimeout, time.Millisecond
+	s := newTestServer(t, cfg)
+	list := make([]*caller, connCount)
+	for i := range list {
+		list[i] = s.dial(t, fmt.Sprint("new", i))
+	}
+	NewWithT(t).Eventually(s.OpenConns, testTimeout).Should(Equal(connCount))
+	s.Stop(time.Now())
+	time.Sleep(100 * cfg.StopNewConnTimeout)
+	forEachCaller(t, list, func(_ int, c *caller) error {
+		_, err := c.roundTrip()
+		return err
+	})
+}
