internal/soak: tell suspensions and overlapping processes apart

Two violations of the short soak beside load were the soak's own:

A connection to the process before took so long that its dial overlapped the start of the next one, which then counted as connected: its line 'start' came 45 to 104 ms after the refusals. A connection that overlaps two processes now counts for neither. What is cut without a suspension, or on an earlier connection, stays a violation (cases of TestConnEndIsExplainedByFaultsOnItsPath).

--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -29,6 +29,7 @@
 	outcomeCutByKill
 	outcomeAbortedByKill
 	outcomeCutSentLate
+	outcomeCutAfterSuspension
 	outcomeAbortedByEndpoint
 	outcomeAbortedAtTimeout
 	outcomeCut
@@ -38,7 +39,7 @@
 
 var outcomeNames = [outcomeCount]string{"answered", "refused", "failed", "no connection, none was taken", "given up by the caller, its gateway was suspended",
 	"given up by the caller, its time was over", "under way as the run ended", "cut, no answer: its gateway's process was killed", "broken off: its gateway's process was killed",
-	"cut, no answer: sent after its connection's time", "broken off: its endpoint ended, broke off or was cut off",
+	"cut, no answer: sent after its connection's time", "cut, no answer: its gateway was suspended in a planned stop and ended at once", "broken off: its endpoint ended, broke off or was cut off",
 	"broken off: its time was over", "cut, no answer", "broken off"}
 
 // outcomeOf returns how a request ended. The end of its connection is explained only by faults of
@@ -73,6 +74,8 @@
 		return outcomeAbortedByKill
 	case r.status == 0 && (r.idle != nil && r.idle.late || r.late()) && len(r.runs) == 0:
 		return outcomeCutSentLate
+	case r.status == 0 && l.connectedAfterSuspension(r):
+		return outcomeCutAfterSuspension
 	case r.status == 0:
 		return outcomeCut
 	case r.answeredBadly() || slices.ContainsFunc(r.runs, func(run standin.Run) bool { return l.endpointDisrupted(run, r.gateway, at) }):
@@ -90,6 +93,21 @@
 	return r.idle == nil && r.idleTime > time.Duration(usableIdleShare*float64(slices.Min(idleTimeouts[:])))
 }
 
+// lastAcceptTime is how long after SIGTERM a gateway that is not suspended accepts connections: each
+// can still carry a first request before the end of the grace period.
+const lastAcceptTime = gracePeriod - 2500*time.Millisecond
+
+// connectedAfterSuspension reports whether a request was the first one on a connection that was made
+// after lastAcceptTime, to a gateway that had been suspended in its planned stop: it resumed when it
+// should have closed its listener already. The caller holds mu.
+func (l *ledger) connectedAfterSuspension(r *request) bool {
+	list := l.incarnationsDuring(r.gateway, r.conn.dialed)
+	if len(list) != 1 || list[0].termAt.IsZero() || r.idleTime > 0 || len(r.runs) > 0 {
+		return false
+	}
+	return r.conn.dialed.to.Sub(list[0].termAt) > lastAcceptTime && l.killedOrPaused(r.gateway, list[0].termAt, r.conn.dialed.to)
+}
+
 // endpointDisrupted reports whether, after a run began and before a given time, its endpoint ended
 // or the link between endpoint and gateway was disrupted. The caller holds mu.
 func (l *ledger) endpointDisrupted(run standin.Run, gateway int, before time.Time) bool {
--- a/internal/soak/ends_test.go
+++ b/internal/soak/ends_test.go
@@ -31,6 +31,7 @@
 	}
 	running := &incarnation{name: "gateway-2", pid: 2, startAt: start, connectedAt: at(1)}
 	stopping := &incarnation{name: "gateway-2", pid: 3, startAt: start, connectedAt: at(1), termAt: at(2), endAt: at(3.3)}
+	suspended := &incarnation{name: "gateway-2", pid: 5, startAt: at(-10), connectedAt: at(-9), termAt: at(-3), endAt: at(3.3)}
 	restarted := &incarnation{name: "gateway-2", pid: 4, startAt: at(2.5), connectedAt: at(2.6)}
 	ran := []standin.Run{{Endpoint: "east-1", At: at(3.1), ID: "2-1-1"}}
 	truncated := []standin.Run{{Endpoint: "east-1", At: at(3.1), ID: "2-1-1", Behaviour: standin.Truncates}}
@@ -47,6 +48,7 @@
 		endpointExitAt float64 // When the endpoint ended; 0 for never.
 		linkFaultAt    float64 // When the endpoint's link was disrupted; 0 for never.
 		paused         bool
+		pausedAt       float64 // When the process was suspended for 0.5 s before the request; 0 for never.
 		refusedAt      float64 // When the connection was refused; 0 for never.
 		want           outcome
 		violation      string // "" for none.
@@ -63,6 +65,11 @@
 		{name: "cut at a running process", processes: []*incarnation{running}, dialedAt: 2, want: outcomeCut, violation: "200ms after it was sent, 300ms after a change"},
 		{name: "cut while its process was suspended", processes: []*incarnation{running}, dialedAt: 2, paused: true, want: outcomeCut, violation: "cut, no answer"},
 		{name: "cut in a planned stop", processes: []*incarnation{stopping}, dialedAt: 2, want: outcomeCut, violation: "SIGTERM at"},
+		{name: "cut after a suspension in a planned stop", processes: []*incarnation{suspended}, dialedAt: 3, pausedAt: 0.5, want: outcomeCutAfterSuspension},
+		{name: "cut after a suspension in a planned stop, on an earlier connection", processes: []*incarnation{suspended}, dialedAt: 2, pausedAt: 0.5, want: outcomeCut, violation: "SIGTERM at"},
+		{name: "cut after a suspension in a planned stop, but it ran", processes: []*incarnation{suspended}, dialedAt: 3, pausedAt: 0.5, runs: ran, want: outcomeCut, violation: "SIGTERM at"},
+		{name: "cut late in a planned stop without a suspension", processes: []*incarnation{suspended}, dialedAt: 3, want: outcomeCut, violation: "SIGTERM at"},
+		{name: "cut late in a planned stop, suspended before it", processes: []*incarnation{suspended}, dialedAt: 3, pausedAt: -5, want: outcomeCut, violation: "SIGTERM at"},
 		{name: "aborted in a planned stop", processes: []*incarnation{stopping}, dialedAt: 2, status: http.StatusOK, runs: ran, want: outcomeAborted, violation: "broken off"},
 		{name: "aborted by a kill", processes: []*incarnation{killedProcess(3.1, 3.15, syscall.SIGKILL)}, dialedAt: 2, status: http.StatusOK, runs: ran, want: outcomeAbortedByKill},
 		{name: "aborted by an endpoint", processes: []*incarnation{running}, dialedAt: 2, status: http.StatusOK, runs: truncated, want: outcomeAbortedByEndpoint},
@@ -109,6 +116,9 @@
 			if tc.paused {
 				l.killsAndPauses[2] = []span{{at(3.1), at(4)}}
 			}
+			if tc.pausedAt != 0 {
+				l.killsAndPauses[2] = []span{{at(tc.pausedAt), at(tc.pausedAt + 0.5)}}
+			}
 			l.addRequest(r)
 			g.Expect(outcomeNames[l.outcomeOf(r)]).To(Equal(outcomeNames[tc.want]))
 			var found []string
@@ -122,6 +132,22 @@
 	}
 }
 
+// Guards against blaming a process that is still starting for refusing connections, because the
+// connection to the process before it took long.
+func TestAConnectionThatOverlapsTwoProcessesIsOfNeither(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Now()
+	before, after := &incarnation{endAt: start.Add(time.Second)}, &incarnation{startAt: start.Add(2 * time.Second)}
+	l := newLedger()
+	l.processes[2] = []*incarnation{before, after}
+	for _, dialed := range []span{{start.Add(time.Second / 2), start.Add(3 * time.Second)}, {start.Add(3 * time.Second), start.Add(4 * time.Second)}} {
+		g.Expect(after.connectedAt).To(BeZero())
+		l.recordConn(&request{gateway: 2}, &trackedConn{Conn: unusedConn{}, dialed: dialed})
+	}
+	g.Expect(before.connectedAt).To(BeZero())
+	g.Expect(after.connectedAt).To(Equal(start.Add(4 * time.Second)))
+}
+
 // unusedConn is a connection on which nothing is read or written.
 type unusedConn struct{ net.Conn }
 
--- a/internal/soak/life.go
+++ b/internal/soak/life.go
@@ -189,10 +189,8 @@
 	if last := t.lastRead(); !last.IsZero() {
 		r.idleTime = time.Since(last)
 	}
-	for _, process := range l.incarnationsDuring(r.gateway, t.dialed) {
-		if process.connectedAt.IsZero() {
-			process.connectedAt = t.dialed.to
-		}
+	if list := l.incarnationsDuring(r.gateway, t.dialed); len(list) == 1 && list[0].connectedAt.IsZero() {
+		list[0].connectedAt = t.dialed.to
 	}
 }
 
