internal/dialer: a late process blames no peer for a handshake that was answered

Callers saw: beside load, 503 with a Retry-After of 1 or 2 s, tries 'unreached: dial tcp4 ...: i/o timeout' (0.25 s) at an endpoint that lived; it was ejected for 1 s, then 2 s.

Cause: net.Dialer counts its timeout by a timer of this process. Where the process does not get to run, the timer expires before the goroutine sees that the kernel has completed the handshake.

Fix: only a handshake that the kernel still waits for is abandoned, and only by a timer that fires in time. The limit stays.

--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -13,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/roster"
+	"github.com/canvaspulley/canvaspulley/internal/dialer"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
@@ -93,7 +93,7 @@
 // connections.
 func NewPeerExchange(cfg PeerExchangeConfig, g *Gateway, socket *peers.Socket, log *zap.Logger) (n *PeerExchange, cleanup func()) {
 	t := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: fetchTimeout}).DialContext,
+		DialContext:         dialer.New("", fetchTimeout, 0).DialContext,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     peers.ClientIdleTimeout,
 	}
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -7,13 +7,13 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/canvaspulley/canvaspulley/internal/dialer"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
@@ -127,7 +127,7 @@
 }
 
 func newPeerClient(cfg Config) (c *peerClient, cleanup func()) {
-	d := &net.Dialer{Timeout: engineTimeout}
+	d := dialer.New("", engineTimeout, 0)
 	t := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: peers.ClientIdleTimeout, DisableCompression: true}
 	return &peerClient{client: &http.Client{Transport: t}, port: cfg.PeersPort}, t.CloseIdleConnections
 }
--- a/internal/upstream/churn_test.go
+++ b/internal/upstream/churn_test.go
@@ -19,6 +19,8 @@
 	. "github.com/onsi/gomega"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sys/unix"
+
+	"github.com/canvaspulley/canvaspulley/internal/dialer"
 )
 
 // flakyEndpoint is an endpoint that closes connections at random: with or without announcing it,
@@ -146,7 +148,7 @@
 	f := newFlakyEndpoint(t)
 	var opened atomic.Int64
 	p, cleanup := NewPool("", func() { opened.Add(1) })
-	p.dialer.Timeout = time.Minute // So that dialing succeeds on a busy machine.
+	p.dialer = dialer.New("", time.Minute, noKeepAlive) // So that dialing succeeds on a busy machine.
 	n := &outcomes{results: map[Progress][]string{}}
 	done := make(chan struct{})
 	var closing, sending errgroup.Group
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -15,6 +15,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/canvaspulley/canvaspulley/internal/dialer"
 )
 
 // Timeouts and sizes of connections.
@@ -22,6 +24,7 @@
 	// dialTimeout limits connecting: far above a round trip between failure domains, and short
 	// enough to try another endpoint in time.
 	dialTimeout = 250 * time.Millisecond
+	noKeepAlive = -1 // TCP_USER_TIMEOUT detects a lost peer.
 	// unackedLimit closes a connection whose peer acknowledges nothing, so that a network failure
 	// is detected; it is longer than the first retransmissions of a lost packet take.
 	unackedLimit = 2500 * time.Millisecond
@@ -55,7 +58,7 @@
 
 // Pool keeps idle connections by endpoint.
 type Pool struct {
-	dialer *net.Dialer
+	dialer dialer.Dialer
 	mu     sync.Mutex
 	idle   map[string][]*Conn // By endpoint id, the most recently used last; guarded by mu.
 	onOpen func()             // Called for each new connection.
@@ -64,11 +67,7 @@
 // NewPool returns an empty pool whose connections come from the address source, if it is not "". It
 // calls onOpen for each new connection. The returned function closes the idle connections.
 func NewPool(source string, onOpen func()) (p *Pool, cleanup func()) {
-	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
-	if source != "" {
-		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
-	}
-	p = &Pool{dialer: d, idle: map[string][]*Conn{}, onOpen: onOpen}
+	p = &Pool{dialer: dialer.New(source, dialTimeout, noKeepAlive), idle: map[string][]*Conn{}, onOpen: onOpen}
 	return p, p.closeAll
 }
 
