internal/upstream: an answer that has arrived is not silent

Cause: the silence was judged by a timer of this process, as dials were. A read deadline that is over is reported by net although bytes wait in the socket.

Evidence: TestAnAnswerThatArrivedIsNotSilent failed ('the answer was silent for too long') with the whole answer in the socket.

Fix: at the end of the tolerated silence the socket is asked first. What has arrived is read, and the time starts again with it.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -41,7 +41,7 @@
 // Conn is a connection to an endpoint. It is used by one caller at a time.
 type Conn struct {
 	endpoint    string
-	nc          net.Conn
+	nc          *net.TCPConn
 	raw         *input
 	longWrites  *longWriteGuard
 	br          *bufio.Reader // Reads from raw.
@@ -90,19 +90,19 @@
 			return c, nil
 		}
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp4", address)
+	dialed, err := p.dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connection to endpoint %s", endpoint)
 	}
 	p.onOpen()
-	tc := nc.(*net.TCPConn)
-	if err := setUnackedLimit(tc, unackedLimit); err != nil {
+	nc := dialed.(*net.TCPConn)
+	if err := setUnackedLimit(nc, unackedLimit); err != nil {
 		_ = nc.Close()
 		return nil, errors.Wrap(err, "setting TCP_USER_TIMEOUT")
 	}
 	in := &input{nc: nc}
 	return &Conn{
-		endpoint: endpoint, nc: nc, raw: in, longWrites: &longWriteGuard{nc: tc, onLost: in.closeUnacked}, br: bufio.NewReaderSize(in, readBufferSize),
+		endpoint: endpoint, nc: nc, raw: in, longWrites: &longWriteGuard{nc: nc, onLost: in.closeUnacked}, br: bufio.NewReaderSize(in, readBufferSize),
 		idleTimeout: defaultIdleTimeout, idleSince: time.Now(),
 	}, nil
 }
@@ -183,7 +183,7 @@
 // isQuiet reports whether nothing has arrived on an idle connection, neither bytes of a late answer
 // nor the end of the connection.
 func (c *Conn) isQuiet() bool {
-	raw, err := c.nc.(*net.TCPConn).SyscallConn()
+	raw, err := c.nc.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
 // ErrSilent means that a SilenceWatch abandoned an answer. Its connection cannot be used any more.
@@ -25,7 +26,7 @@
 // input reads from a connection. The watch is applied here, below all buffered readers, because
 // only here it is known that nothing has arrived.
 type input struct {
-	nc            net.Conn
+	nc            *net.TCPConn
 	watch         *SilenceWatch // Nil if silence is not limited.
 	deadline      time.Time     // Deadline of the request; valid while watch is set.
 	closedUnacked atomic.Bool   // The connection was closed because nothing was acknowledged.
@@ -40,7 +41,8 @@
 
 // Read implements io.Reader. With a watch, it sets the read deadline to the end of the tolerated
 // silence, and restores the request's deadline afterwards. It reads without the watch if that end is
-// not before the request's deadline.
+// not before the request's deadline. What has arrived by the end of the silence is read: this process
+// may have got no chance to read it.
 func (in *input) Read(p []byte) (n int, err error) {
 	defer func() {
 		if err != nil && in.closedUnacked.Load() {
@@ -59,16 +61,30 @@
 		return 0, err
 	}
 	n, err = in.nc.Read(p)
-	if silent := n == 0 && errors.Is(err, os.ErrDeadlineExceeded); silent && in.watch.Abandon(time.Since(began)) {
+	silent := n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
+	late := silent && isReadable(in.nc)
+	switch {
+	case late:
+	case silent && in.watch.Abandon(time.Since(began)):
 		return 0, ErrSilent
-	} else if silent {
-		in.watch, n, err = nil, 0, nil
+	case silent:
+		in.watch = nil
 	}
 	if resetErr := in.nc.SetReadDeadline(in.deadline); resetErr != nil {
 		return n, errors.CombineErrors(err, resetErr)
 	}
-	if in.watch == nil {
+	if silent {
 		return in.nc.Read(p)
 	}
 	return n, err
 }
+
+// isReadable reports whether bytes or the end of a connection have arrived and are not read yet.
+func isReadable(nc *net.TCPConn) (readable bool) {
+	err := withFD(nc, func(fd int) error {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		readable = n > 0
+		return err
+	})
+	return err == nil && readable
+}
--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -117,3 +117,27 @@
 	_, err = x.ReadWhole(1 << 10)
 	g.Expect(err).To(HaveOccurred())
 }
+
+// Guards against abandoning an answer that arrived in time, but was not read because this process did
+// not get to run.
+func TestAnAnswerThatArrivedIsNotSilent(t *testing.T) {
+	for name, answer := range map[string]string{"bytes": head + "1\r\na\r\n0\r\n\r\n", "bytes and the end": "HTTP/1.1 200 OK\r\n\r\na"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			x, r := exchangeWith(t, func(c net.Conn) {
+				write(c, answer)
+				g.Expect(c.(*net.TCPConn).CloseWrite()).To(Succeed())
+			})
+			g.Eventually(func() bool { return isReadable(x.conn.nc) }, "20s").Should(BeTrue())
+			x.Watch(SilenceWatch{
+				Timeout: func() time.Duration { return -time.Second }, // It is over before the answer is read.
+				Abandon: func(time.Duration) bool { return true },
+			})
+			_, err := x.Head(r, anyAnswer)
+			g.Expect(err).NotTo(HaveOccurred())
+			body, err := x.ReadWhole(1 << 10)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(string(body)).To(Equal("a"))
+		})
+	}
+}
