internal/upstream, gateway: a moved stream keeps the events that have arrived

Cause: moveRequests closed the connection, and events that had arrived but were not read by the gateway were lost with it.

Fix: Conn.Interrupt ends the answer after the bytes that have arrived. They are read and passed on, and the stream goes on after the last of them.

--- a/internal/gateway/vacate.go
+++ b/internal/gateway/vacate.go
@@ -38,8 +38,8 @@
 }
 
 // moveRequests moves this process's requests away from an endpoint, as far as the retry budget
-// allows: it closes their connections, and each request continues at another rank after the last
-// event that its caller received.
+// allows: it interrupts their answers, and each request continues at another rank after the last
+// event that has arrived.
 func (g *Gateway) moveRequests(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -53,7 +53,7 @@
 		g.stats.moved.Inc(1)
 		q.moved = true
 		g.log.Info("request moved", zap.String("id", q.call.ID), zap.String("from", id))
-		attempt.conn.Close()
+		attempt.conn.Interrupt()
 	}
 }
 
--- a/internal/gateway/vacate_test.go
+++ b/internal/gateway/vacate_test.go
@@ -77,6 +77,51 @@
 	}
 }
 
+// Guards against losing events that a slow rank has sent when its stream is moved before the gateway
+// reads them: the other rank would generate them again.
+func TestAMovedStreamKeepsTheEventsThatHaveArrived(t *testing.T) {
+	g := NewWithT(t)
+	reading, moved, sent := make(chan struct{}), make(chan struct{}), make(chan int, 1)
+	rest := newStreamingEndpoint(0)
+	rank := func(i int) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get(headerLast) != "" {
+				rest.ServeHTTP(w, r)
+				return
+			}
+			beginStream(w, r)
+			for n := 1; n <= 2; n++ {
+				fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
+				w.(http.Flusher).Flush()
+				<-reading // The gateway has read the first event only.
+			}
+			sent <- i
+			<-r.Context().Done()
+		}
+	}
+	s := newSite(t, rank(0), rank(1))
+	var first, allow sync.Once
+	letMove := func() { allow.Do(func() { close(moved) }) }
+	t.Cleanup(letMove) // Runs before the servers are closed.
+	s.codec.EventWeights = func([]byte) (string, bool) {
+		first.Do(func() {
+			close(reading)
+			<-moved
+		})
+		return "", false
+	}
+	s.reportLoad(0, 0, 1)
+	s.reportLoad(1, 0, 1)
+	wait := s.startStream(g, "one", "")
+	var slow int
+	g.Eventually(sent, testTimeout).Should(Receive(&slow))
+	s.reportLoad(slow, 1, 12)
+	g.Expect(s.stats.moved.Count()).To(BeEquivalentTo(1))
+	letMove()
+	wait()
+	g.Expect(rest.startEvents()).To(Equal([]int{3}))
+}
+
 // A caller that leaves while its answer is still being written ends no request but its own: the
 // connection to the endpoint may serve another request by then.
 func TestACallerThatLeavesEndsNoOtherRequest(t *testing.T) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -77,6 +77,9 @@
 func (c *Conn) Send(r *Request, deadline time.Time) (x *Exchange, err error) {
 	defer func() { err = errors.Wrap(err, "sending") }()
 	x = &Exchange{conn: c, deadline: deadline}
+	if c.raw.interrupted.Load() {
+		return x, errInterrupted
+	}
 	raw, err := r.encode()
 	if err != nil {
 		return x, err
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -53,6 +53,10 @@
 // Reused reports whether the connection has carried an answer before.
 func (c *Conn) Reused() bool { return c.answers > 0 }
 
+// Interrupt ends the answer that is read from the connection: reads return what has arrived, and then an
+// error. It may be called during a read, and by any goroutine.
+func (c *Conn) Interrupt() { c.raw.interrupt() }
+
 // Close ends the connection.
 func (c *Conn) Close() { _ = c.nc.Close() }
 
@@ -134,12 +138,12 @@
 }
 
 // Put returns a connection to the pool. The connection must have carried nothing since Get, or its
-// answer must have been read to its end. Put closes a connection if bytes after the answer are
-// buffered. If the endpoint already has maxIdlePerEndpoint idle connections, it closes the least
+// answer must have been read to its end. Put closes a connection that was interrupted, or if bytes
+// after the answer are buffered. If the endpoint already has maxIdlePerEndpoint idle connections, it closes the least
 // recently used of them.
 func (p *Pool) Put(c *Conn) {
-	if c.br.Buffered() > 0 {
-		c.Close() // The buffered bytes belong to no request.
+	if c.br.Buffered() > 0 || c.raw.interrupted.Load() {
+		c.Close() // Buffered bytes belong to no request.
 		return
 	}
 	if err := c.nc.SetDeadline(time.Time{}); err != nil { // Clears the deadline of the last request.
--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -30,6 +30,8 @@
 	watch         *SilenceWatch // Nil if silence is not limited.
 	deadline      time.Time     // Deadline of the request; valid while watch is set.
 	closedUnacked atomic.Bool   // The connection was closed because nothing was acknowledged.
+	interrupted   atomic.Bool   // Set by interrupt.
+	arrived       atomic.Int64  // Bytes that had arrived when the answer was interrupted and are not read yet.
 }
 
 // closeUnacked closes the connection because its peer acknowledges nothing. Reads then return
@@ -39,16 +41,72 @@
 	_ = in.nc.Close() // Reads end even if it fails.
 }
 
-// Read implements io.Reader. With a watch, it sets the read deadline to the end of the tolerated
-// silence, and restores the request's deadline afterwards. It reads without the watch if that end is
-// not before the request's deadline. What has arrived by the end of the silence is read: this process
-// may have got no chance to read it.
+// errInterrupted means that Conn.Interrupt ended the answer. Its connection cannot be used any more.
+var errInterrupted = errors.New("the answer was interrupted")
+
+// expired is a read deadline that is over.
+var expired = time.Unix(1, 0)
+
+// interrupt ends the answer after the bytes that have arrived. It does not wait for them to be read.
+func (in *input) interrupt() {
+	_ = withFD(in.nc, func(fd int) error { // Nothing is read from a closed connection.
+		n, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
+		in.arrived.Store(int64(n))
+		return err
+	})
+	in.interrupted.Store(true)
+	_ = in.nc.SetReadDeadline(expired) // As above. Ends a read in progress.
+}
+
+// setReadDeadline sets the read deadline unless the answer is interrupted: then it stays expired.
+func (in *input) setReadDeadline(t time.Time) error {
+	err := in.nc.SetReadDeadline(t)
+	if in.interrupted.Load() {
+		err = in.nc.SetReadDeadline(expired)
+	}
+	return err
+}
+
+// readArrived reads what had arrived when the answer was interrupted, and then returns
+// errInterrupted.
+func (in *input) readArrived(p []byte) (n int, err error) {
+	for {
+		left := in.arrived.Load()
+		if left <= 0 || !isReadable(in.nc) {
+			return 0, errInterrupted
+		}
+		if err = in.nc.SetReadDeadline(time.Time{}); err != nil { // The read does not wait.
+			return 0, err
+		}
+		n, err = in.nc.Read(p[:min(int64(len(p)), left)])
+		in.arrived.Add(-int64(n))
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) { // Otherwise interrupt set its deadline in between.
+			return n, err
+		}
+	}
+}
+
+// Read implements io.Reader. Once the answer is interrupted, it returns only what had arrived by then.
 func (in *input) Read(p []byte) (n int, err error) {
 	defer func() {
 		if err != nil && in.closedUnacked.Load() {
 			err = errUnacked
 		}
 	}()
+	if !in.interrupted.Load() {
+		n, err = in.readWatched(p)
+	}
+	if n == 0 && in.interrupted.Load() && (err == nil || errors.Is(err, os.ErrDeadlineExceeded)) {
+		return in.readArrived(p)
+	}
+	return n, err
+}
+
+// readWatched reads. With a watch, it sets the read deadline to the end of the tolerated
+// silence, and restores the request's deadline afterwards. It reads without the watch if that end is
+// not before the request's deadline. What has arrived by the end of the silence is read: this process
+// may have got no chance to read it.
+func (in *input) readWatched(p []byte) (n int, err error) {
 	if in.watch == nil {
 		return in.nc.Read(p)
 	}
@@ -57,11 +115,14 @@
 	if !until.Before(in.deadline) { // The request's deadline is already set.
 		return in.nc.Read(p)
 	}
-	if err = in.nc.SetReadDeadline(until); err != nil {
+	if err = in.setReadDeadline(until); err != nil {
 		return 0, err
 	}
 	n, err = in.nc.Read(p)
 	silent := n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
+	if silent && in.interrupted.Load() {
+		return 0, err
+	}
 	late := silent && isReadable(in.nc)
 	switch {
 	case late:
@@ -70,7 +131,7 @@
 	case silent:
 		in.watch = nil
 	}
-	if resetErr := in.nc.SetReadDeadline(in.deadline); resetErr != nil {
+	if resetErr := in.setReadDeadline(in.deadline); resetErr != nil {
 		return n, errors.CombineErrors(err, resetErr)
 	}
 	if silent {
