internal/daemon: signals are caught until the process is gone

No caller met it, a supervisor takes it for a crash. Cause: Main's clean-up stopped catching signals before the exit.

--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -42,8 +42,7 @@
 		fmt.Fprintln(stderr, err)
 		return exitSettings
 	}
-	signalCh, cleanup := catchSignals()
-	defer cleanup()
+	signalCh, _ := catchSignals() // Caught until the process is gone, even after its last log line.
 	role, err := settings.ReadRole(o.Config)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -112,6 +114,21 @@
 	g.Expect(p.handleSignals(ctx, cancel, func() { t.Error("it ended immediately") })).To(Succeed())
 }
 
+// Guards against a SIGHUP that ends a process by the signal, although it has finished its planned stop.
+func TestASIGHUPAfterTheLastLogLineEndsNoProcess(t *testing.T) {
+	const inChild = "CANVASPULLEY_TEST_CHILD"
+	g := NewWithT(t)
+	if os.Getenv(inChild) != "" {
+		Main([]string{"--config", filepath.Join(t.TempDir(), "missing.ini")}, io.Discard)
+		g.Expect(syscall.Kill(syscall.Getpid(), syscall.SIGHUP)).To(Succeed()) // Delivered before it returns.
+		return
+	}
+	child := exec.Command(os.Args[0], "-test.run", "^"+t.Name()+"$")
+	child.Env = append(os.Environ(), inChild+"=1")
+	out, err := child.CombinedOutput()
+	g.Expect(err).NotTo(HaveOccurred(), "%s", out)
+}
+
 // Guards against a SIGHUP that ends a process or begins a planned stop.
 func TestOnlySignalsToStopBeginAPlannedStop(t *testing.T) {
 	for _, tc := range []struct {
