internal/soak: a SIGHUP meets no starting process, a proxy blames no target

Three faults of the soak's own:

The one that ended had written nothing: SIGHUP reached it before its program ran, which nothing can catch. Only a process that a caller has connected to is sent SIGHUP now, with all kinds.

--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -49,13 +49,23 @@
 			return err
 		}
 		time.Sleep(exitDowntime)
-		if err := e.proxy.reopen(); err != nil {
+		if err := s.reopenProxy(e); err != nil {
 			return err
 		}
 		return s.restartEndpoint(e)
 	})
 }
 
+// reopenProxy makes an endpoint's proxy accept connections again, unless the run is over.
+func (s *site) reopenProxy(e *siteEndpoint) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
+	return e.proxy.reopen()
+}
+
 // sendCrashing sends the same crashing request repeatedly, to all gateways in turn.
 func (s *site) sendCrashing(f fault) {
 	name := fmt.Sprintf("%s%d-%d", crashingPrefix, f.at.Milliseconds(), f.target)
--- a/internal/soak/ends_test.go
+++ b/internal/soak/ends_test.go
@@ -189,3 +189,15 @@
 	g.Expect(countCloses(file, byCause)).To(Succeed())
 	g.Expect(byCause).To(Equal(map[string]int{"idle": 2, "idle, crossed": 1}))
 }
+
+// Guards against explaining the end of a process by the last line of the process before it.
+func TestLastLineIsOfTheProcessItself(t *testing.T) {
+	g := NewWithT(t)
+	const before, own = "earlier\nstop\n", "start\nfailed\n"
+	file := filepath.Join(t.TempDir(), "gateway-0.log")
+	g.Expect(os.WriteFile(file, []byte(before), fileMode)).To(Succeed())
+	g.Expect(lastLine(file, int64(len(before)))).To(Equal("no line in its log"))
+	g.Expect(os.WriteFile(file, []byte(before+own), fileMode)).To(Succeed())
+	g.Expect(lastLine(file, int64(len(before)))).To(Equal("failed"))
+	g.Expect(lastLine(file, 0)).To(Equal("failed"))
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -404,8 +404,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.restarting = false
-	if !slices.Contains(s.endpoints, e) {
-		return nil // The endpoint was replaced meanwhile, as planned or after a crash.
+	if s.closed || !slices.Contains(s.endpoints, e) {
+		return nil // The run is over, or the endpoint was replaced, as planned or after a crash.
 	}
 	l, err := net.Listen("tcp4", e.target)
 	if err != nil {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -46,6 +47,11 @@
 	if err != nil {
 		return err
 	}
+	begin, err := out.Seek(0, io.SeekEnd)
+	if err != nil {
+		_ = out.Close()
+		return err
+	}
 	p.cmd = exec.Command(p.s.cfg.Daemon, "--config", p.file)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	began := time.Now()
@@ -72,7 +78,7 @@
 		stopRequested := p.stopRequested
 		p.mu.Unlock()
 		if !stopRequested {
-			last := lastLine(out.Name())
+			last := lastLine(out.Name(), begin)
 			p.s.ledger.do(func(l *ledger) { l.ends = append(l.ends, fmt.Sprintf("%s ended by itself: %v: %s", p.name, err, last)) })
 			p.s.logf("%s ended by itself: %v: %s", p.name, err, last)
 		}
@@ -82,14 +88,18 @@
 	return nil
 }
 
-// lastLine returns the last line of a log, which shows why a process ended by itself.
-func lastLine(file string) string {
+// lastLine returns the last line of a log, which shows why a process ended by itself. The process
+// began to write at the offset begin; what stands before is of an earlier process.
+func lastLine(file string, begin int64) string {
 	raw, err := os.ReadFile(file)
 	if err != nil {
 		return err.Error()
 	}
-	lines := strings.Split(strings.TrimSpace(string(raw)), "\n")
-	return lines[len(lines)-1]
+	text := strings.TrimSpace(string(raw[min(begin, int64(len(raw))):]))
+	if text == "" {
+		return "no line in its log"
+	}
+	return text[strings.LastIndexByte(text, '\n')+1:]
 }
 
 // signal sends a signal to the process, which may have ended. The channel is closed when the
@@ -105,15 +115,14 @@
 	return p.done
 }
 
-// reload sends SIGHUP. With AllKinds, where processes start all the time, only a process that a
-// caller has connected to is sent it: one that is still starting does not catch signals yet and
-// would end.
+// reload sends SIGHUP if a caller has connected to the process: one that is still starting does not
+// catch signals yet and would end.
 func (p *process) reload() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var reachable bool
 	p.s.ledger.do(func(*ledger) { reachable = !p.current.connectedAt.IsZero() })
-	if reachable || p.s.cfg.Kinds < AllKinds {
+	if reachable {
 		_ = p.cmd.Process.Signal(syscall.SIGHUP) // The process may have ended.
 	}
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -8,9 +8,12 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/dialer"
 )
 
 // linkFault is a fault that a proxy injects into the connections of one source address.
@@ -37,15 +40,17 @@
 type proxy struct {
 	listener net.Listener
 	target   string
+	logf     func(format string, args ...any)
 	mu       sync.Mutex
 	faults   map[string]linkFault // Faults by source IP address.
 	conns    map[net.Conn]string  // Open connections with their source IP addresses.
 	group    errgroup.Group
 }
 
-// newProxy starts a proxy that accepts the connections of l. cleanup stops it.
-func newProxy(l net.Listener, target string) (p *proxy, cleanup func()) {
-	p = &proxy{listener: l, target: target, faults: map[string]linkFault{}, conns: map[net.Conn]string{}}
+// newProxy starts a proxy that accepts the connections of l. cleanup stops it. logf is told of
+// connections that the proxy resets without a fault.
+func newProxy(l net.Listener, target string, logf func(format string, args ...any)) (p *proxy, cleanup func()) {
+	p = &proxy{listener: l, target: target, logf: logf, faults: map[string]linkFault{}, conns: map[net.Conn]string{}}
 	p.group.Go(func() error { return p.accept(l) })
 	return p, p.close
 }
@@ -119,15 +124,16 @@
 }
 
 func (p *proxy) serve(c net.Conn) {
-	source := c.RemoteAddr().(*net.TCPAddr).IP
-	from := source.String()
+	from := c.RemoteAddr().(*net.TCPAddr).IP.String()
 	if p.fault(from) == linkReset {
 		reset(c)
 		return
 	}
-	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: source}, Timeout: time.Second}
-	upstream, err := d.DialContext(context.Background(), "tcp4", p.target)
+	upstream, err := dialer.New(from, callerTimeout, 0).DialContext(context.Background(), "tcp4", p.target)
 	if err != nil {
+		if !errors.Is(err, syscall.ECONNREFUSED) { // Refused while the target is down.
+			p.logf("        the proxy of %s resets a connection of %s: %v", p.target, from, err)
+		}
 		reset(c)
 		return
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -127,7 +127,8 @@
 	revokedKeys      []string      // The name of a key contains the number of its customer.
 	idleTimeout      time.Duration // Published idle timeout; 0 for the stand-in's default.
 	endpointsStarted int
-	sidecarsPort     int // Port of the sidecars.
+	closed           bool // The run is over: endpoints are not started again.
+	sidecarsPort     int  // Port of the sidecars.
 	// activeEvacuations is the number of evacuations in progress by failure domain.
 	activeEvacuations map[string]int
 }
@@ -249,7 +250,7 @@
 	if err != nil {
 		return nil, "", err
 	}
-	p, cleanup := newProxy(l[0], target)
+	p, cleanup := newProxy(l[0], target, s.logf)
 	s.closers = append(s.closers, cleanup)
 	return p, p.listener.Addr().String(), nil
 }
@@ -463,7 +464,10 @@
 	for _, c := range s.sidecars {
 		c.proc.shutDown()
 	}
-	for _, f := range s.closers {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	for _, f := range s.closers { // Complete now.
 		f()
 	}
 	_ = s.servers.Wait() // Errors of a stand-in's server that is being closed are irrelevant.
