internal/gateway: a silent stream is kept until another rank takes it over

Cause: the connection to a silent rank was closed before the next rank was asked. Where that was the last try and failed, nothing was left, although the first rank would have gone on.

Evidence, the gateways' lines: 'silent for 302 ms' at one rank, then 'rejected without running it: 503' at the other; 'silent for 300 ms', then a reset.

Fix: the silent stream is kept while the next rank is tried. It is given up when that one has produced its next event, and read on when that one rejects, fails or ends, or when the silent one sends again before. The tries and the retry budget stay.

--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -18,14 +18,11 @@
 
 // suspicion is the state of a request that may make endpoints end.
 type suspicion struct {
-	quarantineKey   quarantine.Key
-	hasKey          bool                 // quarantineKey is computed.
-	knowledge       quarantine.Knowledge // What was known of earlier ends when the request was last sent.
-	sentBoottime    time.Time            // When that was, by the clock that counts suspensions.
-	attemptFinished bool                 // The current attempt came to its end, or was rejected.
-	endedEndpoints  int                  // Endpoints that ended during its attempts.
-	onTrial         bool                 // It is sent to find out whether it still makes endpoints end.
-	quarantinedFor  time.Duration        // Time for which it must not be sent; 0 if it may be.
+	quarantineKey  quarantine.Key
+	hasKey         bool          // quarantineKey is computed.
+	endedEndpoints int           // Endpoints that ended during its attempts.
+	onTrial        bool          // It is sent to find out whether it still makes endpoints end.
+	quarantinedFor time.Duration // Time for which it must not be sent; 0 if it may be.
 }
 
 // key returns the quarantine key, which is the same for identical requests.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/grouplimit"
+	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 )
@@ -55,25 +56,35 @@
 	waited          time.Duration       // From its arrival to the last check for capacity or an open group; 0 if it did not wait.
 	inQueue         bool                // It waits in the queue of its service.
 	lastAsk         *capacityAsk        // Last time it asked for capacity; nil before.
-	sentAt          time.Time           // When it was last sent to an endpoint.
+	attemptState
+	moved         bool          // moveRequests ended the attempt and took a retry; guarded by g.mu.
+	retryTaken    bool          // The retry for the next attempt is already taken.
+	takeover      *takeover     // Nil unless another endpoint is tried for a silent stream.
+	takenOver     bool          // Another endpoint has given the final answer of a silent stream.
+	refusedBefore bool          // The caller was refused before.
+	maybeRefused  bool          // The caller may have been refused before: too few callers were seen to be sure.
+	cursor        cursor        // Position up to which the caller has the stream.
+	firstByteAt   time.Time     // When the answer or its first event was sent to the caller.
+	events        int           // Events with data that were sent to the caller, over all attempts.
+	lastEventAt   time.Time     // When the last event was sent to the caller.
+	maxEventGap   time.Duration // Longest time between two events.
+	outcome       outcome       // Empty until the request has ended.
+	retryAfter    time.Duration // Retry-After of a refusal; 0 for none.
+	servedBy      string        // Endpoint whose answer head the caller received.
+	suspicion
+}
+
+// attemptState is the state of the current attempt, or of the last one.
+type attemptState struct {
+	sentAt       time.Time // When it was sent to an endpoint.
+	sentBoottime time.Time // Same moment, by the clock that counts suspensions.
 	// detachConn stops the attempt's connection from being closed when the caller leaves or the
 	// process terminates. It returns false if the connection is being closed already.
 	detachConn        func() bool
-	unregisterMovable func()           // Excludes the attempt from moveRequests; never nil.
-	moved             bool             // moveRequests ended the attempt and took a retry; guarded by g.mu.
-	retryTaken        bool             // The retry for the next attempt is already taken.
-	refusedBefore     bool             // The caller was refused before.
-	maybeRefused      bool             // The caller may have been refused before: too few callers were seen to be sure.
-	lastResponse      endpointResponse // Sent by the last endpoint whose answer was read.
-	cursor            cursor           // Position up to which the caller has the stream.
-	firstByteAt       time.Time        // When the answer or its first event was sent to the caller.
-	events            int              // Events with data that were sent to the caller, over all attempts.
-	lastEventAt       time.Time        // When the last event was sent to the caller.
-	maxEventGap       time.Duration    // Longest time between two events.
-	outcome           outcome          // Empty until the request has ended.
-	retryAfter        time.Duration    // Retry-After of a refusal; 0 for none.
-	servedBy          string           // Endpoint whose answer head the caller received.
-	suspicion
+	unregisterMovable func()               // Excludes the attempt from moveRequests; never nil.
+	lastResponse      endpointResponse     // Sent by the last endpoint whose answer was read.
+	knowledge         quarantine.Knowledge // What was known of earlier ends when it was sent.
+	attemptFinished   bool                 // It came to its end, or was rejected.
 }
 
 // capacityAsk records the group in which a request asked for capacity, and the time of the newest
@@ -112,7 +123,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	q := &request{
-		g: g, ctx: r.Context(), r: r, unregisterMovable: func() {}, arrived: time.Now(), arrivedBoottime: g.cfg.Now(),
+		g: g, ctx: r.Context(), r: r, attemptState: attemptState{unregisterMovable: func() {}}, arrived: time.Now(), arrivedBoottime: g.cfg.Now(),
 		reply: reply{w: w, r: r, bodyPending: r.Body != http.NoBody, advertise: func() { g.callerConns.Advertise(w, r) }},
 	}
 	defer q.releaseBuffered()
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -19,12 +19,16 @@
 // watchSilence has an attempt aborted if its answer is silent for too long and the request can be
 // continued elsewhere. Without a target latency there is no measure of too long.
 func (q *request) watchSilence(e fleet.Endpoint, x *upstream.Exchange) {
+	if q.takeover != nil {
+		q.watchTakeover(e, x)
+		return
+	}
 	if q.route.TargetLatency <= 0 || !q.route.MayRepeat() || len(q.attempted) >= q.route.MaxAttempts {
 		return
 	}
 	x.Watch(upstream.SilenceWatch{
 		Timeout: func() time.Duration { return q.silenceLimit(e, x) },
-		Abandon: func(silent time.Duration) bool { return q.abortSilent(e, silent) },
+		Abandon: func(silent time.Duration) bool { return q.abortSilent(e, x, silent) },
 	})
 }
 
@@ -61,14 +65,17 @@
 
 // abortSilent decides whether the attempt is aborted because its answer is silent, so that the
 // request continues elsewhere. If so, it takes the retry for that and records a failure of the
-// endpoint.
-func (q *request) abortSilent(e fleet.Endpoint, silent time.Duration) bool {
+// endpoint. A stream that has begun is continued elsewhere first, see takeOver.
+func (q *request) abortSilent(e fleet.Endpoint, x *upstream.Exchange, silent time.Duration) bool {
 	if q.ctx.Err() != nil || !q.mayResend() || !q.mayMoveElsewhere() || !q.takeRetry() {
 		return false
 	}
-	q.retryTaken = true
 	q.g.stats.silentAttempts.Inc(1)
 	q.recordFailure(e, 1, fmt.Sprintf("silent for %d ms", silent.Milliseconds()))
+	if q.reply.begun() {
+		return q.takeOver(e, x)
+	}
+	q.retryTaken = true
 	return true
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -79,6 +79,9 @@
 		}
 		if err != nil {
 			x.Abort()
+			if q.takenOver {
+				return done
+			}
 			return q.streamFailed(e, err)
 		}
 		first := q.lastResponse.events == 0
@@ -89,6 +92,7 @@
 			x.Abort()
 			return unknown
 		}
+		q.acceptTakeover(e, x)
 		if err := q.sendEvent(e, resp, ev, br.Buffered() == 0); err != nil {
 			x.Abort()
 			q.note("caller: " + err.Error())
@@ -152,6 +156,7 @@
 	if !q.reply.begun() {
 		return q.endEmptyStream(e, x, resp)
 	}
+	q.acceptTakeover(e, x)
 	q.returnToPool(x)
 	if !q.confirmEnd(e, x) {
 		return q.streamFailed(e, errAmbiguousEnd)
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -166,6 +166,9 @@
 	})
 	if err != nil {
 		conn.Close()
+		if q.takenOver {
+			return done
+		}
 		return q.connectionFailed(e, x, err)
 	}
 	return q.relay(e, x, resp, answer)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -122,6 +122,13 @@
 // Watch makes reads of the answer fail with ErrSilent when w abandons it after a silence.
 func (x *Exchange) Watch(w SilenceWatch) { x.conn.raw.watch, x.conn.raw.deadline = &w, x.deadline }
 
+// Unwatch ends the watch.
+func (x *Exchange) Unwatch() { x.conn.raw.watch = nil }
+
+// Arrived reports whether bytes of the answer, or its end, have arrived and are not read yet. It is
+// for use while the answer is silent: bytes that are buffered above the socket do not count.
+func (x *Exchange) Arrived() bool { return isReadable(x.conn.nc) }
+
 // Head reads the head of the answer. It skips interim answers (1xx), and reads and discards answers
 // for which isOurs returns false. It returns an error for more than maxForeignAnswers of both
 // together, and for a foreign answer that does not indicate its end or whose body is longer than
--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -16,11 +16,12 @@
 var ErrSilent = errors.New("the answer was silent for too long")
 
 // SilenceWatch limits how long an answer may be silent. Its functions are called during a read, by
-// the goroutine that reads the answer. It ends with the first silence that is not abandoned: from
-// then on only the request's deadline limits the answer.
+// the goroutine that reads the answer. Unless Repeat is set, it ends with the first silence that is not
+// abandoned: from then on only the request's deadline limits the answer.
 type SilenceWatch struct {
 	Timeout func() time.Duration            // Returns how long nothing may arrive from now on.
 	Abandon func(silent time.Duration) bool // Reports whether to abandon the answer after such a silence.
+	Repeat  bool                            // It goes on after a silence that is not abandoned.
 }
 
 // input reads from a connection. The watch is applied here, below all buffered readers, because
@@ -111,33 +112,47 @@
 		return in.nc.Read(p)
 	}
 	began := time.Now()
-	until := began.Add(in.watch.Timeout())
+	for {
+		n, again, err := in.readUntilSilent(p, began)
+		if !again {
+			return n, err
+		}
+	}
+}
+
+// readUntilSilent reads with the watch once. Again is true after a silence that a repeated watch did not
+// abandon.
+func (in *input) readUntilSilent(p []byte, began time.Time) (n int, again bool, err error) {
+	until := time.Now().Add(in.watch.Timeout())
 	if !until.Before(in.deadline) { // The request's deadline is already set.
-		return in.nc.Read(p)
+		n, err = in.nc.Read(p)
+		return n, false, err
 	}
 	if err = in.setReadDeadline(until); err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	n, err = in.nc.Read(p)
 	silent := n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
 	if silent && in.interrupted.Load() {
-		return 0, err
+		return 0, false, err
 	}
 	late := silent && isReadable(in.nc)
 	switch {
 	case late:
 	case silent && in.watch.Abandon(time.Since(began)):
-		return 0, ErrSilent
+		return 0, false, ErrSilent
+	case silent && in.watch.Repeat:
+		again = true
 	case silent:
 		in.watch = nil
 	}
 	if resetErr := in.setReadDeadline(in.deadline); resetErr != nil {
-		return n, errors.CombineErrors(err, resetErr)
+		return n, false, errors.CombineErrors(err, resetErr)
 	}
-	if silent {
-		return in.nc.Read(p)
+	if silent && !again {
+		n, err = in.nc.Read(p)
 	}
-	return n, err
+	return n, again, err
 }
 
 // isReadable reports whether bytes or the end of a connection have arrived and are not read yet.
