internal/soak: callers hold to their own time although the soak's process is late

- A caller's rest counted from when its goroutine noted the end of the last answer, up to 5 s after its bytes: 'rested 0.67 s' where the connection had received nothing for 5.59 s.
It counts from the bytes now.
- A request was written up to 4.2 s after its caller's time, which was checked before (sent -4.18 s before its end).
Such a request counts as sent late if the time was over once it was written; one that was written in time, or ran, is checked as before.
- A first request on a connection to a gateway in its planned stop was written 4.1 s after the caller connected.
It counts as late after 2 s, for which a gateway keeps an unused connection in a stop; not outside a stop, and not if it ran.

--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/canvaspulley/canvaspulley/internal/keepalive"
 	"github.com/canvaspulley/canvaspulley/platform/standin"
 )
 
@@ -72,7 +73,7 @@
 		return outcomeCutByKill
 	case killed:
 		return outcomeAbortedByKill
-	case r.status == 0 && (r.idle != nil && r.idle.late || r.late()) && len(r.runs) == 0:
+	case r.status == 0 && (r.idle != nil && r.idle.late || r.late() || r.writtenLate() || l.firstWrittenLate(r, at)) && len(r.runs) == 0:
 		return outcomeCutSentLate
 	case r.status == 0 && l.connectedAfterSuspension(r):
 		return outcomeCutAfterSuspension
@@ -93,6 +94,18 @@
 	return r.idle == nil && r.idleTime > time.Duration(usableIdleShare*float64(slices.Min(idleTimeouts[:])))
 }
 
+// newConnTime is how long a gateway in a planned stop keeps a connection without a request at least.
+const newConnTime = keepalive.StopNewConnTimeout
+
+// firstWrittenLate reports whether a request was the first one on a connection to a gateway in its
+// planned stop, and was written more than newConnTime after its caller began to connect. The caller
+// holds mu.
+func (l *ledger) firstWrittenLate(r *request, at time.Time) bool {
+	list := l.incarnationsDuring(r.gateway, r.conn.dialed)
+	inStop := len(list) == 1 && !list[0].termAt.IsZero() && list[0].termAt.Before(at)
+	return inStop && r.idleTime == 0 && r.conn.lastWrite().Sub(r.conn.dialed.from) > newConnTime
+}
+
 // lastAcceptTime is how long after SIGTERM a gateway that is not suspended accepts connections: each
 // can still carry a first request before the end of the grace period.
 const lastAcceptTime = gracePeriod - 2500*time.Millisecond
--- a/internal/soak/ends_test.go
+++ b/internal/soak/ends_test.go
@@ -48,6 +48,7 @@
 		endpointExitAt float64 // When the endpoint ended; 0 for never.
 		linkFaultAt    float64 // When the endpoint's link was disrupted; 0 for never.
 		paused         bool
+		writtenAt      float64 // When the request was written; 0 for unknown.
 		pausedAt       float64 // When the process was suspended for 0.5 s before the request; 0 for never.
 		refusedAt      float64 // When the connection was refused; 0 for never.
 		want           outcome
@@ -68,6 +69,10 @@
 		{name: "cut after a suspension in a planned stop", processes: []*incarnation{suspended}, dialedAt: 3, pausedAt: 0.5, want: outcomeCutAfterSuspension},
 		{name: "cut after a suspension in a planned stop, on an earlier connection", processes: []*incarnation{suspended}, dialedAt: 2, pausedAt: 0.5, want: outcomeCut, violation: "SIGTERM at"},
 		{name: "cut after a suspension in a planned stop, but it ran", processes: []*incarnation{suspended}, dialedAt: 3, pausedAt: 0.5, runs: ran, want: outcomeCut, violation: "SIGTERM at"},
+		{name: "cut on a new connection in a planned stop, written late", processes: []*incarnation{stopping}, dialedAt: 1.1, writtenAt: 3.15, want: outcomeCutSentLate},
+		{name: "cut on a new connection in a planned stop, written in time", processes: []*incarnation{stopping}, dialedAt: 1.2, writtenAt: 3.15, want: outcomeCut, violation: "SIGTERM at"},
+		{name: "cut on a new connection in a planned stop, written late, but it ran", processes: []*incarnation{stopping}, dialedAt: 1.1, writtenAt: 3.15, runs: ran, want: outcomeCut, violation: "SIGTERM at"},
+		{name: "cut on a new connection, written late", processes: []*incarnation{running}, dialedAt: 1, writtenAt: 3.15, want: outcomeCut, violation: "cut, no answer"},
 		{name: "cut late in a planned stop without a suspension", processes: []*incarnation{suspended}, dialedAt: 3, want: outcomeCut, violation: "SIGTERM at"},
 		{name: "cut late in a planned stop, suspended before it", processes: []*incarnation{suspended}, dialedAt: 3, pausedAt: -5, want: outcomeCut, violation: "SIGTERM at"},
 		{name: "aborted in a planned stop", processes: []*incarnation{stopping}, dialedAt: 2, status: http.StatusOK, runs: ran, want: outcomeAborted, violation: "broken off"},
@@ -100,6 +105,9 @@
 			if tc.dialedAt > 0 {
 				r.conn = &trackedConn{Conn: unusedConn{}, dialed: span{at(tc.dialedAt), at(tc.dialedAt)}}
 				r.conn.err, r.conn.errAt = io.EOF, at(cmp.Or(tc.connEndAt, 3.2))
+				if tc.writtenAt > 0 {
+					r.conn.lastWriteAt = at(tc.writtenAt)
+				}
 				if tc.timeoutAt > 0 {
 					r.conn.err, r.ended = nil, at(tc.timeoutAt)
 				}
--- a/internal/soak/life.go
+++ b/internal/soak/life.go
@@ -107,6 +107,14 @@
 
 // dial connects a caller to its gateway.
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := dialTracked(ctx, network, address)
+	if err != nil {
+		return nil, err // Not a nil pointer in an interface.
+	}
+	return c, nil
+}
+
+func dialTracked(ctx context.Context, network, address string) (*trackedConn, error) {
 	d := net.Dialer{Timeout: callerTimeout}
 	from := time.Now()
 	c, err := d.DialContext(ctx, network, address)
--- a/internal/soak/rest.go
+++ b/internal/soak/rest.go
@@ -48,7 +48,7 @@
 
 // idlePeriod is a period in which a persistent connection is idle before a request.
 type idlePeriod struct {
-	since      time.Time     // End of the last answer.
+	since      time.Time     // When the last bytes of the last answer were received.
 	advertised time.Duration // Idle timeout in the last answer; 0 for none.
 	sendUntil  time.Time     // The caller may send until then.
 	late       bool          // The request is sent late on purpose, after sendUntil.
@@ -100,11 +100,17 @@
 	switch {
 	case len(r.runs) > 0:
 		report(r, "its kept connection %s though it ran at %s (%s): %v", how, r.runs[0].Endpoint, details, r.idle.err)
-	case !r.idle.late:
+	case !r.idle.late && !r.writtenLate():
 		report(r, "its kept connection %s (%s): %v", how, details, r.idle.err)
 	}
 }
 
+// writtenLate reports whether a request on an idle connection was written after its caller was allowed
+// to: the soak's process may not get to run between its check of the time and the write.
+func (r *request) writtenLate() bool {
+	return r.idle != nil && r.conn != nil && r.conn.lastWrite().After(r.idle.sendUntil)
+}
+
 // inPlannedStop reports whether a gateway was in a planned stop, or had ended by one less than
 // undisturbedTime before. The caller holds mu.
 func (l *ledger) inPlannedStop(gateway int, at time.Time) bool {
--- a/internal/soak/rest_test.go
+++ b/internal/soak/rest_test.go
@@ -65,6 +65,7 @@
 		runs           []standin.Run
 		killsAndPauses []span
 		killedAt       float64 // When the process was killed; 0 for never.
+		writtenAt      float64 // When the request was written; 0 for unknown.
 		want           string  // "" for no violation.
 	}{
 		{name: "answered", status: http.StatusOK, runs: ran},
@@ -73,6 +74,9 @@
 		{name: "closed, but it ran", runs: ran, want: "was closed with no answer though it ran at east-1"},
 		{name: "closed, sent late", late: true},
 		{name: "closed, sent late, but it ran", late: true, runs: ran, want: "was closed with no answer though it ran at east-1"},
+		{name: "closed, written in time", writtenAt: 3.01, want: "was closed with no answer ("},
+		{name: "closed, written late", writtenAt: 3.011},
+		{name: "closed, written late, but it ran", writtenAt: 3.011, runs: ran, want: "was closed with no answer though it ran at east-1"},
 		{name: "closed by a kill in the idle period", killsAndPauses: []span{{at(1), at(1.5)}}},
 		{name: "closed by a kill after the request was sent", runs: ran, killsAndPauses: []span{{at(3.1), at(4)}}},
 		{name: "closed, its process killed before the idle period was recorded", killsAndPauses: []span{{at(-2), at(-1)}}, killedAt: -2},
@@ -88,6 +92,9 @@
 				l.processes[2] = []*incarnation{{startAt: at(-4), killAt: at(tc.killedAt), endAt: at(tc.killedAt), signal: syscall.SIGKILL}}
 				conn = &trackedConn{Conn: unusedConn{}, dialed: span{at(-3), at(-3)}, err: io.EOF, errAt: at(3.1)}
 			}
+			if tc.writtenAt != 0 {
+				conn = &trackedConn{Conn: unusedConn{}, dialed: span{at(-3), at(-3)}, lastWriteAt: at(tc.writtenAt)}
+			}
 			l.addRequest(&request{id: "2-r1-1", conn: conn, gateway: 2, status: tc.status, runs: tc.runs, sent: at(3), ended: at(3.2), answer: answer{complete: tc.status != 0},
 				idle: &idlePeriod{since: start, sendUntil: at(3.01), late: tc.late, err: io.ErrUnexpectedEOF}})
 			found := l.violations(false)
--- a/internal/soak/rester.go
+++ b/internal/soak/rester.go
@@ -8,7 +8,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -44,7 +43,7 @@
 // idleCaller is a caller that keeps its connection idle for as long as it may.
 type idleCaller struct {
 	caller
-	conn net.Conn // nil when not connected.
+	conn *trackedConn // nil when not connected.
 	br   *bufio.Reader
 	idle *idlePeriod // nil until the first answer on conn.
 }
@@ -81,7 +80,7 @@
 }
 
 func (c *idleCaller) connect(ctx context.Context) bool {
-	conn, err := dial(ctx, "tcp4", c.s.gateways[c.gateway].callers)
+	conn, err := dialTracked(ctx, "tcp4", c.s.gateways[c.gateway].callers)
 	if err != nil {
 		return false
 	}
@@ -175,7 +174,7 @@
 		c.disconnect()
 		return
 	}
-	c.idle = &idlePeriod{since: r.ended, advertised: advertisedIdle(resp.Header)}
+	c.idle = &idlePeriod{since: c.conn.lastRead(), advertised: advertisedIdle(resp.Header)}
 }
 
 // advertisedIdle returns the idle timeout that an answer advertises in Keep-Alive; 0 for none.
