internal/soak: a grace period is exceeded if the kill ends the process

'did not end within its grace period' (three times at load 60 and more): the gateway's last line came 7.55 s after SIGTERM and its exit code was 0, but the soak observed the end 1.7 s later, as its own process stood still. What the platform does decides: a process that SIGKILL ends after the grace period has exceeded it, one that has ended by then has not.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -246,20 +246,23 @@
 const gracePeriod = 8 * time.Second
 
 // restart ends a process by a signal and starts it again. A process that does not end within the
-// timeout after SIGTERM is killed. gateway is -1 for a sidecar.
+// timeout after SIGTERM is killed; if the kill ends it, it has exceeded its grace period. gateway is -1
+// for a sidecar.
 func (s *site) restart(gateway int, p *process, sig syscall.Signal, timeout time.Duration) error {
 	began := time.Now()
 	failedAt := began // When the process stopped serving, except by a planned stop.
-	done := p.signal(sig)
+	process, done := p.signal(sig)
 	planned := sig == syscall.SIGTERM && endsWithin(done, timeout+slack)
 	if sig == syscall.SIGTERM && !planned {
 		failedAt = time.Now()
+		p.signal(syscall.SIGKILL)
+		endsWithin(done, gracePeriod)
 		s.ledger.do(func(l *ledger) {
-			if !l.killedOrPaused(gateway, began, failedAt) { // A suspended process cannot end.
+			planned = !process.endAt.IsZero() && process.signal == 0     // Its end was only observed late.
+			if !planned && !l.killedOrPaused(gateway, began, failedAt) { // A suspended process cannot end.
 				l.ends = append(l.ends, p.name+" did not end within its grace period")
 			}
 		})
-		p.signal(syscall.SIGKILL)
 	}
 	endsWithin(done, gracePeriod)
 	ended := time.Now()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -102,9 +102,9 @@
 	return text[strings.LastIndexByte(text, '\n')+1:]
 }
 
-// signal sends a signal to the process, which may have ended. The channel is closed when the
-// signalled incarnation has ended.
-func (p *process) signal(sig syscall.Signal) (done <-chan struct{}) {
+// signal sends a signal to the process, which may have ended, and returns the signalled incarnation. The
+// channel is closed when that has ended.
+func (p *process) signal(sig syscall.Signal) (signalled *incarnation, done <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if sig == syscall.SIGKILL || sig == syscall.SIGTERM {
@@ -112,7 +112,7 @@
 		p.s.ledger.recordSignal(p.current, sig)
 	}
 	_ = p.cmd.Process.Signal(sig) // The process may have ended.
-	return p.done
+	return p.current, p.done
 }
 
 // reload sends SIGHUP if a caller has connected to the process: one that is still starting does not
