--- a/internal/soak/ends.go
+++ b/internal/soak/ends.go
@@ -11,7 +11,6 @@
 	"strings"
 	"time"
 
-	"github.com/canvaspulley/canvaspulley/internal/keepalive"
 	"github.com/canvaspulley/canvaspulley/platform/standin"
 )
 
@@ -95,7 +94,7 @@
 }
 
 // newConnTime is how long a gateway in a planned stop keeps a connection without a request at least.
-const newConnTime = keepalive.StopNewConnTimeout
+const newConnTime = 2 * time.Second
 
 // firstWrittenLate reports whether a request was the first one on a connection to a gateway in its
 // planned stop, and was written more than newConnTime after its caller began to connect. The caller
