platform, internal/gateway: log the prompt parts of requests that failed

Lines of requests under which an endpoint ended had a key that is new for each request, so logs could not tell whether a shared part of the prompt is the cause. They name the parts now. Routing does not change: the field that held the first part was not read.

--- a/internal/fleet/call.go
+++ b/internal/fleet/call.go
@@ -14,9 +14,10 @@
 	WeightsVersion        string        // Version of the model weights that it requests; "" for any.
 	LastEventID           string        // After which a stream is to be resumed; "" for a new stream.
 	PromptTokens          int
-	MaxAnswerTokens       int    // Most tokens of the answer that it wants.
-	EstimatedAnswerTokens int    // Caller's estimate of the answer's length; 0 for none.
-	PromptPrefix          string // Identifies the start of the prompt, which many requests share.
+	MaxAnswerTokens       int      // Most tokens of the answer that it wants.
+	EstimatedAnswerTokens int      // Caller's estimate of the answer's length; 0 for none.
+	Model                 string   // "" when the caller named none.
+	PromptParts           []string // Ids of the parts of its prompt, in order, without the last one, which no other request shares.
 }
 
 // AttemptInfo holds what a gateway adds to a request that it sends to one endpoint.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -96,6 +96,9 @@
 	}
 }
 
+// maxLoggedParts limits the ids of prompt parts in one log line.
+const maxLoggedParts = 16
+
 // maxNotes limits the notes that are kept of a request for the log.
 const maxNotes = 8
 
@@ -148,6 +151,9 @@
 	}
 	if len(q.attempted) > 0 && q.outcome != served {
 		fields = append(fields, zap.Stringer("key", q.key()), zap.Int("ended-under-it", q.endedEndpoints))
+		if parts := q.call.PromptParts; len(parts) > 0 {
+			fields = append(fields, zap.Strings("parts", parts[:min(len(parts), maxLoggedParts)]), zap.Int("part-count", len(parts)))
+		}
 	}
 	if q.retryAfter > 0 {
 		fields = append(fields, zap.Duration("retry-after", q.retryAfter))
