--- a/internal/decide/quarantine/key.go
+++ b/internal/decide/quarantine/key.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
 
 // Package quarantine decides which requests are no longer sent to endpoints because the processes
-// of endpoints ended while they ran these requests. Package balance judges endpoints, and package
+// of endpoints ended while they ran these requests, or others that share a part of their prompts. Package balance judges endpoints, and package
 // retry counts retries.
 package quarantine
 
@@ -9,9 +9,10 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 )
 
-// Key identifies all requests that are identical to an endpoint. A caller that retries uses a new
+// Key identifies all requests that are identical to an endpoint, or all that share a part. A caller that retries uses a new
 // request id, and perhaps another of its API keys or another gateway.
 type Key [16]byte
 
@@ -19,15 +20,30 @@
 // by the caller), customer ("" if none is needed) and body.
 func KeyOf(method, host, target, customer string, body []byte) (k Key) {
 	h := sha256.New()
-	var length [8]byte
-	for _, part := range [...][]byte{[]byte(method), []byte(host), []byte(target), []byte(customer), body} {
-		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
-		h.Write(length[:])
-		h.Write(part)
+	for _, field := range [...][]byte{[]byte(method), []byte(host), []byte(target), []byte(customer), body} {
+		hashField(h, field)
 	}
 	copy(k[:], h.Sum(nil))
 	return k
 }
 
+// hashField adds a field and its length to a hash.
+func hashField(h hash.Hash, field []byte) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+	h.Write(length[:])
+	h.Write(field)
+}
+
 // String returns the key in hexadecimal digits.
 func (k Key) String() string { return hex.EncodeToString(k[:]) }
+
+// PartKeyOf returns the key of a part of the prompts of requests to a model of a service.
+func PartKeyOf(service, model, part string) (k Key) {
+	h := sha256.New()
+	for _, s := range [...]string{"part", service, model, part} {
+		hashField(h, []byte(s))
+	}
+	copy(k[:], h.Sum(nil))
+	return k
+}
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -9,15 +9,15 @@
 	"time"
 )
 
-// The failure that this package handles: a request ends the process of each endpoint that begins
-// to run it, and is retried at any gateway. Each end costs a group of ranks some seconds without
-// service, so the request must be held after at most two ends. But requests that were at an
-// endpoint when it ended for another reason are harmless, and some of them are sent identically by
-// many callers; they must be admitted again soon.
+// The failure that this package handles: a request, or one part of the prompts of many requests, ends
+// the process of each endpoint that begins to run it, and comes again at any gateway. Each end costs a
+// group of ranks some seconds without service, so the cause must be held after few ends. But the
+// requests and parts that were at an endpoint when it ended are harmless but for one, and some of them
+// are sent by many callers; they must not be held.
 
 const (
-	// initialHold is how long a request is held after it ended another endpoint: longer than any
-	// caller waits, so that an earlier trial would serve no caller that still waits.
+	// initialHold is how long a request or part is held after it ended another endpoint: longer than
+	// any caller waits, so that an earlier trial would serve no caller that still waits.
 	initialHold = time.Minute
 	// holdGrowth is the factor by which the hold grows after each trial that ended an endpoint: an
 	// end costs a group about five seconds, hence less than 1% of the time from the second trial on.
@@ -31,12 +31,23 @@
 	// depend on a lost rank stall for 1.5 s before they are aborted. A group of ranks takes longer to
 	// form again.
 	sameCauseWindow = 2 * time.Second
-	// minEndsForTrial is the number of ends that may have the same cause after which the request is
+	// minEndsForTrial is the number of ends that may have the same cause after which a request is
 	// only sent as a trial, by one gateway. Fewer ends may be the loss of one or two instances. The
 	// users' requirements, too, count how often a request is sent only after this number of ends.
 	minEndsForTrial = 3
-	// maxKeys bounds the number of keys, and with it the memory: about 200 bytes per end.
-	maxKeys = 512
+	// minPartEndsForTrial is the same for a part that has not been proven sound. Requests with a
+	// harmful part arrive at a higher rate than repeats of one request.
+	minPartEndsForTrial = 2
+	// minSoundRounds is the number of ends, sameCauseWindow apart from each other, after which a part
+	// is held although requests with it had completed before. It is higher since many requests
+	// share such a part.
+	minSoundRounds = 3
+	// initialSoundHold is the first hold of such a part.
+	initialSoundHold = 5 * time.Second
+	// maxKeys bounds the number of keys, and maxEndsPerKey the number of ends of each, and with them
+	// the memory: about 200 bytes per end.
+	maxKeys       = 2048
+	maxEndsPerKey = 16
 )
 
 // Knowledge is what was known when a request was sent to an endpoint: whether processes had ended
@@ -50,15 +61,19 @@
 	OnTrial                     // The request was held, and was sent to test whether it still ends endpoints.
 )
 
-// End records that an endpoint's process ended while it ran a request.
+// End records that an endpoint's process ended while it ran a request: the one that the key identifies,
+// or one with the part that the key identifies.
 type End struct {
 	Key       Key
+	Part      bool   // The key is that of a part.
 	Endpoint  string // Id of one process of the endpoint.
 	Knowledge Knowledge
 	// Void is set when the end no longer counts: the request completed elsewhere, so it did not
 	// cause the end, or the process still runs and was only partitioned off.
 	Void bool
-	At   time.Time
+	// SoundBefore is set if requests with the part had completed shortly before.
+	SoundBefore bool
+	At          time.Time
 }
 
 // Verdict is the decision whether a request may be sent.
@@ -80,7 +95,10 @@
 
 // entry holds the ends and the trial of one key.
 type entry struct {
-	ends       map[string]*record // By endpoint.
+	part       bool
+	sound      bool               // Requests with the part had completed before it had any ends.
+	ends       map[string]*record // By endpoint; at most maxEndsPerKey.
+	attributed []*record          // The ends that count against the key; set by attribute.
 	trialUntil time.Time          // Time until which a trial runs at most; zero without one.
 }
 
@@ -89,6 +107,8 @@
 // become void, and neither is undone before it expires.
 type History struct {
 	entries map[Key]*entry
+	changed bool // Ends have changed since the last call of attribute.
+	proven  provenParts
 }
 
 // New returns an empty history.
@@ -105,34 +125,53 @@
 	known, ok := b.entries[e.Key]
 	if !ok {
 		b.evict()
-		known = &entry{ends: map[string]*record{}}
+		known = &entry{part: e.Part, ends: map[string]*record{}}
 		b.entries[e.Key] = known
 	}
+	e.SoundBefore = e.SoundBefore || e.Part && b.proven.has(e.Key)
+	if e.SoundBefore && !known.sound {
+		known.sound, b.changed = true, true
+	}
 	r, ok := known.ends[e.Endpoint]
 	if !ok {
 		known.ends[e.Endpoint] = &record{End: e, lastSent: lastSent}
+		known.dropOldest()
+		b.changed = true
 		return true
 	}
+	r.SoundBefore = r.SoundBefore || e.SoundBefore // Every gateway finds out by itself; a change alone is not sent.
 	if r.Void == (r.Void || e.Void) && r.Knowledge >= e.Knowledge {
 		return false // The end says nothing new.
 	}
 	r.Void, r.Knowledge = r.Void || e.Void, max(r.Knowledge, e.Knowledge)
 	r.lastSent = lastSent
+	b.changed = true
 	return true
 }
 
+// dropOldest removes the oldest end if there are more than maxEndsPerKey.
+func (e *entry) dropOldest() {
+	if len(e.ends) <= maxEndsPerKey {
+		return
+	}
+	oldest := slices.MinFunc(slices.Collect(maps.Values(e.ends)), func(x, y *record) int { return y.compareNewest(x) })
+	delete(e.ends, oldest.Endpoint)
+}
+
 // evict removes a key if there are maxKeys: the one with the least severe knowledge, so that held
 // requests are kept if possible, and among those the one with the oldest last end.
 func (b *History) evict() {
 	if len(b.entries) < maxKeys {
 		return
 	}
+	b.attribute()
 	keys := slices.Collect(maps.Keys(b.entries))
 	drop := slices.MinFunc(keys, func(x, y Key) int {
 		ex, ey := b.entries[x], b.entries[y]
 		return cmp.Or(cmp.Compare(ex.maxKnowledge(), ey.maxKnowledge()), ex.lastAt().Compare(ey.lastAt()))
 	})
 	delete(b.entries, drop)
+	b.changed = true
 }
 
 // RecordCompletion records that a request completed, which makes its ends void and ends its trial.
@@ -149,9 +188,14 @@
 			r.Void, r.lastSent, counted = true, time.Time{}, true
 		}
 	}
+	b.changed = b.changed || counted
 	return counted
 }
 
+// RecordSound records that a request with a part completed, so that ends during later requests are
+// rather attributed to other parts.
+func (b *History) RecordSound(part Key, now time.Time) { b.proven.add(part, now) }
+
 // RecordAnswer records that an endpoint answered a request sent at sentAt, which shows that its
 // process had not ended before. The ends of that process before sentAt become void. RecordAnswer
 // reports whether any of them had counted.
@@ -162,14 +206,16 @@
 			r.Void, r.lastSent, counted = true, time.Time{}, true
 		}
 	}
+	b.changed = b.changed || counted
 	return counted
 }
 
 // KnowledgeOf returns the knowledge with which a request is sent now if it is not sent as a trial:
 // KnownEnd if an end that counts is older than sameCauseWindow, otherwise NoKnownEnd.
 func (b *History) KnowledgeOf(k Key, now time.Time) Knowledge {
+	b.attribute()
 	if e := b.entries[k]; e != nil {
-		for _, r := range e.counted() {
+		for _, r := range e.attributed {
 			if now.Sub(r.At) > sameCauseWindow {
 				return KnownEnd
 			}
@@ -178,44 +224,72 @@
 	return NoKnownEnd
 }
 
-// Judge returns whether a request may be sent, and the remaining time of its hold, 0 unless it is
-// held.
+// Judge returns whether a request may be sent, or a request with a part, and the remaining time of its
+// hold, 0 unless it is held. Only the ends that attribute leaves to the key are considered.
 //
-// While all ends may have the same cause, the request is free up to minEndsForTrial-1 ends. With more
-// it is held until sameCauseWindow after the last end. After ends with different causes or a failed
-// trial, the hold starts at the last end, and holdAfter gives its length by the number of failed
-// trials. Each hold is followed by a trial.
+// While all ends may have the same cause, the key is free up to minEndsForTrial-1 ends, or
+// minPartEndsForTrial-1 for a part. With more it is held until sameCauseWindow after the last end. After
+// ends with different causes or a failed trial, the hold starts at the last end, and holdAfter gives its
+// length by the number of failed trials. Each hold is followed by a trial. A part that was sound is
+// free up to minSoundRounds-1 ends with different causes, and its first hold is shorter.
 func (b *History) Judge(k Key, now time.Time) (v Verdict, remaining time.Duration) {
+	b.attribute()
 	e := b.entries[k]
 	if e == nil {
 		return Free, 0
 	}
-	ends := e.counted()
-	knowledge := e.maxKnowledge()
-	if knowledge == NoKnownEnd {
-		if len(ends) < minEndsForTrial {
+	return e.judge(now)
+}
+
+func (e *entry) judge(now time.Time) (v Verdict, remaining time.Duration) {
+	var hold time.Duration
+	switch {
+	case e.sound:
+		if e.rounds() < minSoundRounds {
 			return Free, 0
 		}
-		if remaining = e.lastCountedAt().Add(sameCauseWindow).Sub(now); remaining > 0 {
-			return Held, remaining // A trial could fail by the same cause.
+		hold = holdAfter(initialSoundHold, e.failedTrials())
+	case e.maxKnowledge() == NoKnownEnd:
+		if len(e.attributed) < e.minEndsForTrial() {
+			return Free, 0
 		}
-		return Trial, 0
+		hold = sameCauseWindow // A trial could fail by the same cause.
+	default:
+		hold = holdAfter(initialHold, e.failedTrials())
 	}
-	if remaining = e.lastCountedAt().Add(holdAfter(e.failedTrials())).Sub(now); remaining > 0 {
+	if remaining = e.lastCountedAt().Add(hold).Sub(now); remaining > 0 {
 		return Held, remaining
 	}
 	return Trial, 0
 }
 
-// holdAfter returns how long a request is held after the given number of failed trials.
-func holdAfter(trials int) time.Duration {
-	hold := initialHold
+func (e *entry) minEndsForTrial() int {
+	if e.part {
+		return minPartEndsForTrial
+	}
+	return minEndsForTrial
+}
+
+// holdAfter returns how long a key is held after the given number of failed trials.
+func holdAfter(initial time.Duration, trials int) time.Duration {
+	hold := initial
 	for range trials {
 		hold = min(hold*holdGrowth, maxHold)
 	}
 	return hold
 }
 
+// Suspected reports whether a part may be sent although an endpoint ended during an earlier request with
+// it, none has completed yet, and that end cannot have the same cause as one that occurs now.
+func (b *History) Suspected(k Key, now time.Time) bool {
+	e := b.entries[k]
+	if e == nil || !e.part || e.sound || b.KnowledgeOf(k, now) == NoKnownEnd {
+		return false
+	}
+	v, _ := e.judge(now)
+	return v == Free
+}
+
 // BeginTrial begins a trial of a request, which ends at the given time at the latest. It reports
 // false if another trial of the request has not ended, or if no end is known.
 func (b *History) BeginTrial(k Key, now, until time.Time) bool {
@@ -237,14 +311,16 @@
 // Forget removes the keys whose ends have expired. They expire retention after the last end, or
 // later if holdGrowth times the hold is longer.
 func (b *History) Forget(now time.Time) {
+	b.attribute()
 	for k, e := range b.entries {
-		if now.Sub(e.lastAt()) > max(retention, holdGrowth*holdAfter(e.failedTrials())) {
+		if now.Sub(e.lastAt()) > max(retention, holdGrowth*holdAfter(initialHold, e.failedTrials())) {
 			delete(b.entries, k)
+			b.changed = true
 		}
 	}
 }
 
-// HeldCount returns the number of requests that are held now; those on trial do not count.
+// HeldCount returns the number of requests and parts that are held now; those on trial do not count.
 func (b *History) HeldCount(now time.Time) (n int) {
 	for k := range b.entries {
 		if v, _ := b.Judge(k, now); v == Held {
@@ -269,6 +345,7 @@
 // MostSevere returns up to limit ends to send to one process that may know none. Ends of the keys
 // with the most severe knowledge come first, and newer ones first among those.
 func (b *History) MostSevere(limit int) (list []End) {
+	b.attribute()
 	all := b.all()
 	slices.SortFunc(all, func(x, y *record) int {
 		return cmp.Or(cmp.Compare(b.entries[y.Key].maxKnowledge(), b.entries[x.Key].maxKnowledge()), x.compareNewest(y))
@@ -300,19 +377,9 @@
 	return slices.ContainsFunc(b.all(), func(r *record) bool { return r.lastSent.IsZero() })
 }
 
-// counted returns the ends that count against the request.
-func (e *entry) counted() (list []*record) {
-	for _, r := range e.ends {
-		if !r.Void {
-			list = append(list, r)
-		}
-	}
-	return list
-}
-
 // maxKnowledge returns the most severe knowledge among the ends that count.
 func (e *entry) maxKnowledge() (s Knowledge) {
-	for _, r := range e.counted() {
+	for _, r := range e.attributed {
 		s = max(s, r.Knowledge)
 	}
 	return s
@@ -320,7 +387,7 @@
 
 // failedTrials returns the number of trials that ended an endpoint.
 func (e *entry) failedTrials() (n int) {
-	for _, r := range e.counted() {
+	for _, r := range e.attributed {
 		if r.Knowledge == OnTrial {
 			n++
 		}
@@ -330,7 +397,7 @@
 
 // lastCountedAt returns the time of the last end that counts.
 func (e *entry) lastCountedAt() (at time.Time) {
-	for _, r := range e.counted() {
+	for _, r := range e.attributed {
 		if r.At.After(at) {
 			at = r.At
 		}
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -107,6 +107,7 @@
 	if !req.customer.MayCall(body.Model) {
 		return wire.Refuse(http.StatusForbidden, 0, "the customer may not call "+body.Model)
 	}
+	req.setParts(body.Model, body.Messages)
 	s := &stream{entry: e, req: req, chat: body, groups: groups}
 	if refusal := s.prepare(); refusal != nil {
 		return refusal
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,6 +30,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/policy"
 	"github.com/canvaspulley/canvaspulley/internal/published"
 	"github.com/canvaspulley/canvaspulley/internal/requestid"
+	"github.com/canvaspulley/canvaspulley/internal/suspects"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
 
@@ -109,10 +110,11 @@
 	body       []byte // As received.
 	mayHaveRun bool   // At least one attempt may have run at an endpoint.
 
-	cachedKey       quarantine.Key
-	keyComputed     bool                 // cachedKey is valid.
-	knowledgeAtSend quarantine.Knowledge // What was known of the request when its last attempt was sent.
-	onTrial         bool                 // Sent to find out whether it still ends endpoints' processes.
+	cachedKey   quarantine.Key
+	keyComputed bool             // cachedKey is valid.
+	parts       []quarantine.Key // Of the parts of its prompt that other requests may share.
+	known       suspects.Known   // What was known of the request when its last attempt was sent.
+	trialKeys   []quarantine.Key // Sent to find out whether these still end endpoints' processes.
 }
 
 // serve wraps a handler with what all requests have in common: the request id, admission,
--- a/internal/entry/held.go
+++ b/internal/entry/held.go
@@ -9,6 +9,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
 	"github.com/canvaspulley/canvaspulley/internal/decide/rendezvous"
+	"github.com/canvaspulley/canvaspulley/internal/suspects"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
 
@@ -16,6 +17,19 @@
 // entry: a run takes some seconds.
 const trialRetryAfter = 2 * time.Second
 
+// setParts sets the parts of the prompt that other requests may share: all messages but the last.
+func (req *request) setParts(model string, messages []chatMessage) {
+	req.parts = make([]quarantine.Key, 0, len(messages))
+	for _, m := range messages[:len(messages)-1] {
+		req.parts = append(req.parts, quarantine.PartKeyOf("", model, m.Role+"\x00"+m.Content))
+	}
+}
+
+// subjects returns what may cause the end of an endpoint that runs the request.
+func (req *request) subjects() suspects.Subjects {
+	return suspects.Subjects{Whole: req.quarantineKey, Parts: req.parts}
+}
+
 // quarantineKey returns the key of the request, which all identical requests share. It is computed once.
 func (req *request) quarantineKey() quarantine.Key {
 	if !req.keyComputed {
@@ -25,31 +39,30 @@
 	return req.cachedKey
 }
 
-// checkQuarantine refuses a request if endpoints' processes ended while they ran it or an identical
-// request, as seen by this or another entry. Without this check, such a stream was moved to as many
-// endpoints as maxStreamAttempts allows, and each retry of its caller ended as many again.
+// checkQuarantine refuses a request if endpoints' processes ended while they ran it, an identical
+// request, or one with the same part, as seen by this or another entry. Without this check, such a stream
+// was moved to as many endpoints as maxStreamAttempts allows, and each retry of its caller ended as many
+// again.
 //
 // Once such a request may be tried again, the entry that owns its trial lets one through and begins the
-// trial. A request that is let through keeps, in knowledgeAtSend, what is known of it at that time.
+// trial. A request that is let through keeps, in known, what is known of it at that time.
 func (e *Entry) checkQuarantine(req *request) *wire.Refusal {
-	suspects := e.node.Suspects()
+	set := e.node.Suspects()
 	now := e.now()
-	verdict, retryAfter := suspects.Judge(req.quarantineKey, now)
+	j := set.Judge(req.subjects(), now)
 	switch {
-	case verdict == quarantine.Free, verdict == quarantine.Trial && req.onTrial:
-		req.knowledgeAtSend = suspects.KnowledgeAtSend(req.quarantineKey, now)
-		if req.onTrial {
-			req.knowledgeAtSend = quarantine.OnTrial
+	case j.Verdict == quarantine.Free, j.Verdict == quarantine.Trial && len(req.trialKeys) > 0:
+	case j.Verdict == quarantine.Trial && e.ownsTrial(j.Keys[0]) && set.BeginTrial(j.Keys, now, now.Add(maxTrialTime)):
+		req.trialKeys = j.Keys
+	default:
+		if j.Verdict == quarantine.Trial {
+			j.Remaining = trialRetryAfter
 		}
-		return nil
-	case verdict == quarantine.Trial && e.ownsTrial(req.quarantineKey()) && suspects.BeginTrial(req.quarantineKey(), now, now.Add(maxTrialTime)):
-		req.onTrial, req.knowledgeAtSend = true, quarantine.OnTrial
-		return nil
-	case verdict == quarantine.Trial:
-		retryAfter = trialRetryAfter
+		e.count("callers.held")
+		return wire.Refuse(http.StatusServiceUnavailable, j.Remaining, "endpoints ended under this request")
 	}
-	e.count("callers.held")
-	return wire.Refuse(http.StatusServiceUnavailable, retryAfter, "endpoints ended under this request")
+	req.known = set.KnownAtSend(req.subjects(), req.trialKeys, now)
+	return nil
 }
 
 // maxTrialTime is the time after which a trial expires if its entry did not end it.
@@ -72,17 +85,18 @@
 		return
 	}
 	e.count("endpoints.ended-under-attempt")
-	e.node.Suspects().RecordEnd(req.quarantineKey(), refusal.Ended.Incarnation, req.knowledgeAtSend, e.now())
+	attempt := suspects.Attempt{Whole: req.quarantineKey(), Parts: req.parts, Known: req.known}
+	e.node.Suspects().RecordEnds(refusal.Ended.Incarnation, []suspects.Attempt{attempt}, e.now())
 	refusal.Ended = nil // Internal: not part of the answer to the caller.
 }
 
 // recordSuccess records that an endpoint ran the request and its process is still alive.
-func (e *Entry) recordSuccess(req *request) { e.node.Suspects().RecordSuccess(req.quarantineKey) }
+func (e *Entry) recordSuccess(req *request) { e.node.Suspects().RecordSuccess(req.subjects(), e.now()) }
 
 // endTrial ends the trial of a request, if it is one: a trial that gave no result would otherwise last
 // until it expires. The request is nil if it was not admitted.
 func (e *Entry) endTrial(req *request) {
-	if req != nil && req.onTrial {
-		e.node.Suspects().EndTrial(req.quarantineKey())
+	if req != nil {
+		e.node.Suspects().EndTrial(req.trialKeys)
 	}
 }
--- a/internal/gateway/broken_messages_test.go
+++ b/internal/gateway/broken_messages_test.go
@@ -40,7 +40,8 @@
 		{Hello: &peers.Hello{Name: "b", Address: "127.0.0.1:2", Domain: "b", QueriedDomain: "a", KnownGateways: []peers.DomainGateways{{Domain: "b", Gateways: []peers.KnownGateway{{Address: address, AgeMs: 5}}}}}},
 		{Load: &peers.Load{Address: "127.0.0.1:3", Group: "g"}},
 		{Loads: &peers.Loads{Group: "g", Ranks: []peers.RankLoad{{Address: address, Running: 1}}}},
-		{Ends: []peers.End{{Key: make([]byte, 16), Endpoint: "e", KnownBefore: 1}}},
+		{EndBatch: peers.EndBatch{Ends: []peers.End{{Key: make([]byte, 16), Endpoint: "e", KnownBefore: 1}}}},
+		{EndBatch: peers.EndBatch{PartEnds: []peers.PartEnd{{End: peers.End{Key: make([]byte, 16), Endpoint: "e", KnownBefore: 1}, SoundBefore: true}}}},
 		{Limits: []peers.Limit{{Endpoint: "e", Limited: true, PerSecond: 1}}},
 		{Lending: &peers.Lending{Address: "127.0.0.1:2", Shares: []peers.ShareMessage{{Kind: 1, Endpoint: "e", RequestNumber: 1, Tokens: 1, LeaseMs: 9}}}},
 	}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -72,6 +72,7 @@
 			return e, false
 		}
 	}
+	list = q.onlyOneIfSuspected(list)
 	i, ok := q.g.table.Pick(list, random, now)
 	if !ok {
 		if allBudgetsSpent(list) {
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -5,24 +5,33 @@
 import (
 	"context"
 	"io"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
 	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
+	"github.com/canvaspulley/canvaspulley/internal/decide/rendezvous"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/suspects"
 	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
 // suspicion is the state of a request that may make endpoints end.
 type suspicion struct {
 	quarantineKey  quarantine.Key
-	hasKey         bool          // quarantineKey is computed.
-	endedEndpoints int           // Endpoints that ended during its attempts.
-	onTrial        bool          // It is sent to find out whether it still makes endpoints end.
-	quarantinedFor time.Duration // Time for which it must not be sent; 0 if it may be.
+	hasKey         bool             // quarantineKey is computed.
+	parts          []quarantine.Key // Of the parts of its prompt, for service partsService; nil until computed.
+	partsService   string
+	endedEndpoints int              // Endpoints that ended during its attempts.
+	trialKeys      []quarantine.Key // It is sent to find out whether these still make endpoints end; empty if it is no trial.
+	quarantinedFor time.Duration    // Time for which it must not be sent; 0 if it may be.
+	// quarantineCause describes, for the log, why it must not be sent.
+	quarantineCause string
 }
 
 // key returns the quarantine key, which is the same for identical requests.
@@ -38,15 +47,34 @@
 	return q.quarantineKey
 }
 
+// partKeys returns the keys of the parts of the prompt at the request's service.
+func (q *request) partKeys() []quarantine.Key {
+	if len(q.call.PromptParts) == 0 || q.partsService == q.service && q.parts != nil {
+		return q.parts
+	}
+	q.parts, q.partsService = make([]quarantine.Key, 0, len(q.call.PromptParts)), q.service
+	for _, id := range q.call.PromptParts {
+		q.parts = append(q.parts, quarantine.PartKeyOf(q.service, q.call.Model, id))
+	}
+	return q.parts
+}
+
+// subjects returns what may cause the end of an endpoint that runs the request.
+func (q *request) subjects() suspects.Subjects {
+	return suspects.Subjects{Whole: q.key, Parts: q.partKeys()}
+}
+
 // noteUnfinished records that an attempt at an endpoint did not come to its end.
 func (q *request) noteUnfinished(e fleet.Endpoint) {
-	q.g.unfinished.note(e.ID, unfinishedAttempt{key: q.key(), knowledge: q.knowledge, endedAt: time.Now()})
+	q.g.unfinished.note(e.ID, unfinishedAttempt{
+		Attempt: suspects.Attempt{Whole: q.key(), Parts: q.partKeys(), Known: q.known}, endedAt: time.Now(),
+	})
 }
 
 // recordCompletion records that an endpoint ran the request and is still running.
 func (q *request) recordCompletion() {
 	q.attemptFinished = true
-	q.g.suspects.RecordSuccess(q.key)
+	q.g.suspects.RecordSuccess(q.subjects(), q.g.cfg.Now())
 }
 
 // checkEndpointEnded checks whether the endpoint of an attempt that was cut with err has ended. If
@@ -96,47 +124,80 @@
 	if listed, ok := g.view.State().Endpoints[e.ID]; ok && g.isLeaving(listed) {
 		return
 	}
+	if len(list) == 0 {
+		return
+	}
+	attempts := make([]suspects.Attempt, 0, len(list))
 	for _, u := range list {
-		g.suspects.RecordEnd(u.key, e.ID, u.knowledge, g.cfg.Now())
+		attempts = append(attempts, u.Attempt)
 	}
+	g.suspects.RecordEnds(e.ID, attempts, g.cfg.Now())
 }
 
 // trialInProgressRetry applies to a request that is on trial at another gateway: a run takes about
 // a second.
 const trialInProgressRetry = time.Second
 
-// checkQuarantined reports whether the request must not be sent, since endpoints ended while
-// running it or identical requests, here or at other gateways. It sets quarantinedFor. If a trial
-// is due that runs at this gateway, it begins the trial and the request may be sent.
+// checkQuarantined reports whether the request must not be sent, since endpoints ended while running
+// it, identical requests, or requests that share a part of its prompt, here or at other gateways. It sets
+// quarantinedFor. If a trial is due that runs at this gateway, it begins the trial and the request may be
+// sent.
 //
 // Without quarantine, each attempt, each gateway and each retry by the caller cost one more
 // endpoint, and its group about five seconds. On one simulated day, a group was down for three
 // of every five seconds.
 func (q *request) checkQuarantined() bool {
 	now := q.g.cfg.Now()
-	v, left := q.g.suspects.Judge(q.key, now)
+	j := q.g.suspects.Judge(q.subjects(), now)
 	q.quarantinedFor = 0
 	switch {
-	case v == quarantine.Free, v == quarantine.Trial && q.onTrial:
+	case j.Verdict == quarantine.Free, j.Verdict == quarantine.Trial && len(q.trialKeys) > 0:
 		return false
-	case v == quarantine.Trial && q.g.ownsTrial(q.key()) && q.g.suspects.BeginTrial(q.key(), now, now.Add(q.remaining())):
-		q.onTrial = true
+	case j.Verdict == quarantine.Trial && q.g.ownsTrial(j.Keys[0]) && q.g.suspects.BeginTrial(j.Keys, now, now.Add(q.remaining())):
+		q.trialKeys = j.Keys
 		return false
-	case v == quarantine.Trial:
-		left = trialInProgressRetry
+	case j.Verdict == quarantine.Trial:
+		j.Remaining = trialInProgressRetry
 	}
-	q.quarantinedFor = left
+	q.quarantinedFor, q.quarantineCause = j.Remaining, q.describeQuarantine(j)
 	return true
 }
 
+// onlyOneIfSuspected returns the one candidate to which all gateways send requests with a part of this
+// request's prompt, if an endpoint ended during an earlier request with it. If the part ends this endpoint,
+// too, requests that arrive at other gateways at the same time end no others.
+func (q *request) onlyOneIfSuspected(list []balance.Candidate) []balance.Candidate {
+	part, ok := q.g.suspects.Suspected(q.subjects(), q.g.cfg.Now())
+	if !ok || len(list) < 2 {
+		return list
+	}
+	names := make([]string, 0, len(list))
+	for _, c := range list {
+		names = append(names, c.ID)
+	}
+	i := slices.Index(names, rendezvous.Owner(part.String(), names))
+	return list[i : i+1]
+}
+
+// describeQuarantine describes a verdict for the log, with the ids of the parts that it is about.
+func (q *request) describeQuarantine(j suspects.Judgement) string {
+	var ids []string
+	for i, k := range q.partKeys() {
+		if slices.Contains(j.Keys, k) {
+			ids = append(ids, q.call.PromptParts[i])
+		}
+	}
+	if len(ids) == 0 {
+		return "quarantined, endpoints ended while running it"
+	}
+	return "quarantined, endpoints ended while running requests with part " + strings.Join(ids, ", ")
+}
+
 // recordSending records the time at which the request is sent, and what is known then of earlier
 // ends.
 func (q *request) recordSending() {
 	q.sentBoottime = q.g.cfg.Now()
-	q.knowledge = q.g.suspects.KnowledgeAtSend(q.key, q.sentBoottime)
-	if q.onTrial {
-		q.knowledge = quarantine.OnTrial
-	}
+	q.known = q.g.suspects.KnownAtSend(q.subjects(), q.trialKeys, q.sentBoottime)
 }
 
 // ownsTrial reports whether trials of a key run at this gateway. They take place at one gateway
--- a/internal/gateway/messages_test.go
+++ b/internal/gateway/messages_test.go
@@ -17,6 +17,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/decide/roster"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
+	"github.com/canvaspulley/canvaspulley/internal/suspects"
 )
 
 // gatewaysIn returns n gateways, distributed over failure domains with long names.
@@ -186,26 +187,39 @@
 
 // endsOf returns as many ends as one message holds, each of another request and of an endpoint with
 // a long id, recorded 10 minutes ago.
-func endsOf(now time.Time, s *Gateway) []peers.End {
+func endsOf(now time.Time, s *Gateway) peers.EndBatch {
 	for i := range 2 * peers.MaxEnds {
 		k := quarantine.KeyOf("POST", "h", "/p", "c", fmt.Append(nil, i))
-		s.suspects.RecordEnd(k, fmt.Sprintf("%s-%d@1786946211702", strings.Repeat("x", 24), i), quarantine.OnTrial, now.Add(-10*time.Minute))
+		attempt := suspects.Attempt{Whole: k, Known: suspects.Known{k: quarantine.OnTrial}}
+		s.suspects.RecordEnds(fmt.Sprintf("%s-%d@1786946211702", strings.Repeat("x", 24), i), []suspects.Attempt{attempt}, now.Add(-10*time.Minute))
 	}
 	return s.suspects.NextToSend(now)
 }
 
 func TestAHelloWithEndsFitsAPacket(t *testing.T) {
-	g := NewWithT(t)
-	n := newTestPeer(t, 1)
-	m := peers.Message{Hello: &peers.Hello{Name: strings.Repeat("n", 32), Incarnation: time.Now().UnixMilli(), Address: "100.100.100.100:10000", Domain: strings.Repeat("d", 16)}}
-	m.Hello.QueriedDomain, m.Hello.GatewayCount = m.Hello.Domain, 100_000
-	m.Ends = endsOf(time.Now(), n.g)
-	g.Expect(m.Ends).To(HaveLen(peers.MaxEnds))
-	heard := expectFitsPacket(g, m)
-	other := newTestPeer(t, 2)
-	heard.Hello = nil // A test peer has no socket to answer it.
-	other.Receive(netip.AddrPort{}, heard)
-	g.Expect(other.g.suspects.NextToSend(time.Now())).To(HaveLen(peers.MaxEnds))
+	for _, parts := range []bool{false, true} {
+		t.Run(fmt.Sprintf("of parts: %v", parts), func(t *testing.T) {
+			g := NewWithT(t)
+			n := newTestPeer(t, 1)
+			m := peers.Message{Hello: &peers.Hello{Name: strings.Repeat("n", 32), Incarnation: time.Now().UnixMilli(), Address: "100.100.100.100:10000", Domain: strings.Repeat("d", 16)}}
+			m.Hello.QueriedDomain, m.Hello.GatewayCount = m.Hello.Domain, 100_000
+			m.EndBatch = endsOf(time.Now(), n.g)
+			g.Expect(m.Ends).To(HaveLen(peers.MaxEnds))
+			if parts {
+				for _, e := range m.Ends {
+					m.PartEnds = append(m.PartEnds, peers.PartEnd{End: e, SoundBefore: true})
+				}
+				m.Ends = nil
+			}
+			heard := expectFitsPacket(g, m)
+			other := newTestPeer(t, 2)
+			heard.Hello = nil // A test peer has no socket to answer it.
+			other.Receive(netip.AddrPort{}, heard)
+			got := other.g.suspects.NextToSend(time.Now())
+			g.Expect(got.Len()).To(Equal(peers.MaxEnds))
+			g.Expect(got.PartEnds).To(HaveLen(len(m.PartEnds)))
+		})
+	}
 }
 
 // A gateway that restarts under its address is new to the others.
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -120,7 +120,7 @@
 }
 
 func (n *PeerExchange) receive(from netip.AddrPort, m peers.Message) {
-	n.g.suspects.MergeEnds(m.Ends, n.g.cfg.Now())
+	n.g.suspects.MergeEnds(m.EndBatch, n.g.cfg.Now())
 	n.g.receiveLimits(from, m.Limits)
 	if m.Lending != nil {
 		n.receiveShares(from, *m.Lending)
@@ -324,7 +324,7 @@
 	h := n.ownHello(now)
 	for _, hello := range hellos {
 		h.QueriedDomain = hello.QueryDomain
-		n.socket.SendAll(addresses([]string{hello.Address}), peers.Message{Hello: h, Ends: ends})
+		n.socket.SendAll(addresses([]string{hello.Address}), peers.Message{Hello: h, EndBatch: ends})
 	}
 	n.helloRounds++
 	if leaving, _ := n.g.stopState(now); !leaving && n.helloRounds%sidecarHelloRounds != 1 {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -13,9 +13,9 @@
 	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/grouplimit"
-	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/suspects"
 )
 
 // request is the state of one caller's request.
@@ -81,10 +81,10 @@
 	// detachConn stops the attempt's connection from being closed when the caller leaves or the
 	// process terminates. It returns false if the connection is being closed already.
 	detachConn        func() bool
-	unregisterMovable func()               // Excludes the attempt from moveRequests; never nil.
-	lastResponse      endpointResponse     // Sent by the last endpoint whose answer was read.
-	knowledge         quarantine.Knowledge // What was known of earlier ends when it was sent.
-	attemptFinished   bool                 // It came to its end, or was rejected.
+	unregisterMovable func()           // Excludes the attempt from moveRequests; never nil.
+	lastResponse      endpointResponse // Sent by the last endpoint whose answer was read.
+	known             suspects.Known   // What was known of earlier ends when it was sent.
+	attemptFinished   bool             // It came to its end, or was rejected.
 }
 
 // capacityAsk records the group in which a request asked for capacity, and the time of the newest
@@ -132,9 +132,7 @@
 		q.runRecovered(func() { q.fail(http.StatusInternalServerError, "panic") })
 	}
 	q.runRecovered(func() {
-		if q.onTrial {
-			g.suspects.EndTrial(q.key())
-		}
+		g.suspects.EndTrial(q.trialKeys)
 	})
 	q.runRecovered(q.logAndCount)
 	q.reply.close()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -54,7 +54,7 @@
 			return
 		}
 		if q.checkQuarantined() {
-			q.note("quarantined, endpoints ended while running it")
+			q.note(q.quarantineCause)
 			q.concludeUnserved(last, false)
 			return
 		}
--- a/internal/gateway/tell_ends.go
+++ b/internal/gateway/tell_ends.go
@@ -46,7 +46,7 @@
 			n.announceLimits()
 		}
 		for n.g.suspects.HasUnsent() {
-			n.socket.SendAll(addresses(n.liveGateways()), peers.Message{Ends: n.g.suspects.NextToSend(n.g.cfg.Now())})
+			n.socket.SendAll(addresses(n.liveGateways()), peers.Message{EndBatch: n.g.suspects.NextToSend(n.g.cfg.Now())})
 		}
 		wait.For(ctx, announceInterval)
 	}
@@ -66,16 +66,16 @@
 	for part := range slices.Chunk(limits, peers.MaxLimits) {
 		n.socket.Send(to, peers.Message{Limits: part})
 	}
-	if list := n.g.suspects.ForNewPeer(n.g.cfg.Now()); len(list) > 0 {
-		n.socket.Send(to, peers.Message{Ends: list})
+	if ends := n.g.suspects.ForNewPeer(n.g.cfg.Now()); ends.Len() > 0 {
+		n.socket.Send(to, peers.Message{EndBatch: ends})
 	}
 }
 
 // sendEndsToSidecars sends ends to some sidecars, which pass them on to gateways that have just
 // started.
 func (n *PeerExchange) sendEndsToSidecars(sidecars []sidecar) {
-	if list := n.g.suspects.ForNewPeer(n.g.cfg.Now()); len(list) > 0 {
-		n.socket.SendAll(addressesOf(roster.RandomSubset(sidecars, endsFanout, random)), peers.Message{Ends: list})
+	if ends := n.g.suspects.ForNewPeer(n.g.cfg.Now()); ends.Len() > 0 {
+		n.socket.SendAll(addressesOf(roster.RandomSubset(sidecars, endsFanout, random)), peers.Message{EndBatch: ends})
 	}
 }
 
--- a/internal/gateway/unfinished.go
+++ b/internal/gateway/unfinished.go
@@ -8,16 +8,15 @@
 	"sync"
 	"time"
 
-	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
+	"github.com/canvaspulley/canvaspulley/internal/suspects"
 )
 
 // unfinishedAttempt is an attempt that did not come to its end, and after which it is unknown
 // whether the endpoint is still running: the caller left, the answer was silent or unusable, or the
 // connection failed.
 type unfinishedAttempt struct {
-	key       quarantine.Key
-	knowledge quarantine.Knowledge // What was known of earlier ends when the attempt was sent.
-	endedAt   time.Time            // When the attempt ended.
+	suspects.Attempt
+	endedAt time.Time // When the attempt ended.
 }
 
 const (
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -33,9 +33,9 @@
 // message is what peers exchange: the generation in effect and updates on members. The first row
 // is the sender.
 type message struct {
-	Version published.Version `json:"version"`
-	Rows    []member.Member   `json:"rows"`
-	Ends    []peers.End       `json:"ends,omitempty"` // Ends of endpoints' processes during requests.
+	Version        published.Version `json:"version"`
+	Rows           []member.Member   `json:"rows"`
+	peers.EndBatch                   // Ends of endpoints' processes during requests.
 }
 
 // sender returns the sender that a message claims.
@@ -52,7 +52,7 @@
 	ends := n.suspects.NextToSend(clock.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return message{Version: n.spread.Current(), Rows: n.table.OutgoingTo(name), Ends: ends}
+	return message{Version: n.spread.Current(), Rows: n.table.OutgoingTo(name), EndBatch: ends}
 }
 
 // Suspects returns what is known of requests during which endpoints ended. Every process stores and
@@ -224,7 +224,7 @@
 // process is leaving or replaced, informs peers after refuting a suspicion, and queues a hint unless
 // the peer's generation is to be ignored.
 func (n *Node) receive(m message) {
-	n.suspects.MergeEnds(m.Ends, clock.Now())
+	n.suspects.MergeEnds(m.EndBatch, clock.Now())
 	if len(m.Rows) == 0 {
 		return
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -18,11 +18,11 @@
 
 // Message is one datagram, encoded in CBOR. At most one of the pointers is set.
 type Message struct {
-	Hello *Hello `cbor:"1,keyasint,omitempty"`
-	Load  *Load  `cbor:"2,keyasint,omitempty"`
-	Lead  *Lead  `cbor:"3,keyasint,omitempty"`
-	Loads *Loads `cbor:"4,keyasint,omitempty"`
-	Ends  []End  `cbor:"5,keyasint,omitempty"` // At most MaxEnds; may accompany a Hello.
+	Hello    *Hello `cbor:"1,keyasint,omitempty"`
+	Load     *Load  `cbor:"2,keyasint,omitempty"`
+	Lead     *Lead  `cbor:"3,keyasint,omitempty"`
+	Loads    *Loads `cbor:"4,keyasint,omitempty"`
+	EndBatch        // May accompany a Hello.
 	// Limits has at most MaxLimits elements and is sent without other fields.
 	Limits  []Limit  `cbor:"6,keyasint,omitempty"`
 	Lending *Lending `cbor:"7,keyasint,omitempty"`
@@ -166,6 +166,23 @@
 	AgeMs       int64    // Since the process ended.
 }
 
+// PartEnd reports that an endpoint's process ended while it ran a request with a part, which the key
+// identifies.
+type PartEnd struct {
+	_           struct{} `cbor:",toarray"`
+	End         End
+	SoundBefore bool // Requests with the part had completed shortly before.
+}
+
+// EndBatch is the ends that one message contains, at most MaxEnds of both kinds together.
+type EndBatch struct {
+	Ends     []End     `cbor:"5,keyasint,omitempty" json:"ends,omitempty"`
+	PartEnds []PartEnd `cbor:"8,keyasint,omitempty" json:"part-ends,omitempty"`
+}
+
+// Len returns the number of ends.
+func (b EndBatch) Len() int { return len(b.Ends) + len(b.PartEnds) }
+
 // MaxEnds is how many ends one message contains at most, so that it fits into a packet of 1,400
 // bytes together with a Hello.
 const MaxEnds = 12
--- a/internal/sidecar/loads.go
+++ b/internal/sidecar/loads.go
@@ -34,7 +34,7 @@
 	if !isNew {
 		return
 	}
-	m := peers.Message{Load: load, Ends: s.suspects.ForNewPeer(now)}
+	m := peers.Message{Load: load, EndBatch: s.suspects.ForNewPeer(now)}
 	if m.Load != nil || len(m.Ends) > 0 {
 		s.socket.Send(from, m)
 	}
--- a/internal/sidecar/loads_test.go
+++ b/internal/sidecar/loads_test.go
@@ -68,7 +68,7 @@
 	_, received := listen(t, g, at.String())
 	s := &Sidecar{log: zap.NewNop(), socket: own, gateways: newSubscribers("a"), suspects: suspects.New(zap.NewNop(), metrics.NewRegistry())}
 	key := quarantine.KeyOf("POST", "h", "/p", "c", nil)
-	s.receive(at, peers.Message{Hello: &peers.Hello{Domain: "a", Incarnation: 1}, Ends: []peers.End{{Key: key[:], Endpoint: "e"}}})
+	s.receive(at, peers.Message{Hello: &peers.Hello{Domain: "a", Incarnation: 1}, EndBatch: peers.EndBatch{Ends: []peers.End{{Key: key[:], Endpoint: "e"}}}})
 	var m peers.Message
 	g.Eventually(received, eventually).Should(Receive(&m))
 	g.Expect(m.Ends).To(HaveLen(1))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -201,7 +201,7 @@
 // receive handles a message. A message that causes a panic is dropped.
 func (s *Sidecar) receive(from netip.AddrPort, m peers.Message) {
 	duty.RunRecovered("message", s.log, s.reg, func() {
-		s.suspects.MergeEnds(m.Ends, time.Now())
+		s.suspects.MergeEnds(m.EndBatch, time.Now())
 		switch {
 		case m.Hello != nil:
 			s.receiveHello(from, *m.Hello)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -164,7 +164,7 @@
 		},
 		{
 			name:          "a request that ends endpoints is sent repeatedly",
-			edits:         []edit{{"../gateway/ended.go", "v, left := q.g.suspects.Judge(q.key, now)", "v, left := quarantine.Free, time.Duration(0)"}},
+			edits:         []edit{{"../gateway/ended.go", "j := q.g.suspects.Judge(q.subjects(), now)", "j := suspects.Judgement{}"}},
 			wantViolation: `request crashing-\S+ reached endpoints \d+ times more`, seed: 2013, kinds: FifthKinds,
 		},
 		{
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -1,12 +1,15 @@
 // Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
 
-// Package suspects keeps what one process knows of requests during which endpoints ended, and
+// Package suspects keeps what one process knows of requests and parts of prompts during which endpoints ended, and
 // selects what to send of it to other processes. Gateways act on it; sidecars only store it, so
 // that it survives gateways that end at the same time. Verdicts are up to package quarantine, and
 // sending to package peers.
 package suspects
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,7 +20,45 @@
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 )
 
-// Set holds what a process knows of requests during which endpoints ended.
+// Subjects are what may cause the end of an endpoint that runs a request: the request as a whole, and each
+// part of its prompt that other requests may share. Whole is called only if any ends are known, because
+// computing its key hashes the body.
+type Subjects struct {
+	Whole func() quarantine.Key
+	Parts []quarantine.Key
+}
+
+// all returns the keys of all subjects, that of the whole request first.
+func (c Subjects) all(yield func(k quarantine.Key) bool) {
+	if !yield(c.Whole()) {
+		return
+	}
+	for _, k := range c.Parts {
+		if !yield(k) {
+			return
+		}
+	}
+}
+
+// Known is what was known of the subjects of a request when it was sent. Subjects of which no end was
+// known are absent.
+type Known map[quarantine.Key]quarantine.Knowledge
+
+// Attempt is an attempt that was not finished when its endpoint ended.
+type Attempt struct {
+	Whole quarantine.Key
+	Parts []quarantine.Key
+	Known Known
+}
+
+// Judgement is the verdict on a request: the strictest one on its subjects.
+type Judgement struct {
+	Verdict   quarantine.Verdict
+	Remaining time.Duration    // Of the longest hold; 0 unless held.
+	Keys      []quarantine.Key // Subjects with that verdict; empty if the request is free.
+}
+
+// Set holds what a process knows of requests and parts during which endpoints ended.
 type Set struct {
 	log       *zap.Logger
 	heldGauge metrics.Gauge
@@ -45,7 +86,7 @@
 
 // NextToSend returns the ends to send to all other processes next, at most peers.MaxEnds, and marks
 // them as sent.
-func (s *Set) NextToSend(now time.Time) []peers.End {
+func (s *Set) NextToSend(now time.Time) peers.EndBatch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return encode(s.history.TakeNextToSend(peers.MaxEnds, now), now)
@@ -53,17 +94,22 @@
 
 // ForNewPeer returns the most severe ends, at most peers.MaxEnds, to send to a process that may know
 // none yet. It does not mark them as sent.
-func (s *Set) ForNewPeer(now time.Time) []peers.End {
+func (s *Set) ForNewPeer(now time.Time) peers.EndBatch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return encode(s.history.MostSevere(peers.MaxEnds), now)
 }
 
-func encode(ends []quarantine.End, now time.Time) (list []peers.End) {
+func encode(ends []quarantine.End, now time.Time) (b peers.EndBatch) {
 	for _, e := range ends {
-		list = append(list, peers.End{Key: e.Key[:], Endpoint: e.Endpoint, KnownBefore: int(e.Knowledge), Void: e.Void, AgeMs: now.Sub(e.At).Milliseconds()})
+		one := peers.End{Key: e.Key[:], Endpoint: e.Endpoint, KnownBefore: int(e.Knowledge), Void: e.Void, AgeMs: now.Sub(e.At).Milliseconds()}
+		if e.Part {
+			b.PartEnds = append(b.PartEnds, peers.PartEnd{End: one, SoundBefore: e.SoundBefore})
+		} else {
+			b.Ends = append(b.Ends, one)
+		}
 	}
-	return list
+	return b
 }
 
 // HasUnsent reports whether any end has never been sent.
@@ -74,25 +120,33 @@
 }
 
 // MergeEnds adds the ends that another process sent.
-func (s *Set) MergeEnds(list []peers.End, now time.Time) {
-	if len(list) == 0 {
+func (s *Set) MergeEnds(b peers.EndBatch, now time.Time) {
+	if b.Len() == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, received := range list {
-		if !valid(received) {
-			s.log.Warn("invalid endpoint end ignored", zap.Binary("key", received.Key), zap.Int64("age-ms", received.AgeMs), zap.Int("sending", received.KnownBefore))
-			continue
-		}
-		s.add(quarantine.End{
-			Key: quarantine.Key(received.Key), Endpoint: received.Endpoint, Knowledge: quarantine.Knowledge(received.KnownBefore), Void: received.Void,
-			At: now.Add(-time.Duration(received.AgeMs) * time.Millisecond),
-		}, now, now)
+	for _, received := range b.Ends {
+		s.mergeEnd(received, quarantine.End{}, now)
+	}
+	for _, received := range b.PartEnds {
+		s.mergeEnd(received.End, quarantine.End{Part: true, SoundBefore: received.SoundBefore}, now)
 	}
 	s.history.Forget(now)
 }
 
+// mergeEnd adds an end that another process sent, with the fields of base that only ends of parts have. An
+// invalid one is ignored. The caller holds mu.
+func (s *Set) mergeEnd(received peers.End, base quarantine.End, now time.Time) {
+	if !valid(received) {
+		s.log.Warn("invalid endpoint end ignored", zap.Binary("key", received.Key), zap.Int64("age-ms", received.AgeMs), zap.Int("sending", received.KnownBefore))
+		return
+	}
+	base.Key, base.Endpoint, base.Knowledge = quarantine.Key(received.Key), received.Endpoint, quarantine.Knowledge(received.KnownBefore)
+	base.Void, base.At = received.Void, now.Add(-time.Duration(received.AgeMs)*time.Millisecond)
+	s.add(base, now, now)
+}
+
 // Bounds on ends from other processes.
 const (
 	maxEndpointIDLen = 255                 // Bytes of an endpoint's id.
@@ -105,11 +159,37 @@
 		e.AgeMs >= 0 && e.AgeMs <= maxAge.Milliseconds() && quarantine.Knowledge(e.KnownBefore).Valid()
 }
 
-// RecordEnd records that an endpoint ended during a request of this process.
-func (s *Set) RecordEnd(k quarantine.Key, endpoint string, knowledge quarantine.Knowledge, now time.Time) {
+// maxSubjectsPerEnd bounds the subjects that are recorded for one end, and with it the messages.
+const maxSubjectsPerEnd = 128
+
+// RecordEnds records that an endpoint ended during attempts of this process. If there are more than
+// maxSubjectsPerEnd subjects, those are recorded of which ends are known, then those that are not proven
+// sound.
+func (s *Set) RecordEnds(endpoint string, attempts []Attempt, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.add(quarantine.End{Key: k, Endpoint: endpoint, Knowledge: knowledge, At: now}, time.Time{}, now)
+	subjects := map[quarantine.Key]quarantine.End{}
+	for _, a := range attempts {
+		Subjects{Whole: func() quarantine.Key { return a.Whole }, Parts: a.Parts}.all(func(k quarantine.Key) bool {
+			end, ok := subjects[k]
+			if !ok {
+				end = quarantine.End{Key: k, Part: k != a.Whole, Endpoint: endpoint, At: now}
+			}
+			end.Knowledge = max(end.Knowledge, a.Known[k])
+			subjects[k] = end
+			return true
+		})
+	}
+	list := slices.Collect(maps.Values(subjects))
+	if len(list) > maxSubjectsPerEnd {
+		slices.SortFunc(list, func(x, y quarantine.End) int {
+			return cmp.Compare(s.history.Suspicion(y.Key), s.history.Suspicion(x.Key))
+		})
+		list = list[:maxSubjectsPerEnd]
+	}
+	for _, e := range list {
+		s.add(e, time.Time{}, now)
+	}
 	s.notifyPending()
 }
 
@@ -123,7 +203,7 @@
 	}
 	after, remaining := s.history.Judge(e.Key, now)
 	s.heldGauge.Update(int64(s.history.HeldCount(now)))
-	fields := []zap.Field{zap.Stringer("key", e.Key), zap.String("endpoint", e.Endpoint), zap.Bool("seen-here", receivedAt.IsZero()), zap.Stringer("sending", e.Knowledge),
+	fields := []zap.Field{zap.Stringer("key", e.Key), zap.Bool("part", e.Part), zap.Bool("sound-before", e.SoundBefore), zap.Int("counted", s.history.CountedEnds(e.Key)), zap.String("endpoint", e.Endpoint), zap.Bool("seen-here", receivedAt.IsZero()), zap.Stringer("sending", e.Knowledge),
 		zap.Bool("void", e.Void), zap.Stringer("verdict", after), zap.Duration("held-for", remaining)}
 	if after != before {
 		s.log.Warn("endpoint ended during a request", fields...)
@@ -132,16 +212,22 @@
 	s.log.Info("endpoint ended during a request", fields...)
 }
 
-// RecordSuccess records that a request ran to completion. It calls key only if any ends are known,
-// because computing a key hashes the body.
-func (s *Set) RecordSuccess(key func() quarantine.Key) {
+// RecordSuccess records that a request ran to completion, which clears all its subjects.
+func (s *Set) RecordSuccess(c Subjects, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.history.Empty() || !s.history.RecordCompletion(key()) {
+	for _, k := range c.Parts {
+		s.history.RecordSound(k, now)
+	}
+	if s.history.Empty() {
 		return
 	}
-	s.log.Info("request completed although endpoints had ended during it", zap.Stringer("key", key()))
-	s.notifyPending()
+	for k := range c.all {
+		if s.history.RecordCompletion(k) {
+			s.log.Info("request completed although endpoints had ended during it", zap.Stringer("key", k), zap.Bool("part", k != c.Whole()))
+			s.notifyPending()
+		}
+	}
 }
 
 // RecordAlive records that an endpoint answered a request that was sent to it at the given time.
@@ -155,44 +241,90 @@
 	s.notifyPending()
 }
 
-// KnowledgeAtSend returns what is known of a request that is sent now. It calls key only if any ends are
-// known, because computing a key hashes the body.
-func (s *Set) KnowledgeAtSend(key func() quarantine.Key, now time.Time) quarantine.Knowledge {
+// KnownAtSend returns what is known of a request that is sent now, as a trial of the given keys.
+func (s *Set) KnownAtSend(c Subjects, trialKeys []quarantine.Key, now time.Time) Known {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.history.Empty() {
-		return quarantine.NoKnownEnd
+		return nil
+	}
+	known := Known{}
+	for k := range c.all {
+		if v := s.history.KnowledgeOf(k, now); v != quarantine.NoKnownEnd {
+			known[k] = v
+		}
 	}
-	return s.history.KnowledgeOf(key(), now)
+	for _, k := range trialKeys {
+		known[k] = quarantine.OnTrial
+	}
+	return known
 }
 
-// Judge returns the verdict on a request, and for how long the request is still held. It calls key
-// only if any ends are known.
-func (s *Set) Judge(key func() quarantine.Key, now time.Time) (v quarantine.Verdict, remaining time.Duration) {
+// Judge returns the verdict on a request.
+func (s *Set) Judge(c Subjects, now time.Time) (j Judgement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.history.Empty() {
-		return quarantine.Free, 0
+		return j
+	}
+	for k := range c.all {
+		v, remaining := s.history.Judge(k, now)
+		if v == quarantine.Free || v < j.Verdict {
+			continue
+		}
+		if v > j.Verdict {
+			j.Verdict, j.Keys = v, nil
+		}
+		j.Remaining = max(j.Remaining, remaining)
+		j.Keys = append(j.Keys, k)
 	}
-	return s.history.Judge(key(), now)
+	return j
 }
 
-// BeginTrial begins a trial of a request, which expires at the time until. It reports whether it
-// did: it does not while another trial of the request is in progress, or if no end is known.
-func (s *Set) BeginTrial(k quarantine.Key, now, until time.Time) bool {
+// Suspected returns the first part of a request that is to be sent to one endpoint only for now, since an
+// endpoint ended during an earlier request with it and none has completed; see quarantine.History.
+func (s *Set) Suspected(c Subjects, now time.Time) (part quarantine.Key, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.history.BeginTrial(k, now, until)
+	if s.history.Empty() {
+		return part, false
+	}
+	for _, k := range c.Parts {
+		if s.history.Suspected(k, now) {
+			return k, true
+		}
+	}
+	return part, false
+}
+
+// BeginTrial begins a trial of all the given keys, which expires at the time until. It reports whether it
+// did: it does not while another trial of one of them is in progress, or if no end of it is known.
+func (s *Set) BeginTrial(keys []quarantine.Key, now, until time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, k := range keys {
+		if !s.history.BeginTrial(k, now, until) {
+			s.endTrial(keys[:i])
+			return false
+		}
+	}
+	return true
 }
 
 // EndTrial ends a trial without a result.
-func (s *Set) EndTrial(k quarantine.Key) {
+func (s *Set) EndTrial(keys []quarantine.Key) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.history.EndTrial(k)
+	s.endTrial(keys)
+}
+
+func (s *Set) endTrial(keys []quarantine.Key) {
+	for _, k := range keys {
+		s.history.EndTrial(k)
+	}
 }
 
-// Expire drops expired entries and updates the metric of held requests.
+// Expire drops expired entries and updates the metric of held requests and parts.
 func (s *Set) Expire(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/suspects/suspects_test.go
+++ b/internal/suspects/suspects_test.go
@@ -24,18 +24,25 @@
 
 func keyFunc() quarantine.Key { return key }
 
+// whole is the subjects of a request without parts.
+var whole = Subjects{Whole: keyFunc}
+
+// recordEnd records the end of an endpoint during an attempt of which something was known.
+func recordEnd(s *Set, endpoint string, known Known, now time.Time) {
+	s.RecordEnds(endpoint, []Attempt{{Whole: key, Known: known}}, now)
+}
+
 // setWithTwoEnds returns a set with two endpoints that ended during the same request, one after the
 // other.
 func setWithTwoEnds() *Set {
 	s := newSet()
-	s.RecordEnd(key, "e-0", s.KnowledgeAtSend(keyFunc, now.Add(-time.Minute)), now.Add(-time.Minute))
-	s.RecordEnd(key, "e-1", s.KnowledgeAtSend(keyFunc, now), now)
+	recordEnd(s, "e-0", s.KnownAtSend(whole, nil, now.Add(-time.Minute)), now.Add(-time.Minute))
+	recordEnd(s, "e-1", s.KnownAtSend(whole, nil, now), now)
 	return s
 }
 
 func expectVerdict(g *WithT, s *Set, want quarantine.Verdict) {
-	v, _ := s.Judge(keyFunc, now)
-	g.Expect(v).To(Equal(want))
+	g.Expect(s.Judge(whole, now).Verdict).To(Equal(want))
 }
 
 func TestASetAdoptsEndsAndSuccessesFromAnother(t *testing.T) {
@@ -45,7 +52,7 @@
 	second.MergeEnds(first.NextToSend(now), now)
 	expectVerdict(g, second, quarantine.Held)
 
-	first.RecordSuccess(keyFunc)
+	first.RecordSuccess(whole, now)
 	g.Expect(first.Pending()).To(Receive())
 	second.MergeEnds(first.NextToSend(now), now)
 	expectVerdict(g, second, quarantine.Free)
@@ -58,7 +65,8 @@
 	g.Expect(s.Pending()).NotTo(Receive(), "one value for all pending ends")
 	g.Expect(s.HasUnsent()).To(BeTrue())
 	sent := s.NextToSend(now)
-	g.Expect(sent).To(HaveLen(2))
+	g.Expect(sent.Ends).To(HaveLen(2))
+	g.Expect(sent.Len()).To(Equal(2))
 	g.Expect(s.HasUnsent()).To(BeFalse())
 	other := newSet()
 	other.MergeEnds(sent, now)
@@ -73,12 +81,13 @@
 	const age = 5 * time.Minute
 	s := setWithTwoEnds()
 	sent := s.NextToSend(now.Add(age))
-	for _, e := range sent {
+	for _, e := range sent.Ends {
 		g.Expect(e.AgeMs).To(BeElementOf(age.Milliseconds(), (age + time.Minute).Milliseconds()))
 	}
 	other := newSet()
 	other.MergeEnds(sent, now)
-	g.Expect(other.NextToSend(now)).To(ConsistOf(sent))
+	g.Expect(sent.Ends).To(HaveLen(2))
+	g.Expect(other.NextToSend(now).Ends).To(ConsistOf(sent.Ends))
 }
 
 func TestInvalidEndsAreIgnored(t *testing.T) {
@@ -94,8 +103,8 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			s := newSet()
-			s.MergeEnds([]peers.End{bad}, now)
-			g.Expect(s.NextToSend(now)).To(BeEmpty())
+			s.MergeEnds(peers.EndBatch{Ends: []peers.End{bad}, PartEnds: []peers.PartEnd{{End: bad}}}, now)
+			g.Expect(s.NextToSend(now).Len()).To(BeZero())
 		})
 	}
 }
@@ -104,15 +113,15 @@
 	g := NewWithT(t)
 	s := newSet()
 	for _, e := range []string{"e-0", "e-1", "e-2"} { // All at the same time.
-		s.RecordEnd(key, e, quarantine.NoKnownEnd, now.Add(-time.Minute))
+		recordEnd(s, e, nil, now.Add(-time.Minute))
 	}
 	expectVerdict(g, s, quarantine.Trial)
 	until := now.Add(time.Second)
-	g.Expect(s.BeginTrial(key, now, until)).To(BeTrue())
-	g.Expect(s.BeginTrial(key, now, until)).To(BeFalse())
-	s.EndTrial(key)
-	g.Expect(s.BeginTrial(key, now, until)).To(BeTrue())
-	s.RecordEnd(key, "e-3", quarantine.OnTrial, now)
+	g.Expect(s.BeginTrial([]quarantine.Key{key}, now, until)).To(BeTrue())
+	g.Expect(s.BeginTrial([]quarantine.Key{key}, now, until)).To(BeFalse())
+	s.EndTrial([]quarantine.Key{key})
+	g.Expect(s.BeginTrial([]quarantine.Key{key}, now, until)).To(BeTrue())
+	recordEnd(s, "e-3", s.KnownAtSend(whole, []quarantine.Key{key}, now), now)
 	expectVerdict(g, s, quarantine.Held)
 }
 
