--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -59,6 +59,7 @@
 		{"plays", "tell how callers' tries ended in reports of the users' bench", &playsCommand{app: a, in: os.Stdin}},
 		{"capacity", "work out what a site of a given size costs", &capacityCommand{app: a}},
 		{"status", "show what processes believe", &statusCommand{app: a}},
+		{"quarantine", "show what requests and parts of prompts are held, or release one", &quarantineCommand{app: a}},
 		{"audit", "show what changed, merged by time", &auditCommand{app: a}},
 		{"keys", "make a site's certificates and signing key", &keysCommand{app: a}},
 	} {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -29,17 +29,26 @@
 	} `positional-args:"yes" required:"yes"`
 }
 
+// client returns an HTTP client for operators' listeners, and the scheme of their URLs. The cleanup function
+// closes its connections.
+func (a *operatorAccess) client() (c *http.Client, scheme string, cleanup func(), err error) {
+	creds, err := trust.Load(a.CA, a.Certificate, a.PrivateKey)
+	if err != nil {
+		return nil, "", nil, err
+	}
+	c = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{TLSClientConfig: creds.Client()}}
+	return c, creds.Scheme(), c.CloseIdleConnections, nil
+}
+
 // get reads a JSON answer from the operators' listener of a process.
 func (a *operatorAccess) get(address, path string, v any) (err error) {
 	defer func() { err = errors.Wrapf(err, "%s%s", address, path) }()
-	creds, err := trust.Load(a.CA, a.Certificate, a.PrivateKey)
+	c, scheme, cleanup, err := a.client()
 	if err != nil {
 		return err
 	}
-	cfg := creds.Client()
-	c := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{TLSClientConfig: cfg}}
-	defer c.CloseIdleConnections()
-	resp, err := c.Get(creds.Scheme() + "://" + address + path)
+	defer cleanup()
+	resp, err := c.Get(scheme + "://" + address + path)
 	if err != nil {
 		return err
 	}
@@ -47,6 +56,21 @@
 	return json.NewDecoder(resp.Body).Decode(v)
 }
 
+// post posts an empty body to the operators' listener of a process.
+func (a *operatorAccess) post(address, path string) (status int, err error) {
+	defer func() { err = errors.Wrapf(err, "%s%s", address, path) }()
+	c, scheme, cleanup, err := a.client()
+	if err != nil {
+		return 0, err
+	}
+	defer cleanup()
+	resp, err := c.Post(scheme+"://"+address+path, "", nil)
+	if err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, resp.Body.Close()
+}
+
 // queryAll reads path from all processes. It returns the answers, and the joined errors of the
 // processes that did not answer.
 func queryAll[T any](a *operatorAccess, path string) (list []T, errs error) {
@@ -81,6 +105,9 @@
 		fmt.Fprintf(v.app.out, "%-24s %-9s %-8s %-9s generation %d (%.8s)  members %d alive, %d suspect, %d dead  pid %d, up %.0f s, build %.12s %s\n",
 			s.Name, s.Role, s.Domain, s.State, s.Version.Generation, s.Version.Hash, alive, suspect, dead,
 			s.Pid, s.UptimeS, s.Build.ID, cmp.Or(s.Build.Revision, s.Build.Version))
+		for _, one := range s.Held {
+			printSuspect(v.app.out, one)
+		}
 	}
 	return markFailed(errs)
 }
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -22,10 +22,12 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/asynclog"
 	"github.com/canvaspulley/canvaspulley/internal/build"
+	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
 	"github.com/canvaspulley/canvaspulley/internal/gateway"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/settings"
+	"github.com/canvaspulley/canvaspulley/internal/suspects"
 	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
@@ -307,9 +309,9 @@
 	p.log.Info("settings read again", zap.Bool("store-moved", next.StoreAddress != p.set.StoreAddress))
 }
 
-// serveMetrics serves the process's metrics as text. The process works without them, so a failure
-// is only logged.
-func (p *fleetProcess) serveMetrics(duties *duty.Group) {
+// serveMetrics serves the process's metrics as text, and what is quarantined, unless set is nil. The process
+// works without them, so a failure is only logged.
+func (p *fleetProcess) serveMetrics(duties *duty.Group, set *suspects.Set) {
 	if p.set.MetricsAddress == "" {
 		return
 	}
@@ -324,6 +326,9 @@
 		p.writeBuild(w)
 		metrics.WriteOnce(p.reg, w)
 	})
+	if set != nil {
+		set.AddHandlers(mux, clock.Now)
+	}
 	duties.GoOnce("metrics", func(ctx context.Context) error { return serveUntilDone(ctx, p.httpServer(mux), l) })
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -118,7 +118,7 @@
 	duties.GoOnce("readiness", func(ctx context.Context) error {
 		return serveUntilDone(ctx, p.httpServer(g.ReadinessHandler()), readiness)
 	})
-	p.serveMetrics(duties)
+	p.serveMetrics(duties, g.Suspects())
 	duties.Go("stop", func(ctx context.Context) error {
 		p.drain(ctx, stop, func() (requests, connections int) { return g.InFlight(), g.CallerConns().OpenConns() }, g.CallerConns())
 		cancel()
--- a/internal/decide/quarantine/key.go
+++ b/internal/decide/quarantine/key.go
@@ -40,10 +40,13 @@
 
 // PartKeyOf returns the key of a part of the prompts of requests to a model of a service.
 func PartKeyOf(service, model, part string) (k Key) {
-	h := sha256.New()
-	for _, s := range [...]string{"part", service, model, part} {
-		hashField(h, []byte(s))
+	const typicalSize = 128 // Bytes; a longer text is allocated.
+	text := make([]byte, 0, typicalSize)
+	for _, field := range [...]string{"part", service, model, part} {
+		text = binary.BigEndian.AppendUint64(text, uint64(len(field)))
+		text = append(text, field...)
 	}
-	copy(k[:], h.Sum(nil))
+	sum := sha256.Sum256(text)
+	copy(k[:], sum[:])
 	return k
 }
--- a/internal/entry/held_test.go
+++ b/internal/entry/held_test.go
@@ -164,3 +164,33 @@
 	panics := metrics.GetOrRegisterCounter("process.panics.request", h.entry.node.Metrics())
 	gomega.NewWithT(t).Expect(panics.Count()).To(gomega.BeEquivalentTo(2))
 }
+
+// Guards against a message that ends the process of each endpoint that runs a conversation with it, however
+// the conversations go on.
+func TestConversationsWithAMessageThatEndsEndpointsAreQuarantined(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHarness(t)
+	ask := func(history string, n int) reply {
+		body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":6,"messages":[{"role":"system","content":"all"},{"role":"user","content":%q},{"role":"user","content":"%d"}]}`, h.layout.Model, history, n)
+		return h.send(variants[0], http.MethodPost, "/v1/chat/completions", body, "", nil)
+	}
+	n := 0
+	sound := func() {
+		n++
+		h.setScripts(func(a scriptedAttempt) { a.complete(6) })
+		g.Expect(ask("sound", n).StatusCode).To(gomega.Equal(http.StatusOK))
+	}
+	sound()
+	ended := int64(0)
+	for range 3 * maxProcessEnds {
+		n++
+		h.setScripts(endsProcess(0))
+		before := h.attempts.Load()
+		ask("bad", n)
+		ended += int64(h.attempts.Load() - before)
+		h.clockOffset.Add(int64(restartTime))
+		sound()
+	}
+	t.Logf("%d attempts of conversations with the message", ended)
+	g.Expect(ended).To(gomega.BeNumerically("<=", maxProcessEnds+expectedTrials))
+}
--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -34,6 +34,9 @@
 	quarantineCause string
 }
 
+// Suspects returns what this gateway knows of requests and parts during which endpoints ended.
+func (g *Gateway) Suspects() *suspects.Set { return g.suspects }
+
 // key returns the quarantine key, which is the same for identical requests.
 func (q *request) key() quarantine.Key {
 	if q.hasKey {
@@ -184,7 +187,7 @@
 	var ids []string
 	for i, k := range q.partKeys() {
 		if slices.Contains(j.Keys, k) {
-			ids = append(ids, q.call.PromptParts[i])
+			ids = append(ids, q.call.PromptParts[i]+" (key "+k.String()+")")
 		}
 	}
 	if len(ids) == 0 {
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -14,9 +14,11 @@
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/build"
 	"github.com/canvaspulley/canvaspulley/internal/chart"
+	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/published"
+	"github.com/canvaspulley/canvaspulley/internal/suspects"
 )
 
 // Paths of the operators' listener.
@@ -41,6 +43,7 @@
 	Pid      int                `json:"pid"`
 	Build    build.Info         `json:"build"`
 	Members  []member.Member    `json:"members"`
+	Held     []suspects.Suspect `json:"held"` // Requests and parts of prompts that are held or on trial.
 }
 
 // AuditReport holds the newest records of an audit trail.
@@ -58,7 +61,7 @@
 		Name: n.cfg.Name, Role: string(n.cfg.Role), Domain: n.cfg.Domain, Endpoint: n.cfg.Endpoint,
 		State: n.machine.State(), Version: n.spread.Current(),
 		UptimeS: time.Since(n.startedAt).Seconds(), Members: members,
-		Pid: os.Getpid(), Build: build.Read(),
+		Pid: os.Getpid(), Build: build.Read(), Held: n.suspects.ListHeld(clock.Now()),
 	}
 	if v, ok := n.spread.Conflict(); ok {
 		s.Conflict = &v
@@ -89,6 +92,7 @@
 		httpjson.Reply(w, AuditReport{Dropped: dropped, Records: records})
 	})
 	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) { httpjson.Reply(w, n.Status()) })
+	n.suspects.AddHandlers(mux, clock.Now)
 	if n.cfg.Pprof {
 		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -62,6 +62,7 @@
 type Set struct {
 	log       *zap.Logger
 	heldGauge metrics.Gauge
+	reg       metrics.Registry
 	pending   chan struct{} // Holds a value while an end waits to be sent.
 
 	mu      sync.Mutex // Guards the fields below.
@@ -70,7 +71,7 @@
 
 // New returns an empty set.
 func New(log *zap.Logger, reg metrics.Registry) *Set {
-	return &Set{log: log, heldGauge: metrics.GetOrRegisterGauge("quarantine.held", reg), pending: make(chan struct{}, 1), history: quarantine.New()}
+	return &Set{log: log, reg: reg, heldGauge: metrics.GetOrRegisterGauge("quarantine.held", reg), pending: make(chan struct{}, 1), history: quarantine.New()}
 }
 
 // Pending returns a channel that holds a value while something waits to be sent.
@@ -278,6 +279,9 @@
 		j.Remaining = max(j.Remaining, remaining)
 		j.Keys = append(j.Keys, k)
 	}
+	if j.Verdict != quarantine.Free {
+		metrics.GetOrRegisterCounter("quarantine.judged."+j.Verdict.String(), s.reg).Inc(1)
+	}
 	return j
 }
 
