internal/decide/slotshare, waitqueue: a gateway with most callers takes the room that others leave

Cause: Admit and Join take it that each other gateway has as much demand as this one. That holds only while callers are spread evenly.

Fix: a gateway knows its own requests in flight and those of all from the ranks' reports. One with twice its even part or more, over half a second, has that part of the demand; below, the demand counts as even, so that nobody takes more since it took more before. Refusals say in tries which limit refused them: no slot, or a turn that would come too late.

--- a/internal/decide/balance/balance.go
+++ b/internal/decide/balance/balance.go
@@ -133,6 +133,9 @@
 	}
 }
 
+// InFlight returns the number of requests of this process that are in flight at an endpoint.
+func (t *Table) InFlight(id string) int { return t.getOrCreate(id).inFlight }
+
 // outstanding estimates the number of requests at an endpoint. It takes the requests of the last
 // report, adds those that this process has sent since, and subtracts those that it has seen end. When
 // the report is too old, it counts only the requests of this process.
--- a/internal/decide/grouplimit/grouplimit.go
+++ b/internal/decide/grouplimit/grouplimit.go
@@ -329,12 +329,13 @@
 
 // Option is a group that could take a request, as input to Choose.
 type Option struct {
-	Ranks      int       // Ranks that may be chosen.
-	Requests   int       // Requests that these ranks hold.
-	Limit      float64   // Requests that one of these ranks may hold on average.
-	SameDomain int       // Ranks in the failure domain of this process.
-	LastReport time.Time // Time of the last report of any of its ranks; zero before the first.
-	Silent     bool      // It is skipped, as other groups report and it no longer does.
+	Ranks       int       // Ranks that may be chosen.
+	Requests    int       // Requests that these ranks hold.
+	OwnRequests int       // Those of this process among them.
+	Limit       float64   // Requests that one of these ranks may hold on average.
+	SameDomain  int       // Ranks in the failure domain of this process.
+	LastReport  time.Time // Time of the last report of any of its ranks; zero before the first.
+	Silent      bool      // It is skipped, as other groups report and it no longer does.
 }
 
 // silentAfter is the time without any report after which a whole group counts as partitioned off:
--- a/internal/decide/slotshare/slotshare.go
+++ b/internal/decide/slotshare/slotshare.go
@@ -4,7 +4,7 @@
 // the same number of free slots and do not know of each other's requests. Each process
 // admits a request with a probability such that all processes together fill the slots
 // once: the ratio of free slots to the demand of all processes, which it estimates from
-// its own requests. Requests of a better class go first, at any process: the number of
+// its own requests and from its part of the requests in flight. Requests of a better class go first, at any process: the number of
 // slots that they typically need is reserved for them. It is a pure state machine: time
 // and randomness are passed as arguments, and the caller serialises access. Package
 // passes determines the number of slots.
@@ -50,15 +50,33 @@
 	lastReport time.Time           // Time of the newest report of free slots; zero before the first.
 	requests   [classCount]float64 // Requests for a slot since that report.
 	smoothed   [classCount]float64 // Smoothed number of requests between two reports.
+	ownUse     float64             // Smoothed number of requests of this process in flight.
+	totalUse   float64             // Smoothed number of requests of all processes in flight.
 }
 
+// useSmoothingWeight is the weight of the newest report in the smoothed numbers of requests in flight,
+// which thus cover about half a second.
+const useSmoothingWeight = 0.2
+
+const (
+	// dominance is how many times its even part of the requests in flight a process must have for
+	// that part to count as its part of the demand. Below, the demand counts as even: requests in
+	// flight vary, and a process must not take more because it has taken more before.
+	dominance = 2
+	// minUse is the number of requests in flight below which the parts of the processes are unknown.
+	minUse = 4
+)
+
 // RecordReport records that the number of free slots was reported at the given time: it begins a
-// new report interval. Reports that are not newer than the newest one are ignored. Requests before
+// new report interval. Own and total are the numbers of requests of this process and of all processes
+// in flight at that time. Reports that are not newer than the newest one are ignored. Requests before
 // the first report do not count.
-func (s *Share) RecordReport(at time.Time) {
+func (s *Share) RecordReport(at time.Time, own, total int) {
 	if !at.After(s.lastReport) {
 		return
 	}
+	s.ownUse += useSmoothingWeight * (float64(own) - s.ownUse)
+	s.totalUse += useSmoothingWeight * (float64(max(total, own)) - s.totalUse)
 	for c := range s.smoothed {
 		if !s.lastReport.IsZero() {
 			s.smoothed[c] += smoothingWeight * (s.requests[c] - s.smoothed[c])
@@ -72,6 +90,17 @@
 // slot again at the next report.
 func (s *Share) LastReport() time.Time { return s.lastReport }
 
+// Processes returns the ratio of the demand of all processes to that of this one, where others is the
+// number of other processes. It is others+1 if the demand is even. A process to which most callers come
+// has most of the requests in flight, since others ask for less than their part.
+func (s *Share) Processes(others int) float64 {
+	even := float64(others + 1)
+	if s.totalUse < minUse || s.ownUse*even < dominance*s.totalUse {
+		return even
+	}
+	return max(s.totalUse/s.ownUse, 1)
+}
+
 // Admit counts a request of a class and decides whether it takes one of the free slots. The
 // argument others is the number of other processes with requests for these slots. The argument surge
 // is set while all processes have requests that waited for the same event, as right after an outage.
@@ -79,12 +108,16 @@
 // requests as this process. The function random returns a number in [0, 1).
 func (s *Share) Admit(c Class, slots float64, others int, surge bool, random func() float64) bool {
 	s.requests[c]++
-	probability := s.admitProbability(c, slots, float64(others+1), surge)
+	processes := s.Processes(others)
+	if surge {
+		processes = float64(others + 1)
+	}
+	probability := s.admitProbability(c, slots, processes, surge)
 	return slots >= 1 && probability > 0 && (probability >= 1 || random() < probability)
 }
 
 // admitProbability returns the probability with which a request of a class is admitted, where
-// processes is the number of processes with requests.
+// processes is the ratio of the demand of all processes to that of this one.
 func (s *Share) admitProbability(c Class, slots, processes float64, surge bool) float64 {
 	first := Class(0) // First of the classes that share the slots.
 	if c.late() {
--- a/internal/decide/slotshare/slotshare_test.go
+++ b/internal/decide/slotshare/slotshare_test.go
@@ -20,31 +20,52 @@
 	peak                int // Maximum number of requests in flight.
 }
 
+// running is a request that takes a slot.
+type running struct {
+	at  int // Process.
+	end time.Time
+}
+
+// inFlight returns the number of requests of one process.
+func inFlight(list []running, at int) (n int) {
+	for _, r := range list {
+		if r.at == at {
+			n++
+		}
+	}
+	return n
+}
+
 // simulate runs processes that together receive perSecond requests per second, each of
 // which takes a slot of the group for one second. The number of free slots is reported
 // once per reportInterval.
 func simulate(processes int, perSecond float64, slots int, seconds int) (p result) {
+	return simulateUneven(processes, perSecond, slots, seconds, func(r *rand.Rand, _ time.Duration) int { return r.IntN(processes) })
+}
+
+// simulateUneven is like simulate; the function receiver returns the process to which a request comes.
+func simulateUneven(processes int, perSecond float64, slots int, seconds int, receiver func(r *rand.Rand, after time.Duration) int) (p result) {
 	r := rand.New(rand.NewPCG(1, 2))
 	shares := make([]Share, processes)
-	var ends []time.Time
+	var ends []running
 	start := time.Unix(1000, 0)
 	for n := range seconds * int(time.Second/reportInterval) {
 		now := start.Add(time.Duration(n) * reportInterval)
-		for len(ends) > 0 && !ends[0].After(now) {
+		for len(ends) > 0 && !ends[0].end.After(now) {
 			ends = ends[1:]
 		}
 		free := slots - len(ends)
 		for i := range shares {
-			shares[i].RecordReport(now)
+			shares[i].RecordReport(now, inFlight(ends, i), len(ends))
 		}
 		own := make([]int, processes)
 		for range int(perSecond * reportInterval.Seconds()) {
-			at := r.IntN(processes)
+			at := receiver(r, now.Sub(start))
 			p.requested++
 			if shares[at].Admit(0, float64(free-own[at]), processes-1, false, r.Float64) {
 				p.admitted++
 				own[at]++
-				ends = append(ends, now.Add(time.Second))
+				ends = append(ends, running{at, now.Add(time.Second)})
 			}
 		}
 		p.peak = max(p.peak, len(ends))
@@ -68,7 +89,7 @@
 
 func TestNoRequestIsAdmittedWithoutAFreeSlot(t *testing.T) {
 	var s Share
-	s.RecordReport(time.Unix(1000, 0))
+	s.RecordReport(time.Unix(1000, 0), 0, 0)
 	NewWithT(t).Expect(s.Admit(0, 0.5, 3, false, func() float64 { return 0 })).To(BeFalse())
 }
 
@@ -78,7 +99,7 @@
 	chance := rand.New(rand.NewPCG(3, 4)).Float64
 	for range processes {
 		var s Share
-		s.RecordReport(time.Unix(1000, 0))
+		s.RecordReport(time.Unix(1000, 0), 0, 0)
 		own := 0
 		for range waiting {
 			if s.Admit(0, float64(slots-own), processes-1, true, chance) {
@@ -116,14 +137,14 @@
 		reports int // Number of reports for which it still waits.
 	}
 	var queue []waiting
-	var ends []time.Time
+	var ends []running
 	requested, admitted := map[Class]float64{}, map[Class]float64{}
 	for n := range 200 {
 		now := time.Unix(1000, 0).Add(time.Duration(n) * reportInterval)
-		ends = slices.DeleteFunc(ends, func(end time.Time) bool { return !end.After(now) })
+		ends = slices.DeleteFunc(ends, func(one running) bool { return !one.end.After(now) })
 		free := slots - len(ends)
 		for i := range shares {
-			shares[i].RecordReport(now)
+			shares[i].RecordReport(now, inFlight(ends, i), len(ends))
 		}
 		for _, c := range classes {
 			for range int(float64(perSecond[c]) * reportInterval.Seconds()) {
@@ -138,7 +159,7 @@
 			case shares[w.at].Admit(w.class, float64(free-own[w.at]), processes-1, false, r.Float64):
 				own[w.at]++
 				admitted[w.class]++
-				ends = append(ends, now.Add(time.Duration((0.5+r.Float64())*float64(time.Second))))
+				ends = append(ends, running{w.at, now.Add(time.Duration((0.5 + r.Float64()) * float64(time.Second)))})
 			case w.reports > 0:
 				w.reports--
 				stillWaiting = append(stillWaiting, w)
@@ -171,3 +192,28 @@
 	g.Expect(fraction[mostUrgent]).To(BeNumerically(">", 1.5*fraction[leastUrgent]))
 	g.Expect(fraction[leastUrgent]).To(BeNumerically(">", 0.2))
 }
+
+// Guards against slots that stay free since the process to which most callers have moved leaves the even
+// parts of the others to them.
+func TestAProcessWithMostCallersFillsTheSlots(t *testing.T) {
+	const slots, perSecond, seconds, calm = 100, 150, 12, 4 * time.Second
+	for _, processes := range []int{2, 7, 149} {
+		for _, moved := range []float64{0.95, 1} {
+			t.Run(fmt.Sprintf("%d processes, %.2f move", processes, moved), func(t *testing.T) {
+				admitted := func(moved float64) float64 {
+					p := simulateUneven(processes, perSecond, slots, seconds, func(r *rand.Rand, after time.Duration) int {
+						if after >= calm && r.Float64() < moved {
+							return 0
+						}
+						return r.IntN(processes)
+					})
+					NewWithT(t).Expect(p.peak).To(BeNumerically("<", 1.3*slots))
+					return float64(p.admitted)
+				}
+				even, uneven := admitted(0), admitted(moved)
+				t.Logf("admitted %.0f, %.0f while the load is even", uneven, even)
+				NewWithT(t).Expect(uneven).To(BeNumerically(">", 0.75*even))
+			})
+		}
+	}
+}
--- a/internal/decide/waitqueue/waitqueue.go
+++ b/internal/decide/waitqueue/waitqueue.go
@@ -58,11 +58,11 @@
 }
 
 // Join queues a request if it would be served in time, and reports whether it queued it. The rate is
-// the capacity in requests per second. otherQueues other processes have queues for the same capacity;
-// each is assumed to be as long as this queue is on average. A rate of 0 is unknown: the request is
+// the capacity in requests per second. Other processes have queues for the same capacity, which together
+// are assumed to be otherQueues times as long as this queue is on average. A rate of 0 is unknown: the request is
 // then queued only if whenRateUnknown is set, as it is for requests that would not be retried
 // otherwise.
-func (q *Queue) Join(w Waiter, rate float64, otherQueues int, whenRateUnknown bool, now time.Time) bool {
+func (q *Queue) Join(w Waiter, rate float64, otherQueues float64, whenRateUnknown bool, now time.Time) bool {
 	q.updateMeanLength(now)
 	ahead := 0
 	for _, o := range q.waiting {
@@ -70,7 +70,7 @@
 			ahead++
 		}
 	}
-	if rate <= 0 && !whenRateUnknown || rate > 0 && (float64(ahead+1)+float64(otherQueues)*q.meanLength)/rate > w.Deadline.Sub(now).Seconds() {
+	if rate <= 0 && !whenRateUnknown || rate > 0 && (float64(ahead+1)+otherQueues*q.meanLength)/rate > w.Deadline.Sub(now).Seconds() {
 		return false
 	}
 	q.waiting = append(q.waiting, w)
--- a/internal/decide/waitqueue/waitqueue_test.go
+++ b/internal/decide/waitqueue/waitqueue_test.go
@@ -53,15 +53,15 @@
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
 			l := &Queue{}
-			g.Expect(l.Join(original(1), 50, tc.others, false, start)).To(BeTrue(), "no request has waited yet")
+			g.Expect(l.Join(original(1), 50, float64(tc.others), false, start)).To(BeTrue(), "no request has waited yet")
 			later := start.Add(300 * time.Millisecond)
 			l.Leave(1, true, later)
 			w := Waiter{ID: 2, Deadline: later.Add(300 * time.Millisecond)}
-			g.Expect(l.Join(w, 50, tc.others, false, later)).To(Equal(tc.joins))
+			g.Expect(l.Join(w, 50, float64(tc.others), false, later)).To(Equal(tc.joins))
 			l.Leave(2, true, later)
 			calm := later.Add(10 * lengthSmoothingTime)
 			w = Waiter{ID: 3, Deadline: calm.Add(300 * time.Millisecond)}
-			g.Expect(l.Join(w, 50, tc.others, false, calm)).To(BeTrue(), "that was long ago")
+			g.Expect(l.Join(w, 50, float64(tc.others), false, calm)).To(BeTrue(), "that was long ago")
 		})
 	}
 }
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -143,6 +143,7 @@
 	names, members := q.ranksByGroup(list)
 	options := make([]grouplimit.Option, 0, len(names))
 	optionNames := make([]string, 0, len(names))
+	q.otherDemand = float64(q.g.competitors())
 	anyLimitKnown := false // The limit of at least one group is known from its passes.
 	q.turnover = grouplimit.Turnover{}
 	for _, name := range names {
@@ -198,12 +199,19 @@
 		s = &slotshare.Share{}
 		q.g.capacityShares[group] = s
 	}
-	s.RecordReport(q.g.passes.LastRound(group))
+	s.RecordReport(q.g.passes.LastRound(group), o.OwnRequests, o.Requests)
+	q.otherDemand = s.Processes(q.g.competitors()) - 1
 	if last := q.lastAsk; last != nil && last.group == group && !s.LastReport().After(last.reportAt) {
 		return false // It was not admitted by the newest report already.
 	}
 	q.lastAsk = &capacityAsk{group: group, reportAt: s.LastReport()}
-	return s.Admit(q.class(), o.FreeCapacity(), q.g.competitors(), q.g.table.JustOpened(group, time.Now()), rand.Float64)
+	if s.Admit(q.class(), o.FreeCapacity(), q.g.competitors(), q.g.table.JustOpened(group, time.Now()), rand.Float64) {
+		return true
+	}
+	if q.waited == 0 {
+		q.note(fmt.Sprintf("group %s: no slot for this request, %.1f free for %.1f times the demand here", group, o.FreeCapacity(), q.otherDemand+1))
+	}
+	return false
 }
 
 // ranksByGroup returns the groups of the ranks in list, sorted by name, and the ranks of each
@@ -264,6 +272,7 @@
 	}
 	for _, c := range ranks {
 		o.Requests += q.g.table.Outstanding(c.ID, now)
+		o.OwnRequests += q.g.table.InFlight(c.ID)
 		if c.SameDomain {
 			o.SameDomain++
 		}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -55,6 +55,7 @@
 	turnover        grouplimit.Turnover // Of all groups, as of the last choice.
 	waited          time.Duration       // From its arrival to the last check for capacity or an open group; 0 if it did not wait.
 	inQueue         bool                // It waits in the queue of its service.
+	otherDemand     float64             // Demand of other gateways for capacity, in multiples of this one's, as of the last choice.
 	lastAsk         *capacityAsk        // Last time it asked for capacity; nil before.
 	attemptState
 	moved         bool          // moveRequests ended the attempt and took a retry; guarded by g.mu.
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -3,6 +3,7 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/canvaspulley/canvaspulley/internal/decide/slotshare"
@@ -36,8 +37,13 @@
 		w.Customer = q.customer.Name
 	}
 	var joined bool
-	duty.Locked(&g.mu, func() { joined = g.queue(q.service).Join(w, q.turnover.Rate, g.competitors(), q.wontReturn(), now) })
+	var ahead int
+	duty.Locked(&g.mu, func() {
+		ahead = g.queue(q.service).Len()
+		joined = g.queue(q.service).Join(w, q.turnover.Rate, q.otherDemand, q.wontReturn(), now)
+	})
 	if !joined {
+		q.note(fmt.Sprintf("not queued: its turn would come too late, %d waiting here, %.1f times as many elsewhere, %.1f requests/s", ahead, q.otherDemand, q.turnover.Rate))
 		return e, false
 	}
 	g.stats.waited.Inc(1)
