internal/daemon: a gateway at its connection limit closes new connections unread

While a node gets most new connections, those above its limit stayed in the kernel's queue: a caller whose request may not be repeated waited there for its whole time, others for a second. They are closed unread after 0.2 s, so that a later try is read elsewhere. From half of the limit on, answers have callers close their connections, so that idle ones leave room.

A refusal after a wait in the queue says so in tries.

--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -47,6 +47,7 @@
 	closedTime time.Duration
 	// maxCallers limits the connections of callers; 0 for no limit.
 	maxCallers int
+	limitGrace time.Duration     // How long new connections wait while maxCallers are open.
 	onFailure  func(duty string) // Begins the planned stop because a duty failed; set by a gateway.
 
 	serverLog *log.Logger      // For the messages of the HTTP servers themselves.
@@ -66,7 +67,7 @@
 	if err != nil {
 		return errors.Wrap(err, "log for HTTP servers")
 	}
-	p := &fleetProcess{set: set, settingsFile: file, log: logger, serverLog: serverLog, signalCh: signalCh, reg: metrics.NewRegistry(), startedAt: time.Now(), maxCallers: maxCallerConns()}
+	p := &fleetProcess{set: set, settingsFile: file, log: logger, serverLog: serverLog, signalCh: signalCh, reg: metrics.NewRegistry(), startedAt: time.Now(), maxCallers: maxCallerConns(), limitGrace: limitGrace}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer startLogWriter(lines)()
@@ -189,20 +190,23 @@
 	return c, err
 }
 
-// limitedListener is a listener that accepts no connection while the maximum number is open;
-// further connections wait in the kernel's queue.
+// limitedListener is a listener that leaves new connections in the kernel's queue while the maximum
+// number is open. After a grace period it closes them unread, so that callers try another instance.
 type limitedListener struct {
 	net.Listener
-	maxOpen  int
-	open     func() int // Returns the number of open connections.
-	log      *zap.Logger
-	loggedAt time.Time          // When the full state was last logged; used by the accepting goroutine only.
-	waitCtx  context.Context    // Ended by Close; limits the wait of Accept.
-	endWaits context.CancelFunc // Ends waitCtx.
+	maxOpen   int
+	grace     time.Duration // How long new connections wait for capacity.
+	open      func() int    // Returns the number of open connections.
+	log       *zap.Logger
+	fullSince time.Time          // When the maximum was reached; zero below. This and the fields below are used by the accepting goroutine only.
+	closed    int                // Connections closed unread since the last log line.
+	loggedAt  time.Time          // When the full state was last logged.
+	waitCtx   context.Context    // Ended by Close; limits the wait of Accept.
+	endWaits  context.CancelFunc // Ends waitCtx.
 }
 
-func newLimitedListener(l net.Listener, maxOpen int, open func() int, log *zap.Logger) *limitedListener {
-	b := &limitedListener{Listener: l, maxOpen: maxOpen, open: open, log: log}
+func newLimitedListener(l net.Listener, maxOpen int, grace time.Duration, open func() int, log *zap.Logger) *limitedListener {
+	b := &limitedListener{Listener: l, maxOpen: maxOpen, grace: grace, open: open, log: log}
 	b.waitCtx, b.endWaits = context.WithCancel(context.Background())
 	return b
 }
@@ -215,23 +219,62 @@
 
 // Accept accepts the next connection as soon as there is capacity.
 func (l *limitedListener) Accept() (net.Conn, error) {
-	if now := time.Now(); l.open() >= l.maxOpen && now.Sub(l.loggedAt) > limitLogInterval {
-		l.loggedAt = now
-		l.log.Warn("connection limit reached", zap.Int("open", l.open()))
+	for {
+		now := time.Now()
+		switch {
+		case l.open() < l.maxOpen || l.waitCtx.Err() != nil:
+			l.fullSince = time.Time{}
+			return l.Listener.Accept()
+		case l.fullSince.IsZero():
+			l.fullSince = now
+		}
+		l.logFull(now)
+		if now.Sub(l.fullSince) < l.grace {
+			wait.For(l.waitCtx, limitPollInterval)
+			continue
+		}
+		c, err := l.Listener.Accept()
+		if err != nil || l.open() <= l.maxOpen { // The new one is open, too.
+			return c, err
+		}
+		l.closed++
+		_ = c.Close() // Its caller sees the end in any case.
 	}
-	for l.open() >= l.maxOpen && l.waitCtx.Err() == nil {
-		wait.For(l.waitCtx, limitPollInterval)
+}
+
+// logFull logs that the maximum is reached, unless it did so recently.
+func (l *limitedListener) logFull(now time.Time) {
+	if now.Sub(l.loggedAt) <= limitLogInterval {
+		return
 	}
-	return l.Listener.Accept()
+	l.log.Warn("connection limit reached", zap.Int("open", l.open()), zap.Int("closed-unread", l.closed))
+	l.loggedAt, l.closed = now, 0
 }
 
 const (
+	// limitGrace is how long new connections of callers wait for capacity: a fraction of the time after which
+	// callers give up a request that is not read.
+	limitGrace = 200 * time.Millisecond
 	// limitPollInterval is how often a full listener checks for capacity.
 	limitPollInterval = 5 * time.Millisecond
 	// limitLogInterval is the minimum time between two log lines of a full listener.
 	limitLogInterval = 5 * time.Second
 )
 
+// crowdedShare is the share of the maximum number of connections from which on callers are told to close
+// theirs after each answer: otherwise idle ones leave no room for callers who move here.
+const crowdedShare = 0.5
+
+// closeWhenCrowded returns a handler that does so.
+func closeWhenCrowded(h http.Handler, maxOpen int, open func() int) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if float64(open()) >= crowdedShare*float64(maxOpen) {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // callersFDShare is the share of a process's file descriptors that callers may use; the others are
 // for endpoints, the store and peers.
 const callersFDShare = 0.75
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -138,7 +138,7 @@
 	srv := p.callersServer(g)
 	l = g.CallerConns().Listener(l)
 	if p.maxCallers > 0 {
-		l = newLimitedListener(l, p.maxCallers, g.CallerConns().OpenConns, p.log)
+		l = newLimitedListener(l, p.maxCallers, p.limitGrace, g.CallerConns().OpenConns, p.log)
 	}
 	// Separate duties: after a failure of one, the other continues until ctx ends.
 	duties := duty.New(ctx, p.log, p.reg, p.onFailure)
@@ -170,7 +170,11 @@
 
 // callersServer returns the server for callers.
 func (p *fleetProcess) callersServer(g *gateway.Gateway) *http.Server {
-	srv := p.httpServer(g.Handler())
+	h := g.Handler()
+	if p.maxCallers > 0 {
+		h = closeWhenCrowded(h, p.maxCallers, g.CallerConns().OpenConns)
+	}
+	srv := p.httpServer(h)
 	srv.ReadTimeout, srv.IdleTimeout = 0, 0       // Streams may be long; the gateway limits everything else.
 	srv.WriteTimeout = gateway.CallerWriteTimeout // For errors of the server itself; the gateway sets its own.
 	srv.ConnContext = callerconn.WithConn         // Otherwise a cut-off stream looks complete to HTTP/1.0.
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -67,6 +67,7 @@
 			return e, ok
 		}
 	}
+	q.note("no capacity while it was queued")
 	return e, false
 }
 
