internal/gateway: events do not wait for the rest of a partial one

What callers saw: an event that had arrived was not passed on while a part of the next one had arrived with it, until that was complete; if the endpoint then stalled, the caller got neither.

Cause: relayStream flushed only if nothing was buffered, whether or not it was a complete event. It flushes now unless the end of a further event is buffered.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,6 +3,8 @@
 package gateway
 
 import (
+	"bufio"
+	"bytes"
 	"io"
 	"mime"
 	"net/http"
@@ -93,7 +95,7 @@
 			return unknown
 		}
 		q.acceptTakeover(e, x)
-		if err := q.sendEvent(e, resp, ev, br.Buffered() == 0); err != nil {
+		if err := q.sendEvent(e, resp, ev, !eventBuffered(br)); err != nil {
 			x.Abort()
 			q.note("caller: " + err.Error())
 			q.outcome = callerLeft
@@ -103,6 +105,13 @@
 	}
 }
 
+// eventBuffered reports whether the end of a further event is buffered. The rest of a partial one may take
+// long to arrive, and the events before it must not wait for it.
+func eventBuffered(br *bufio.Reader) bool {
+	raw, _ := br.Peek(br.Buffered()) // Never more than is buffered, so that it cannot fail.
+	return bytes.Contains(raw, []byte("\n\n")) || bytes.Contains(raw, []byte("\n\r\n"))
+}
+
 // pinToEndpoint excludes the request from being moved, since it cannot be continued elsewhere after
 // an event without an id. It returns false if the request is being moved already.
 func (q *request) pinToEndpoint() bool {
@@ -113,7 +122,7 @@
 }
 
 // sendEvent passes one event on, preceded by the head of resp if the answer has not begun. Flush is
-// true if no further event is buffered.
+// true if no further complete event is buffered.
 func (q *request) sendEvent(e fleet.Endpoint, resp *http.Response, ev event, flush bool) error {
 	var h replyHead
 	if !q.reply.begun() {
