internal/gateway: an answer without a length counts only if its endpoint lives on

What callers saw: an answer that is no stream and ends with its connection was passed on as whole although its endpoint's process ended 1 or 20 ms later (4 of 18 rows of TestAnswersWithoutALength, for both protocols of callers): it may have been cut short.

Cause: the check whether the endpoint still accepts connections waited for EndCheckDelay after streams only. All 18 rows pass; a reset, an end within a character and a missing body passed before.

--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -133,21 +133,18 @@
 }
 
 // confirmEnd reports whether the end of a body that was read is the end of the answer. An unframed
-// body ends with its connection, but a process that ends closes the connection properly, too. The
-// end counts if the endpoint still accepts connections. A process may end in the middle of a
-// stream, so the end of a stream counts only if the stream had an event, the endpoint is not
-// leaving, and the endpoint accepts connections a while later. The new connection is kept for the
-// next request.
+// body ends with its connection, but a process that ends closes the connection properly, too, perhaps
+// before its listener. The end counts if the endpoint still accepts connections a while later. A
+// process may end in the middle of a stream, so the end of a stream counts only if the stream had an
+// event and the endpoint is not leaving, too. The new connection is kept for the next request.
 func (q *request) confirmEnd(e fleet.Endpoint, x *upstream.Exchange) bool {
 	if x.Framed() {
 		return true
 	}
-	if q.reply.begun() { // A stream; any other answer is sent after this check.
-		if q.lastResponse.events == 0 || q.endpointLeaving(e) {
-			return false
-		}
-		wait.For(q.ctx, q.g.cfg.EndCheckDelay)
+	if q.reply.begun() && (q.lastResponse.events == 0 || q.endpointLeaving(e)) {
+		return false
 	}
+	wait.For(q.ctx, q.g.cfg.EndCheckDelay)
 	conn, err := q.g.pool.Get(q.ctx, e.ID, e.Address, maxIdleNonRepeatable)
 	if err != nil {
 		q.note(e.ID + ": after an answer without a length: " + err.Error())
