internal/suspects: judge the ends of a message once, not each

An end of an endpoint reaches each gateway as some hundred records when parts are recorded, and each of them was attributed and judged twice, over all keys; a sidecar sorted all ends for each report of its load. Ends of one message are added together and judged before and after; the order by severity is kept until ends change. No verdict changes: the tests of verdicts and of random histories pass as before.

--- a/internal/decide/quarantine/attribute.go
+++ b/internal/decide/quarantine/attribute.go
@@ -16,7 +16,7 @@
 	if !b.changed {
 		return
 	}
-	b.changed = false
+	b.changed, b.severe = false, nil
 	open := make([]*entry, 0, len(b.entries))
 	for _, e := range b.entries {
 		e.attributed = e.attributed[:0]
--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -112,7 +112,8 @@
 // become void, and neither is undone before it expires.
 type History struct {
 	entries map[Key]*entry
-	changed bool // Ends have changed since the last call of attribute.
+	changed bool  // Ends have changed since the last call of attribute.
+	severe  []End // All ends in the order of MostSevere; nil if they have changed.
 	proven  provenParts
 }
 
@@ -410,14 +411,16 @@
 // with the most severe knowledge come first, and newer ones first among those.
 func (b *History) MostSevere(limit int) (list []End) {
 	b.attribute()
-	all := b.all()
-	slices.SortFunc(all, func(x, y *record) int {
-		return cmp.Or(cmp.Compare(b.entries[y.Key].maxKnowledge(), b.entries[x.Key].maxKnowledge()), x.compareNewest(y))
-	})
-	for _, r := range all[:min(limit, len(all))] {
-		list = append(list, r.End)
+	if b.severe == nil {
+		all := b.all()
+		slices.SortFunc(all, func(x, y *record) int {
+			return cmp.Or(cmp.Compare(b.entries[y.Key].maxKnowledge(), b.entries[x.Key].maxKnowledge()), x.compareNewest(y))
+		})
+		for _, r := range all {
+			b.severe = append(b.severe, r.End)
+		}
 	}
-	return list
+	return slices.Clone(b.severe[:min(limit, len(b.severe))])
 }
 
 // all returns all ends, in unspecified order.
--- a/internal/suspects/suspects.go
+++ b/internal/suspects/suspects.go
@@ -121,15 +121,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	ends := make([]quarantine.End, 0, b.Len())
 	for _, received := range b.Ends {
-		s.mergeEnd(received, quarantine.End{}, now)
+		ends = s.appendValid(ends, received, quarantine.End{}, now)
 	}
-	var ends []quarantine.End
 	for _, received := range b.PartEnds {
-		if end, ok := s.mergeEnd(received.End, quarantine.End{Part: true, SoundBefore: received.SoundBefore}, now); ok {
-			ends = append(ends, end)
-		}
+		ends = s.appendValid(ends, received.End, quarantine.End{Part: true, SoundBefore: received.SoundBefore}, now)
 	}
+	s.add(ends, now, now)
 	s.history.Forget(now)
 	for _, k := range s.history.ProvenParts(ends) {
 		soundParts = append(soundParts, k[:])
@@ -149,17 +148,16 @@
 	}
 }
 
-// mergeEnd adds an end that another process sent, with the fields of base that only ends of parts have. An
-// invalid one is ignored, and ok is false. The caller holds mu.
-func (s *Set) mergeEnd(received peers.End, base quarantine.End, now time.Time) (end quarantine.End, ok bool) {
+// appendValid appends an end that another process sent, with the fields of base that only ends of parts
+// have. An invalid one is ignored. The caller holds mu.
+func (s *Set) appendValid(ends []quarantine.End, received peers.End, base quarantine.End, now time.Time) []quarantine.End {
 	if !valid(received) {
 		s.log.Warn("invalid endpoint end ignored", zap.Binary("key", received.Key), zap.Int64("age-ms", received.AgeMs), zap.Int("sending", received.KnownBefore))
-		return end, false
+		return ends
 	}
 	base.Key, base.Endpoint, base.Knowledge = quarantine.Key(received.Key), received.Endpoint, quarantine.Knowledge(received.KnownBefore)
 	base.Void, base.At = received.Void, now.Add(-time.Duration(received.AgeMs)*time.Millisecond)
-	s.add(base, now, now)
-	return base, true
+	return append(ends, base)
 }
 
 // Bounds on ends from other processes.
@@ -202,29 +200,39 @@
 		})
 		list = list[:maxSubjectsPerEnd]
 	}
-	for _, e := range list {
-		s.add(e, time.Time{}, now)
-	}
+	s.add(list, time.Time{}, now)
 	s.notifyPending()
 }
 
-// add adds an end and logs the resulting verdict, as a warning if the verdict has changed. It does
-// nothing for an end that the history does not take. The time receivedAt is zero for an end that
+// add adds ends and logs the resulting verdicts, as warnings for those that have changed. It does
+// nothing for ends that the history does not take. The time receivedAt is zero for ends that
 // this process observed itself. The caller holds mu.
-func (s *Set) add(e quarantine.End, receivedAt, now time.Time) {
-	before, _ := s.history.Judge(e.Key, now)
-	if !s.history.Add(e, receivedAt) {
-		return
+func (s *Set) add(ends []quarantine.End, receivedAt, now time.Time) {
+	before := make([]quarantine.Verdict, len(ends))
+	for i, e := range ends {
+		before[i], _ = s.history.Judge(e.Key, now)
 	}
-	after, remaining := s.history.Judge(e.Key, now)
-	s.heldGauge.Update(int64(s.history.HeldCount(now)))
-	fields := []zap.Field{zap.Stringer("key", e.Key), zap.Bool("part", e.Part), zap.Bool("sound-before", e.SoundBefore), zap.Int("counted", s.history.CountedEnds(e.Key)), zap.String("endpoint", e.Endpoint), zap.Bool("seen-here", receivedAt.IsZero()), zap.Stringer("sending", e.Knowledge),
-		zap.Bool("void", e.Void), zap.Stringer("verdict", after), zap.Duration("held-for", remaining)}
-	if after != before {
-		s.log.Warn("endpoint ended during a request", fields...)
-		return
+	taken := make([]bool, len(ends))
+	for i, e := range ends {
+		taken[i] = s.history.Add(e, receivedAt)
+	}
+	for i, e := range ends {
+		if !taken[i] {
+			continue
+		}
+		after, remaining := s.history.Judge(e.Key, now)
+		fields := []zap.Field{zap.Stringer("key", e.Key), zap.Bool("part", e.Part), zap.Bool("sound-before", e.SoundBefore), zap.Int("counted", s.history.CountedEnds(e.Key)),
+			zap.String("endpoint", e.Endpoint), zap.Bool("seen-here", receivedAt.IsZero()), zap.Stringer("sending", e.Knowledge),
+			zap.Bool("void", e.Void), zap.Stringer("verdict", after), zap.Duration("held-for", remaining)}
+		logLine := s.log.Info
+		if after != before[i] {
+			logLine = s.log.Warn
+		}
+		logLine("endpoint ended during a request", fields...)
+	}
+	if slices.Contains(taken, true) {
+		s.heldGauge.Update(int64(s.history.HeldCount(now)))
 	}
-	s.log.Info("endpoint ended during a request", fields...)
 }
 
 // RecordSuccess records that a request ran to completion, which clears all its subjects.
