internal/decide/quarantine: a new key does not have all ends attributed again

At the bound of keys each new one looked for the least severe, by ends that count, and had all ends attributed for it. It goes by the ends that are not void now.

--- a/internal/decide/quarantine/quarantine.go
+++ b/internal/decide/quarantine/quarantine.go
@@ -170,16 +170,25 @@
 	if len(b.entries) < maxKeys {
 		return
 	}
-	b.attribute()
 	keys := slices.Collect(maps.Keys(b.entries))
 	drop := slices.MinFunc(keys, func(x, y Key) int {
 		ex, ey := b.entries[x], b.entries[y]
-		return cmp.Or(cmp.Compare(ex.maxKnowledge(), ey.maxKnowledge()), ex.lastAt().Compare(ey.lastAt()))
+		return cmp.Or(cmp.Compare(ex.severity(), ey.severity()), ex.lastAt().Compare(ey.lastAt()))
 	})
 	delete(b.entries, drop)
 	b.changed = true
 }
 
+// severity returns the most severe knowledge among the ends that are not void, whether or not they count.
+func (e *entry) severity() (s Knowledge) {
+	for _, r := range e.ends {
+		if !r.Void {
+			s = max(s, r.Knowledge)
+		}
+	}
+	return s
+}
+
 // RecordCompletion records that a request completed, which makes its ends void and ends its trial.
 // It reports whether any of the ends had counted.
 func (b *History) RecordCompletion(k Key) bool {
