internal/gateway: log, count and show what a retry budget allows and why

Neither logs nor metrics told how many retries a gateway was allowed, by which requests, how many other gateways it counted and how old its process was, so the hypotheses of the incident could not be told apart. No decision changes.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"sort"
 	"time"
@@ -14,6 +15,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
+	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
 	"github.com/canvaspulley/canvaspulley/internal/node"
 	"github.com/canvaspulley/canvaspulley/internal/trust"
 )
@@ -108,10 +110,23 @@
 		for _, one := range s.Held {
 			printSuspect(v.app.out, one)
 		}
+		for _, b := range s.RetryBudgets {
+			printRetryBudget(v.app.out, b)
+		}
 	}
 	return markFailed(errs)
 }
 
+// printRetryBudget prints one line for a retry budget.
+func printRetryBudget(w io.Writer, b retry.Report) {
+	state := "available"
+	if b.Exhausted {
+		state = "exhausted"
+	}
+	fmt.Fprintf(w, "  retries of %s %s: %d requests, %d retries, %d denied, %.1f allowed (%.1f without requests), %d gateways, process up %.1f s\n",
+		b.Service, state, b.Requests, b.Retries, b.Denied, b.Allowed, b.Floor, b.Gateways, b.AgeS)
+}
+
 func countStates(list []member.Member) (alive, suspect, dead int) {
 	for _, m := range list {
 		switch m.State {
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -22,12 +22,10 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/asynclog"
 	"github.com/canvaspulley/canvaspulley/internal/build"
-	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
 	"github.com/canvaspulley/canvaspulley/internal/gateway"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/settings"
-	"github.com/canvaspulley/canvaspulley/internal/suspects"
 	"github.com/canvaspulley/canvaspulley/internal/wait"
 )
 
@@ -352,9 +350,9 @@
 	p.log.Info("settings read again", zap.Bool("store-moved", next.StoreAddress != p.set.StoreAddress))
 }
 
-// serveMetrics serves the process's metrics as text, and what is quarantined, unless set is nil. The process
+// serveMetrics serves the process's metrics as text and what addHandlers adds to the listener. The process
 // works without them, so a failure is only logged.
-func (p *fleetProcess) serveMetrics(duties *duty.Group, set *suspects.Set) {
+func (p *fleetProcess) serveMetrics(duties *duty.Group, addHandlers func(mux *http.ServeMux)) {
 	if p.set.MetricsAddress == "" {
 		return
 	}
@@ -369,9 +367,7 @@
 		p.writeBuild(w)
 		metrics.WriteOnce(p.reg, w)
 	})
-	if set != nil {
-		set.AddHandlers(mux, clock.Now)
-	}
+	addHandlers(mux)
 	duties.GoOnce("metrics", func(ctx context.Context) error { return serveUntilDone(ctx, p.httpServer(mux), l) })
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -7,16 +7,21 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/canvaspulley/canvaspulley/internal/build"
 	"github.com/canvaspulley/canvaspulley/internal/callerconn"
+	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/gateway"
+	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/keepalive"
+	"github.com/canvaspulley/canvaspulley/internal/node"
 	"github.com/canvaspulley/canvaspulley/platform"
 )
 
@@ -118,7 +123,10 @@
 	duties.GoOnce("readiness", func(ctx context.Context) error {
 		return serveUntilDone(ctx, p.httpServer(g.ReadinessHandler()), readiness)
 	})
-	p.serveMetrics(duties, g.Suspects())
+	p.serveMetrics(duties, func(mux *http.ServeMux) {
+		g.Suspects().AddHandlers(mux, clock.Now)
+		mux.HandleFunc("GET "+node.PathStatus, func(w http.ResponseWriter, _ *http.Request) { httpjson.Reply(w, p.gatewayStatus(g)) })
+	})
 	duties.Go("stop", func(ctx context.Context) error {
 		p.drain(ctx, stop, func() (requests, connections int) { return g.InFlight(), g.CallerConns().OpenConns() }, g.CallerConns())
 		cancel()
@@ -127,6 +135,14 @@
 	return duties.Wait()
 }
 
+// gatewayStatus returns what the gateway tells operators of itself.
+func (p *fleetProcess) gatewayStatus(g *gateway.Gateway) node.Status {
+	return node.Status{
+		Name: p.set.Name, Role: string(p.set.Role), Domain: p.set.Domain, UptimeS: time.Since(p.startedAt).Seconds(), Pid: os.Getpid(), Build: build.Read(),
+		Held: g.Suspects().ListHeld(clock.Now()), RetryBudgets: g.RetryReports(),
+	}
+}
+
 // serveCallers serves callers until ctx ends.
 func (p *fleetProcess) serveCallers(ctx context.Context, g *gateway.Gateway, l net.Listener) error {
 	return p.serveCallersWithGrace(ctx, g, l, endAnswerTime)
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"go.uber.org/zap"
 
@@ -43,7 +44,7 @@
 	duties.Go("signals", func(ctx context.Context) error { return p.handleSignals(ctx, cancel, cancel) })
 	duties.Go("sidecar", s.Run)
 	duties.GoOnce("calls", func(ctx context.Context) error { return serveUntilDone(ctx, p.httpServer(s.Handler()), calls) })
-	p.serveMetrics(duties, nil)
+	p.serveMetrics(duties, func(*http.ServeMux) {})
 	return duties.Wait()
 }
 
--- a/internal/decide/retry/window.go
+++ b/internal/decide/retry/window.go
@@ -27,6 +27,7 @@
 	newest     int64   // Number of the newest part.
 	requests   [storedParts]int
 	retries    [storedParts]int
+	denied     [storedParts]int
 	rounding   float64 // Random number in [0, 1), added before the fraction is cut off.
 	roundingAt int64   // Number of the part in which rounding was drawn; 0 before the first draw.
 }
@@ -43,7 +44,8 @@
 	n := now.UnixNano() / int64(w.partLength)
 	for range min(n-w.newest, storedParts) {
 		w.newest++
-		w.requests[w.newest%storedParts], w.retries[w.newest%storedParts] = 0, 0
+		i := w.newest % storedParts
+		w.requests[i], w.retries[i], w.denied[i] = 0, 0, 0
 	}
 	w.newest = max(w.newest, n)
 }
@@ -64,14 +66,41 @@
 	if w.roundingAt == 0 || w.newest-w.roundingAt >= windowParts {
 		w.rounding, w.roundingAt = random(), w.newest
 	}
-	requests, retries := 0, 0
-	for i := range storedParts {
-		requests += w.requests[i]
-		retries += w.retries[i]
-	}
-	if float64(retries+1) > w.share*float64(requests)+w.floor+w.rounding {
+	u := w.Usage(now)
+	if float64(u.Retries+1) > u.Allowed+w.rounding {
+		w.denied[w.newest%storedParts]++
 		return false
 	}
 	w.retries[w.newest%storedParts]++
 	return true
 }
+
+// Usage is what happened in the window, and what it allows.
+type Usage struct {
+	Requests int     `json:"requests"`
+	Retries  int     `json:"retries"`
+	Denied   int     `json:"denied"`
+	Allowed  float64 `json:"allowed"` // Retries that the window may hold.
+	Floor    float64 `json:"floor"`   // The portion of Allowed that needs no requests.
+}
+
+// Report describes the retry budget of a service at one process.
+type Report struct {
+	Service string `json:"service"`
+	Usage
+	Gateways  int     `json:"gateways"` // Gateways among which the floor is divided, this one included.
+	AgeS      float64 `json:"age_s"`    // Age of the process, in seconds.
+	Exhausted bool    `json:"exhausted"`
+}
+
+// Usage returns the usage of the window.
+func (w *Window) Usage(now time.Time) (u Usage) {
+	w.advance(now)
+	for i := range storedParts {
+		u.Requests += w.requests[i]
+		u.Retries += w.retries[i]
+		u.Denied += w.denied[i]
+	}
+	u.Floor, u.Allowed = w.floor, w.share*float64(u.Requests)+w.floor
+	return u
+}
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -12,7 +12,9 @@
 type gatewayMetrics struct {
 	reg                   metrics.Registry
 	dialed                metrics.Counter      // New connections to endpoints.
-	retries               metrics.Counter      // Requests sent to a further endpoint.
+	retries               metrics.Counter      // Requests sent to a further endpoint; those of each cause have a counter as well.
+	retriesDenied         metrics.Counter      // Retries denied because the service's budget was exhausted.
+	exhaustedBudgets      metrics.Gauge        // Services whose retry budget is exhausted.
 	waited                metrics.Counter      // Requests that waited for capacity.
 	moved                 metrics.Counter      // Requests moved away from slow ranks.
 	interruptedStreams    metrics.Counter      // Streams cut after their answer had begun, whether or not they were continued.
@@ -47,6 +49,8 @@
 		reg:                   reg,
 		dialed:                metrics.GetOrRegisterCounter("gateway.connections", reg),
 		retries:               metrics.GetOrRegisterCounter("gateway.repeats", reg),
+		retriesDenied:         metrics.GetOrRegisterCounter("gateway.repeats-denied", reg),
+		exhaustedBudgets:      metrics.GetOrRegisterGauge("gateway.repeat-budgets-exhausted", reg),
 		waited:                metrics.GetOrRegisterCounter("gateway.waited", reg),
 		moved:                 metrics.GetOrRegisterCounter("gateway.moved", reg),
 		interruptedStreams:    metrics.GetOrRegisterCounter("gateway.resumed", reg),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,7 +25,6 @@
 	"github.com/canvaspulley/canvaspulley/internal/decide/estimate"
 	"github.com/canvaspulley/canvaspulley/internal/decide/grouplimit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
-	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
 	"github.com/canvaspulley/canvaspulley/internal/decide/slotshare"
 	"github.com/canvaspulley/canvaspulley/internal/decide/throttle"
 	"github.com/canvaspulley/canvaspulley/internal/decide/waitqueue"
@@ -88,7 +87,7 @@
 	mu             sync.Mutex // Guards the fields below.
 	table          *balance.Table
 	passes         *grouplimit.Tracker
-	retryWindows   map[string]*retry.Window               // Retry budgets, by service.
+	retryBudgets   map[string]*retryBudget                // By service.
 	queues         map[string]*waitqueue.Queue            // Requests waiting for capacity, by service.
 	capacityShares map[string]*slotshare.Share            // This gateway's share of a group's free capacity, by group.
 	responseTimes  map[string]*estimate.Estimator         // Of answers that are not streams, by service.
@@ -149,7 +148,7 @@
 		bufferedTotal:  newBufferedBytes(cfg.MemoryBytes, reg),
 		table:          balance.New(),
 		passes:         grouplimit.New(),
-		retryWindows:   map[string]*retry.Window{},
+		retryBudgets:   map[string]*retryBudget{},
 		queues:         map[string]*waitqueue.Queue{},
 		capacityShares: map[string]*slotshare.Share{},
 		responseTimes:  map[string]*estimate.Estimator{},
@@ -208,6 +207,7 @@
 	g.stats.setBackoffs(g.backoffs.Counts(g.cfg.Now()))
 	g.limits.Forget(listed, g.cfg.Now())
 	g.stats.limited.Update(int64(g.limits.Count()))
+	g.reportRetryBudgets(g.cfg.Now())
 }
 
 // ViewChanged must be called after each change of the view. It publishes the idle timeout of
@@ -288,39 +288,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.otherGateways, g.lastHelloAt = n, lastHello
-	for _, w := range g.retryWindows {
-		w.SetFloor(g.retryFloor())
+	for _, b := range g.retryBudgets {
+		b.window.SetFloor(g.retryFloor())
 	}
 }
 
-// Portions of the published retry budget that gateways use. Only the portion retryFloorUsed of the
-// floor is used, since gateways may not know of each other. It is divided among at least
-// minGateways.
-const (
-	retryFloorUsed = 0.35
-	minGateways    = 8
-	// retryShareUsed is the portion of the published retry share that is used. The retry windows of
-	// gateways are not aligned, and a restarted gateway has lost the count of its retries.
-	retryShareUsed = 0.8
-)
-
-// retryFloor returns how many retries per retry window this gateway may send for a service without
-// any request. The caller holds mu.
-func (g *Gateway) retryFloor() float64 {
-	return retryFloorUsed * g.cfg.RetryFloor / float64(max(g.otherGateways+1, minGateways))
-}
-
-// retryWindow returns the retry budget of a service. The first call for a service adds one. The
-// caller holds mu.
-func (g *Gateway) retryWindow(service string) *retry.Window {
-	w, ok := g.retryWindows[service]
-	if !ok {
-		w = retry.NewWindow(g.cfg.RetryWindow, retryShareUsed*g.cfg.RetryShare, g.retryFloor())
-		g.retryWindows[service] = w
-	}
-	return w
-}
-
 // responseTimeWeight is the weight of the newest sample in the average response time, as is usual
 // for estimates of round-trip times.
 const responseTimeWeight = 0.125
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -60,6 +60,7 @@
 	attemptState
 	moved         bool          // moveRequests ended the attempt and took a retry; guarded by g.mu.
 	retryTaken    bool          // The retry for the next attempt is already taken.
+	retryCause    retryCause    // Why the request needs a retry after the last attempt.
 	takeover      *takeover     // Nil unless another endpoint is tried for a silent stream.
 	takenOver     bool          // Another endpoint has given the final answer of a silent stream.
 	refusedBefore bool          // The caller was refused before.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -3,7 +3,6 @@
 package gateway
 
 import (
-	"math/rand/v2"
 	"net/http"
 	"time"
 )
@@ -69,12 +68,13 @@
 			q.concludeUnserved(last, false)
 			return
 		}
-		if len(q.attempted) > 0 && !q.retryTaken && !q.takeRetry() {
+		if len(q.attempted) > 0 && !q.retryTaken && !q.takeRetry(q.retryCause) {
 			q.note("retry budget exhausted")
 			q.concludeUnserved(last, false)
 			return
 		}
 		q.retryTaken = false
+		q.retryCause = retryFailed
 		if last = q.attempt(e); last == done {
 			return
 		}
@@ -158,12 +158,8 @@
 
 // takeRetry takes one retry from the service's budget and counts it. It returns false if there is
 // none left.
-func (q *request) takeRetry() bool {
+func (q *request) takeRetry(cause retryCause) bool {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
-	if !q.g.retryWindow(q.service).Take(q.g.cfg.Now(), rand.Float64) {
-		return false
-	}
-	q.g.stats.retries.Inc(1)
-	return true
+	return q.g.takeRetry(q.service, cause)
 }
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -67,7 +67,7 @@
 // request continues elsewhere. If so, it takes the retry for that and records a failure of the
 // endpoint. A stream that has begun is continued elsewhere first, see takeOver.
 func (q *request) abortSilent(e fleet.Endpoint, x *upstream.Exchange, silent time.Duration) bool {
-	if q.ctx.Err() != nil || !q.mayResend() || !q.mayMoveElsewhere() || !q.takeRetry() {
+	if q.ctx.Err() != nil || !q.mayResend() || !q.mayMoveElsewhere() || !q.takeRetry(retrySilent) {
 		return false
 	}
 	q.g.stats.silentAttempts.Inc(1)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -208,6 +208,7 @@
 		q.outcome = callerLeft
 		return done
 	}
+	q.retryCause = retryReset
 	if !errors.Is(err, upstream.ErrSilent) && !q.noteIfMoved(e) {
 		q.recordFailure(e, 1, "stream: "+err.Error())
 		q.checkEndpointEnded(e, err)
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -42,7 +42,7 @@
 			return true
 		}
 		moved := q.consumeMoved() // A move has taken the next retry.
-		if x.Arrived() || q.ctx.Err() != nil || q.remaining() <= 0 || !q.mayMoveElsewhere() || !moved && !q.takeRetry() {
+		if x.Arrived() || q.ctx.Err() != nil || q.remaining() <= 0 || !q.mayMoveElsewhere() || !moved && !q.takeRetry(retryTakeover) {
 			break
 		}
 	}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -74,7 +74,7 @@
 		return unreached
 	}
 	if len(q.attempted) == 0 {
-		duty.Locked(&g.mu, func() { g.retryWindow(q.service).RecordRequest(g.cfg.Now()) })
+		duty.Locked(&g.mu, func() { g.retryBudget(q.service).window.RecordRequest(g.cfg.Now()) })
 	}
 	return q.exchange(e, conn)
 }
@@ -249,6 +249,7 @@
 	if errors.Is(err, upstream.ErrSilent) || q.noteIfMoved(e) {
 		return unknown // The failure is recorded already, or the endpoint is not at fault.
 	}
+	q.retryCause = retryReset
 	weight, reused := 1.0, x.Conn().Reused()
 	if reused {
 		weight = 0.5 // It may just have closed an idle connection.
@@ -265,6 +266,7 @@
 // because of the weights version, which does not count. If the answer blames an endpoint, the whole
 // group of e rejects the request.
 func (q *request) recordNotRun(e fleet.Endpoint, status int, a fleet.Answer) {
+	q.retryCause = retryNotRun
 	q.recordFailure(e, 0, fmt.Sprintf("rejected without running it: %d %s", status, a.BlamedEndpoint)) // Being full is no fault.
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
--- a/internal/gateway/vacate.go
+++ b/internal/gateway/vacate.go
@@ -3,8 +3,6 @@
 package gateway
 
 import (
-	"math/rand/v2"
-
 	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
@@ -47,7 +45,7 @@
 		return
 	}
 	for q, attempt := range g.movable[id] {
-		if !attempt.mayRetry || q.moved || !q.stillAllowed(true) || !g.retryWindow(q.service).Take(g.cfg.Now(), rand.Float64) {
+		if !attempt.mayRetry || q.moved || !q.stillAllowed(true) || !g.takeRetry(q.service, retryMoved) {
 			continue
 		}
 		g.stats.moved.Inc(1)
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -16,6 +16,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/chart"
 	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
+	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/published"
 	"github.com/canvaspulley/canvaspulley/internal/suspects"
@@ -44,6 +45,8 @@
 	Build    build.Info         `json:"build"`
 	Members  []member.Member    `json:"members"`
 	Held     []suspects.Suspect `json:"held"` // Requests and parts of prompts that are held or on trial.
+	// RetryBudgets is the state of a gateway's retry budgets; empty for other roles.
+	RetryBudgets []retry.Report `json:"retry_budgets,omitempty"`
 }
 
 // AuditReport holds the newest records of an audit trail.
