internal/decide/retry, census: a retry budget that no restart or cut enlarges

Cause: each process kept a window of its own, which began with its whole part of the floor, and divided the floor by the gateways it had heard. Each restart granted the part once more, and a gateway that had just started, or was cut off, took an eighth. Fix: a token bucket that starts empty (retry.SharedBudget). Requests earn tokens as they arrive, and time does while the number of gateways is known (census.Census: contact with all failure domains and most ranks, counts that no longer rise, or the word of a gateway that knows). What a process forgets can only cost it tokens, so retries of a span are at most what those alive at its start held and what is earned within it. A request whose attempt could not be written no longer counts twice, and a retry that was not sent is kept. Tests of single retries set a large share in place of a floor of 1000, which no longer helps a process that has just begun.

--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -12,7 +12,7 @@
 type experimentCommand struct {
 	Ownership tableCommand     `command:"ownership" description:"rendezvous hashing against modulo"`
 	Admission tableCommand     `command:"admission" description:"the queue against first come, first served"`
-	Retries   tableCommand     `command:"retries" description:"the retry budget against three retries"`
+	Retries   tableCommand     `command:"retries" description:"the budget that gateways share against a window for each process, and an entry's against three retries"`
 	Limits    tableCommand     `command:"limits" description:"borrowing against an even split and a central counter"`
 	Routing   routingCommand   `command:"routing" description:"the choice of rank against naive ones"`
 	Rebalance rebalanceCommand `command:"rebalance" description:"moving experts against a static map and full re-packs"`
@@ -26,7 +26,9 @@
 	return &experimentCommand{
 		Ownership: tableCommand{app: a, run: func(uint64) experiment.Table { return experiment.Ownership(15, 200000) }},
 		Admission: tableCommand{app: a, run: func(seed uint64) experiment.Table { return experiment.Admission(60, seed) }},
-		Retries:   tableCommand{app: a, run: func(seed uint64) experiment.Table { return experiment.Retries(300000, seed) }},
+		Retries: tableCommand{app: a, run: func(seed uint64) experiment.Table {
+			return experiment.SharedRetries(experiment.DefaultRetryFleets, seed)
+		}, more: func(seed uint64) experiment.Table { return experiment.Retries(300000, seed) }},
 		Limits:    tableCommand{app: a, run: func(seed uint64) experiment.Table { return experiment.Limits(6, 60, 600, seed) }},
 		Routing:   routingCommand{app: a},
 		Rebalance: rebalanceCommand{app: a},
@@ -36,22 +38,31 @@
 	}
 }
 
-// tableCommand prints the table of one experiment.
+// tableCommand prints the table of one experiment, or of two.
 type tableCommand struct {
 	app  *app
 	run  func(seed uint64) experiment.Table
-	Seed uint64 `long:"seed" default:"1" description:"source of chance"`
-	JSON bool   `long:"json" description:"print JSON"`
+	more func(seed uint64) experiment.Table // Nil for none.
+	Seed uint64                             `long:"seed" default:"1" description:"source of chance"`
+	JSON bool                               `long:"json" description:"print JSON"`
 }
 
 // Execute runs the experiment.
 func (v *tableCommand) Execute([]string) error {
-	t := v.run(v.Seed)
-	if v.JSON {
-		return v.app.printJSON(t)
+	tables := []experiment.Table{v.run(v.Seed)}
+	if v.more != nil {
+		tables = append(tables, v.more(v.Seed))
+	}
+	for _, t := range tables {
+		if v.JSON {
+			if err := v.app.printJSON(t); err != nil {
+				return err
+			}
+			continue
+		}
+		t.Print(v.app.out)
+		fmt.Fprintln(v.app.out)
 	}
-	t.Print(v.app.out)
-	fmt.Fprintln(v.app.out)
 	return nil
 }
 
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -123,8 +123,8 @@
 	if b.Exhausted {
 		state = "exhausted"
 	}
-	fmt.Fprintf(w, "  retries of %s %s: %d requests, %d retries, %d denied, %.1f allowed (%.1f without requests), %d gateways, process up %.1f s\n",
-		b.Service, state, b.Requests, b.Retries, b.Denied, b.Allowed, b.Floor, b.Gateways, b.AgeS)
+	fmt.Fprintf(w, "  retries of %s %s: %d requests, %d retries, %d denied, %.1f tokens; earns %.2f a request, %.1f a window; %d gateways, process up %.1f s\n",
+		b.Service, state, b.Requests, b.Retries, b.Denied, b.Tokens, b.PerRequest, b.PerWindow, b.Gateways, b.AgeS)
 }
 
 func countStates(list []member.Member) (alive, suspect, dead int) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/clock"
 	"github.com/canvaspulley/canvaspulley/internal/decide/backoff"
 	"github.com/canvaspulley/canvaspulley/internal/decide/balance"
+	"github.com/canvaspulley/canvaspulley/internal/decide/census"
 	"github.com/canvaspulley/canvaspulley/internal/decide/coldstart"
 	"github.com/canvaspulley/canvaspulley/internal/decide/estimate"
 	"github.com/canvaspulley/canvaspulley/internal/decide/grouplimit"
@@ -94,6 +95,9 @@
 	movable        map[string]map[*request]movableRequest // Requests that may be moved to another endpoint, by endpoint.
 	otherGateways  int                                    // Known gateways besides this one.
 	lastHelloAt    time.Time                              // When the last hello of another gateway was received.
+	heardBefore    int                                    // Known gateways with a lower address than this one.
+	heardDomains   map[string]bool                        // Failure domains of known gateways.
+	census         *census.Census                         // Estimate of how many gateways are alive.
 
 	started               time.Time
 	cold                  *coldstart.Pacer
@@ -149,6 +153,7 @@
 		table:          balance.New(),
 		passes:         grouplimit.New(),
 		retryBudgets:   map[string]*retryBudget{},
+		census:         census.New(censusSettleTime),
 		queues:         map[string]*waitqueue.Queue{},
 		capacityShares: map[string]*slotshare.Share{},
 		responseTimes:  map[string]*estimate.Estimator{},
@@ -283,14 +288,12 @@
 const isolatedAfter = 3 * helloInterval
 
 // SetOtherGateways sets the number of other gateways and the time of the last hello from any of
-// them. It also adjusts the retry floors, which are shared by all gateways.
+// them. It must be called regularly: the estimate of how many share the retry budgets depends on it.
 func (g *Gateway) SetOtherGateways(n int, lastHello time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.otherGateways, g.lastHelloAt = n, lastHello
-	for _, b := range g.retryBudgets {
-		b.window.SetFloor(g.retryFloor())
-	}
+	g.census.Observe(g.contact(), g.cfg.Now())
 }
 
 // responseTimeWeight is the weight of the newest sample in the average response time, as is usual
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -150,6 +150,7 @@
 		n.log.Warn("ignored invalid gateways in a hello", zap.String("told-by", h.Address), zap.String("error", err.Error()))
 	}
 	isNew, previous = n.enroll(h, known, time.Now())
+	n.g.tellGateways(h.GatewaysObserved)
 	if previous != nil && !previous.Leaving {
 		n.log.Warn("peer ended without a planned stop", zap.String("name", h.Name), zap.String("address", h.Address),
 			zap.Duration("last-heard", previous.Age()), zap.Int64("life", previous.Incarnation), zap.Int64("next-life", h.Incarnation))
@@ -291,9 +292,13 @@
 // ownHello returns the hello that describes this gateway.
 func (n *PeerExchange) ownHello(now time.Time) *peers.Hello {
 	leaving, _ := n.g.stopState(now)
+	observed := n.g.gatewaysObserved()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return &peers.Hello{Name: n.name, Incarnation: n.incarnation, Address: n.self, Domain: n.domain, StoreUnreachable: n.storeUnreachable, Leaving: leaving}
+	return &peers.Hello{
+		Name: n.name, Incarnation: n.incarnation, Address: n.self, Domain: n.domain,
+		StoreUnreachable: n.storeUnreachable, Leaving: leaving, GatewaysObserved: observed,
+	}
 }
 
 // sidecarHello returns the hello for sidecars. It also gives the number of gateways and lists some
@@ -314,7 +319,8 @@
 func (n *PeerExchange) sendHellos() {
 	now := time.Now()
 	expired, hellos, others, lastHello := n.beginRound(now)
-	n.g.SetOtherGateways(others, lastHello)
+	n.g.setHeard(n.self, others)
+	n.g.SetOtherGateways(len(others), lastHello)
 	n.g.setLimitGateways(n.self, n.liveGateways())
 	n.announceLimits()
 	for _, a := range expired {
@@ -336,13 +342,13 @@
 }
 
 // beginRound begins a round of hellos. It returns the addresses of the gateways that have expired,
-// the hellos to send, the number of other live gateways, and when the last hello was received.
-func (n *PeerExchange) beginRound(now time.Time) (expired []string, hellos []roster.Hello, others int, lastHello time.Time) {
+// the hellos to send, the other live gateways, and when the last hello was received.
+func (n *PeerExchange) beginRound(now time.Time) (expired []string, hellos []roster.Hello, others []roster.Gateway, lastHello time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	expired = n.roster.Expire(now)
 	hellos = n.roster.NextHellos(now, random)
-	return expired, hellos, len(n.roster.Alive(now)), n.roster.LastReceived()
+	return expired, hellos, n.roster.Alive(now), n.roster.LastReceived()
 }
 
 // helloSidecars sends hellos to some of the sidecars and, if this gateway is a hub, to all sidecars
--- a/internal/gateway/recover_test.go
+++ b/internal/gateway/recover_test.go
@@ -100,12 +100,12 @@
 	for _, tc := range []struct {
 		name       string
 		change     func(r *fleet.Route)
-		retryFloor float64
+		retryShare float64
 	}{
-		{"it may run once only", func(r *fleet.Route) { r.Resumable = false }, 1000},
-		{"no attempt is left", func(r *fleet.Route) { r.MaxAttempts = 1 }, 1000},
+		{"it may run once only", func(r *fleet.Route) { r.Resumable = false }, 100},
+		{"no attempt is left", func(r *fleet.Route) { r.MaxAttempts = 1 }, 100},
 		{"no retry is left", func(*fleet.Route) {}, 0},
-		{"there is no measure of too long", func(r *fleet.Route) { r.TargetLatency = 0 }, 1000},
+		{"there is no measure of too long", func(r *fleet.Route) { r.TargetLatency = 0 }, 100},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -114,7 +114,7 @@
 				r.TargetLatency = 20 * time.Millisecond
 				tc.change(r)
 			}, one, two)
-			s.cfg.RetryFloor = tc.retryFloor
+			s.cfg.RetryShare = tc.retryShare
 			time.AfterFunc(200*time.Millisecond, func() {
 				close(one.resume)
 				close(two.resume)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -60,6 +61,7 @@
 	attemptState
 	moved         bool          // moveRequests ended the attempt and took a retry; guarded by g.mu.
 	retryTaken    bool          // The retry for the next attempt is already taken.
+	retryService  string        // Service whose budget the last retry was taken from; guarded by g.mu.
 	retryCause    retryCause    // Why the request needs a retry after the last attempt.
 	takeover      *takeover     // Nil unless another endpoint is tried for a silent stream.
 	takenOver     bool          // Another endpoint has given the final answer of a silent stream.
@@ -198,6 +200,10 @@
 		}
 	}
 	q.service = q.pickService()
+	duty.Locked(&q.g.mu, func() {
+		now := q.g.cfg.Now()
+		q.g.retryBudget(q.service, now).RecordRequest(now, rand.Float64)
+	})
 	callerTimeout := defaultCallerTimeout
 	if q.call.HasCallerTimeout {
 		callerTimeout = q.call.CallerTimeout
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -29,6 +29,10 @@
 		q.g.mu.Lock()
 		defer q.g.mu.Unlock()
 		q.returnPermit()
+		if q.retryTaken {
+			now := q.g.cfg.Now()
+			q.g.retryBudget(q.retryService, now).Return(now)
+		}
 	}()
 	last := unreached
 	for {
@@ -73,12 +77,14 @@
 			q.concludeUnserved(last, false)
 			return
 		}
+		isRetry := len(q.attempted) > 0
 		q.retryTaken = false
 		q.retryCause = retryFailed
 		if last = q.attempt(e); last == done {
 			return
 		}
-		q.retryTaken = q.consumeMoved() || q.retryTaken // The latter is set by abortSilent.
+		// The second is set by abortSilent; a retry that was not sent is kept for the next endpoint.
+		q.retryTaken = q.consumeMoved() || q.retryTaken || last == unreached && isRetry
 		if last == unknown {
 			q.mayHaveRun = true
 			if !q.mayResend() {
@@ -161,5 +167,6 @@
 func (q *request) takeRetry(cause retryCause) bool {
 	q.g.mu.Lock()
 	defer q.g.mu.Unlock()
+	q.retryService = q.service
 	return q.g.takeRetry(q.service, cause)
 }
--- a/internal/gateway/serve_test.go
+++ b/internal/gateway/serve_test.go
@@ -116,7 +116,7 @@
 // modified by change.
 func newSiteOf(t *testing.T, change func(r *fleet.Route), endpoints ...http.Handler) (s site, view *follow.View, snap follow.Snapshot) {
 	view = follow.NewView()
-	gw, cleanup := New(Config{MaxKeyAge: time.Hour, RetryWindow: time.Minute, RetryFloor: 1000}, testCodec(), view, zap.NewNop(), metrics.NewRegistry())
+	gw, cleanup := New(Config{MaxKeyAge: time.Hour, RetryWindow: time.Minute, RetryShare: 100}, testCodec(), view, zap.NewNop(), metrics.NewRegistry())
 	t.Cleanup(cleanup)
 	s = site{Gateway: gw}
 	route := fleet.Route{
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -73,9 +73,6 @@
 		q.unreachable = append(q.unreachable, e.ID)
 		return unreached
 	}
-	if len(q.attempted) == 0 {
-		duty.Locked(&g.mu, func() { g.retryBudget(q.service).window.RecordRequest(g.cfg.Now()) })
-	}
 	return q.exchange(e, conn)
 }
 
--- a/internal/gateway/vacate.go
+++ b/internal/gateway/vacate.go
@@ -49,7 +49,7 @@
 			continue
 		}
 		g.stats.moved.Inc(1)
-		q.moved = true
+		q.moved, q.retryService = true, q.service
 		g.log.Info("request moved", zap.String("id", q.call.ID), zap.String("from", id))
 		attempt.conn.Interrupt()
 	}
--- a/internal/gateway/vacate_test.go
+++ b/internal/gateway/vacate_test.go
@@ -30,7 +30,7 @@
 	ranks := []*streamingEndpoint{newStreamingEndpoint(0), newStreamingEndpoint(0), newStreamingEndpoint(0)}
 	s := newSite(t, ranks[0], ranks[1], ranks[2])
 	core, lines := observer.New(zap.WarnLevel)
-	s.log, s.cfg.RetryShare = zap.New(core), 1
+	s.log, s.cfg.RetryShare = zap.New(core), 100
 	over := make(chan struct{})
 	var moving, asking errgroup.Group
 	moving.Go(func() error {
@@ -280,13 +280,13 @@
 	for _, tc := range []struct {
 		name         string
 		change       func(r *fleet.Route)
-		retryFloor   float64
+		retryShare   float64
 		status, runs int // Of the second request.
 	}{
-		{"a second attempt", func(*fleet.Route) {}, 1000, http.StatusOK, 2},
-		{"no attempt is left", func(r *fleet.Route) { r.MaxAttempts = 1 }, 1000, http.StatusBadGateway, 1},
+		{"a second attempt", func(*fleet.Route) {}, 100, http.StatusOK, 2},
+		{"no attempt is left", func(r *fleet.Route) { r.MaxAttempts = 1 }, 100, http.StatusBadGateway, 1},
 		{"no retry is left", func(*fleet.Route) {}, 0, http.StatusBadGateway, 1},
-		{"it may run once only", func(r *fleet.Route) { r.Kind = fleet.AtMostOnce }, 1000, http.StatusOK, 1},
+		{"it may run once only", func(r *fleet.Route) { r.Kind = fleet.AtMostOnce }, 100, http.StatusOK, 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -303,7 +303,7 @@
 				r.Kind = fleet.Repeatable
 				tc.change(r)
 			}, http.HandlerFunc(endpoint))
-			s.cfg.RetryFloor = tc.retryFloor
+			s.cfg.RetryShare = tc.retryShare
 			view.Replace(snap, time.Now(), false)
 			for n, want := range []int{http.StatusOK, tc.status} {
 				runs.Store(0)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -48,6 +48,9 @@
 	// Previous is what the sender of an answer last received from an earlier incarnation of the
 	// receiver.
 	Previous *PreviousIncarnation `cbor:"11,keyasint,omitempty"`
+	// GatewaysObserved is the sender's estimate of how many gateways are alive at most, without what
+	// others have told it; 0 if it has none.
+	GatewaysObserved int `cbor:"12,keyasint,omitempty"`
 }
 
 // PreviousIncarnation describes the last message of an earlier incarnation of a gateway.
