internal/entry: a restart grants no new retries and no new burst of a customer's limit

Both now hold what a process of that age has earned (20 retries in 10 s; the customer's rate since the start).

--- a/internal/decide/census/census_test.go
+++ b/internal/decide/census/census_test.go
@@ -54,5 +54,5 @@
 	g.Expect(c.Place(start.Add(time.Second))).To(Equal(Place{Gateways: 32, Before: 29}))
 	g.Expect(c.Observed(start.Add(time.Second))).To(Equal(3), "what was told is not passed on")
 	c.Observe(Contact{Others: 2}, start.Add(memory))
-	g.Expect(c.Place(start.Add(memory+1)).Gateways).To(Equal(3))
+	g.Expect(c.Place(start.Add(memory + 1)).Gateways).To(Equal(3))
 }
--- a/internal/decide/retry/shared.go
+++ b/internal/decide/retry/shared.go
@@ -29,7 +29,7 @@
 	spareAt  time.Time // Until when time has earned tokens.
 
 	partLength time.Duration
-	newest     int64 // Number of the newest part, which is incomplete.
+	newest     int64   // Number of the newest part, which is incomplete.
 	partEarned float64 // Tokens earned by requests in the newest part.
 	requests   [windowParts]int
 	retries    [windowParts]int
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,6 +48,7 @@
 	singleUse *http.Client // Opens a connection per request; for requests that must be sent only once.
 	tracker   *tracker
 	limits    *limits
+	started   time.Time
 	now       func() time.Time // Includes the time for which the machine was suspended.
 	inFlight  atomic.Int64     // Callers' requests that have not ended.
 
@@ -67,7 +68,8 @@
 		tracker:   newTracker(),
 		budgets:   map[string]*retry.Budget{},
 		now:       clock.Now,
-		limits:    &limits{node: n, byCustomer: map[string]*customerLimit{}},
+		limits:    &limits{node: n, started: clock.Now(), byCustomer: map[string]*customerLimit{}},
+		started:   time.Now(),
 	}
 	n.OnDead(e.tracker.cancelRequests)
 	return e
@@ -242,7 +244,7 @@
 func (e *Entry) budget(name string, share float64) *retry.Budget {
 	b, ok := e.budgets[name]
 	if !ok {
-		b = retry.NewBudget(share, retryBurst)
+		b = retry.NewBudget(share, retryBurst, time.Since(e.started))
 		e.budgets[name] = b
 	}
 	b.SetShare(share)
