--- a/internal/soak/retries.go
+++ b/internal/soak/retries.go
@@ -30,10 +30,10 @@
 func (s *site) killInSeries(f fault) error {
 	s.mu.Lock()
 	for _, e := range s.endpoints {
-		e.misbehave(2*f.duration, resetPercent, standin.DropsAnswer)
+		e.misbehave(f.duration, resetPercent, standin.DropsAnswer)
 	}
 	s.mu.Unlock()
-	for end := time.Now().Add(2 * f.duration); time.Now().Before(end); time.Sleep(restartGap) {
+	for end := time.Now().Add(f.duration); time.Now().Before(end); time.Sleep(restartGap) {
 		var group errgroup.Group
 		for i, g := range s.gateways {
 			group.Go(func() error { return s.restart(i, g.proc, syscall.SIGKILL, 0) })
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -253,7 +253,7 @@
 			g := NewWithT(t)
 			cfg := shortConfig(t, 1, AllKinds, manyCallers, tc.daemon)
 			cfg.RetrySlack = 20
-			cfg.Apart, cfg.Schedule = tc.apart, []fault{{at: firstFault, kind: killSeries, duration: 3 * time.Second}}
+			cfg.Apart, cfg.Schedule = tc.apart, []fault{{at: firstFault, kind: killSeries, duration: 6 * time.Second}}
 			r, err := Run(context.Background(), cfg)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(r.KilledGateways).To(BeNumerically(">=", 5*cfg.Gateways))
