--- a/internal/soak/retries.go
+++ b/internal/soak/retries.go
@@ -23,7 +23,7 @@
 	// restartGap is the time between two kills of all gateways in a series.
 	restartGap = 500 * time.Millisecond
 	// resetPercent is the percentage of requests that endpoints drop during the series.
-	resetPercent = 70
+	resetPercent = 90
 )
 
 // killInSeries kills all gateways again and again while endpoints drop most requests.
