internal/entry: a bucket of a customer's limit begins full again

A bucket that starts empty is no mend for them; what a restart grants stays open in the table of docs/design/retry-budget.md. Retry budgets of entries keep the mend.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,7 +68,7 @@
 		tracker:   newTracker(),
 		budgets:   map[string]*retry.Budget{},
 		now:       clock.Now,
-		limits:    &limits{node: n, started: clock.Now(), byCustomer: map[string]*customerLimit{}},
+		limits:    &limits{node: n, byCustomer: map[string]*customerLimit{}},
 		started:   time.Now(),
 	}
 	n.OnDead(e.tracker.cancelRequests)
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -35,8 +35,7 @@
 
 // limits holds this entry's shares of all customers' rate limits.
 type limits struct {
-	node    *node.Node
-	started time.Time // Start of the process, by the clock of package clock.
+	node *node.Node
 
 	mu         sync.Mutex
 	byCustomer map[string]*customerLimit // Customers without a limit have no element.
@@ -58,15 +57,14 @@
 }
 
 // ownLimit returns this entry's share of c's limit, updated to the entitlement that is in effect. It
-// creates the share if there is none, with the tokens that have been earned since the process started:
-// one that restarts again and again admits no more than one that runs on. l.mu must be held.
+// creates the share if there is none. l.mu must be held.
 func (l *limits) ownLimit(cfg *published.Config, c *published.Customer, now time.Time) *customerLimit {
 	entitledRate := c.Rate / float64(l.entryCount(cfg))
 	own, found := l.byCustomer[c.Name]
 	if !found {
 		own = &customerLimit{
 			share:  limit.NewShare(entitledRate, now),
-			bucket: limit.NewBucketWith(entitledRate, max(1, c.Burst*entitledRate/c.Rate), entitledRate*now.Sub(l.started).Seconds(), now),
+			bucket: limit.NewBucket(entitledRate, max(1, c.Burst*entitledRate/c.Rate), now),
 		}
 		l.byCustomer[c.Name] = own
 	}
