--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -15,14 +15,10 @@
 	tokens float64 // Invariant: 0 <= tokens <= max.
 }
 
-// fillTime is the age of a process from which its new budgets are full. A younger process starts
-// with a part, so that one that restarts again and again has no more retries than one that runs on.
-const fillTime = 10 * time.Second
-
-// NewBudget returns the budget of a process of the given age: one success earns share retries, and
-// at most limit retries accumulate.
-func NewBudget(share, limit float64, age time.Duration) *Budget {
-	return &Budget{share: share, max: limit, tokens: limit * min(max(age, 0).Seconds()/fillTime.Seconds(), 1)}
+// NewBudget returns a full budget: one success earns share retries, and at most limit
+// retries accumulate.
+func NewBudget(share, limit float64) *Budget {
+	return &Budget{share: share, max: limit, tokens: limit}
 }
 
 // RecordSuccess adds the share of a retry that one success earns, up to the maximum.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,7 +48,6 @@
 	singleUse *http.Client // Opens a connection per request; for requests that must be sent only once.
 	tracker   *tracker
 	limits    *limits
-	started   time.Time
 	now       func() time.Time // Includes the time for which the machine was suspended.
 	inFlight  atomic.Int64     // Callers' requests that have not ended.
 
@@ -69,7 +68,6 @@
 		budgets:   map[string]*retry.Budget{},
 		now:       clock.Now,
 		limits:    &limits{node: n, byCustomer: map[string]*customerLimit{}},
-		started:   time.Now(),
 	}
 	n.OnDead(e.tracker.cancelRequests)
 	return e
@@ -244,7 +242,7 @@
 func (e *Entry) budget(name string, share float64) *retry.Budget {
 	b, ok := e.budgets[name]
 	if !ok {
-		b = retry.NewBudget(share, retryBurst, time.Since(e.started))
+		b = retry.NewBudget(share, retryBurst)
 		e.budgets[name] = b
 	}
 	b.SetShare(share)
