--- a/internal/soak/retries.go
+++ b/internal/soak/retries.go
@@ -14,10 +14,8 @@
 	"github.com/canvaspulley/canvaspulley/platform/standin"
 )
 
-// retryBound returns the retry budget in the settings of all gateways.
-func (c Config) retryBound() retry.Bound {
-	return retry.Bound{Share: 0.2, Slack: c.RetrySlack, Window: 10 * time.Second}
-}
+// defaultRetryBound is the retry budget in the settings of the gateways, unless a run has another.
+var defaultRetryBound = retry.Bound{Share: 0.2, Slack: 90, Window: 10 * time.Second}
 
 const (
 	// restartGap is the time between two kills of all gateways in a series.
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -431,7 +431,7 @@
 
 // bounds returns the section of the settings that holds the users' bounds.
 func (s *site) bounds() string {
-	retries := s.cfg.retryBound()
+	retries := s.cfg.RetryBound
 	return fmt.Sprintf("[bounds]\nrevocation = 5s\ngrace = 8s\nretry-share = %v\nretry-window = %v\nretry-spare = %v\n", retries.Share, retries.Window, retries.Slack)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -14,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
 )
 
 // Config holds the settings of a run.
@@ -24,19 +26,19 @@
 	Dir            string        // Parent directory for settings and logs; "" for the system's temporary directory.
 	Gateways       int
 	Ranks          int
-	PlainEndpoints int     // Endpoints of the plain services, which have no engine.
-	Callers        int     // Callers at each gateway.
-	Kinds          Kinds   // Kinds of faults and of callers.
-	Apart          bool    // Gateways do not look for each other.
-	RetrySlack     float64 // Retries for a service that are allowed in 10 s without any request.
-	Schedule       []fault // Faults to inject instead of those drawn from the seed; nil for these.
-	CheckTiming    bool    // Also check time bounds; not for a machine that may be overloaded.
+	PlainEndpoints int         // Endpoints of the plain services, which have no engine.
+	Callers        int         // Callers at each gateway.
+	Kinds          Kinds       // Kinds of faults and of callers.
+	Apart          bool        // Gateways do not look for each other.
+	RetryBound     retry.Bound // Retry budget in the settings of all gateways.
+	Schedule       []fault     // Faults to inject instead of those drawn from the seed; nil for these.
+	CheckTiming    bool        // Also check time bounds; not for a machine that may be overloaded.
 	Log            io.Writer
 }
 
 // DefaultConfig returns the default sizes of a run with a seed.
 func DefaultConfig(seed uint64) Config {
-	return Config{Seed: seed, Length: 24 * time.Second, Gateways: 4, Ranks: 3, PlainEndpoints: 6, Callers: 3, Kinds: AllKinds, RetrySlack: 90, CheckTiming: true}
+	return Config{Seed: seed, Length: 24 * time.Second, Gateways: 4, Ranks: 3, PlainEndpoints: 6, Callers: 3, Kinds: AllKinds, RetryBound: defaultRetryBound, CheckTiming: true}
 }
 
 // Check reports everything that is wrong with the sizes of a run. They are limited by the site's
@@ -171,7 +173,7 @@
 	r.Dir = s.dir
 	r.Requests, r.Served = s.ledger.served(began, time.Now())
 	r.Violations = s.ledger.violations(s.cfg.CheckTiming)
-	s.ledger.do(func(l *ledger) { r.Violations = append(r.Violations, l.checkRetries(s.cfg.retryBound())...) })
+	s.ledger.do(func(l *ledger) { r.Violations = append(r.Violations, l.checkRetries(s.cfg.RetryBound)...) })
 	once, twice, cutThenFailed := s.ledger.countBadAnswers()
 	s.logf("%d requests met bad answers, %d of them two or more; %d streams were cut off and failed then", once, twice, cutThenFailed)
 	idle, atEnd, inStop, late, lateLost := s.ledger.countIdleRequests()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -252,7 +252,7 @@
 			t.Parallel()
 			g := NewWithT(t)
 			cfg := shortConfig(t, 1, AllKinds, manyCallers, tc.daemon)
-			cfg.RetrySlack = 20
+			cfg.RetryBound.Share, cfg.RetryBound.Slack = 0.05, 20
 			cfg.Apart, cfg.Schedule = tc.apart, []fault{{at: firstFault, kind: killSeries, duration: 6 * time.Second}}
 			r, err := Run(context.Background(), cfg)
 			g.Expect(err).NotTo(HaveOccurred())
