--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -237,7 +237,7 @@
 // series, or do not know each other.
 func TestGatewaysKilledInSeriesStayWithinTheRetryBudget(t *testing.T) {
 	daemon := build(t)
-	unlimited := build(t, edit{"../decide/retry/shared.go", "if b.earned+b.spare < 1 {", "if false {"})
+	unlimited := build(t, edit{"../decide/retry/shared.go", "if b.earned+b.timed < 1 {", "if false {"})
 	for _, tc := range []struct {
 		name   string
 		daemon string
