--- a/review/standin/draincase.go
+++ b/review/standin/draincase.go
@@ -18,22 +18,18 @@
 
 // Times and sizes of the case, those of the small deployment where it sets them.
 const (
-	drainBound    = 2 * time.Second         // drain-ms.
-	servesOn      = 2400 * time.Millisecond // How long the runner serves after its entry is gone: drain-ms and a little longer.
-	freezeTime    = 3500 * time.Millisecond
-	roundTime     = 11 * time.Second // Over contact-ms after the machines have woken.
-	drainRounds   = 4
-	workTime      = 150 * time.Millisecond
-	sendInterval  = 25 * time.Millisecond
-	frontMachines = 7
-	firstFront    = 10
-	firstServer   = 60
-	observed      = 2 // The third gateway of the first zone, to which clients send.
-	tenantKey     = "k-1"
+	drainBound   = 2 * time.Second         // drain-ms.
+	servesOn     = 2400 * time.Millisecond // How long the runner serves after its entry is gone: drain-ms and a little longer.
+	freezeTime   = 3500 * time.Millisecond
+	roundTime    = 11 * time.Second // Over contact-ms after the machines have woken.
+	drainRounds  = 4
+	workTime     = 150 * time.Millisecond
+	sendInterval = 25 * time.Millisecond
+	firstServer  = 60
+	observed     = 2 // The third gateway of the first zone, to which clients send.
+	tenantKey    = "k-1"
 )
 
-var frontZones = [frontMachines]string{"hall-a", "hall-a", "hall-a", "hall-b", "hall-b", "hall-c", "hall-c"}
-
 // runner stands in for a runner of a plain service.
 type runner struct {
 	d       *drainCase
@@ -88,9 +84,11 @@
 		}
 		list = append(list, r)
 	}
-	if err := d.startFronts(storeAddress); err != nil {
+	var addresses []string
+	if d.fronts, addresses, err = startFronts(c, storeAddress, d.port+10); err != nil {
 		return false, err
 	}
+	d.front = addresses[observed]
 	time.Sleep(6 * time.Second)
 	stop := make(chan struct{})
 	go d.sendRequests(stop)
@@ -198,32 +196,6 @@
 	_, _ = io.WriteString(w, strings.Repeat("record\n", 100)) // The gateway may have gone.
 }
 
-// startFronts starts the gateways.
-func (d *drainCase) startFronts(storeAddress string) error {
-	port := func(offset int) int { return d.port + 10 + offset }
-	var seeds []string
-	for _, i := range []int{0, 3, 5} {
-		seeds = append(seeds, fmt.Sprintf("%s:%d", d.c.ip(firstFront+i), port(2)))
-	}
-	for i := range frontMachines {
-		ip := d.c.ip(firstFront + i)
-		p, err := d.c.start(fmt.Sprintf("front-%d", i), "deploy/gateway.ini.tmpl", map[string]string{
-			"node-name": fmt.Sprintf("front-%d", i), "zone": frontZones[i], "limits.memory-mb": "284", "bootstrap": "true",
-			"listen-addresses.front": fmt.Sprintf("%s:%d", ip, port(0)), "listen-addresses.ready": fmt.Sprintf("%s:%d", ip, port(1)),
-			"listen-addresses.control": fmt.Sprintf("%s:%d", ip, port(2)), "ip-address": ip, "internal-port-range.0": strconv.Itoa(port(3)),
-			"platform.address": storeAddress, "seed-nodes": strings.Join(seeds, ","), "bounds.revocation-ms": "5000", "bounds.configuration-ms": "2000",
-			"bounds.grace-period-s": "8", "bounds.retry-budget-ratio": "0.2", "bounds.budget-window-s": "10", "bounds.retry-budget-slack": "90",
-			"bounds.fencing-enforced": "true",
-		})
-		if err != nil {
-			return err
-		}
-		d.fronts = append(d.fronts, p)
-	}
-	d.front = fmt.Sprintf("%s:%d", d.c.ip(firstFront+observed), port(0))
-	return nil
-}
-
 // signal sends a signal to the first two gateways of the first zone.
 func (d *drainCase) signal(sig syscall.Signal) {
 	for _, p := range d.fronts[:2] {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,7 +18,7 @@
 )
 
 func main() {
-	cases := map[string]func(c *caseRun) (broken bool, err error){"map": runMapCase, "drain": runDrainCase}
+	cases := map[string]func(c *caseRun) (broken bool, err error){"map": runMapCase, "drain": runDrainCase, "stream": runStreamCase}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT RECORD")
 		os.Exit(exitNotRun)
