--- a/review/standin/group.go
+++ b/review/standin/group.go
@@ -70,10 +70,12 @@
 	engines    []*engine
 	frozen     map[int]chan struct{} // By rank; closed when the machine wakes.
 	frozenAt   time.Time
-	hot        int // Determines which experts are in demand.
-	changes    int // Maps that came into force.
-	broken     int // Times that the group broke.
-	violations int
+	hot        int       // Determines which experts are in demand.
+	changes    int       // Maps that came into force.
+	broken     int       // Times that the group broke.
+	violations int       // Passes that began on two maps.
+	violatedAt time.Time // Beginning of the first of them.
+	rightAfter int       // Passes since then that began on one map.
 }
 
 func newGroup(c *caseRun) *group {
@@ -181,7 +183,9 @@
 	}
 	switch {
 	case differ:
-		g.violations++
+		if g.violations++; g.violations == 1 {
+			g.violatedAt = time.Now()
+		}
 		if g.violations <= 3 {
 			g.c.record("BROKEN: pass %d of epoch %d begins while ranks have different maps; versions by rank: %v", g.step, g.epoch, versions)
 		}
@@ -189,6 +193,9 @@
 		g.changes++
 		g.c.record("pass %d begins with map %d at all ranks", g.step, versions[0])
 	}
+	if !differ && g.violations > 0 {
+		g.rightAfter++
+	}
 	for r, e := range g.engines {
 		for k := range expertSets {
 			for x := range expertsPerSet {
--- a/review/standin/mapcase.go
+++ b/review/standin/mapcase.go
@@ -17,9 +17,10 @@
 	firstSide    = 100
 	mapCaseTime  = 60 * time.Second
 	demandPeriod = 3 * time.Second
-	firstFreeze  = 5 * time.Second // Nothing is frozen before.
-	freezePause  = 6 * time.Second // Between the end of a freeze and the next.
-	plainChanges = 12              // Without trouble, changes of the map to wait for.
+	firstFreeze  = 5 * time.Second  // Nothing is frozen before.
+	freezePause  = 6 * time.Second  // Between the end of a freeze and the next.
+	watchAfter   = 12 * time.Second // How long passes are counted after the first broken one.
+	plainChanges = 12               // Without trouble, changes of the map to wait for.
 	wakeAfter    = 20 * time.Millisecond
 	longestSleep = 1400 * time.Millisecond // Below stallTime: the group stays whole.
 	maxFreezes   = 8
@@ -98,7 +99,7 @@
 		time.Sleep(demandPeriod)
 		g.mu.Lock()
 		g.hot++
-		over := len(g.frozen) == 0 && (g.violations > 0 || t.released > 0 && time.Since(t.wokeAt) > demandPeriod)
+		over := len(g.frozen) == 0 && (g.violations > 0 && time.Since(g.violatedAt) > watchAfter || g.violations == 0 && t.released > 0 && time.Since(t.wokeAt) > demandPeriod)
 		g.mu.Unlock()
 		if over || !c.trouble && g.mapChanges() >= plainChanges {
 			break
@@ -107,6 +108,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c.record("%d changes of map, %d freezes, %d releases of the hold by the next leader, group broke %d times", g.changes, t.freezes, t.released, g.broken)
+	c.record("%d passes began on two maps, %d passes after the first of them on one", g.violations, g.rightAfter)
 	if g.changes == 0 {
 		return false, fmt.Errorf("no map came into force")
 	}
@@ -175,7 +177,7 @@
 	switch {
 	case t.c.trouble && !t.isAsleep && o.Op == "arm" && !own && status == http.StatusAccepted && t.allArmed(o) && r == 0 &&
 		t.g.passLeft > passTime/2 &&
-		now.Sub(t.c.began) > firstFreeze && now.Sub(t.wokeAt) > freezePause && t.freezes < maxFreezes:
+		now.Sub(t.c.began) > firstFreeze && now.Sub(t.wokeAt) > freezePause && t.g.violations == 0 && t.freezes < maxFreezes:
 		t.freeze(r)
 	case t.isAsleep && !t.wakes && o.Op == "go" && status == http.StatusAccepted:
 		t.released++
