--- a/review/standin/draincase.go
+++ b/review/standin/draincase.go
@@ -50,16 +50,15 @@
 	port    int
 	started int
 
-	mu        sync.Mutex
-	late      int           // Requests that reached a runner later than drainBound after it had left.
-	latest    time.Duration // The latest of them.
-	cut       int           // Late requests whose run was cut by the runner's end.
-	answers   map[string]int
-	inRunners map[string]bool // Late requests that are running, by id.
+	mu      sync.Mutex
+	late    int           // Requests that reached a runner later than drainBound after it had left.
+	latest  time.Duration // The latest of them.
+	cut     int           // Late requests whose run was cut by the runner's end.
+	answers map[string]int
 }
 
 func runDrainCase(c *caseRun) (broken bool, err error) {
-	d := &drainCase{c: c, s: newStore(), answers: map[string]int{}, inRunners: map[string]bool{}}
+	d := &drainCase{c: c, s: newStore(), answers: map[string]int{}}
 	var machines []int
 	for i := range frontMachines {
 		machines = append(machines, firstFront+i)
@@ -167,7 +166,9 @@
 	gone := r.goneAt
 	r.mu.Unlock()
 	after := time.Duration(0)
-	if !gone.IsZero() {
+	if gone.IsZero() {
+		r.d.c.record("request %s reaches %s from %s", id, r.id, q.RemoteAddr)
+	} else {
 		after = time.Since(gone)
 		r.d.c.record("request %s reaches %s from %s, %d ms after it has left", id, r.id, q.RemoteAddr, after.Milliseconds())
 	}
@@ -176,7 +177,6 @@
 		r.d.mu.Lock()
 		r.d.late++
 		r.d.latest = max(r.d.latest, after)
-		r.d.inRunners[id] = true
 		r.d.mu.Unlock()
 	}
 	select {
@@ -224,6 +224,7 @@
 	if err != nil {
 		panic(err)
 	}
+	d.c.record("request %s is sent", id)
 	r.Host = "plates.example"
 	r.Header.Set("Attempt-Id", id)
 	r.Header.Set("Deadline-Remaining-Ms", "1500")
@@ -239,11 +240,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.answers[outcome]++
-	if outcome != "200" {
-		d.c.record("the client of request %s gets: %s", id, outcome)
-	} else if d.inRunners[id] {
-		d.c.record("the client of request %s gets: 200", id)
-	}
+	d.c.record("the client of request %s gets: %s", id, outcome)
 }
 
 // drainConfig is a configuration with one plain service.
--- a/review/standin/group.go
+++ b/review/standin/group.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -68,8 +67,9 @@
 	step       uint64
 	passLeft   time.Duration // Rest of the pass in progress.
 	engines    []*engine
-	frozen     map[int]chan struct{} // By rank; closed when the machine wakes.
-	frozenAt   time.Time
+	net        *network
+	cutOff     bool // A rank is cut off.
+	cutAt      time.Time
 	hot        int       // Determines which experts are in demand.
 	changes    int       // Maps that came into force.
 	broken     int       // Times that the group broke.
@@ -78,8 +78,8 @@
 	rightAfter int       // Passes since then that began on one map.
 }
 
-func newGroup(c *caseRun) *group {
-	g := &group{c: c, epoch: 1, open: true, frozen: map[int]chan struct{}{}}
+func newGroup(c *caseRun, n *network) *group {
+	g := &group{c: c, net: n, epoch: 1, open: true}
 	for range ranks {
 		g.engines = append(g.engines, &engine{counts: make([]uint64, expertSets*expertsPerSet)})
 	}
@@ -118,7 +118,7 @@
 	}
 }
 
-// advance lets a time pass. Nothing moves while a machine is frozen; after stallTime the group breaks.
+// advance lets a time pass. Everything stands still while a rank is cut off; after stallTime the group breaks.
 func (g *group) advance(now time.Time, d time.Duration) {
 	for r := range g.engines {
 		g.recordHistory(r, now)
@@ -126,8 +126,8 @@
 	if !g.open {
 		return
 	}
-	if len(g.frozen) > 0 {
-		if now.Sub(g.frozenAt) > stallTime {
+	if g.cutOff {
+		if now.Sub(g.cutAt) > stallTime {
 			g.breakUp()
 		}
 		return
@@ -145,13 +145,13 @@
 }
 
 func (g *group) breakUp() {
-	g.c.record("the group breaks: a rank was frozen for over %v", stallTime)
+	g.c.record("the group breaks: a rank was cut off for over %v", stallTime)
 	g.open, g.broken = false, g.broken+1
 	go func() {
 		for {
 			time.Sleep(formTime)
 			g.mu.Lock()
-			if len(g.frozen) == 0 {
+			if !g.cutOff {
 				g.epoch++
 				g.reset()
 				g.open = true
@@ -207,30 +207,6 @@
 
 func sameMap(a, b expertMap) bool { return fmt.Sprint(a) == fmt.Sprint(b) }
 
-// freeze makes the machine of a rank stand still. The caller holds mu.
-func (g *group) freeze(r int) {
-	g.frozen[r], g.frozenAt = make(chan struct{}), time.Now()
-}
-
-// wake lets the machine of a rank go on. The caller holds mu.
-func (g *group) wake(r int) {
-	close(g.frozen[r])
-	delete(g.frozen, r)
-}
-
-// awaitAwake returns once the machine of a rank isn't frozen, with mu held.
-func (g *group) awaitAwake(r int) {
-	for {
-		g.mu.Lock()
-		ch := g.frozen[r]
-		if ch == nil {
-			return
-		}
-		g.mu.Unlock()
-		<-ch
-	}
-}
-
 // order is an order to a runner.
 type order struct {
 	Op       string    `json:"op"`
@@ -242,15 +218,16 @@
 	Map      expertMap `json:"map"`
 }
 
-// handler serves the runner of a rank.
-func (g *group) handler(r int, ip string) http.Handler {
+// handler serves the runner of a rank. MachineOf returns which machine has an address. A call that a cut
+// holds up and whose sender has gone meanwhile is lost.
+func (g *group) handler(r int, machineOf func(address string) int) http.Handler {
 	mux := http.NewServeMux()
-	own := func(q *http.Request) bool {
-		from, _, _ := net.SplitHostPort(q.RemoteAddr)
-		return from == ip
-	}
+	own := func(q *http.Request) bool { return machineOf(q.RemoteAddr) == r }
 	mux.HandleFunc("GET /report", func(w http.ResponseWriter, q *http.Request) {
-		g.awaitAwake(r)
+		if g.net.await(machineOf(q.RemoteAddr), r) && q.Context().Err() != nil {
+			return
+		}
+		g.mu.Lock()
 		report := g.report(r, time.Now())
 		if h := g.engines[r].history; !own(q) && len(h) > 0 {
 			report = h[0].report
@@ -259,7 +236,10 @@
 		writeJSON(w, report)
 	})
 	mux.HandleFunc("GET /picked", func(w http.ResponseWriter, q *http.Request) {
-		g.awaitAwake(r)
+		if g.net.await(machineOf(q.RemoteAddr), r) && q.Context().Err() != nil {
+			return
+		}
+		g.mu.Lock()
 		answer := g.picked(r, q.URL.Query().Has("lists"))
 		g.mu.Unlock()
 		writeJSON(w, answer)
@@ -270,7 +250,10 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		g.awaitAwake(r)
+		if g.net.await(machineOf(q.RemoteAddr), r) && q.Context().Err() != nil {
+			return
+		}
+		g.mu.Lock()
 		status := g.carryOut(r, o, time.Now())
 		g.c.record("rank %d: %s version %d step %d fence %d epoch %d from %s: %d", r, o.Op, o.Version, o.Step, o.Fence, o.Epoch, q.RemoteAddr, status)
 		g.onOrder(r, own(q), o, status)
--- a/review/standin/link.go
+++ b/review/standin/link.go
@@ -3,70 +3,93 @@
 package main
 
 import (
-	"bytes"
+	"fmt"
 	"net"
 	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
-	"time"
 )
 
-// link is the path to the sidecar of one machine: others reach it at an address of the link, which passes
-// on connections and datagrams. It holds back what is on its way to a frozen machine, as a network does:
-// the packets are lost, and TCP repeats them until the machine answers again.
-type link struct {
-	from, to string // IP:PORT of the link and of the sidecar.
+// network is what lies between machines. It can cut one machine off from all others, silently and in both
+// directions.
+type network struct {
+	mu      sync.Mutex
+	cutOff  int           // The machine that is cut off, valid while healed isn't nil.
+	healed  chan struct{} // Closed when the cut ends; nil if there is none.
+	cuts    int
+	process func(machine int) int // Returns the process id of the sidecar of a machine.
+}
 
-	mu       sync.Mutex
-	heldTill chan struct{} // Closed when answers to the leader pass again; nil if they pass.
-	sockets  map[netip.AddrPort]*net.UDPConn
+// cut begins to cut a machine off.
+func (n *network) cut(machine int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cutOff, n.healed = machine, make(chan struct{})
+	n.cuts++
 }
 
-// ordersCall begins a call that only a leader makes.
-var ordersCall = []byte("POST /v1/orders ")
+// heal ends the cut.
+func (n *network) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.healed)
+	n.healed = nil
+}
 
-// retransmissions are the times after the first one at which TCP sends a packet again.
-var retransmissions = []time.Duration{200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond, 3 * time.Second}
+// isCut reports whether the way between two machines is cut.
+func (n *network) isCut(a, b int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.healed != nil && a != b && (a == n.cutOff || b == n.cutOff)
+}
 
-func startLink(from, to string) (*link, error) {
-	k := &link{from: from, to: to, sockets: map[netip.AddrPort]*net.UDPConn{}}
+// await waits until the way between two machines isn't cut, and reports whether it had to.
+func (n *network) await(a, b int) (waited bool) {
+	for {
+		n.mu.Lock()
+		healed := n.healed
+		blocked := healed != nil && a != b && (a == n.cutOff || b == n.cutOff)
+		n.mu.Unlock()
+		if !blocked {
+			return waited
+		}
+		<-healed
+		waited = true
+	}
+}
+
+// link is the way to the sidecar of one machine: other machines reach it at the link's address, which passes
+// on connections and datagrams unless the network is cut between the two.
+type link struct {
+	n       *network
+	machine int
+	to      string // IP:PORT of the sidecar.
+	linkOf  func(ip netip.Addr) (machine int, link netip.Addr, ok bool)
+	sockets map[netip.AddrPort]*net.UDPConn
+}
+
+// startLink starts the link of a machine. LinkOf returns which machine has an address, and its link's
+// address, from which datagrams of that machine are passed on.
+func startLink(n *network, machine int, from, to string, linkOf func(ip netip.Addr) (int, netip.Addr, bool)) error {
+	k := &link{n: n, machine: machine, to: to, linkOf: linkOf, sockets: map[netip.AddrPort]*net.UDPConn{}}
 	l, err := net.Listen("tcp4", from)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	a, err := net.ResolveUDPAddr("udp4", from)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	u, err := net.ListenUDP("udp4", a)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	go k.passConnections(l)
 	go k.passDatagrams(u)
-	return k, nil
-}
-
-// hold begins to hold back the answers on their way to the leader.
-func (k *link) hold() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.heldTill = make(chan struct{})
-}
-
-// release delivers what was held back since a time, with the first repetition after now.
-func (k *link) release(since time.Time) {
-	k.mu.Lock()
-	held := k.heldTill
-	k.heldTill = nil
-	k.mu.Unlock()
-	passed := time.Since(since)
-	for _, at := range retransmissions {
-		if at > passed {
-			time.AfterFunc(at-passed, func() { close(held) })
-			return
-		}
-	}
-	close(held)
+	return nil
 }
 
 func (k *link) passConnections(l net.Listener) {
@@ -79,7 +102,14 @@
 	}
 }
 
+// passConnection passes on a connection. Bytes that a cut holds up are delivered after it, unless their
+// sender has closed the connection; a connection that is opened during a cut never comes up.
 func (k *link) passConnection(c *net.TCPConn) {
+	sender := k.senderOf(c.RemoteAddr().String())
+	if k.n.await(sender, k.machine) {
+		_ = c.Close()
+		return
+	}
 	conn, err := net.Dial("tcp4", k.to)
 	if err != nil {
 		_ = c.SetLinger(0) // The sidecar's port is closed.
@@ -87,54 +117,65 @@
 		return
 	}
 	d := conn.(*net.TCPConn)
-	var mu sync.Mutex
-	fromLeader := false
-	go func() {
-		buf := make([]byte, 64<<10)
-		for {
-			n, err := c.Read(buf)
-			if n > 0 {
-				mu.Lock()
-				fromLeader = fromLeader || bytes.Contains(buf[:n], ordersCall)
-				mu.Unlock()
-				_, _ = d.Write(buf[:n]) // The other direction notices a closed connection.
-			}
-			if err != nil {
-				_ = d.CloseWrite()
-				return
-			}
-		}
-	}()
+	go k.copyBytes(d, c, sender)
+	k.copyBytes(c, d, sender)
+}
+
+func (k *link) copyBytes(to, from *net.TCPConn, sender int) {
+	defer func() { _ = to.Close() }()
 	buf := make([]byte, 64<<10)
 	for {
-		n, err := d.Read(buf)
+		n, err := from.Read(buf)
+		k.n.await(sender, k.machine)
 		if n > 0 {
-			mu.Lock()
-			leader := fromLeader
-			mu.Unlock()
-			if leader {
-				k.awaitRelease()
+			if _, err := to.Write(buf[:n]); err != nil {
+				_ = from.Close()
+				return
 			}
-			_, _ = c.Write(buf[:n]) // As above.
 		}
 		if err != nil {
-			_ = c.Close()
-			_ = d.Close()
 			return
 		}
 	}
 }
 
-func (k *link) awaitRelease() {
-	k.mu.Lock()
-	held := k.heldTill
-	k.mu.Unlock()
-	if held != nil {
-		<-held
+// senderOf returns the machine whose sidecar holds the socket with a local address; -1 if none does.
+func (k *link) senderOf(address string) int {
+	inode := inodeOf(address)
+	for r := range ranks {
+		files, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", k.n.process(r)))
+		if err != nil {
+			continue
+		}
+		for _, f := range files {
+			if target, err := os.Readlink(f); err == nil && target == "socket:["+inode+"]" {
+				return r
+			}
+		}
+	}
+	return -1
+}
+
+// inodeOf returns the inode of the TCP socket with a local address, as the kernel lists it.
+func inodeOf(address string) string {
+	a := netip.MustParseAddrPort(address)
+	ip := a.Addr().As4()
+	want := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], a.Port())
+	raw, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return ""
 	}
+	for line := range strings.Lines(string(raw)) {
+		if f := strings.Fields(line); len(f) > 9 && f[1] == want {
+			if _, err := strconv.Atoi(f[9]); err == nil && f[9] != "0" {
+				return f[9]
+			}
+		}
+	}
+	return ""
 }
 
-// passDatagrams passes datagrams on from a socket with the address of their sender.
+// passDatagrams passes datagrams on from the link address of their sender.
 func (k *link) passDatagrams(u *net.UDPConn) {
 	to := net.UDPAddrFromAddrPort(netip.MustParseAddrPort(k.to))
 	buf := make([]byte, 64<<10)
@@ -143,13 +184,17 @@
 		if err != nil {
 			return
 		}
+		sender, source, ok := k.linkOf(from.Addr())
+		if !ok || k.n.isCut(sender, k.machine) {
+			continue // Datagrams may be lost.
+		}
 		s := k.sockets[from]
 		if s == nil {
-			if s, err = net.DialUDP("udp4", &net.UDPAddr{IP: from.Addr().AsSlice()}, to); err != nil {
+			if s, err = net.DialUDP("udp4", &net.UDPAddr{IP: source.AsSlice()}, to); err != nil {
 				continue
 			}
 			k.sockets[from] = s
 		}
-		_, _ = s.Write(buf[:n]) // Datagrams may be lost.
+		_, _ = s.Write(buf[:n]) // As above.
 	}
 }
--- a/review/standin/mapcase.go
+++ b/review/standin/mapcase.go
@@ -6,36 +6,40 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"os/exec"
 	"strconv"
-	"syscall"
 	"time"
 )
 
 const (
 	storeMachine = 250
 	firstSide    = 100
+	firstLink    = 130
+	holder       = 1 // Rank through whose sidecar the leader, rank 0, arms its own runner.
 	mapCaseTime  = 60 * time.Second
 	demandPeriod = 3 * time.Second
-	firstFreeze  = 5 * time.Second  // Nothing is frozen before.
-	freezePause  = 6 * time.Second  // Between the end of a freeze and the next.
-	watchAfter   = 12 * time.Second // How long passes are counted after the first broken one.
-	plainChanges = 12               // Without trouble, changes of the map to wait for.
-	wakeAfter    = 20 * time.Millisecond
-	longestSleep = 1400 * time.Millisecond // Below stallTime: the group stays whole.
-	maxFreezes   = 8
-	holder       = 1  // Rank through whose sidecar the leader, rank 0, arms its own runner.
-	linkMachine  = 99 // Address of the link to that sidecar, and of its runner.
+	firstCut     = 5 * time.Second         // Nothing is cut off before.
+	cutPause     = 6 * time.Second         // Between the end of a cut and the next.
+	watchAfter   = 12 * time.Second        // How long passes are counted after the first broken one.
+	plainChanges = 12                      // Without trouble, changes of the map to wait for.
+	healAfter    = 20 * time.Millisecond   // After the hold's release.
+	longestCut   = 1400 * time.Millisecond // Below stallTime: the group stays whole.
+	maxCuts      = 8
 )
 
 // runMapCase plays a group of model runners with a sidecar beside each. The disruption is that the machine
-// of the leading sidecar freezes while a change of the map is in progress, and wakes before the group
-// breaks: right after its runner was armed, before the answer to that order has reached the leader.
+// of the leading sidecar is cut off from all others while a change of the map is in progress, for less time
+// than the group takes to break: right after its runner was armed, before the reply has reached the leader.
 func runMapCase(c *caseRun) (broken bool, err error) {
-	g := newGroup(c)
-	machines := []int{storeMachine, linkMachine}
+	sidecars := make([]*exec.Cmd, ranks)
+	n := &network{process: func(r int) int { return sidecars[r].Process.Pid }}
+	g := newGroup(c, n)
+	t := &cutter{c: c, g: g, n: n}
+	g.onOrder = t.onOrder
+	machines := []int{storeMachine}
 	for r := range ranks {
-		machines = append(machines, firstSide+r)
+		machines = append(machines, firstSide+r, firstLink+r)
 	}
 	storePort, err := c.freePort(storeMachine)
 	if err != nil {
@@ -45,49 +49,51 @@
 	if err != nil {
 		return false, err
 	}
+	machineAt := func(ip netip.Addr) (r int, link netip.Addr, ok bool) {
+		for r := range ranks {
+			if ip == netip.MustParseAddr(c.ip(firstSide+r)) {
+				return r, netip.MustParseAddr(c.ip(firstLink + r)), true
+			}
+		}
+		return -1, link, false
+	}
+	machineOf := func(address string) int {
+		r, _, _ := machineAt(netip.MustParseAddrPort(address).Addr())
+		return r
+	}
 	s := newStore()
 	storeAddress := fmt.Sprintf("%s:%d", c.ip(storeMachine), storePort)
-	if err := serve(storeAddress, s); err != nil {
+	if err := serve(storeAddress, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if n.await(machineOf(q.RemoteAddr), storeMachine) && q.Context().Err() != nil {
+			return
+		}
+		s.ServeHTTP(w, q)
+	})); err != nil {
 		return false, err
 	}
-	sidecars := make([]*exec.Cmd, ranks)
-	t := &freezer{c: c, g: g, sidecars: sidecars}
-	g.onOrder = t.onOrder
 	s.put("op/config", mapConfig())
-	appOf := func(r int) string {
-		if r == holder {
-			return fmt.Sprintf("%s:%d", c.ip(linkMachine), appPort)
-		}
-		return fmt.Sprintf("%s:%d", c.ip(firstSide+r), appPort)
-	}
+	appOf := func(r int) string { return fmt.Sprintf("%s:%d", c.ip(firstLink+r), appPort) }
 	for r := range ranks {
-		address := appOf(r)
-		if err := serve(address, g.handler(r, c.ip(firstSide+r))); err != nil {
+		if err := serve(appOf(r), g.handler(r, machineOf)); err != nil {
 			return false, err
 		}
 		s.put(fmt.Sprintf("servers/i-%02d", r), map[string]any{
-			"service": "plate-model", "address": address, "zone": zoneOf(r), "version": "v1", "slots": slots,
+			"service": "plate-model", "address": appOf(r), "zone": zoneOf(r), "version": "v1", "slots": slots,
 			"state": "ready", "cold-remaining-ms": 0, "sequence": 1, "stage": "both",
 		})
 	}
-	go g.run()
 	internalPort, err := c.freePort(machines...)
 	if err != nil {
 		return false, err
 	}
-	t.link, err = startLink(fmt.Sprintf("%s:%d", c.ip(linkMachine), internalPort), fmt.Sprintf("%s:%d", c.ip(firstSide+holder), internalPort))
-	if err != nil {
-		return false, err
-	}
 	g.mu.Lock()
 	for r := range ranks {
-		sidecars[r], err = c.start(fmt.Sprintf("side-%d", r), "deploy/sidecar.ini.tmpl", map[string]string{
+		if sidecars[r], err = c.start(fmt.Sprintf("side-%d", r), "deploy/sidecar.ini.tmpl", map[string]string{
 			"node-name": fmt.Sprintf("side-%d", r), "zone": zoneOf(r), "limits.memory-mb": "152", "limits.link-mbps": "20",
 			"ip-address": c.ip(firstSide + r), "internal-port-range.0": strconv.Itoa(internalPort), "platform.address": storeAddress,
 			"seed-nodes": "", "app": appOf(r), "bounds.revocation-ms": "5000",
 			"bounds.grace-period-s": "8", "bounds.fencing-enforced": "true",
-		})
-		if err != nil {
+		}); err != nil {
 			break
 		}
 	}
@@ -95,11 +101,17 @@
 	if err != nil {
 		return false, err
 	}
+	for r := range ranks {
+		if err := startLink(n, r, fmt.Sprintf("%s:%d", c.ip(firstLink+r), internalPort), fmt.Sprintf("%s:%d", c.ip(firstSide+r), internalPort), machineAt); err != nil {
+			return false, err
+		}
+	}
+	go g.run()
 	for end := time.Now().Add(mapCaseTime); time.Now().Before(end); {
 		time.Sleep(demandPeriod)
 		g.mu.Lock()
 		g.hot++
-		over := len(g.frozen) == 0 && (g.violations > 0 && time.Since(g.violatedAt) > watchAfter || g.violations == 0 && t.released > 0 && time.Since(t.wokeAt) > demandPeriod)
+		over := !g.cutOff && (g.violations > 0 && time.Since(g.violatedAt) > watchAfter || g.violations == 0 && t.released > 0 && time.Since(t.healedAt) > demandPeriod)
 		g.mu.Unlock()
 		if over || !c.trouble && g.mapChanges() >= plainChanges {
 			break
@@ -107,13 +119,13 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c.record("%d changes of map, %d freezes, %d releases of the hold by the next leader, group broke %d times", g.changes, t.freezes, t.released, g.broken)
+	c.record("%d changes of map, %d cuts, %d releases of the hold by the next leader, group broke %d times", g.changes, n.cuts, t.released, g.broken)
 	c.record("%d passes began on two maps, %d passes after the first of them on one", g.violations, g.rightAfter)
 	if g.changes == 0 {
 		return false, fmt.Errorf("no map came into force")
 	}
 	if c.trouble && t.released == 0 && g.violations == 0 {
-		return false, fmt.Errorf("no freeze met a change of the map as intended")
+		return false, fmt.Errorf("no cut met a change of the map as intended")
 	}
 	return g.violations > 0, nil
 }
@@ -155,39 +167,32 @@
 	}
 }
 
-// freezer freezes and wakes the machine of the leader.
-type freezer struct {
+// cutter cuts the machine of the leader off and ends the cut. The mutex of the group guards its fields.
+type cutter struct {
 	c        *caseRun
 	g        *group
-	sidecars []*exec.Cmd
-	link     *link
-
-	// Guarded by the mutex of the group.
-	asleep   int // Rank whose machine is frozen, valid if isAsleep is set.
-	isAsleep bool
-	wakes    bool // The wake-up is scheduled.
-	wokeAt   time.Time
-	freezes  int
-	released int // Freezes in which another leader released the hold.
+	n        *network
+	heals    bool // The end of the cut is scheduled.
+	healedAt time.Time
+	released int // Cuts in which another leader released the hold.
 }
 
 // onOrder is called with the group's mutex held.
-func (t *freezer) onOrder(r int, own bool, o order, status int) {
+func (t *cutter) onOrder(r int, own bool, o order, status int) {
 	now := time.Now()
 	switch {
-	case t.c.trouble && !t.isAsleep && o.Op == "arm" && !own && status == http.StatusAccepted && t.allArmed(o) && r == 0 &&
-		t.g.passLeft > passTime/2 &&
-		now.Sub(t.c.began) > firstFreeze && now.Sub(t.wokeAt) > freezePause && t.g.violations == 0 && t.freezes < maxFreezes:
-		t.freeze(r)
-	case t.isAsleep && !t.wakes && o.Op == "go" && status == http.StatusAccepted:
+	case t.c.trouble && !t.g.cutOff && o.Op == "arm" && !own && status == http.StatusAccepted && t.allArmed(o) && r == 0 &&
+		now.Sub(t.c.began) > firstCut && now.Sub(t.healedAt) > cutPause && t.g.violations == 0 && t.n.cuts < maxCuts:
+		t.cut(r)
+	case t.g.cutOff && !t.heals && r == holder && o.Op == "go" && status == http.StatusAccepted:
 		t.released++
-		t.wakes = true
-		time.AfterFunc(wakeAfter, t.wake)
+		t.heals = true
+		time.AfterFunc(healAfter, t.heal)
 	}
 }
 
 // allArmed reports whether every rank is armed as in an order.
-func (t *freezer) allArmed(o order) bool {
+func (t *cutter) allArmed(o order) bool {
 	for _, e := range t.g.engines {
 		if e.armed != (arming{o.Version, o.Step}) {
 			return false
@@ -196,35 +201,25 @@
 	return true
 }
 
-func (t *freezer) freeze(r int) {
-	if err := t.sidecars[r].Process.Signal(syscall.SIGSTOP); err != nil {
-		t.c.record("cannot stop the sidecar of rank %d: %v", r, err)
-		return
-	}
-	t.g.freeze(r)
-	t.link.hold()
-	t.isAsleep, t.asleep, t.wakes = true, r, false
-	t.freezes++
-	n := t.freezes
-	t.c.record("the machine of rank %d freezes, in pass %d", r, t.g.step)
-	time.AfterFunc(longestSleep, func() {
+func (t *cutter) cut(r int) {
+	t.n.cut(r)
+	t.g.cutOff, t.g.cutAt, t.heals = true, time.Now(), false
+	n := t.n.cuts
+	t.c.record("the machine of rank %d is cut off, in pass %d", r, t.g.step)
+	time.AfterFunc(longestCut, func() {
 		t.g.mu.Lock()
-		late := t.isAsleep && t.freezes == n && !t.wakes
+		late := t.g.cutOff && t.n.cuts == n && !t.heals
 		t.g.mu.Unlock()
 		if late {
-			t.wake()
+			t.heal()
 		}
 	})
 }
 
-func (t *freezer) wake() {
+func (t *cutter) heal() {
 	t.g.mu.Lock()
 	defer t.g.mu.Unlock()
-	t.c.record("the machine of rank %d wakes after %d ms", t.asleep, time.Since(t.g.frozenAt).Milliseconds())
-	t.g.wake(t.asleep)
-	t.link.release(t.g.frozenAt)
-	t.isAsleep, t.wokeAt = false, time.Now()
-	if err := t.sidecars[t.asleep].Process.Signal(syscall.SIGCONT); err != nil {
-		t.c.record("cannot continue the sidecar of rank %d: %v", t.asleep, err)
-	}
+	t.c.record("the cut ends after %d ms", time.Since(t.g.cutAt).Milliseconds())
+	t.n.heal()
+	t.g.cutOff, t.healedAt = false, time.Now()
 }
--- a/review/standin/streamcase.go
+++ b/review/standin/streamcase.go
@@ -177,15 +177,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.runs[id]++
+	d.c.record("request %s (%s events) runs at %s, after event %d", id, size, server, after)
 	switch {
 	case after > 0:
 		d.resumed[size]++
 	case d.runs[id] > 1:
 		d.restarts[size]++
 	}
-	if d.runs[id] > 1 {
-		d.c.record("request %s (%s events) runs again at %s, after event %d", id, size, server, after)
-	}
 }
 
 // sendStreams sends requests to all gateways in turn, with small and large events by turns.
@@ -207,6 +205,7 @@
 	if err != nil {
 		panic(err)
 	}
+	d.c.record("request %s (%s events) is sent to %s", id, size, front)
 	r.Host = "plates.example"
 	r.Header.Set("Attempt-Id", id)
 	r.Header.Set("Deadline-Remaining-Ms", "8000")
@@ -258,6 +257,7 @@
 		d.cut[size]++
 		d.c.record("the client of request %s (%s events) gets %d events, then: %v", id, size, len(got), err)
 	default:
+		d.c.record("the client of request %s (%s events) gets all events", id, size)
 		d.complete[size]++
 	}
 }
