internal/decide/cutover, sidecar: fences of two leaders are never equal and don't interleave

A leader that takes over must have a fence that none of the former leader's orders can pass. A fence was eight times the time in milliseconds, and an abort raised it by one: two leaders that began within a millisecond could share one, and a leader with several aborts could pass one that had taken over since. Its disarm orders were then carried out after the other had released the hold (MAP).

--- a/internal/decide/cutover/cutover.go
+++ b/internal/decide/cutover/cutover.go
@@ -85,6 +85,15 @@
 // NoAbsence means that all ranks answer.
 var NoAbsence = Absence{Rank: NoRank}
 
+// versionStride separates the versions of different leaders. It exceeds the rank of any leader.
+const versionStride = 1024
+
+// NextVersion returns the lowest version above highest that a leader may give to a map. No two leaders
+// use the same version.
+func NextVersion(highest uint64, leader int) uint64 {
+	return (highest/versionStride+1)*versionStride + uint64(leader)
+}
+
 // Holder returns the holder of a leader: the rank at which the leader holds passes, and through which
 // it arms its own rank. The holder takes over the lead if the leader fails.
 func Holder(leader int) int {
@@ -151,8 +160,8 @@
 func (m *Machine) order(r int) rank.Order {
 	o := rank.Order{Fence: m.Fence, Epoch: m.Epoch}
 	switch m.Phase {
-	case Fencing: // Raises the fence only: this version was never armed.
-		o.Op, o.Version = rank.Disarm, unusedVersion
+	case Fencing:
+		return FenceOrder(m.Fence, m.Epoch)
 	case Clearing:
 		o.Op, o.Version = rank.Disarm, m.toDisarm.Version
 	case Releasing:
@@ -171,7 +180,7 @@
 	return o
 }
 
-// unusedVersion is a version that no map has.
+// unusedVersion is a version that no map has: to disarm it only raises the fence.
 const unusedVersion = 1 << 50
 
 // Handle takes in the result of an order of the current phase, and enters the next phase once every
@@ -386,9 +395,10 @@
 }
 
 // SwitchAt starts the switch to the prepared map at the given pass, or at a later one if that pass was
-// already used. It does nothing unless the phase is Ready and the prepared version was never disarmed.
+// already used. It does nothing unless the phase is Ready, the prepared version was never disarmed, and
+// the switch could be aborted.
 func (m *Machine) SwitchAt(step uint64) {
-	if m.Phase != Ready || m.versionRetired {
+	if m.Phase != Ready || m.versionRetired || !m.CanAbort() {
 		return
 	}
 	m.Step = max(step, m.Step+1)
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -56,8 +56,6 @@
 	// defaultExpertShare is the share of a pass that experts take where none is published.
 	defaultExpertShare = 0.85
 	gigabyte           = 1e9
-	// versionStride separates the version numbers of different leaders.
-	versionStride = 1024
 )
 
 // Each pass produces one event of each stream, so the pause between events is the duration of a
@@ -204,7 +202,7 @@
 // abandoned if not all ranks answer the orders to copy in time.
 func (l *leader) beginChange(ctx context.Context, plan remap.Plan) {
 	p, m := &l.planner, l.machine
-	version := (m.HighestVersion/versionStride+1)*versionStride + uint64(m.Self)
+	version := cutover.NextVersion(m.HighestVersion, m.Self)
 	layout := layoutOf(plan.Map, len(l.byRank))
 	now := time.Now()
 	p.pending = &pending{plan: plan, version: version, startedAt: now, copiesDueAt: now.Add(l.copyTime(plan.MaxPerRank)), shiftsSeen: p.tracker.Shifts(), speeds: l.speeds()}
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -46,8 +46,9 @@
 	// directOrderTimeout bounds one order sent directly to another rank's engine: some round trips
 	// of a new connection between failure domains, plus the engine's processing time.
 	directOrderTimeout = 30 * time.Millisecond
-	// fenceIncrement is added to a fence that a rank rejected.
-	fenceIncrement = 1 << 20
+	// fenceIncrement is added to a fence that a rank rejected. It corresponds to two minutes, by which
+	// the clock of an earlier leader may be ahead.
+	fenceIncrement = 1 << 29
 )
 
 // member is the leader's view of one endpoint of the service.
@@ -243,8 +244,8 @@
 		l.resign("a rank has restarted")
 		return // The next poll covers all ranks again.
 	}
-	if l.machine == nil || l.machine.AbsentRank() != l.absent {
-		l.fence = max(l.fence+1, uint64(time.Now().UnixMilli())*fencesPerMilli)
+	if l.needsNewMachine() {
+		l.fence = cutover.NextFence(l.fence, time.Now(), own.Rank)
 		l.machine = cutover.New(own.Size, own.Rank, l.fenceAbsent(own), own.Epoch, l.fence)
 		l.planner.pending = nil
 		l.rankStartTimes = l.startTimes()
@@ -268,9 +269,12 @@
 	}
 }
 
-// fencesPerMilli is the number of fences per millisecond of Unix time. It leaves fences free for
-// those that are raised during a leadership.
-const fencesPerMilli = 8
+// needsNewMachine reports whether a new machine must raise the fence at all ranks before the cutover
+// continues: this sidecar begins to lead, the absent rank has changed, or no fence is left for an abort.
+func (l *leader) needsNewMachine() bool {
+	m := l.machine
+	return m == nil || m.AbsentRank() != l.absent || m.Phase == cutover.Ready && !m.CanAbort()
+}
 
 // Limits of cutover rounds.
 const (
--- a/internal/sidecar/leadership.go
+++ b/internal/sidecar/leadership.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/canvaspulley/canvaspulley/internal/decide/cutover"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
@@ -115,7 +116,7 @@
 		return
 	}
 	l.s.log.Info("fence raised", zap.Uint64("fence", l.fence), zap.Uint64("heard", announced.Fence), zap.Int("from-rank", announced.Rank))
-	l.fence = announced.Fence + fencesPerMilli
+	l.fence = cutover.NextFence(announced.Fence, time.Now(), own.Rank)
 	l.machine = nil
 }
 
