internal/sidecar: a delayed report of an engine decides nothing about older orders

An engine reports to other instances what was true some hundred milliseconds before. Such a report is used where the sidecar of a rank doesn't answer. The cutover went by it at once, although it might not show what the leader's own last orders had changed, or kept others from changing.

Reports of that kind now settle a switch only if they were taken half a second after the last orders. Direct polls are 0.7 s apart, so this mostly costs nothing.

The tests of sidecar pass; there is none of this guard alone.

--- a/internal/sidecar/ask.go
+++ b/internal/sidecar/ask.go
@@ -121,7 +121,7 @@
 		return
 	}
 	m.report, m.lastSeen = r, now
-	m.answered, m.sidecarSilent, m.engineSilent = true, false, false
+	m.answered, m.sidecarSilent, m.engineSilent, m.reportDelayed = true, false, false, false
 }
 
 // startTimes returns when each rank's engine process started, by rank.
@@ -175,7 +175,7 @@
 	case err == nil && len(a.Ranks) == 1 && a.Ranks[0].Report != nil:
 		m.acceptReport(*a.Ranks[0].Report, time.Now())
 	case engine != nil && fleet.CompareIncarnations(max(m.endpoint.StartedAt, m.report.StartedAt), engine.StartedAt) >= 0:
-		m.report, m.lastSeen, m.answered = *engine, time.Now(), true
+		m.report, m.lastSeen, m.answered, m.reportDelayed = *engine, time.Now(), true, true
 	case err != nil:
 		l.s.log.Debug("sidecar unreachable", zap.String("endpoint", m.endpoint.ID), zap.String("error", err.Error()))
 	}
@@ -245,6 +245,17 @@
 	return led.Group == own.Group && led.Epoch == own.Epoch && led.Rank == r && r != own.Rank
 }
 
+// reportsMayPrecedeOrders reports whether a rank's report may be older than the last orders: it then
+// doesn't show what they changed, or what they kept others from changing.
+func (l *leader) reportsMayPrecedeOrders() bool {
+	for _, m := range l.byRank {
+		if m != nil && m.reportDelayed && m.enginePolledAt.Add(-engineReportDelay).Before(l.ordersEndedAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // reports returns the newest reports, by rank.
 func (l *leader) reports() []rank.Report {
 	list := make([]rank.Report, len(l.byRank))
--- a/internal/sidecar/leader.go
+++ b/internal/sidecar/leader.go
@@ -43,6 +43,9 @@
 	// enginePollInterval is the minimum time between two direct polls of an engine whose sidecar is
 	// silent: each has a cost, and one to a frozen instance delays a poll.
 	enginePollInterval = 700 * time.Millisecond
+	// engineReportDelay is how old an engine's report to another instance may be: the published
+	// contract speaks of some hundred milliseconds.
+	engineReportDelay = 500 * time.Millisecond
 	// directOrderTimeout bounds one order sent directly to another rank's engine: some round trips
 	// of a new connection between failure domains, plus the engine's processing time.
 	directOrderTimeout = 30 * time.Millisecond
@@ -59,6 +62,7 @@
 	answered       bool      // It answered the newest poll.
 	sidecarSilent  bool      // Its sidecar did not answer the last poll.
 	enginePolledAt time.Time // When its engine was last polled directly.
+	reportDelayed  bool      // The report comes from such a poll: it may be engineReportDelay old.
 	engineSilent   bool      // The engine did not answer that poll either.
 }
 
@@ -83,6 +87,7 @@
 	switchTime     estimate.Estimator // How long the orders of a switch take.
 	copyOverrun    time.Duration      // Smoothed time by which changes exceed their copy time: distributing the map and detecting that the copies are complete.
 	switchedAt     time.Time          // When the last switch ended.
+	ordersEndedAt  time.Time          // When the last orders of the cutover machine were sent and answered.
 	limiter        grouplimit.Limiter
 	loadsSentAt    time.Time    // When the loads of all ranks were last sent to gateways.
 	fullMap        encodedMap   // Map of the change in progress.
@@ -252,7 +257,8 @@
 		l.s.log.Info("leads", zap.Int("absent", l.absent), zap.String("group", own.Group), zap.Uint64("epoch", own.Epoch), zap.Int("rank", own.Rank), zap.Uint64("fence", l.fence))
 	}
 	m := l.machine
-	if !m.Observe(l.reports()) {
+	settles := m.Phase == cutover.Settling || m.Phase == cutover.Ready
+	if settles && l.reportsMayPrecedeOrders() || !m.Observe(l.reports()) {
 		return
 	}
 	if l.absent != cutover.NoRank {
@@ -299,6 +305,7 @@
 // sendUntilSettled sends the cutover machine's orders until its phase is Settling or Ready, which need
 // none, or limit has passed. It resigns if a rank rejected the fence.
 func (l *leader) sendUntilSettled(ctx context.Context, limit time.Duration) {
+	defer func() { l.ordersEndedAt = time.Now() }()
 	began := time.Now()
 	m := l.machine
 	if m == nil {
