internal/decide/cutover, sidecar: a holder's knowledge survives late requests and restarts

Cause: a holder records the newest request to arm its leader's rank. A request of an earlier switch that arrived after the newest one replaced the record; as the engine rejected it, the holder took its leader's rank for not armed. If the leader then failed, all others were disarmed and the hold was released: MAP. A holder that had restarted took itself for certain two seconds after its start, by the clock, and had forgotten that it had taken over with a higher fence.

Evidence: the search lost an answer only to the holder and to the leader together. With answers lost to each, requests that arrive late, and instances that are cut off, it found this on the former rules: "pass 4 on maps 2048 and 1024", by a late request of version 1024.

Change: what a holder knows is a type of cutover (OwnArming), which the search plays as it is. Requests with another fence or of an earlier version are rejected. A holder is certain once it has seen its own engine without a hold. One that doesn't know a fence has its own engine accept it first. Attempts don't overlap.

After: TestNoPassOnTwoMapsWhenAHolderRestarts and the tests of OwnArming pass.

--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -113,7 +113,12 @@
 	if err != nil {
 		a.Error = err.Error()
 	} else {
-		duty.Locked(&s.mu, func() { s.orderTook.Add(time.Since(began)) })
+		duty.Locked(&s.mu, func() {
+			s.orderTook.Add(time.Since(began))
+			if result == rank.Done {
+				s.ownArming.ObserveFence(o.Fence)
+			}
+		})
 	}
 	s.log.Info("order", zap.String("op", string(o.Op)), zap.Uint64("version", o.Version), zap.Uint64("step", o.Step),
 		zap.Uint64("fence", o.Fence), zap.Uint64("epoch", o.Epoch), zap.String("result", string(result)), zap.String("error", a.Error))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"github.com/canvaspulley/canvaspulley/internal/decide/cutover"
 	"github.com/canvaspulley/canvaspulley/internal/decide/estimate"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
@@ -90,7 +91,7 @@
 	// querySidecar sends a query to the sidecar of its first engine.
 	querySidecar func(ctx context.Context, q treeQuery) (treeResponse, error)
 
-	started time.Time
+	armMu sync.Mutex // Held while the leader's rank is armed on its behalf, so that attempts don't overlap.
 
 	mu               sync.Mutex // Guards the fields below, up to groupLoadsSentAt.
 	engineStartedAt  int64      // Start time of the newest known incarnation of the engine; 0 if not reported.
@@ -103,7 +104,7 @@
 	gateways         subscribers
 	lead             leadership
 	openChanged      chan struct{} // Holds one element if a change of the group's open state is to be reported.
-	leaderArming     armingState
+	ownArming        cutover.OwnArming
 	orderTook        estimate.Estimator // How long this engine takes to answer an order.
 	announcement     peers.Lead         // What this sidecar announces as the leader.
 	announceTo       []netip.AddrPort   // Receivers of the announcement; nil while this sidecar does not lead.
@@ -150,7 +151,7 @@
 func New(cfg Config, engine rank.Engine, dial func(string) rank.Engine, source follow.Source, socket *peers.Socket, log *zap.Logger, reg metrics.Registry) (s *Sidecar, cleanup func()) {
 	s = &Sidecar{
 		cfg: cfg, engine: engine, dial: dial, source: source, socket: socket, log: log, reg: reg,
-		gateways: newSubscribers(cfg.Domain), openChanged: make(chan struct{}, 1), orderTook: estimate.New(answerTimeWeight), started: time.Now(),
+		gateways: newSubscribers(cfg.Domain), openChanged: make(chan struct{}, 1), orderTook: estimate.New(answerTimeWeight),
 		suspects: suspects.New(log, reg), stats: newStats(reg),
 	}
 	s.calls, cleanup = newPeerClient(cfg)
@@ -297,6 +298,7 @@
 	}
 	s.report, s.reportAt = r, time.Now()
 	s.passes.observe(r.Step, s.reportAt)
+	s.ownArming.ObserveHold(r.HeldPass)
 	return true
 }
 
