internal/decide/cutover: a leader that aborts never disarms its own rank alone

Cause: the leader's machine is cut off as its own rank has been armed through the holder. The leader, without that answer, aborts and disarms the only engine that it reaches, its own. The holder has seen that rank armed, takes over and releases the hold.

Change: the arming of the leader's own rank is the point of no return, as no rank is disarmed while all are armed. A leader that may have armed its own rank raises the fence at all ranks and goes by their reports: it releases the hold if all are armed. If one isn't, its own rank isn't either, since that comes last. Cut off, it can do neither. Other aborts work as before.

--- a/internal/decide/cutover/cutover.go
+++ b/internal/decide/cutover/cutover.go
@@ -15,10 +15,14 @@
 //     longer take effect.
 //   - Versions and passes are never used twice.
 //   - A leader arms its own rank last, through the rank that holds passes for it (the holder), which
-//     is never its own rank: when an instance freezes, both its process and its engine become
-//     unreachable. If the leader freezes while a hold stands, the hold can still be released at the
-//     holder. The leader's own rank is not armed unless all others are, and in that case the holder
-//     knows whether it is.
+//     is never its own rank: an instance that freezes or is cut off takes both its process and its
+//     engine along. If that happens while a hold stands, the hold can still be released at the holder.
+//   - The arming of the leader's own rank commits the switch: no rank is disarmed while all are armed.
+//     A leader that doesn't know whether its own rank was armed raises the fence and reads the state of
+//     all ranks, as after a takeover. So whoever has seen all ranks armed under a hold may release it,
+//     whatever the leader does that none of them reaches.
+//   - Where the leader's rank doesn't answer, it is armed only if all others are, and in that case the
+//     holder knows whether it is.
 package cutover
 
 import "github.com/canvaspulley/canvaspulley/internal/rank"
@@ -65,6 +69,7 @@
 	layout         [][][]int   // The new map: experts by set and rank.
 
 	holdConflicts  int  // Conflicts on the hold order in this switch.
+	ownRequested   bool // In this switch, the own rank may have been armed.
 	versionRetired bool // Version was disarmed: that order may still arrive late, so Version is not armed again.
 
 	Completed int // Number of switches that came into force.
@@ -131,13 +136,15 @@
 }
 
 // Next returns the orders to send now, by rank, including those sent before and not yet confirmed. The
-// Op is "" for ranks without an order.
+// Op is "" for ranks without an order. All returned orders count as sent.
 func (m *Machine) Next() []rank.Order {
 	orders := make([]rank.Order, m.Ranks)
 	for r := range orders {
-		if !m.confirmed[r] && !m.mustWait(r) {
-			orders[r] = m.order(r)
+		if m.confirmed[r] || m.mustWait(r) {
+			continue
 		}
+		orders[r] = m.order(r)
+		m.ownRequested = m.ownRequested || m.Phase == Arming && r == m.Self
 	}
 	return orders
 }
@@ -402,7 +409,7 @@
 		return
 	}
 	m.Step = max(step, m.Step+1)
-	m.holdConflicts = 0
+	m.holdConflicts, m.ownRequested = 0, false
 	m.enter(Holding)
 	m.askOnlyHolder()
 }
@@ -423,10 +430,16 @@
 	}
 }
 
-// abortArming starts to disarm every rank under a higher fence. Version is not armed again.
+// abortArming raises the fence and disarms every rank. If the own rank may be armed, all ranks may
+// be, and the switch is then no longer aborted: the reports under the new fence decide. In either case
+// Version is not armed again by this leader.
 func (m *Machine) abortArming() {
 	m.Aborted++
 	m.versionRetired = true
 	m.Fence++ // Arm orders still in transit are refused from here on.
+	if m.ownRequested {
+		m.enter(Fencing)
+		return
+	}
 	m.enter(Undoing)
 }
