internal/decide/cutover: a pass whose hold was released is not held again

Cause: a leader that releases the hold of an earlier one for pass s may then begin a switch at the same pass with the same fence. A release that was sent twice, or whose answer was lost, can arrive after the new hold and lets the group go on half armed.

Evidence: the search with three leaders, the first of them rank 2, found it after 3,878,734 states: "pass 2 on maps 2049 and 0". With the fault injected, TestSearchFindsAReleasedPassThatIsHeldAgain finds it after 9,584.

Change: the next switch begins after every pass that was seen held.

--- a/internal/decide/cutover/cutover.go
+++ b/internal/decide/cutover/cutover.go
@@ -13,7 +13,8 @@
 //     leader can be carried out any more, however late.
 //   - To abort, the leader first raises the fence again: an arming whose answer was lost can then no
 //     longer take effect.
-//   - Versions and passes are never used twice.
+//   - Versions and passes are never used twice, and a pass whose hold a leader may have released is not
+//     held by it again: that release may still arrive.
 //   - A leader arms its own rank last, through the rank that holds passes for it (the holder), which
 //     is never its own rank: an instance that freezes or is cut off takes both its process and its
 //     engine along. If that happens while a hold stands, the hold can still be released at the holder.
@@ -61,7 +62,7 @@
 	Fence          uint64 // Fence of this leader's orders; a rank refuses orders below the highest fence that it has seen.
 	Phase          Phase
 	Version        uint64      // Version of the map being prepared or switched to.
-	Step           uint64      // Pass at which the new map comes into force; never decreases.
+	Step           uint64      // Pass at which the new map comes into force, or that a rank has held; never decreases.
 	HighestVersion uint64      // Highest version reported by any rank or used by this leader.
 	confirmed      []bool      // By rank, whether it has confirmed the phase or needs no order.
 	toDisarm       rank.Arming // Arming that some rank last reported; zero for none.
@@ -327,6 +328,7 @@
 			continue
 		}
 		m.holds[r] = rep.HeldPass
+		m.Step = max(m.Step, rep.HeldPass)
 		if rep.HeldPass != 0 {
 			holding++
 		}
--- a/internal/decide/cutover/search_test.go
+++ b/internal/decide/cutover/search_test.go
@@ -652,6 +652,19 @@
 	}
 }
 
+// The search must detect that a pass is held again although its release may still be in transit.
+func TestSearchFindsAReleasedPassThatIsHeldAgain(t *testing.T) {
+	g := NewWithT(t)
+	inject := func(m *Machine, orders []rank.Order) {
+		if m.Phase == Releasing {
+			m.Step = 0
+		}
+	}
+	seen, violation := scenario{faults: 2, first: 2, prepared: true, steps: 2, inject: inject}.search()
+	t.Logf("after %d states: %.40s", seen, violation)
+	g.Expect(violation).To(ContainSubstring("on maps"))
+}
+
 // Once faults are over, no hold is left behind: the group continues.
 func TestLeftHoldsAreReleased(t *testing.T) {
 	g := NewWithT(t)
