internal/decide/cutover: only the absent leader's own switch is resolved without it

Cause: a successor took the absent leader's rank for not armed when another rank wasn't, since a leader arms its own rank last. That is true for its own switch only. A leader that has just taken over may have been armed by the one before it, while others weren't yet.

Change: the switch must be of a version that the absent leader made, and that all ranks which answer have prepared. Otherwise the group waits until the rank answers, or breaks if it is lost, as after a cut of that length at other moments.

--- a/internal/decide/cutover/cutover.go
+++ b/internal/decide/cutover/cutover.go
@@ -23,7 +23,8 @@
 //     all ranks, as after a takeover. So whoever has seen all ranks armed under a hold may release it,
 //     whatever the leader does that none of them reaches.
 //   - Where the leader's rank doesn't answer, it is armed only if all others are, and in that case the
-//     holder knows whether it is.
+//     holder knows whether it is. This holds for a version that this leader made: another leader's
+//     arming may have reached it first, and is left until it answers.
 package cutover
 
 import "github.com/canvaspulley/canvaspulley/internal/rank"
@@ -69,6 +70,10 @@
 	holds          []uint64    // By rank, the pass that it holds; 0 for none.
 	layout         [][][]int   // The new map: experts by set and rank.
 
+	// absenceResolved is set once the state of the absent rank follows from the reports. It stays valid:
+	// all other ranks have the fence, and the absent rank is not armed without them.
+	absenceResolved bool
+
 	holdConflicts  int  // Conflicts on the hold order in this switch.
 	ownRequested   bool // In this switch, the own rank may have been armed.
 	versionRetired bool // Version was disarmed: that order may still arrive late, so Version is not armed again.
@@ -100,6 +105,9 @@
 	return (highest/versionStride+1)*versionStride + uint64(leader)
 }
 
+// versionLeader returns the rank of the leader that made a version.
+func versionLeader(version uint64) int { return int(version % versionStride) }
+
 // Holder returns the holder of a leader: the rank at which the leader holds passes, and through which
 // it arms its own rank. The holder takes over the lead if the leader fails.
 func Holder(leader int) int {
@@ -338,7 +346,7 @@
 		}
 	}
 	switch {
-	case m.absent.Rank != NoRank && !m.canResolveAbsence(armed == expected, holding):
+	case m.absent.Rank != NoRank && !m.canResolveAbsence(reports, armed == expected, holding):
 		return
 	case m.absent.Rank != NoRank && armed == expected && m.absent.Armed != m.toDisarm:
 		m.enter(Clearing) // All others are armed for a switch for which the absent rank is not armed.
@@ -358,14 +366,35 @@
 }
 
 // canResolveAbsence reports whether it is certain how to clean up after the absent leader. The only
-// hold must be at that leader's holder. If all other ranks are armed, it must also be known whether
-// the leader's rank is. If another rank is not armed, this need not be known: the leader's rank
-// is armed last.
-func (m *Machine) canResolveAbsence(allArmed bool, holdCount int) bool {
+// hold must be at that leader's holder, and the switch must be one that this leader began. If all
+// other ranks are armed, it must also be known whether the leader's rank is. If another rank is not
+// armed, this need not be known: the leader's rank is armed last.
+func (m *Machine) canResolveAbsence(reports []rank.Report, allArmed bool, holdCount int) bool {
 	if holdCount != 1 || m.holds[Holder(m.absent.Rank)] == 0 {
 		return false
 	}
-	return !allArmed || m.absent.ArmingKnown
+	if !m.absenceResolved {
+		m.absenceResolved = m.begunByAbsent(reports) && (!allArmed || m.absent.ArmingKnown)
+	}
+	return m.absenceResolved
+}
+
+// begunByAbsent reports whether all ranks that answer have prepared the same version and the absent
+// leader made it. Its own rank can then be armed for no other version: that would have to be prepared
+// everywhere.
+func (m *Machine) begunByAbsent(reports []rank.Report) bool {
+	version := uint64(0)
+	for r, rep := range reports {
+		if r == m.absent.Rank {
+			continue
+		}
+		prepared := max(rep.Prepared, rep.Armed.Version)
+		if prepared == 0 || version != 0 && prepared != version || versionLeader(prepared) != m.absent.Rank {
+			return false
+		}
+		version = prepared
+	}
+	return true
 }
 
 // AbsentRank returns the rank that was absent when the machine was made, or NoRank.
--- a/internal/decide/cutover/search_test.go
+++ b/internal/decide/cutover/search_test.go
@@ -210,7 +210,7 @@
 		arming(m.toDisarm)
 		number(m.holds...)
 		flags(m.confirmed...)
-		flags(m.absent.ArmingKnown, m.versionRetired, m.ownRequested)
+		flags(m.absent.ArmingKnown, m.absenceResolved, m.versionRetired, m.ownRequested)
 	}
 	h := fnv.New128a()
 	_, _ = h.Write(b) // Never fails.
@@ -641,6 +641,7 @@
 				orders[m.Self] = rank.Order{Op: rank.Disarm, Fence: m.Fence, Epoch: m.Epoch, Version: m.Version}
 			}
 		}},
+		{"the absent rank is taken as not armed", func(m *Machine, orders []rank.Order) { m.absenceResolved = true }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
@@ -752,6 +753,9 @@
 		{"ranks carry out orders in any sequence", scenario{faults: 2, isolations: []isolation{cutOff}, anyOrder: true, steps: 2}},
 		{"the leader is not the first rank", scenario{faults: 2, first: 2, successors: []int{0}, isolations: []isolation{cutOff}}},
 		{"the holder does not take over", scenario{faults: 2, successors: []int{2}, isolations: both, steps: 3}},
+		{"three leaders", scenario{faults: 2, leaders: 3, successors: []int{1, 2}, isolations: []isolation{cutOff}, prepared: true, steps: 2, switches: 1}},
+		{"three leaders, the first one is the last rank", scenario{faults: 2, leaders: 3, first: 2, successors: []int{0, 1}, isolations: []isolation{cutOff}, prepared: true, steps: 2, switches: 1}},
+		{"three leaders, one of them frozen", scenario{faults: 2, leaders: 3, first: 2, successors: []int{0, 1}, isolations: []isolation{frozen}, prepared: true, steps: 2, switches: 1}},
 		{"a later switch", scenario{faults: 1, leaders: 3, successors: []int{0, 1, 2}, isolations: both, steps: 4}},
 		{"the holder's sidecar restarts", scenario{faults: 2, holderRestarts: true, isolations: []isolation{cutOff}, steps: 3}},
 		{"a rank restarts", scenario{faults: 1, isolations: both, restart: groupForgets}},
@@ -768,6 +772,25 @@
 	}
 }
 
+// The hold of a switch that another leader may have begun is left until the absent rank answers: it may
+// be armed although others are not.
+func TestHoldOfAnotherLeaderWaitsForTheAbsentRank(t *testing.T) {
+	g := NewWithT(t)
+	m := New(searchRanks, 2, Absence{Rank: 1}, 1, 20)
+	w := &world{ranks: make([]ranktest.State, searchRanks), epoch: 1, leaders: []*Machine{m}, step: 2, isolated: 1, isolation: cutOff}
+	w.ranks[Holder(1)].HeldPass = 3
+	for r := range w.ranks {
+		w.ranks[r].Prepared = NextVersion(0, 2)
+	}
+	w.ranks[1].Armed = rank.Arming{Version: NextVersion(0, 2), Step: 3}
+	w.follow(m, 20)
+	g.Expect(w.canPass()).To(BeFalse())
+	again := New(searchRanks, 2, NoAbsence, 1, 30)
+	w.follow(again, 20)
+	g.Expect(again.Phase).To(Equal(Ready))
+	g.Expect(w.canPass()).To(BeTrue())
+}
+
 // follow has a leader carry out its orders for some rounds, with all ranks that it expects to answer.
 func (w *world) follow(m *Machine, rounds int) {
 	for range rounds {
