internal/follow, gateway: a gateway sends its state with the time of that same state

Cause: a gateway that answers another one took its configuration, then its endpoints, then its age, each by itself. If it is suspended in between, the state is from before and the age from after: its follower takes an old state for recent, and sends to endpoints that have left, or by a key or route that is gone.

UpdateSince returns the update, the state and the time as of which it is complete, under one lock.

--- a/internal/follow/evacuation_test.go
+++ b/internal/follow/evacuation_test.go
@@ -61,7 +61,7 @@
 
 // syncViews sends one view all that is new in another one since a number.
 func syncViews(v, from *View, after uint64) (number uint64) {
-	told := from.UpdateSince(after)
+	told, _, _ := from.UpdateSince(after)
 	v.ApplyUpdate(told, testTime)
 	return told.Number
 }
--- a/internal/follow/life_test.go
+++ b/internal/follow/life_test.go
@@ -101,11 +101,12 @@
 	g := NewWithT(t)
 	sender, receiver := NewView(), NewView()
 	sender.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{incarnation(5, 2, true)}, UpTo: 2}, at(0), false)
-	first := sender.UpdateSince(0)
+	first, _, _ := sender.UpdateSince(0)
 	receiver.Offer(version(1), 1)
 	receiver.ApplyUpdate(first, at(0))
 	sender.Apply(Changes{Endpoints: []fleet.Endpoint{incarnation(7, 3, false)}, UpTo: 3}, at(1), false)
-	receiver.ApplyUpdate(sender.UpdateSince(first.Number), at(1))
+	second, _, _ := sender.UpdateSince(first.Number)
+	receiver.ApplyUpdate(second, at(1))
 	expectOnlyEndpoint(g, receiver, incarnation(7, 3, false))
 }
 
--- a/internal/follow/told.go
+++ b/internal/follow/told.go
@@ -70,13 +70,15 @@
 	Evacuations []Evacuation `json:"evacuations,omitempty"`
 }
 
-// UpdateSince returns what has changed after a number from an earlier Update. It returns everything
-// for 0, for a number so old that removals since then were discarded, and for a number that this
-// view has not reached, which comes from another view.
-func (v *View) UpdateSince(after uint64) (u Update) {
+// UpdateSince returns what has changed after a number from an earlier Update, the state of the view
+// with these changes, and the time as of which that state is complete; zero if it was never confirmed.
+// The three belong together: a process may be suspended at any time, and a later confirmation says
+// nothing of this state. It returns all changes for 0, for a number so old that removals since then
+// were discarded, and for a number that this view has not reached, which comes from another view.
+func (v *View) UpdateSince(after uint64) (u Update, s *State, completeAt time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	s := v.state.Load()
+	s, completeAt = v.state.Load(), v.confirmed.Load().at
 	u = Update{Number: v.changes.number, UpTo: v.knownRevision, Whole: after == 0 || after < v.changes.discarded || after > v.changes.number}
 	for id, e := range s.Endpoints {
 		if !u.Whole && v.changes.changed[id] <= after {
@@ -91,14 +93,14 @@
 		u.Evacuations = s.Evacuations()
 	}
 	if u.Whole {
-		return u
+		return u, s, completeAt
 	}
 	for _, r := range v.changes.removed {
 		if r.number > after {
 			u.Removals = append(u.Removals, r.removal)
 		}
 	}
-	return u
+	return u, s, completeAt
 }
 
 // viewVersion identifies a state of a view: it differs after each change of the configuration, the
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -108,11 +108,15 @@
 // ConfirmedAge returns the time since the view was last known to be complete, even if nothing had
 // been published. It returns infiniteAge if the view was never confirmed.
 func (v *View) ConfirmedAge(now time.Time) time.Duration {
-	at := v.confirmed.Load().at
-	if at.IsZero() {
+	return AgeOf(v.confirmed.Load().at, now)
+}
+
+// AgeOf returns the time since a state was complete; infiniteAge if that time is zero.
+func AgeOf(completeAt, now time.Time) time.Duration {
+	if completeAt.IsZero() {
 		return infiniteAge
 	}
-	return now.Sub(at)
+	return now.Sub(completeAt)
 }
 
 // Confirm records that the configuration with this version was the newest at the given time, or
--- a/internal/gateway/published.go
+++ b/internal/gateway/published.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 )
 
@@ -55,22 +56,21 @@
 	if q.hold {
 		n.awaitChange(r.Context(), q)
 	}
-	s := n.g.view.State()
+	u, s, completeAt := n.g.view.UpdateSince(q.after)
 	if s.Config == nil && !q.hold {
 		http.Error(w, "nothing known yet", http.StatusServiceUnavailable)
 		return
 	}
-	p := published{Life: n.incarnation, Revision: s.ConfigRevision, Update: n.g.view.UpdateSince(q.after)}
+	p := published{Life: n.incarnation, Revision: s.ConfigRevision, Update: u}
 	if s.Config != nil {
 		p.Version = s.Config.Version()
 	}
 	if p.Version > q.version {
 		p.Config = s.Config.Raw()
 	}
-	// The age is taken after the state, and the held time before the age: the state may only be
-	// newer than stated.
+	// The held time is taken before the age: the state may only be newer than stated.
 	p.Held = time.Since(began)
-	p.Age = n.g.view.ConfirmedAge(n.g.cfg.Now())
+	p.Age = follow.AgeOf(completeAt, n.g.cfg.Now())
 	httpjson.ReplyCompressed(w, r, p)
 }
 
