internal/gateway, follow: a fetched state removes what is gone

Cause: while its readers don't answer, a gateway fetches the state of another one. It added endpoints and took over the other's age, but removed nothing.

Evidence: TestFetchedStateRemovesEndpoints failed before: age below 30 s, two endpoints instead of one.

Change: a fetched state is applied like that of a long poll, which removes what is not newer than the revision up to which the other one is complete. View.Merge is gone; its tests use a peer's update. Endpoints whose entry may only have expired are still not added, and an older peer marks none that has been written since.

--- a/internal/follow/evacuation_test.go
+++ b/internal/follow/evacuation_test.go
@@ -33,7 +33,7 @@
 		}, false},
 		{"orders arrive in another sequence", func(v *View) {
 			v.Apply(Changes{Evacuations: []Evacuation{ended(7)}, UpTo: 7}, testTime, false)
-			v.Merge(Changes{Evacuations: []Evacuation{begun(5)}})
+			v.ApplyUpdate(Update{Evacuations: []Evacuation{begun(5)}, UpTo: 5}, testTime)
 		}, false},
 		{"it is asked for again", func(v *View) {
 			v.Apply(Changes{Evacuations: []Evacuation{begun(5), ended(7), begun(9)}, UpTo: 9}, testTime, false)
--- a/internal/follow/life_test.go
+++ b/internal/follow/life_test.go
@@ -48,7 +48,9 @@
 	{"peer's complete view", func(v *View, e fleet.Endpoint) {
 		v.ApplyUpdate(Update{Whole: true, Endpoints: []fleet.Endpoint{e}, UpTo: e.Revision}, at(1))
 	}},
-	{"loan", func(v *View, e fleet.Endpoint) { v.Merge(Changes{Endpoints: []fleet.Endpoint{e}}) }},
+	{"complete view of a peer that is behind", func(v *View, e fleet.Endpoint) {
+		v.ApplyUpdate(Update{Whole: true, Endpoints: []fleet.Endpoint{e}}, at(1))
+	}},
 }
 
 // checkPaths sends another incarnation to a view that knows one, on each path, and checks which one
@@ -131,7 +133,7 @@
 				tc.apply(v)
 				g.Expect(v.State().Endpoints).To(HaveLen(1), "other entries stay")
 				g.Expect(v.State().Endpoints).To(HaveKey("b"))
-				v.Merge(Changes{Endpoints: []fleet.Endpoint{incarnation(5, 2, false)}})
+				v.ApplyUpdate(Update{Endpoints: []fleet.Endpoint{incarnation(5, 2, false)}, UpTo: 2}, at(1))
 				g.Expect(v.State().Endpoints).To(HaveLen(1), "the entry's previous content is no longer valid")
 				v.Apply(Changes{Endpoints: []fleet.Endpoint{incarnation(5, 4, false)}, UpTo: 4}, at(2), false)
 				g.Expect(v.State().Endpoints).To(HaveKeyWithValue(incarnation(5, 4, false).ID, incarnation(5, 4, leaving)))
--- a/internal/follow/told.go
+++ b/internal/follow/told.go
@@ -138,16 +138,24 @@
 	old := next
 	next.cloneTables()
 	updatedNames := map[string]bool{} // Names, not ids: for another incarnation of the same name, mergeEntry keeps the later one.
+	isMissing := make(map[string]bool, len(u.Missing))
+	for _, id := range u.Missing {
+		isMissing[id] = true
+	}
 	for _, e := range u.Endpoints {
 		updatedNames[e.Name()] = true
+		if isMissing[e.ID] && !old.lists(e) {
+			continue
+		}
 		if had, ok := old.Endpoints[e.ID]; !ok || had.Revision <= e.Revision {
 			delete(next.Missing, e.ID)
+			if isMissing[e.ID] {
+				next.Missing[e.ID] = now
+			}
 		}
 		v.mergeEntry(&next, &old, e)
-	}
-	for _, id := range u.Missing {
-		if _, ok := next.Endpoints[id]; ok {
-			next.Missing[id] = now
+		if _, ok := next.Endpoints[e.ID]; !ok {
+			delete(next.Missing, e.ID)
 		}
 	}
 	for _, g := range u.Removals {
@@ -165,3 +173,9 @@
 	next.evacuations = next.evacuations.merged(u.Evacuations)
 	v.set(&next)
 }
+
+// lists reports whether s lists an incarnation of an endpoint.
+func (s *State) lists(e fleet.Endpoint) bool {
+	_, ok := s.byName(e.Name())
+	return ok
+}
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -338,22 +338,6 @@
 	return removed
 }
 
-// Merge adds entries and evacuations from a peer. They remove nothing, and they do not affect the
-// age of the view.
-func (v *View) Merge(ch Changes) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	next := *v.state.Load()
-	old := next
-	next.cloneTables()
-	for _, e := range ch.Endpoints {
-		v.mergeEntry(&next, &old, e)
-	}
-	next.buildIndexes()
-	next.evacuations = next.evacuations.merged(ch.Evacuations)
-	v.set(&next)
-}
-
 // remove applies a removal to s, which must have its own tables, and reports whether it deleted an
 // endpoint. It ignores a removal that is older than the endpoint's entry. With keepMissing, it
 // records the endpoint as missing since missedAt instead.
--- a/internal/follow/view_test.go
+++ b/internal/follow/view_test.go
@@ -60,7 +60,7 @@
 	leaving := endpoint("a", 2)
 	leaving.Leaving = true
 	v.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{leaving}, UpTo: 2}, at(0), false)
-	v.Merge(Changes{Endpoints: []fleet.Endpoint{endpoint("a", 1)}})
+	v.ApplyUpdate(Update{Endpoints: []fleet.Endpoint{endpoint("a", 1)}, UpTo: 1}, at(1))
 	g.Expect(v.State().Endpoints["a"].Leaving).To(BeTrue())
 	v.Apply(Changes{Endpoints: []fleet.Endpoint{endpoint("a", 3)}, UpTo: 3}, at(1), false)
 	g.Expect(v.State().Endpoints["a"].Leaving).To(BeTrue())
@@ -71,7 +71,7 @@
 	v := NewView()
 	v.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{endpoint("a", 1)}, UpTo: 1}, at(0), false)
 	g.Expect(v.Apply(Changes{Removals: []Removal{{Name: "a", Revision: 5}}, UpTo: 5}, at(1), false)).To(Equal([]string{"a"}))
-	v.Merge(Changes{Endpoints: []fleet.Endpoint{endpoint("a", 4)}})
+	v.ApplyUpdate(Update{Endpoints: []fleet.Endpoint{endpoint("a", 4)}, UpTo: 4}, at(1))
 	g.Expect(v.State().Endpoints).To(BeEmpty())
 }
 
--- a/internal/gateway/borrow.go
+++ b/internal/gateway/borrow.go
@@ -6,14 +6,12 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
-	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 )
@@ -50,13 +48,13 @@
 		n.log.Debug("fetching published state from another gateway failed", zap.String("from", from), zap.String("error", err.Error()))
 		return
 	}
-	if err := n.mergePublished(p, requestedAt); err != nil {
+	if err := n.applyPublished(p, requestedAt); err != nil {
 		n.log.Warn("fetching published state from another gateway failed", zap.String("from", from), zap.String("error", err.Error()))
 		return
 	}
 	if !n.fetching {
 		n.fetching = true
-		n.log.Info("fetching published state from another gateway", zap.String("from", from), zap.Uint64("version", p.Version), zap.Duration("its-age", p.Age), zap.Duration("own-age", age))
+		n.log.Info("fetching published state from another gateway", zap.String("from", from), zap.Uint64("version", p.Version), zap.Duration("its-age", p.Age), zap.Duration("own-age", age), zap.Uint64("revision", p.UpTo), zap.Int("endpoints", len(p.Endpoints)))
 	}
 }
 
@@ -106,17 +104,16 @@
 	return p, json.Unmarshal(raw, &p)
 }
 
-// mergePublished merges another gateway's state into the own view. Its age is taken to be as of
+// applyPublished applies another gateway's state to the own view. Its age is taken to be as of
 // requestedAt, before the call was sent, plus the time for which the call was held. The other
-// gateway determined it no earlier, so the state never counts as newer than it is. Nothing is
-// removed, since the other gateway may be behind this one. Endpoints that may have expired are not
-// added.
-func (n *PeerExchange) mergePublished(p published, requestedAt time.Time) error {
+// gateway determined it no earlier, so the state never counts as newer than it is. What it has removed
+// is removed here, too, unless this gateway knows something newer: otherwise the state would prove
+// nothing about the endpoints that are left.
+func (n *PeerExchange) applyPublished(p published, requestedAt time.Time) error {
 	if err := n.offerConfig(p); err != nil {
 		return err
 	}
-	present := slices.DeleteFunc(p.Endpoints, func(e fleet.Endpoint) bool { return slices.Contains(p.Missing, e.ID) })
-	n.g.view.Merge(follow.Changes{Endpoints: present, Evacuations: p.Evacuations})
+	n.g.view.ApplyUpdate(p.Update, n.g.cfg.Now())
 	n.g.view.Confirm(p.Version, requestedAt.Add(p.Held-p.Age))
 	return nil
 }
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -113,11 +113,9 @@
 	if err != nil {
 		return err
 	}
-	if err := n.offerConfig(p); err != nil {
+	if err := n.applyPublished(p, requestedAt); err != nil {
 		return err
 	}
-	n.g.view.ApplyUpdate(p.Update, n.g.cfg.Now())
-	n.g.view.Confirm(p.Version, requestedAt.Add(p.Held-p.Age))
 	duty.Locked(&n.mu, func() { n.positions = peerPositions{from: {incarnation: p.Life, number: p.Number}} })
 	n.logChanges(from, p)
 	return nil
--- a/internal/gateway/listen_test.go
+++ b/internal/gateway/listen_test.go
@@ -106,7 +106,7 @@
 	g.Expect(ids()).To(ConsistOf("two", "three"))
 
 	// A removed endpoint is not restored by older state, and a restarted reader sends everything.
-	follower.view.Merge(follow.Changes{Endpoints: []fleet.Endpoint{endpointAt("one", 5)}})
+	follower.view.ApplyUpdate(follow.Update{Whole: true, Endpoints: []fleet.Endpoint{endpointAt("one", 5)}, UpTo: 5}, time.Now())
 	g.Expect(ids()).To(ConsistOf("two", "three"))
 	reader.incarnation++
 	g.Expect(follower.FollowPeers(ctx)).To(Succeed())
@@ -213,11 +213,25 @@
 	sender.view.Apply(follow.Changes{Removals: []follow.Removal{{Name: "missed", Revision: 7}}, UpTo: 7}, time.Now(), true)
 	p, err := receiver.fetchAll(ctx, sender.self)
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(receiver.mergePublished(p, time.Now())).To(Succeed())
+	g.Expect(receiver.applyPublished(p, time.Now())).To(Succeed())
 	g.Expect(receiver.view.State().Endpoints).To(HaveKey("there"))
 	g.Expect(receiver.view.State().Endpoints).NotTo(HaveKey("missed"))
 }
 
+// A state fetched from another gateway must not count as recent while it leaves endpoints listed that
+// are gone.
+func TestFetchedStateRemovesEndpoints(t *testing.T) {
+	g := NewWithT(t)
+	sender, receiver := newTestPeer(t, 7), newTestPeer(t, 9)
+	sender.publish(3, 8, endpointAt("there", 5))
+	receiver.view.Replace(follow.Snapshot{Config: configOf(3), Endpoints: []fleet.Endpoint{endpointAt("there", 5), endpointAt("gone", 6)}, UpTo: 6}, time.Now().Add(-time.Minute), false)
+	receiver.receiveHello(hello(sender, "a", false))
+	receiver.fetchIfStale(context.Background())
+	g.Expect(receiver.view.Age(time.Now())).To(BeNumerically("<", 30*time.Second))
+	g.Expect(receiver.view.State().Endpoints).To(HaveLen(1))
+	g.Expect(receiver.view.State().Endpoints).To(HaveKey("there"))
+}
+
 // Guards against many gateways that poll the same reader. With 100 gateways polling two readers, a
 // new configuration did not cross their links within the timeout of the polls, and all gateways
 // read the store at once.
