internal/follow: a peer that is behind restores no endpoint

Cause: a view forgot an endpoint that a whole listing lacked, or that was dropped after an outage, without noting the removal. The whole state of a peer that was behind listed it again.

Evidence: TestPeerThatIsBehindRestoresNothing failed before in all three cases (one endpoint instead of none).

Change: an entry that is not newer than the revision up to which the view is complete, and that the view doesn't list, is not taken from a peer that is behind.

--- a/internal/follow/told.go
+++ b/internal/follow/told.go
@@ -144,7 +144,7 @@
 	}
 	for _, e := range u.Endpoints {
 		updatedNames[e.Name()] = true
-		if isMissing[e.ID] && !old.lists(e) {
+		if u.UpTo < v.knownRevision && v.isRemoved(&old, e) || isMissing[e.ID] && !old.lists(e) {
 			continue
 		}
 		if had, ok := old.Endpoints[e.ID]; !ok || had.Revision <= e.Revision {
@@ -174,6 +174,12 @@
 	v.set(&next)
 }
 
+// isRemoved reports whether an entry has been removed by the revision up to which the view is complete:
+// the entry is not newer, and old does not list its name. The caller holds mu.
+func (v *View) isRemoved(old *State, e fleet.Endpoint) bool {
+	return !old.lists(e) && e.Revision <= v.knownRevision
+}
+
 // lists reports whether s lists an incarnation of an endpoint.
 func (s *State) lists(e fleet.Endpoint) bool {
 	_, ok := s.byName(e.Name())
