internal/follow: the end of an evacuation is learned from a peer that has started since

Cause: a whole state tells the evacuations that its sender knows of. A sender that has started after an evacuation's end doesn't know of it, so its followers kept the domain evacuated until they read a whole listing themselves.

Evidence: "a peer that has started since its end does not name it" in TestTheNewestOrderForADomainApplies failed before.

Change: as in a listing, an evacuation that is older than the revision of a whole state and not named in it is over.

--- a/internal/follow/evacuation_test.go
+++ b/internal/follow/evacuation_test.go
@@ -46,6 +46,14 @@
 			v.Apply(Changes{Evacuations: []Evacuation{begun(5)}, UpTo: 5}, testTime, false)
 			v.Replace(Snapshot{UpTo: 4}, testTime, false)
 		}, true},
+		{"a peer that has started since its end does not name it", func(v *View) {
+			v.Apply(Changes{Evacuations: []Evacuation{begun(5)}, UpTo: 5}, testTime, false)
+			v.ApplyUpdate(Update{Whole: true, UpTo: 8}, testTime)
+		}, false},
+		{"a peer that is behind does not name it", func(v *View) {
+			v.Apply(Changes{Evacuations: []Evacuation{begun(5)}, UpTo: 5}, testTime, false)
+			v.ApplyUpdate(Update{Whole: true, UpTo: 4}, testTime)
+		}, true},
 		{"after an outage of the store a snapshot does not name it", func(v *View) {
 			v.Apply(Changes{Evacuations: []Evacuation{begun(5)}, UpTo: 5}, testTime, false)
 			v.Replace(Snapshot{UpTo: 8}, testTime, true)
--- a/internal/follow/told.go
+++ b/internal/follow/told.go
@@ -171,6 +171,9 @@
 	}
 	next.buildIndexes()
 	next.evacuations = next.evacuations.merged(u.Evacuations)
+	if u.Whole {
+		next.evacuations = next.evacuations.merged(next.evacuations.endedIn(u.Evacuations, u.UpTo))
+	}
 	v.set(&next)
 }
 
