internal/follow, gateway: the age of its view tells a follower when to ask the store

Cause: a gateway that follows others asked the store only once each reader of its domain had left a call unanswered for 1.5 s, one after the other, however old its own view had become.

TestLongPollEndsWithItsContext failed before.

Change: a follower's call ends when its view is 1.6 s old. It then asks the store from the revision up to which its view is complete, one call instead of a whole listing, within 0.15 s of all others. A watch in which nothing was published confirms the view as of its end; one after changes waits less; a reader calls again at once after its first lost answer.

TestAFollowerOfPeersReadsTheSourceWhenTheyHaveNothingNew expected a whole listing, as the revision that peers tell was not used; it checks now that the call continues from there. TestFollowersOfPeersReadTheSourceInTurn takes the shorter spread for the first read, and keeps its former cases for reads after a failure of the store.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -26,6 +26,12 @@
 	// configuration, so it stays well below the smallest bound on that age; a shorter time costs
 	// more calls.
 	longPollTime = 1 * time.Second
+	// maxConfirmInterval bounds the time from which the view is complete to the end of the next
+	// call's wait, so that processes that follow this one hear of it in time. A call after changes
+	// waits less for that.
+	maxConfirmInterval = longPollTime + 100*time.Millisecond
+	// waitTolerance is by how much the source may end a wait early.
+	waitTolerance = 20 * time.Millisecond
 	// answerTimeout is how long an answer may take beyond the wait: the source answers in
 	// milliseconds, and in about 0.3 s when it is slow. Other processes follow the one that reads,
 	// so a lost answer must be detected soon.
@@ -42,10 +48,14 @@
 	// minOutage is how long a source must have been unreachable for entries to be taken as possibly
 	// expired. It is shorter than three heartbeats of 1.2 s, after which an entry expires.
 	minOutage = 2 * time.Second
-	// maxPeerAge is the maximum age of the configuration at which a process continues to follow a
-	// peer: two long polls, which leaves some margin below the age from which the configuration is
-	// not trusted for refusals.
-	maxPeerAge = 2 * time.Second
+	// maxPeerAge is the maximum age of the view at which a process continues to follow a peer. An
+	// endpoint that leaves gets nothing new two seconds later, whatever has become of the peer: what
+	// remains is for catchUpSpread, for one call to the source, and for requests on their way. It is
+	// above maxConfirmInterval by the time in which a peer detects a lost answer and calls again.
+	maxPeerAge = 1600 * time.Millisecond
+	// catchUpSpread is the time over which the processes that follow peers read the source when the
+	// view becomes too old. Each makes one call for what it has missed.
+	catchUpSpread = 150 * time.Millisecond
 	// directReadTime is how long a process that received nothing recent enough from peers reads the
 	// source itself before it follows a peer again: by then, a peer that died is no longer taken
 	// for a reader.
@@ -78,7 +88,8 @@
 	// Turn is the position of this process among those that follow peers, in [0, 1): when the data
 	// of all of them is too old, they read the source one after the other.
 	Turn func() float64
-	// Spread is the time over which these reads are distributed.
+	// Spread is the time over which these reads are distributed after the source has failed for this
+	// process.
 	Spread time.Duration
 }
 
@@ -104,6 +115,9 @@
 	staleSince       time.Time         // Since when the data of peers has been too old; zero if it is not.
 	acceptStaleUntil time.Time         // Until when it continues to follow a peer whose data is old.
 	lastFailure      time.Time         // When the source last failed; zero if it never did.
+	// failedSinceRecent is whether the source has failed since the data of peers was last recent
+	// enough: most likely it is unreachable for all.
+	failedSinceRecent bool
 }
 
 // NewFollower returns a follower of source into view, for a process in which a new configuration
@@ -129,23 +143,23 @@
 // readFromPeer fetches once from a peer, and reports whether to continue with peers. It does so
 // after data that is recent enough. It also does after stale data while that is tolerated, or until
 // this process's turn to read the source. Otherwise, and after a failed fetch, this process reads
-// the source directly for directReadTime.
+// the source directly for directReadTime. The fetch ends at that turn, too, since a peer that stands
+// still must not keep this process from it.
 func (f *Follower) readFromPeer(ctx context.Context) bool {
+	f.updateStaleSince(false)
 	call, cancel := f.withTurnDeadline(ctx)
 	err := f.peers.Fetch(call)
 	cancel()
 	now := f.now()
 	age := f.view.ConfirmedAge(now)
 	if ctx.Err() != nil || err == nil && age < maxPeerAge {
-		f.lastAnswer, f.staleSince = now.Add(-age), time.Time{}
+		f.lastAnswer, f.staleSince, f.failedSinceRecent = now.Add(-age), time.Time{}, false
 		return true
 	}
 	if err == nil && now.Before(f.acceptStaleUntil) {
 		return true
 	}
-	if f.staleSince.IsZero() {
-		f.staleSince = now
-	}
+	f.updateStaleSince(true)
 	if err == nil && now.Before(f.turnTime()) {
 		return true // The reading peers may soon get an answer again.
 	}
@@ -159,22 +173,41 @@
 	return false
 }
 
+// updateStaleSince sets since when the data of peers has been too old and is no longer tolerated, or
+// will be if nothing newer arrives. For a view that was never confirmed, this is the first time that a
+// fetch has shown it.
+func (f *Follower) updateStaleSince(fetched bool) {
+	now := f.now()
+	if age := f.view.ConfirmedAge(now); age != infiniteAge {
+		f.staleSince = now.Add(maxPeerAge - age)
+		if f.acceptStaleUntil.After(f.staleSince) {
+			f.staleSince = f.acceptStaleUntil
+		}
+	} else if fetched && f.staleSince.IsZero() {
+		f.staleSince = now
+	}
+}
+
 // turnTime returns when it is this process's turn to read the source, if the data of peers stays
 // too old until then.
 func (f *Follower) turnTime() time.Time {
 	if f.peers.Turn == nil {
 		return f.staleSince
 	}
-	return f.staleSince.Add(time.Duration(f.peers.Turn() * float64(f.peers.Spread)))
+	spread := f.peers.Spread
+	if !f.failedSinceRecent && f.view.ConfirmedAge(f.now()) != infiniteAge {
+		spread = min(catchUpSpread, spread)
+	}
+	return f.staleSince.Add(time.Duration(f.peers.Turn() * float64(spread)))
 }
 
-// withTurnDeadline limits a call to a peer while the data of peers is too old: the call waits for
-// changes no longer than until this process's turn to read the source.
+// withTurnDeadline limits a call to a peer: it lasts no longer than until this process's turn to read
+// the source, or until stale data is no longer tolerated.
 func (f *Follower) withTurnDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
 	if f.staleSince.IsZero() {
 		return ctx, func() {}
 	}
-	return context.WithTimeout(ctx, max(f.turnTime().Sub(f.now()), minBackoff))
+	return context.WithTimeout(ctx, f.turnTime().Sub(f.now()))
 }
 
 // Run follows until ctx ends. It calls changed after each change of the view.
@@ -183,14 +216,16 @@
 	needSnapshot := true // The next call must read everything.
 	for ctx.Err() == nil {
 		if f.usesPeers() {
-			needSnapshot = true // Data from a peer does not say from which revision to continue at the source.
 			if f.readFromPeer(ctx) {
 				changed()
 				wait.For(ctx, f.nextBatchDelay())
 				continue
 			}
+			// What peers told is complete up to a revision from which the source continues.
+			needSnapshot = f.view.revision() == 0
 		}
 		var err error
+		began := f.now()
 		if needSnapshot {
 			err = f.readSnapshot(ctx)
 		} else {
@@ -217,11 +252,20 @@
 			// Most likely no process can read the source: follow a peer again, even with old data.
 			f.directUntil, f.acceptStaleUntil = time.Time{}, f.now().Add(staleTolerance)
 		}
-		wait.For(ctx, min(minBackoff<<min(f.failures, 8), maxBackoff))
+		wait.For(ctx, f.backoff(f.now().Sub(began)))
 	}
 	return nil
 }
 
+// backoff returns how long to wait after a failed call that took the given time. The call after the
+// first lost answer follows at once, so that other processes do not take this one's view for stale.
+func (f *Follower) backoff(took time.Duration) time.Duration {
+	if f.failures == 1 && took > maxBackoff {
+		return 0
+	}
+	return min(minBackoff<<min(f.failures, 8), maxBackoff)
+}
+
 // nextBatchDelay returns how long to collect changes after a successful call before the next one. It
 // records the view's version, to detect changes since the previous call.
 func (f *Follower) nextBatchDelay() time.Duration {
@@ -265,13 +309,11 @@
 }
 
 // readChanges waits for changes from the source and applies them to the view. After a failed call
-// it does not wait.
+// it does not wait. Where nothing was published during the wait, the view is complete as of its end,
+// otherwise as of the request.
 func (f *Follower) readChanges(ctx context.Context) error {
 	requestedAt := f.now()
-	wait := longPollTime
-	if f.failures > 0 {
-		wait = 0 // The view is stale already.
-	}
+	wait := f.changesWait(requestedAt)
 	ctx, cancel := context.WithTimeout(ctx, wait+f.callTimeout())
 	defer cancel()
 	before := f.view.State()
@@ -281,7 +323,11 @@
 	}
 	f.logInvalid(ch.Invalid)
 	f.recordAnswer()
-	removed := f.view.Apply(ch, requestedAt, f.keepsMissing())
+	completeAt := requestedAt
+	if waited := wait - waitTolerance; ch.Quiet && waited > 0 && f.now().Sub(requestedAt) >= waited {
+		completeAt = requestedAt.Add(waited)
+	}
+	removed := f.view.Apply(ch, completeAt, f.keepsMissing())
 	if !f.keepsMissing() {
 		removed = append(removed, f.view.DropMissing(f.now().Add(-expiryGrace))...)
 	}
@@ -289,6 +335,14 @@
 	return nil
 }
 
+// changesWait returns how long a call that begins now waits for changes.
+func (f *Follower) changesWait(now time.Time) time.Duration {
+	if f.failures > 0 {
+		return 0 // The view is stale already.
+	}
+	return min(max(maxConfirmInterval-f.view.ConfirmedAge(now), 0), longPollTime)
+}
+
 func (f *Follower) logChanges(before *State, ch Changes, removed []string) {
 	after := f.view.State()
 	if before.version() != after.version() {
@@ -345,7 +399,7 @@
 }
 
 func (f *Follower) onFailure(err error) {
-	f.lastFailure = f.now()
+	f.lastFailure, f.failedSinceRecent = f.now(), true
 	f.failures++
 	if !f.sourceLost {
 		f.sourceLost = true
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -53,6 +53,7 @@
 	Evacuations    []Evacuation // Begun or ended.
 	Invalid        []InvalidEntry
 	UpTo           uint64 // Revision up to which they are complete.
+	Quiet          bool   // Nothing at all was published until the wait for changes was over.
 }
 
 // State is an immutable state of the view.
@@ -301,10 +302,10 @@
 	return next.remove(Removal{b.Name, b.Revision}, false, time.Time{})
 }
 
-// Apply applies changes that were requested at the given time, and confirms the view. With
+// Apply applies changes that are complete as of the given time, and confirms the view. With
 // keepMissing, removed entries are recorded as missing. It returns the names of the removed
 // endpoints, for the log.
-func (v *View) Apply(ch Changes, requestedAt time.Time, keepMissing bool) (removed []string) {
+func (v *View) Apply(ch Changes, completeAt time.Time, keepMissing bool) (removed []string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	next := *v.state.Load()
@@ -322,7 +323,7 @@
 			}
 		}
 		for _, g := range ch.Removals {
-			if next.remove(g, keepMissing, requestedAt) {
+			if next.remove(g, keepMissing, completeAt) {
 				removed = append(removed, g.Name)
 			}
 			if !keepMissing {
@@ -334,7 +335,7 @@
 	next.evacuations = next.evacuations.merged(ch.Evacuations)
 	v.knownRevision = max(v.knownRevision, ch.UpTo)
 	v.set(&next)
-	v.confirmAt(requestedAt)
+	v.confirmAt(completeAt)
 	return removed
 }
 
--- a/internal/follow/view_test.go
+++ b/internal/follow/view_test.go
@@ -149,17 +149,21 @@
 	calls := 0
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	read := func() *fleet.Config {
+		if calls++; calls == 3 {
+			cancel()
+		}
+		return fleet.NewConfig(uint64(calls), nil, nil, nil, fleet.Limits{})
+	}
 	source := Source{
 		Snapshot: func(context.Context, bool) (Snapshot, error) {
-			calls++
-			if calls == 3 {
-				cancel()
-			}
-			return Snapshot{Config: fleet.NewConfig(uint64(calls), nil, nil, nil, fleet.Limits{}), UpTo: 1}, nil
+			g.Expect(calls).To(BeZero(), "once it knows a revision, it reads only what it has missed")
+			return Snapshot{Config: read(), UpTo: 1}, nil
 		},
-		Changes: func(context.Context, uint64, time.Duration) (Changes, error) {
-			t.Error("a process that follows peers asked the source for changes")
-			return Changes{}, nil
+		Changes: func(_ context.Context, after uint64, wait time.Duration) (Changes, error) {
+			g.Expect(after).To(BeEquivalentTo(1))
+			g.Expect(wait).To(BeZero(), "the view is too old to wait for changes")
+			return Changes{Config: read(), UpTo: 1}, nil
 		},
 	}
 	f := NewFollower(v, source, time.Second, zap.NewNop())
@@ -187,16 +191,21 @@
 // When the data of all peers is too old, the processes that follow them read the source one after
 // the other, and not at all if newer data arrives before their turn.
 func TestFollowersOfPeersReadTheSourceInTurn(t *testing.T) {
-	const spread = time.Second
+	const spread, step = time.Second, 10 * time.Millisecond
 	for _, tc := range []struct {
 		name       string
 		turn       float64
+		failed     bool          // The source has failed for this process.
+		within     time.Duration // In which all take their turns.
 		freshAfter time.Duration // Until the data of peers is recent again.
 		reads      bool
 	}{
-		{"the first reads immediately", 0, spread, true},
-		{"one in the middle, at its turn", 0.5, spread, true},
-		{"newer data arrives before its turn", 0.5, 300 * time.Millisecond, false},
+		{"the first reads immediately", 0, false, catchUpSpread, spread, true},
+		{"one in the middle, at its turn", 0.5, false, catchUpSpread, spread, true},
+		{"newer data arrives before its turn", 0.5, false, catchUpSpread, catchUpSpread / 4, false},
+		{"the source has failed before: the first reads immediately", 0, true, spread, spread, true},
+		{"the source has failed before: one in the middle, at its turn", 0.5, true, spread, spread, true},
+		{"the source has failed before: newer data arrives before its turn", 0.5, true, spread, 300 * time.Millisecond, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
@@ -205,6 +214,7 @@
 			f := NewFollower(v, Source{}, time.Second, zap.NewNop())
 			now := at(maxPeerAge)
 			f.now = func() time.Time { return now }
+			f.failedSinceRecent = tc.failed
 			f.UsePeers(PeerSource{
 				ReadsSource: func(bool) bool { return false },
 				Fetch: func(context.Context) error {
@@ -216,15 +226,15 @@
 				Turn: func() float64 { return tc.turn }, Spread: spread,
 			})
 			read := false
-			for range 20 {
+			for range 2 * spread / step {
 				if read = !f.readFromPeer(context.Background()); read {
 					break
 				}
-				now = now.Add(100 * time.Millisecond)
+				now = now.Add(step)
 			}
 			g.Expect(read).To(Equal(tc.reads))
 			if read {
-				g.Expect(now.Sub(at(maxPeerAge))).To(BeNumerically("~", tc.turn*float64(spread), 100*float64(time.Millisecond)))
+				g.Expect(now.Sub(at(maxPeerAge))).To(BeNumerically("~", tc.turn*float64(tc.within), float64(step)))
 			}
 		})
 	}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -53,7 +53,7 @@
 }
 
 // FollowPeers sends one long poll to a gateway that it may follow, and applies the changes. If that
-// gateway does not answer, the others are polled in turn. A new process first waits for the seeds
+// gateway does not answer, the others are polled in turn until ctx is done. A new process first waits for the seeds
 // at the first start of the whole system, and for hellos of its failure domain. The error is
 // errNoReader if there is no gateway to poll, and that of the last one if none answers.
 func (n *PeerExchange) FollowPeers(ctx context.Context) (err error) {
@@ -65,11 +65,14 @@
 	}
 	err = errNoReader
 	for _, from := range n.followOrder(time.Now()) {
-		if err = n.pollPeer(ctx, from); err == nil || ctx.Err() != nil {
+		if err = n.pollPeer(ctx, from); err == nil || errors.Is(ctx.Err(), context.Canceled) {
 			return err
 		}
 		duty.Locked(&n.mu, func() { n.unresponsive[from] = time.Now() })
 		n.log.Info("gateway did not answer a long poll", zap.String("from", from), zap.String("error", err.Error()))
+		if ctx.Err() != nil {
+			return err
+		}
 	}
 	return err
 }
--- a/internal/gateway/listen_test.go
+++ b/internal/gateway/listen_test.go
@@ -205,6 +205,28 @@
 	g.Expect(follower.FollowPeers(ctx)).NotTo(Succeed())
 }
 
+// A gateway that stands still must not keep its followers from reading the store in time.
+func TestLongPollEndsWithItsContext(t *testing.T) {
+	g := NewWithT(t)
+	follower := newTestPeer(t, 9)
+	var silent []testPeer
+	for i := range int64(2) {
+		s := newTestPeer(t, i+1)
+		srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+		t.Cleanup(srv.Close)
+		s.setAddress(strings.TrimPrefix(srv.URL, "http://"))
+		follower.receiveHello(hello(s, "a", false))
+		silent = append(silent, s)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	first := follower.followOrder(time.Now())[0]
+	g.Expect(follower.FollowPeers(ctx)).NotTo(Succeed())
+	g.Expect(silent).To(HaveLen(2))
+	g.Expect(follower.followOrder(time.Now())).To(HaveLen(2))
+	g.Expect(follower.followOrder(time.Now())[1]).To(Equal(first), "only the one that was polled counts as unresponsive")
+}
+
 func TestPossiblyExpiredEndpointsAreNotMerged(t *testing.T) {
 	g := NewWithT(t)
 	ctx := context.Background()
