--- a/review/standin-2/mapcase.go
+++ b/review/standin-2/mapcase.go
@@ -166,6 +166,8 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	code := 2
 	switch os.Args[1] {
+	case "stream":
+		code = streamCase(os.Args[2], os.Args[3], tmp, trouble)
 	case "map":
 		code = mapCase(os.Args[2], os.Args[3], tmp, trouble)
 	}
