--- a/review/standin-2/mapcase.go
+++ b/review/standin-2/mapcase.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -26,8 +27,7 @@
 	for r := range mapShape.Ranks {
 		ips = append(ips, fmt.Sprintf("127.31.7.%d", r+1))
 	}
-	enginePort, peersPort, metricsIP := freePort(ips), freePort(ips), ""
-	_ = metricsIP
+	enginePort, peersPort := freePort(ips), freePort(ips)
 	storeAt := fmt.Sprintf("127.31.8.1:%d", freePort([]string{"127.31.8.1"}))
 	seed := fmt.Sprintf("127.31.9.1:%d", freePort([]string{"127.31.9.1"})) // No gateway runs in this case.
 
@@ -47,22 +47,17 @@
 
 	first := make(chan int, 1)   // The first prepare of a change was accepted.
 	fenced := make(chan int, 16) // The frozen rank's engine has taken a fence above the first leader's.
-	second := make(chan int, 64)
 	frozen := mapShape.Ranks - 1
-	var firstFence uint64
+	var firstFence atomic.Uint64 // Of the first change's orders; 0 before them.
 	g.onOrder = func(rank int, o order, status int) {
 		if o.Op == "prepare" && status == 202 {
 			select {
 			case first <- rank:
-				firstFence = o.Fence
-			default:
-			}
-			select {
-			case second <- rank:
+				firstFence.Store(o.Fence)
 			default:
 			}
 		}
-		if rank == frozen && o.Op == "disarm" && firstFence != 0 && o.Fence > firstFence {
+		if rank == frozen && o.Op == "disarm" && firstFence.Load() != 0 && o.Fence > firstFence.Load() {
 			select {
 			case fenced <- rank:
 			default:
@@ -166,8 +161,8 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	code := 2
 	switch os.Args[1] {
-	case "stream":
-		code = streamCase(os.Args[2], os.Args[3], tmp, trouble)
+	case "memory":
+		code = memCase(os.Args[2], os.Args[3], tmp, trouble)
 	case "map":
 		code = mapCase(os.Args[2], os.Args[3], tmp, trouble)
 	}
