--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -65,6 +65,12 @@
 	topic     int // Which experts are in demand.
 	flat      bool
 	onOrder   func(rank int, o order, status int) // Called without mu.
+
+	slow       int       // Rank that leaves prepare orders with slowFence unanswered until slowUntil.
+	slowFence  uint64    // Fence in force as that began; 0 while no rank does.
+	slowUntil  time.Time // When it ends.
+	orders     int       // Orders that came since it began, until slowUntil.
+	unanswered int       // Those of them that were left unanswered.
 }
 
 type order struct {
@@ -256,6 +262,12 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		if g.isLeftUnanswered(e, o) {
+			g.rec.add("order at rank %d: %s version %d step %d fence %d: no answer", e.rank, o.Op, o.Version, o.Step, o.Fence)
+			go g.carryOutLate(e, o)
+			<-r.Context().Done()
+			return
+		}
 		g.mu.Lock()
 		status := g.execute(e, o)
 		g.mu.Unlock()
@@ -268,6 +280,37 @@
 	return mux
 }
 
+// leaveUnanswered has a rank leave the prepare orders of the present leader unanswered.
+func (g *group) leaveUnanswered(rank int, until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.slow, g.slowFence, g.slowUntil = rank, g.engines[rank].fence, until
+}
+
+// isLeftUnanswered counts an order and reports whether it is left unanswered.
+func (g *group) isLeftUnanswered(e *engine, o order) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.slowFence == 0 || !time.Now().Before(g.slowUntil) {
+		return false
+	}
+	g.orders++
+	if e.rank != g.slow || o.Op != "prepare" || o.Fence != g.slowFence {
+		return false
+	}
+	g.unanswered++
+	return true
+}
+
+// carryOutLate carries out an order that was left unanswered, 2 to 12 s after it came.
+func (g *group) carryOutLate(e *engine, o order) {
+	time.Sleep(2*time.Second + time.Duration(rand.Int64N(int64(10*time.Second))))
+	g.mu.Lock()
+	status := g.execute(e, o)
+	g.mu.Unlock()
+	g.rec.add("order at rank %d, carried out late: %s version %d fence %d: %d", e.rank, o.Op, o.Version, o.Fence, status)
+}
+
 // execute carries out an order and returns its status. The caller holds mu.
 func (g *group) execute(e *engine, o order) int {
 	e.finishCopies(time.Now())
