internal/decide/cutover, sidecar: a leader's own engine accepts a version before others get it

Cause: a version was the next one above those in reports, and a report names a map only once it is copied. A leader that restarted while ranks copied gave another map the same version; their refusals (409) counted as confirmations.

Change: a leader sends a new map to its own rank first, once, and goes on only if that engine answers that this order has begun (202). An engine accepts each version at most once, and only the leader of a rank gives versions of that rank, so a version stands for one map in all lives of all leaders. Versions follow the clock, so the first attempt is mostly accepted. A refusal of another rank that copies nothing ends the change at once.

The search was widened first: copies that take time, engines that refuse what they had, restarted leaders, reports of any time since the last order, and content is compared.

Searches stop after a number of passes that a case may lower; the default is the former one.

--- a/internal/decide/cutover/cutover.go
+++ b/internal/decide/cutover/cutover.go
@@ -13,7 +13,8 @@
 //     leader can be carried out any more, however late.
 //   - To abort, the leader first raises the fence again: an arming whose answer was lost can then no
 //     longer take effect.
-//   - Versions and passes are never used twice, and a pass whose hold a leader may have released is not
+//   - A version stands for one map. Other ranks get it only after the leader's own engine has accepted
+//     it as new, which it does once (see version.go). Passes are never used twice, and a pass whose hold a leader may have released is not
 //     held by it again: that release may still arrive.
 //   - A leader arms its own rank last, through the rank that holds passes for it (the holder), which
 //     is never its own rank: an instance that freezes or is cut off takes both its process and its
@@ -27,7 +28,12 @@
 //     arming may have reached it first, and is left until it answers.
 package cutover
 
-import "github.com/canvaspulley/canvaspulley/internal/rank"
+import (
+	"slices"
+	"time"
+
+	"github.com/canvaspulley/canvaspulley/internal/rank"
+)
 
 // Phase is a phase of a Machine.
 type Phase int
@@ -39,7 +45,8 @@
 	Clearing               // Disarming what an earlier leader armed.
 	Releasing              // Releasing holds that an earlier leader or an aborted switch left.
 	Ready                  // No switch in progress.
-	Preparing              // Having every rank copy the new map's experts.
+	Claiming               // Having the own rank accept the new map, and thereby its version, before all others.
+	Preparing              // Having every other rank copy the new map's experts.
 	Holding                // Holding the group before the pass.
 	Arming                 // Arming every rank to take the map at that pass.
 	Going                  // Releasing the hold; the new map comes into force.
@@ -50,7 +57,7 @@
 
 // String returns the name of p.
 func (p Phase) String() string {
-	return [...]string{"fencing", "settling", "clearing", "releasing", "ready", "preparing",
+	return [...]string{"fencing", "settling", "clearing", "releasing", "ready", "claiming", "preparing",
 		"holding", "arming", "going", "undoing", "freeing", "deposed"}[p]
 }
 
@@ -62,9 +69,11 @@
 	Epoch          uint64
 	Fence          uint64 // Fence of this leader's orders; a rank refuses orders below the highest fence that it has seen.
 	Phase          Phase
-	Version        uint64      // Version of the map being prepared or switched to.
+	Version        uint64      // Version of the map being prepared or switched to; 0 for none.
 	Step           uint64      // Pass at which the new map comes into force, or that a rank has held; never decreases.
 	HighestVersion uint64      // Highest version reported by any rank or used by this leader.
+	refusals       int         // Versions in series that some rank has refused; 0 once a map was prepared everywhere.
+	refused        []bool      // By rank, whether it refused to prepare Version.
 	confirmed      []bool      // By rank, whether it has confirmed the phase or needs no order.
 	toDisarm       rank.Arming // Arming that some rank last reported; zero for none.
 	holds          []uint64    // By rank, the pass that it holds; 0 for none.
@@ -96,18 +105,6 @@
 // NoAbsence means that all ranks answer.
 var NoAbsence = Absence{Rank: NoRank}
 
-// versionStride separates the versions of different leaders. It exceeds the rank of any leader.
-const versionStride = 1024
-
-// NextVersion returns the lowest version above highest that a leader may give to a map. No two leaders
-// use the same version.
-func NextVersion(highest uint64, leader int) uint64 {
-	return (highest/versionStride+1)*versionStride + uint64(leader)
-}
-
-// versionLeader returns the rank of the leader that made a version.
-func versionLeader(version uint64) int { return int(version % versionStride) }
-
 // Holder returns the holder of a leader: the rank at which the leader holds passes, and through which
 // it arms its own rank. The holder takes over the lead if the leader fails.
 func Holder(leader int) int {
@@ -125,10 +122,14 @@
 	return m
 }
 
-// enter begins a phase, which no rank has confirmed yet. An absent rank needs no order.
+// enter begins a phase, which no rank has confirmed yet. An absent rank needs no order, nor do ranks
+// other than the own one in the phase Claiming.
 func (m *Machine) enter(p Phase) {
 	m.Phase = p
 	m.confirmed = make([]bool, m.Ranks)
+	for r := range m.confirmed {
+		m.confirmed[r] = p == Claiming && r != m.Self
+	}
 	if m.absent.Rank != NoRank {
 		m.confirmed[m.absent.Rank] = true
 	}
@@ -182,7 +183,7 @@
 		o.Op, o.Version = rank.Disarm, m.toDisarm.Version
 	case Releasing:
 		o.Op, o.Step = rank.Release, m.holds[r]
-	case Preparing:
+	case Claiming, Preparing:
 		o.Op, o.Version, o.Map = rank.Prepare, m.Version, m.layout
 	case Holding:
 		o.Op, o.Step = rank.Hold, m.Step
@@ -196,17 +197,18 @@
 	return o
 }
 
-// unusedVersion is a version that no map has: to disarm it only raises the fence.
-const unusedVersion = 1 << 50
-
 // Handle takes in the result of an order of the current phase, and enters the next phase once every
 // rank has confirmed. Results of ranks that have confirmed already are ignored.
 func (m *Machine) Handle(r int, result rank.Result) {
 	if m.Phase == Deposed || m.confirmed[r] {
 		return
 	}
+	if m.Phase == Claiming && result != rank.Begun && result != rank.Fenced {
+		m.handleUnclaimed(result)
+		return
+	}
 	switch result {
-	case rank.Done:
+	case rank.Begun, rank.Done:
 		m.confirmed[r] = true
 	case rank.Fenced:
 		m.Phase = Deposed
@@ -227,9 +229,9 @@
 		// Disarm: the version is in force already. Release: the pass has begun.
 		m.confirmed[r] = true
 	case Preparing:
-		// The order may have been carried out before, and its answer lost; the reports show whether
-		// the experts have been copied.
-		m.confirmed[r] = true
+		// The order may have been carried out before, and its answer lost. The reports show whether the
+		// experts have been copied: no other map has this version.
+		m.confirmed[r], m.refused[r] = true, true
 	case Holding:
 		m.retryHoldLater()
 	case Arming:
@@ -268,6 +270,9 @@
 		m.enterReleasing()
 	case Releasing:
 		m.enter(Settling)
+	case Claiming:
+		m.enter(Preparing)
+		m.confirmed[m.Self] = true
 	case Preparing:
 		m.enter(Settling) // Until the reports show that the experts have been copied.
 	case Holding:
@@ -422,14 +427,19 @@
 }
 
 // StartPreparing has the ranks copy the experts of a new map, given as experts by set and rank. It
-// does nothing unless the phase is Ready and the version is new.
-func (m *Machine) StartPreparing(version uint64, layout [][][]int) {
-	if m.Phase != Ready || version <= m.HighestVersion {
+// does nothing unless the phase is Ready. Version is 0 if the change was aborted since its version was
+// refused; another one can start with a higher version.
+func (m *Machine) StartPreparing(now time.Time, layout [][][]int) {
+	if m.Phase != Ready {
 		return
 	}
-	m.Version, m.layout, m.HighestVersion = version, layout, version
-	m.versionRetired = false
-	m.enter(Preparing)
+	if slices.Contains(m.refused, true) {
+		m.refusals++
+	}
+	m.layout, m.versionRetired = layout, false
+	m.HighestVersion = max(m.HighestVersion, clockVersion(now))
+	m.enter(Claiming)
+	m.claimNext()
 }
 
 // SwitchAt starts the switch to the prepared map at the given pass, or at a later one if that pass was
@@ -439,6 +449,7 @@
 	if m.Phase != Ready || m.versionRetired || !m.CanAbort() {
 		return
 	}
+	m.refusals, m.refused = 0, nil
 	m.Step = max(step, m.Step+1)
 	m.holdConflicts, m.ownRequested = 0, false
 	m.enter(Holding)
@@ -446,10 +457,10 @@
 }
 
 // Abort aborts a preparation or a switch that makes no progress. It does nothing in phases other than
-// Preparing, Holding and Arming.
+// Claiming, Preparing, Holding and Arming.
 func (m *Machine) Abort() {
 	switch m.Phase {
-	case Preparing:
+	case Claiming, Preparing:
 		m.Aborted++
 		m.enter(Settling)
 	case Holding: // A hold whose answer was lost may stand, so it is released.
--- a/internal/decide/cutover/search_test.go
+++ b/internal/decide/cutover/search_test.go
@@ -119,7 +119,7 @@
 func TestLeftHoldsAreReleased(t *testing.T) {
 	g := NewWithT(t)
 	m := New(searchRanks, 1, NoAbsence, 1, 20)
-	w := &world{ranks: make([]ranktest.State, searchRanks), epoch: 1, leaders: []*Machine{m}, isolated: NoRank}
+	w := &world{scenario: &scenario{passes: maxStep}, ranks: make([]ranktest.State, searchRanks), epoch: 1, leaders: []*Machine{m}, isolated: NoRank}
 	w.ranks[0].HeldPass = 3 // Left by a failed leader, after two of three ranks were armed.
 	w.ranks[0].Prepared, w.ranks[1].Prepared, w.ranks[2].Prepared = 7, 7, 7
 	w.ranks[0].Armed = rank.Arming{Version: 7, Step: 3}
@@ -163,7 +163,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
 			m := New(searchRanks, successorRank, tc.absent, 1, 20)
-			w := &world{ranks: make([]ranktest.State, searchRanks), epoch: 1, leaders: []*Machine{m}, step: 2, isolated: 0, isolation: frozen}
+			w := &world{scenario: &scenario{passes: maxStep}, ranks: make([]ranktest.State, searchRanks), epoch: 1, leaders: []*Machine{m}, step: 2, isolated: 0, isolation: frozen}
 			w.ranks[Holder(0)].HeldPass = 3
 			for r := range w.ranks {
 				w.ranks[r].Prepared = version
@@ -224,14 +224,15 @@
 // The hold of a switch that another leader may have begun is left until the absent rank answers: it may
 // be armed although others are not.
 func TestHoldOfAnotherLeaderWaitsForTheAbsentRank(t *testing.T) {
+	const version = versionStride + 2 // Made by rank 2.
 	g := NewWithT(t)
 	m := New(searchRanks, 2, Absence{Rank: 1}, 1, 20)
-	w := &world{ranks: make([]ranktest.State, searchRanks), epoch: 1, leaders: []*Machine{m}, step: 2, isolated: 1, isolation: cutOff}
+	w := &world{scenario: &scenario{passes: maxStep}, ranks: make([]ranktest.State, searchRanks), epoch: 1, leaders: []*Machine{m}, step: 2, isolated: 1, isolation: cutOff}
 	w.ranks[Holder(1)].HeldPass = 3
 	for r := range w.ranks {
-		w.ranks[r].Prepared = NextVersion(0, 2)
+		w.ranks[r].Prepared = version
 	}
-	w.ranks[1].Armed = rank.Arming{Version: NextVersion(0, 2), Step: 3}
+	w.ranks[1].Armed = rank.Arming{Version: version, Step: 3}
 	w.follow(m, 20)
 	g.Expect(w.canPass()).To(BeFalse())
 	again := New(searchRanks, 2, NoAbsence, 1, 30)
@@ -297,3 +298,59 @@
 	g.Expect(w.violation).To(BeEmpty())
 	g.Expect(w.ranks[0].Map).To(Equal(lead.Version))
 }
+
+// A leader that restarts while ranks copy a map must not give that map's version to another one.
+func TestNoPassOnTwoMapsWhenTheLeaderRestarts(t *testing.T) {
+	prepares := []rank.Op{rank.Prepare}
+	for _, tc := range []struct {
+		name string
+		scenario
+	}{
+		{"a rank doesn't answer", scenario{faults: 2, successors: []int{0}}},
+		{"several answers are lost", scenario{faults: 3, successors: []int{0}, orders: prepares, steps: 2, passes: 3}},
+		{"ranks carry out orders in any sequence", scenario{faults: 3, successors: []int{0}, anyOrder: true, orders: prepares, steps: 2, passes: 3}},
+		{"twice", scenario{faults: 3, leaders: 3, successors: []int{0}, orders: prepares, steps: 2, switches: 3, passes: 3}},
+		{"another leader in between", scenario{faults: 2, leaders: 3, successors: []int{0, 1}, orders: prepares, steps: 2, switches: 3, passes: 3}},
+		{"the leader is the last rank", scenario{faults: 3, first: 2, successors: []int{2, 0}, orders: prepares, steps: 2, passes: 3}},
+		{"leaders act on old reports", scenario{faults: 2, successors: []int{0, 1}, oldReports: true, orders: prepares, steps: 2, passes: 3}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			sc := tc.scenario
+			sc.leaderRestarts, sc.copies = true, true
+			seen, violation := sc.search()
+			t.Logf("%d states", seen)
+			if violation != "" {
+				t.Fatal(violation)
+			}
+			NewWithT(t).Expect(seen).To(BeNumerically(">", 10_000))
+		})
+	}
+}
+
+// Combinations of faults that are too many for a search: leaders and holders that restart several times,
+// leaders in between, lost orders and answers, and old reports.
+func TestNoPassOnTwoMapsOnRandomPaths(t *testing.T) {
+	const paths = 4000
+	for _, tc := range []struct {
+		name string
+		scenario
+	}{
+		{"one leader restarts", scenario{successors: []int{0}}},
+		{"several leaders restart", scenario{successors: []int{0, 1, 2}}},
+		{"the leader is the last rank", scenario{first: 2, successors: []int{2, 0}}},
+		{"old reports", scenario{successors: []int{0, 1}, oldReports: true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			sc := tc.scenario
+			sc.faults, sc.leaders, sc.switches, sc.passes = 7, 5, 5, maxStep
+			sc.leaderRestarts, sc.copies, sc.anyOrder = true, true, true
+			for seed := range uint64(paths) {
+				if violation := sc.walk(seed); violation != "" {
+					t.Fatalf("seed %d: %s", seed, violation)
+				}
+			}
+		})
+	}
+}
--- a/internal/decide/cutover/world_test.go
+++ b/internal/decide/cutover/world_test.go
@@ -6,6 +6,10 @@
 	"encoding/binary"
 	"fmt"
 	"hash/fnv"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
 
 	"github.com/canvaspulley/canvaspulley/internal/rank"
 	"github.com/canvaspulley/canvaspulley/internal/rank/ranktest"
@@ -44,10 +48,15 @@
 	isolations     []isolation
 	anyOrder       bool // Ranks carry out the orders of a phase in any sequence, not only in ascending order.
 	restart        restartMode
-	prepared       bool   // The search begins when the first leader has a map prepared everywhere.
-	holderRestarts bool   // The sidecar of a holder may restart.
-	steps          uint64 // The last pass to switch at; default maxStep.
-	switches       int    // Number of switches that may begin; default maxSwitches.
+	prepared       bool      // The search begins when the first leader has a map prepared everywhere.
+	holderRestarts bool      // The sidecar of a holder may restart.
+	leaderRestarts bool      // A leader's sidecar may restart and lead again, with nothing remembered.
+	passes         uint64    // Number of passes at most; default maxStep.
+	copies         bool      // A map is prepared some time after the order; otherwise with it.
+	oldReports     bool      // Leaders may act on reports of any time since their last order.
+	orders         []rank.Op // The orders that may be late; default all.
+	steps          uint64    // The last pass to switch at; default maxStep.
+	switches       int       // Number of switches that may begin; default maxSwitches.
 	inject         func(m *Machine, orders []rank.Order)
 	visit          func(w *world) // Called for each state.
 }
@@ -55,22 +64,23 @@
 // world is a state of the model: a group, the orders in transit, and the leaders.
 type world struct {
 	*scenario
-	step           uint64 // Newest pass that began.
-	ranks          []ranktest.State
-	lateOrders     []lateOrder // At most maxLate.
-	leaders        []*Machine
-	topFence       uint64 // Fence of the newest leader.
-	epoch          uint64
-	restart        restartMode
-	isolated       int // Rank whose instance is isolated, or NoRank.
-	isolation      isolation
-	own            [searchRanks]OwnArming // By holder, what it knows of its leader's arming.
-	faultsLeft     int                    // Number of faults that may still occur.
-	switchesBegun  int                    // Number of switches begun.
-	highestVersion uint64                 // Highest version assigned.
-	violation      string
-	cause          string
-	parent         *world // Predecessor, to print how a violation came about.
+	step          uint64 // Newest pass that began.
+	ranks         []ranktest.State
+	lateOrders    []lateOrder // At most maxLate.
+	leaders       []*Machine
+	seen          map[int][]rank.Report // Reports that leaders have read and not acted on yet, by index of the leader.
+	mapsMade      int                   // Number of maps made: each has another content.
+	topFence      uint64                // Fence of the newest leader.
+	epoch         uint64
+	restart       restartMode
+	isolated      int // Rank whose instance is isolated, or NoRank.
+	isolation     isolation
+	own           [searchRanks]OwnArming // By holder, what it knows of its leader's arming.
+	faultsLeft    int                    // Number of faults that may still occur.
+	switchesBegun int                    // Number of switches begun.
+	violation     string
+	cause         string
+	parent        *world // Predecessor, to print how a violation came about.
 }
 
 // trace prints the states that led to w.
@@ -108,13 +118,16 @@
 		return rank.Conflict
 	}
 	result := w.ranks[r].Execute(o, w.step)
+	if !w.copies {
+		w.ranks[r].CompleteCopy()
+	}
 	w.own[r].ObserveHold(w.ranks[r].HeldPass)
 	return result
 }
 
 // canPass reports whether the group may begin its next pass.
 func (w *world) canPass() bool {
-	return w.step < maxStep && !w.held()
+	return w.step < w.passes && !w.held()
 }
 
 // held reports whether a rank keeps the group's next pass from beginning.
@@ -134,8 +147,8 @@
 		w.ranks[r].Begin(w.step)
 	}
 	for _, e := range w.ranks {
-		if e.Map != w.ranks[0].Map {
-			w.violation = fmt.Sprintf("pass %d on maps %d and %d", w.step, w.ranks[0].Map, e.Map)
+		if first := w.ranks[0]; e.Map != first.Map || e.Content != first.Content {
+			w.violation = fmt.Sprintf("pass %d on maps %d and %d (%x and %x)", w.step, first.Map, e.Map, first.Content, e.Content)
 		}
 	}
 }
@@ -152,6 +165,7 @@
 	c := *m
 	c.confirmed = append([]bool(nil), m.confirmed...)
 	c.holds = append([]uint64(nil), m.holds...)
+	c.refused = append([]bool(nil), m.refused...)
 	return &c
 }
 
@@ -165,6 +179,7 @@
 	for _, m := range w.leaders {
 		c.leaders = append(c.leaders, m.clone())
 	}
+	c.seen = maps.Clone(w.seen)
 	return &c
 }
 
@@ -186,14 +201,15 @@
 		}
 	}
 	arming := func(a rank.Arming) { number(a.Version, a.Step) }
-	number(w.step, w.topFence, w.epoch, uint64(w.restart), uint64(w.isolated+1), uint64(w.isolation), uint64(w.faultsLeft), uint64(w.switchesBegun), w.highestVersion, uint64(len(w.lateOrders)))
+	number(w.step, w.topFence, w.epoch, uint64(w.restart), uint64(w.isolated+1), uint64(w.isolation), uint64(w.faultsLeft), uint64(w.switchesBegun), uint64(len(w.lateOrders)))
 	for _, e := range w.ranks {
-		number(e.Fence, e.Map, e.Prepared, e.HeldPass)
+		number(e.Fence, e.Map, e.Content, e.Had, e.NextContent, e.Prepared, e.HeldPass)
 		arming(e.Armed)
+		flags(e.Copying)
 	}
 	for _, l := range w.lateOrders {
 		b = append(b, l.order.Op...)
-		number(uint64(l.rank), l.order.Fence, l.order.Epoch, l.order.Version, l.order.Step)
+		number(uint64(l.rank), l.order.Fence, l.order.Epoch, l.order.Version, l.order.Step, mapNumber(l.order.Map))
 		flags(l.viaHolder)
 	}
 	for _, a := range w.own {
@@ -201,12 +217,21 @@
 		arming(a.requested)
 		flags(a.uncertain, a.known)
 	}
-	for _, m := range w.leaders {
-		number(uint64(m.Self), m.Epoch, uint64(m.absent.Rank+1), m.Fence, uint64(m.Phase), m.Version, m.Step, m.HighestVersion, uint64(m.holdConflicts))
+	for i, m := range w.leaders {
+		if number(uint64(m.Self)); m.Phase == Deposed {
+			flags(true)
+			continue // It does nothing any more.
+		}
+		for _, e := range w.seen[i] {
+			number(e.Step, e.Map, e.Prepared, e.HeldPass)
+			arming(e.Armed)
+		}
+		number(mapNumber(m.layout), m.Epoch, uint64(m.absent.Rank+1), m.Fence, uint64(m.Phase), m.Version, m.Step, m.HighestVersion, uint64(m.holdConflicts), uint64(m.refusals))
 		arming(m.absent.Armed)
 		arming(m.toDisarm)
 		number(m.holds...)
 		flags(m.confirmed...)
+		flags(m.refused...)
 		flags(m.absent.ArmingKnown, m.absenceResolved, m.versionRetired, m.ownRequested)
 	}
 	h := fnv.New128a()
@@ -235,6 +260,14 @@
 	for i := range w.leaders {
 		list = append(list, w.leaderSteps(i)...)
 	}
+	for r := range w.ranks {
+		if !w.ranks[r].Copying {
+			continue
+		}
+		c := w.after(fmt.Sprintf("rank %d has copied", r))
+		c.ranks[r].CompleteCopy()
+		list = append(list, c)
+	}
 	for r := 0; w.restart != noRestart && r < len(w.ranks); r++ {
 		c := w.after("rank restarts")
 		c.restartRank(r)
@@ -261,11 +294,15 @@
 	}
 	if price := w.takeoverPrice(); len(w.leaders) < w.scenario.leaders && price <= w.faultsLeft {
 		for _, r := range w.scenario.successors {
-			if r == w.isolated || r == w.leaders[len(w.leaders)-1].Self {
+			restarts := r == w.leaders[len(w.leaders)-1].Self
+			if r == w.isolated || restarts && !w.leaderRestarts || restarts && w.faultsLeft == 0 {
 				continue
 			}
 			c := w.after(fmt.Sprintf("rank %d takes over", r))
 			c.faultsLeft -= price
+			if w.leaderRestarts {
+				c.endProcess(r)
+			}
 			if m := c.newMachine(r); m != nil {
 				c.leaders = append(c.leaders, m)
 				list = append(list, c)
@@ -278,18 +315,23 @@
 		}
 		c := w.after("holder restarts")
 		c.faultsLeft--
-		c.own[h] = OwnArming{}
-		for _, m := range c.leaders {
-			if m.Self == h {
-				m.Phase = Deposed
-			}
-		}
-		c.own[h].ObserveHold(c.ranks[h].HeldPass)
+		c.endProcess(h)
 		list = append(list, c)
 	}
 	return list
 }
 
+// endProcess has the sidecar of rank r restart: it leads no more and remembers nothing.
+func (w *world) endProcess(r int) {
+	w.own[r] = OwnArming{}
+	for _, m := range w.leaders {
+		if m.Self == r {
+			m.Phase = Deposed
+		}
+	}
+	w.own[r].ObserveHold(w.ranks[r].HeldPass)
+}
+
 // takeoverPrice returns how many faults it takes for another leader to take over: none while the
 // newest leader is isolated.
 func (w *world) takeoverPrice() int {
@@ -386,11 +428,23 @@
 
 // observe returns the world in which a leader has taken in the reports of all ranks that it reaches.
 func (w *world) observe(i int) []*world {
+	if w.oldReports && w.seen[i] == nil {
+		c := w.after(fmt.Sprintf("leader %d reads reports", w.leaders[i].Self))
+		if c.seen == nil {
+			c.seen = map[int][]rank.Report{}
+		}
+		c.seen[i] = c.reports()
+		return []*world{c}
+	}
 	c := w.after(fmt.Sprintf("leader %d looks", w.leaders[i].Self))
-	lead := c.leaders[i]
-	lead.Observe(c.reports())
+	lead, reports := c.leaders[i], c.reports()
+	if w.oldReports {
+		reports = w.seen[i]
+		delete(c.seen, i)
+	}
+	lead.Observe(reports)
 	if lead.Phase == Ready {
-		c.ready(lead)
+		c.ready(lead, reports)
 	}
 	if c.key() == w.key() {
 		return nil
@@ -432,7 +486,7 @@
 			c.leaders[i].Handle(r, rank.Lost)
 			list = append(list, c)
 		}
-		if w.faultsLeft > 0 && len(w.lateOrders) < maxLate {
+		if w.faultsLeft > 0 && len(w.lateOrders) < maxLate && (w.orders == nil || slices.Contains(w.orders, o.Op)) {
 			c := base.after(fmt.Sprintf("leader %d: %s at %d is late", m.Self, o.Op, r))
 			c.faultsLeft--
 			c.lateOrders = append(c.lateOrders, lateOrder{r, o, viaHolder})
@@ -487,8 +541,8 @@
 }
 
 // ready begins the next switch, or switches to the prepared map.
-func (w *world) ready(m *Machine) {
-	if m.AllPrepared(w.reports()) {
+func (w *world) ready(m *Machine, reports []rank.Report) {
+	if m.AllPrepared(reports) {
 		if w.step+2 <= w.steps && m.Step < w.steps {
 			m.SwitchAt(w.step + 2)
 		}
@@ -496,9 +550,17 @@
 	}
 	if w.switchesBegun < w.switches {
 		w.switchesBegun++
-		m.StartPreparing(NextVersion(max(w.highestVersion, m.HighestVersion), m.Self), nil)
-		w.highestVersion = max(w.highestVersion, m.Version)
+		w.mapsMade++
+		m.StartPreparing(time.Time{}, [][][]int{{{w.mapsMade}}}) // The clock tells nothing about earlier versions.
+	}
+}
+
+// mapNumber returns the number of a map that the search made; 0 for none.
+func mapNumber(layout [][][]int) uint64 {
+	if layout == nil {
+		return 0
 	}
+	return uint64(layout[0][0][0])
 }
 
 // firstWorld returns the world in which a search begins.
@@ -515,8 +577,8 @@
 	return first
 }
 
-// search visits every reachable world and returns the first violation.
-func (sc scenario) search() (seen int, violation string) {
+// withDefaults returns sc with defaults in place of zero values.
+func (sc scenario) withDefaults() scenario {
 	if sc.leaders == 0 {
 		sc.leaders = 2
 	}
@@ -526,9 +588,45 @@
 	if sc.steps == 0 {
 		sc.steps = maxStep
 	}
+	if sc.passes == 0 {
+		sc.passes = maxStep
+	}
 	if sc.switches == 0 {
 		sc.switches = maxSwitches
 	}
+	return sc
+}
+
+// walk follows a random path from the first world until nothing more can happen, or for maxWalk worlds,
+// and returns the violation that it meets. It reaches combinations of faults that are too many for a
+// search.
+func (sc scenario) walk(seed uint64) (violation string) {
+	const (
+		maxWalk  = 600
+		rareStep = 4 // One in this many faults and passes that are drawn occurs.
+	)
+	sc = sc.withDefaults()
+	random := rand.New(rand.NewPCG(seed, 0))
+	w := sc.firstWorld()
+	for range maxWalk {
+		next := w.successors()
+		if len(next) == 0 {
+			break
+		}
+		n := next[random.IntN(len(next))]
+		if (n.faultsLeft < w.faultsLeft || n.step > w.step) && random.IntN(rareStep) > 0 {
+			continue // Otherwise all faults and passes occur before a switch has begun.
+		}
+		if w = n; w.violation != "" {
+			return w.violation + "\n" + w.trace()
+		}
+	}
+	return ""
+}
+
+// search visits every reachable world and returns the first violation.
+func (sc scenario) search() (seen int, violation string) {
+	sc = sc.withDefaults()
 	first := sc.firstWorld()
 	visited := map[worldKey]struct{}{first.key(): {}}
 	queue := []*world{first}
--- a/internal/rank/rank.go
+++ b/internal/rank/rank.go
@@ -80,12 +80,21 @@
 
 // The results.
 const (
+	Begun    Result = "begun"    // This very order was accepted and has begun something.
 	Done     Result = "done"     // The order was executed, or its effect was in place already.
 	Conflict Result = "conflict" // The order does not fit the rank's state.
 	Fenced   Result = "fenced"   // The rank has seen a higher fence.
 	Lost     Result = "lost"     // No answer: the order may have been executed or may be executed later.
 )
 
+// Outcome returns r without the distinction between Begun and Done, as it is exchanged between sidecars.
+func (r Result) Outcome() Result {
+	if r == Begun {
+		return Done
+	}
+	return r
+}
+
 // ErrMalformed means that an engine's answer could not be parsed.
 var ErrMalformed = errors.New("an engine's answer that cannot be read")
 
--- a/internal/rank/ranktest/group.go
+++ b/internal/rank/ranktest/group.go
@@ -139,8 +139,9 @@
 	if result == rank.Fenced {
 		return result, nil
 	}
-	if result == rank.Done && o.Op == rank.Prepare {
+	if result == rank.Begun {
 		e.layouts[o.Version] = o.Map
+		e.CompleteCopy()
 	}
 	if g.orderCount++; g.lossStride > 0 && g.orderCount%g.lossStride == 0 {
 		return rank.Lost, errors.New("no answer")
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -80,12 +80,19 @@
 	return rankResponse{Result: a.Result, Error: a.Error}
 }
 
+// claimVersion sends an order to this sidecar's engine once. It isn't sent again: whether a second
+// answer refers to this order or to another one with its version could not be told.
+func (s *Sidecar) claimVersion(ctx context.Context, o rank.Order) rank.Result {
+	return s.tryOrder(ctx, o, orderRetryWindow).Result
+}
+
 // executeOrder sends an order to this sidecar's engine. An order without an answer is sent again for
 // orderRetryWindow: that is harmless, whereas waiting for the answer would stall the group.
 func (s *Sidecar) executeOrder(ctx context.Context, o rank.Order) (a orderResponse) {
 	for began := time.Now(); ; {
 		attemptBegan := time.Now()
-		if a = s.tryOrder(ctx, o); a.Result != rank.Lost || ctx.Err() != nil || time.Since(began) >= orderRetryWindow {
+		if a = s.tryOrder(ctx, o, s.orderAttemptTimeout()); a.Result != rank.Lost || ctx.Err() != nil || time.Since(began) >= orderRetryWindow {
+			a.Result = a.Result.Outcome()
 			return a
 		}
 		wait.For(ctx, minOrderTimeout-time.Since(attemptBegan)) // The port of an engine that has exited refuses connections immediately.
@@ -103,8 +110,8 @@
 }
 
 // tryOrder sends an order to this sidecar's engine once.
-func (s *Sidecar) tryOrder(ctx context.Context, o rank.Order) (a orderResponse) {
-	ctx, cancel := context.WithTimeout(ctx, s.orderAttemptTimeout())
+func (s *Sidecar) tryOrder(ctx context.Context, o rank.Order, timeout time.Duration) (a orderResponse) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	began := time.Now()
 	result, err := s.engine.Order(ctx, o)
@@ -115,7 +122,7 @@
 	} else {
 		duty.Locked(&s.mu, func() {
 			s.orderTook.Add(time.Since(began))
-			if result == rank.Done {
+			if result.Outcome() == rank.Done {
 				s.ownArming.ObserveFence(o.Fence)
 			}
 		})
--- a/internal/sidecar/change.go
+++ b/internal/sidecar/change.go
@@ -202,16 +202,22 @@
 // abandoned if not all ranks answer the orders to copy in time.
 func (l *leader) beginChange(ctx context.Context, plan remap.Plan) {
 	p, m := &l.planner, l.machine
-	version := cutover.NextVersion(m.HighestVersion, m.Self)
 	layout := layoutOf(plan.Map, len(l.byRank))
 	now := time.Now()
-	p.pending = &pending{plan: plan, version: version, startedAt: now, copiesDueAt: now.Add(l.copyTime(plan.MaxPerRank)), shiftsSeen: p.tracker.Shifts(), speeds: l.speeds()}
-	m.StartPreparing(version, layout)
+	p.pending = &pending{plan: plan, startedAt: now, copiesDueAt: now.Add(l.copyTime(plan.MaxPerRank)), shiftsSeen: p.tracker.Shifts(), speeds: l.speeds()}
+	m.StartPreparing(now, layout)
 	l.encodeMaps(layout)
 	l.sendUntilSettled(ctx, maxPrepareAttempts*l.orderDeadline(&l.fullMap, len(l.byRank)-1))
+	if p.pending == nil {
+		return // This leader has resigned after a higher fence.
+	}
 	l.countsPolledAt = time.Now() // Delays the next counts: polls check for the copies first.
-	if m.Phase == cutover.Preparing {
+	p.pending.version = m.Version
+	switch {
+	case m.Phase == cutover.Claiming || m.Phase == cutover.Preparing:
 		l.abandon("no answer to orders")
+	case m.Version == 0:
+		l.abandon("the version was refused")
 	}
 }
 
@@ -251,6 +257,8 @@
 	switch {
 	case l.machine.AllPrepared(l.reports()):
 		l.switchOver(ctx)
+	case l.machine.Refused(l.reports()) != cutover.NoRank:
+		l.abandon("a rank had a higher version")
 	case now.Sub(p.pending.copiesDueAt) > p.pending.copiesDueAt.Sub(p.pending.startedAt)+copyGracePeriod:
 		l.abandon("copies overdue")
 	case p.pending.shiftsSeen != p.tracker.Shifts() || !slices.Equal(p.pending.speeds, l.speeds()):
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -136,6 +136,8 @@
 	switch {
 	case r == l.machine.Self && o.Op == rank.Arm:
 		return l.armSelfViaHolder(ctx, o)
+	case l.machine.Phase == cutover.Claiming:
+		return l.s.claimVersion(ctx, o)
 	case r == l.machine.Self:
 		return l.s.executeOrder(ctx, o).Result
 	case l.isHolderPhase(r):
@@ -201,5 +203,6 @@
 func (s *Sidecar) orderEngineDirectly(ctx context.Context, engine string, o rank.Order) (rank.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, directOrderTimeout)
 	defer cancel()
-	return s.dial(engine).Order(ctx, o)
+	result, err := s.dial(engine).Order(ctx, o)
+	return result.Outcome(), err
 }
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -255,3 +255,29 @@
 		})
 	}
 }
+
+// An order that claims a version is sent once: the answer to a second one could refer to another map with
+// this version.
+func TestVersionIsClaimedByOneOrder(t *testing.T) {
+	for _, result := range []rank.Result{rank.Begun, rank.Done, rank.Conflict, rank.Lost} {
+		t.Run(string(result), func(t *testing.T) {
+			g := NewWithT(t)
+			asked := 0
+			s := &Sidecar{log: zap.NewNop(), orderTook: estimate.New(answerTimeWeight), stats: newStats(metrics.NewRegistry())}
+			s.engine.Order = func(context.Context, rank.Order) (rank.Result, error) {
+				asked++
+				return result, nil
+			}
+			g.Expect(s.claimVersion(context.Background(), rank.Order{Op: rank.Prepare})).To(Equal(result))
+			g.Expect(asked).To(Equal(1))
+			if result == rank.Begun {
+				order := rank.Order{Op: rank.Arm}
+				g.Expect(s.executeWithMap(context.Background(), order, nil).Result).To(Equal(rank.Done), "as other sidecars know it")
+				s.dial = func(string) rank.Engine { return s.engine }
+				direct, err := s.orderEngineDirectly(context.Background(), "", order)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(direct).To(Equal(rank.Done))
+			}
+		})
+	}
+}
