internal/decide/cutover: a holder that restarts while its rank is armed knows no arming

Callers would have seen passes on two maps. Cause: an order to hold whose first sending was late set the hold again after its release. A holder that had restarted in between had seen its engine without a hold and took that for certainty about the leader's rank.

A holder is certain once its own rank is neither held nor armed. ObserveHold becomes ObserveRank; its tests expect what they did, and one more thing.

--- a/internal/decide/cutover/ownarming.go
+++ b/internal/decide/cutover/ownarming.go
@@ -12,13 +12,14 @@
 	uncertain bool        // Whether it was executed is unknown: the answer is outstanding or was lost.
 	fence     uint64      // Armings with another fence are rejected. It never decreases.
 	newest    uint64      // The newest version requested with fence; older ones are rejected.
-	known     bool        // It knows of every arming under the hold that may be set at the holder.
+	known     bool        // It knows of every arming of a switch for which the leader's own rank may still be armed.
 }
 
-// ObserveHold takes in the pass that the holder's own rank holds, 0 for none. Every arming under a
-// hold that is set later is known.
-func (a *OwnArming) ObserveHold(heldPass uint64) {
-	if heldPass == 0 {
+// ObserveRank takes in the pass that the holder's own rank holds, 0 for none, and its arming. If there is
+// neither, every later arming of the leader's rank is known. That there is no hold doesn't suffice: one
+// that was released may be set again by an order that arrives late, when all ranks are armed already.
+func (a *OwnArming) ObserveRank(heldPass uint64, armed rank.Arming) {
+	if heldPass == 0 && armed == (rank.Arming{}) {
 		a.known = true
 	}
 }
--- a/internal/decide/cutover/ownarming_test.go
+++ b/internal/decide/cutover/ownarming_test.go
@@ -18,7 +18,7 @@
 func TestLateArmingRequestIsRejected(t *testing.T) {
 	g := NewWithT(t)
 	var a OwnArming
-	a.ObserveHold(0)
+	a.ObserveRank(0, rank.Arming{})
 	a.ObserveFence(5)
 	previous, ok := a.Begin(armOrder(8, 5))
 	g.Expect(ok).To(BeTrue())
@@ -48,7 +48,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var a OwnArming
-			a.ObserveHold(0)
+			a.ObserveRank(0, rank.Arming{})
 			a.ObserveFence(5)
 			for _, result := range tc.results {
 				previous, _ := a.Begin(armOrder(8, 5))
@@ -63,9 +63,11 @@
 func TestRestartedHolderKnowsNoArmingUnderAnOldHold(t *testing.T) {
 	g := NewWithT(t)
 	var a OwnArming
-	a.ObserveHold(3)
+	a.ObserveRank(3, rank.Arming{})
 	g.Expect(a.IsNewFence(5)).To(BeTrue(), "it may have taken over before")
 	g.Expect(a.TakeOver(0, 1, 9).ArmingKnown).To(BeFalse())
-	a.ObserveHold(0)
+	a.ObserveRank(0, rank.Arming{Version: 8, Step: 8})
+	g.Expect(a.TakeOver(0, 1, 9).ArmingKnown).To(BeFalse(), "the hold may have been released, and may be set again")
+	a.ObserveRank(0, rank.Arming{})
 	g.Expect(a.TakeOver(0, 1, 10).ArmingKnown).To(BeTrue())
 }
--- a/internal/decide/cutover/search_test.go
+++ b/internal/decide/cutover/search_test.go
@@ -207,6 +207,7 @@
 		{"three leaders, one of them frozen", scenario{faults: 2, leaders: 3, first: 2, successors: []int{0, 1}, isolations: []isolation{frozen}, prepared: true, steps: 2, switches: 1}},
 		{"a later switch", scenario{faults: 1, leaders: 3, successors: []int{0, 1, 2}, isolations: both, steps: 4}},
 		{"the holder's sidecar restarts", scenario{faults: 2, holderRestarts: true, isolations: []isolation{cutOff}, steps: 3}},
+		{"the holder's sidecar restarts, and a released hold is set again", scenario{faults: 3, prepared: true, holderRestarts: true, isolations: both, steps: 2, switches: 1, passes: 3}},
 		{"a rank restarts", scenario{faults: 1, isolations: both, restart: groupForgets}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -312,6 +313,7 @@
 		{"twice", scenario{faults: 3, leaders: 3, successors: []int{0}, orders: prepares, steps: 2, switches: 3, passes: 3}},
 		{"another leader in between", scenario{faults: 2, leaders: 3, successors: []int{0, 1}, orders: prepares, steps: 2, switches: 3, passes: 3}},
 		{"the leader is the last rank", scenario{faults: 3, first: 2, successors: []int{2, 0}, orders: prepares, steps: 2, passes: 3}},
+		{"holders restart, too, and instances are isolated", scenario{faults: 2, successors: []int{0, 1}, holderRestarts: true, isolations: []isolation{frozen, cutOff}, steps: 2, passes: 3}},
 		{"leaders act on old reports", scenario{faults: 2, successors: []int{0, 1}, oldReports: true, orders: prepares, steps: 2, passes: 3}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -329,9 +331,10 @@
 }
 
 // Combinations of faults that are too many for a search: leaders and holders that restart several times,
-// leaders in between, lost orders and answers, and old reports.
+// leaders in between, instances that are isolated, lost orders and answers, and old reports.
 func TestNoPassOnTwoMapsOnRandomPaths(t *testing.T) {
 	const paths = 4000
+	both := []isolation{frozen, cutOff}
 	for _, tc := range []struct {
 		name string
 		scenario
@@ -340,6 +343,8 @@
 		{"several leaders restart", scenario{successors: []int{0, 1, 2}}},
 		{"the leader is the last rank", scenario{first: 2, successors: []int{2, 0}}},
 		{"old reports", scenario{successors: []int{0, 1}, oldReports: true}},
+		{"holders restart, and instances are isolated", scenario{successors: []int{0, 1, 2}, holderRestarts: true, isolations: both}},
+		{"the same with a prepared map and old reports", scenario{successors: []int{0, 1}, holderRestarts: true, isolations: both, prepared: true, oldReports: true}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/decide/cutover/world_test.go
+++ b/internal/decide/cutover/world_test.go
@@ -121,7 +121,7 @@
 	if !w.copies {
 		w.ranks[r].CompleteCopy()
 	}
-	w.own[r].ObserveHold(w.ranks[r].HeldPass)
+	w.own[r].ObserveRank(w.ranks[r].HeldPass, w.ranks[r].Armed)
 	return result
 }
 
@@ -329,7 +329,7 @@
 			m.Phase = Deposed
 		}
 	}
-	w.own[r].ObserveHold(w.ranks[r].HeldPass)
+	w.own[r].ObserveRank(w.ranks[r].HeldPass, w.ranks[r].Armed)
 }
 
 // takeoverPrice returns how many faults it takes for another leader to take over: none while the
@@ -390,7 +390,7 @@
 	w.ranks[r] = ranktest.State{}
 	w.restart = noRestart
 	for h := range w.own {
-		w.own[h].ObserveHold(w.ranks[h].HeldPass)
+		w.own[h].ObserveRank(w.ranks[h].HeldPass, w.ranks[h].Armed)
 	}
 }
 
@@ -568,10 +568,13 @@
 	first := &world{scenario: sc, ranks: make([]ranktest.State, searchRanks), epoch: 1, restart: sc.restart, isolated: NoRank, topFence: 1}
 	first.leaders = []*Machine{New(searchRanks, sc.first, NoAbsence, 1, 1)}
 	for h := range first.own {
-		first.own[h].ObserveHold(0)
+		first.own[h].ObserveRank(0, rank.Arming{})
 	}
 	for sc.prepared && first.leaders[0].Phase != Holding {
 		first = first.leaderSteps(0)[0] // Without faults.
+		for r := range first.ranks {
+			first.ranks[r].CompleteCopy()
+		}
 	}
 	first.faultsLeft = sc.faults
 	return first
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -298,7 +298,7 @@
 	}
 	s.report, s.reportAt = r, time.Now()
 	s.passes.observe(r.Step, s.reportAt)
-	s.ownArming.ObserveHold(r.HeldPass)
+	s.ownArming.ObserveRank(r.HeldPass, r.Armed)
 	return true
 }
 
