internal/upstream, gateway: answers without end are abandoned, and their memory is reserved

Users reported answers whose bytes never end: a status line or headers took 3 to 5 GB of a gateway's heap until the deadline, one header on a stream's route 3 s longer, and bodies of 16 MB in two attempts stood on every request at once.

Cause: net/http's reader of heads has no bound, and a body grew in a buffer that doubled, so that 48 MB were allocated for 16 MB that were counted.

Change: a head may have 32 KiB and 256 lines, counted below all buffers. Bodies are read in pieces that are reserved in the share of the memory limit for buffered bytes before they are allocated, and so are long heads and events. What exceeds a bound is closed at once and counts as a full failure of the endpoint, also on a reused connection; the note in the log says what was passed. Where the gateway lacks memory, the endpoint is not at fault, as before.

--- a/internal/gateway/event.go
+++ b/internal/gateway/event.go
@@ -27,12 +27,34 @@
 // data but without an id leaves the position unknown; one without data does not change it.
 func (ev *event) marksPosition() bool { return ev.hasID || !ev.hasData }
 
+// usualEventBytes is the size of an event up to which its memory counts as part of the request.
+const usualEventBytes = 16 << 10
+
+// growEvent returns buf with room for n more bytes. Memory for an unusually long event is reserved
+// before it is allocated.
+func growEvent(buf []byte, n int, reserve func(n int) error) (grown []byte, err error) {
+	if len(buf)+n <= cap(buf) {
+		return buf, nil
+	}
+	size := max(2*cap(buf), len(buf)+n)
+	if size > usualEventBytes {
+		if err = reserve(size); err != nil {
+			return buf, err
+		}
+	}
+	return append(make([]byte, 0, size), buf...), nil
+}
+
 // readEvent reads one event; its raw bytes reuse the memory of buf. It returns io.EOF if the stream
-// ended before the event, and errPartialEvent if it ended within the event.
-func (g *Gateway) readEvent(br *bufio.Reader, buf []byte) (ev event, err error) {
+// ended before the event, errPartialEvent if it ended within the event, and an error of reserve.
+func (g *Gateway) readEvent(br *bufio.Reader, buf []byte, reserve func(n int) error) (ev event, err error) {
 	ev.raw = buf[:0]
 	for {
 		line, err := br.ReadSlice('\n')
+		var growErr error
+		if ev.raw, growErr = growEvent(ev.raw, len(line), reserve); growErr != nil {
+			return ev, growErr
+		}
 		ev.raw = append(ev.raw, line...)
 		if errors.Is(err, bufio.ErrBufferFull) && len(ev.raw) < maxEventBytes {
 			continue
--- a/internal/gateway/kept.go
+++ b/internal/gateway/kept.go
@@ -22,6 +22,10 @@
 	unknownLengthReserve = 64 << 10
 	// reserveStep is the least number of bytes reserved when a body exceeds its reservation.
 	reserveStep = 64 << 10
+	// usualHeadBytes is the size of an answer's head up to which its memory isn't counted.
+	usualHeadBytes = 4 << 10
+	// headMemoryFactor is the memory of a parsed head per byte, for short lines.
+	headMemoryFactor = 8
 	// CallerWriteTimeout is how long a caller may leave sent data unread. It is more than the
 	// longest silence after which callers of streams leave by themselves, and less than an endpoint
 	// waits for its answer to be read.
@@ -83,6 +87,21 @@
 	return true
 }
 
+// reserveAnswer reserves memory for a part of an answer. It returns errBufferFull if the limit would be
+// exceeded.
+func (q *request) reserveAnswer(n int) error {
+	if !q.reserve(int64(n)) {
+		return errBufferFull
+	}
+	return nil
+}
+
+// reserveHead reserves memory for the parsed head of an answer of n bytes. Usual heads count as part of
+// the request. It returns false if the limit would be exceeded.
+func (q *request) reserveHead(n int) bool {
+	return n <= usualHeadBytes || q.reserve(headMemoryFactor*int64(n))
+}
+
 // errBufferFull means that the limit of buffered bytes leaves no memory for a body.
 var errBufferFull = errors.New("too many bytes are buffered for callers")
 
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -3,9 +3,9 @@
 package gateway
 
 import (
-	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -61,8 +61,8 @@
 // setHeader sets a field of the head, which must not have been sent yet.
 func (p *reply) setHeader(name, value string) { p.w.Header().Set(name, value) }
 
-// sendComplete sends a complete answer with its length.
-func (p *reply) sendComplete(h replyHead, body []byte) (err error) {
+// sendComplete sends a complete answer, given in pieces, with its length.
+func (p *reply) sendComplete(h replyHead, body ...[]byte) (err error) {
 	defer func() { err = errors.Wrap(err, "answer to the caller") }()
 	if p.state != replyUnsent {
 		return errReplyBegun
@@ -73,14 +73,20 @@
 	if err := p.setReadDeadline(time.Now().Add(bodyDrainTimeout)); err != nil {
 		return err
 	}
-	p.setHeader("Content-Length", fmt.Sprint(len(body)))
+	length := 0
+	for _, piece := range body {
+		length += len(piece)
+	}
+	p.setHeader("Content-Length", strconv.Itoa(length))
 	p.writeHead(h)
-	for piece := range slices.Chunk(body, writeChunkBytes) {
-		if err := p.setWriteDeadline(); err != nil {
-			return err
-		}
-		if _, err := p.w.Write(piece); err != nil {
-			return err
+	for _, piece := range body {
+		for part := range slices.Chunk(piece, writeChunkBytes) {
+			if err := p.setWriteDeadline(); err != nil {
+				return err
+			}
+			if _, err := p.w.Write(part); err != nil {
+				return err
+			}
 		}
 	}
 	p.state = replyComplete
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -74,7 +74,7 @@
 	br := x.Reader()
 	var buf []byte
 	for {
-		ev, err := q.g.readEvent(br, buf)
+		ev, err := q.g.readEvent(br, buf, q.reserveAnswer)
 		buf = ev.raw
 		if errors.Is(err, io.EOF) {
 			return q.endStream(e, x, resp)
@@ -209,7 +209,10 @@
 		return done
 	}
 	q.retryCause = retryReset
-	if !errors.Is(err, upstream.ErrSilent) && !q.noteIfMoved(e) {
+	switch {
+	case errors.Is(err, errBufferFull):
+		q.recordFailure(e, 0, "stream: "+err.Error()) // The gateway, not the endpoint, lacks memory.
+	case !errors.Is(err, upstream.ErrSilent) && !q.noteIfMoved(e):
 		q.recordFailure(e, 1, "stream: "+err.Error())
 		q.checkEndpointEnded(e, err)
 	}
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -168,6 +168,12 @@
 		}
 		return q.connectionFailed(e, x, err)
 	}
+	if !q.reserveHead(x.HeadBytes()) {
+		x.Abort()
+		q.attemptFinished = true
+		q.recordFailure(e, 0, errBufferFull.Error())
+		return unknown
+	}
 	return q.relay(e, x, resp, answer)
 }
 
@@ -248,7 +254,7 @@
 	}
 	q.retryCause = retryReset
 	weight, reused := 1.0, x.Conn().Reused()
-	if reused {
+	if reused && !errors.Is(err, upstream.ErrTooLong) {
 		weight = 0.5 // It may just have closed an idle connection.
 	}
 	q.recordFailure(e, weight, err.Error())
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -20,7 +20,7 @@
 // relayComplete reads an answer to its end before passing it on, so that no incomplete answer is
 // sent. An error answer of the endpoint is held back as fallback if another endpoint can be tried.
 func (q *request) relayComplete(e fleet.Endpoint, x *upstream.Exchange, resp *http.Response) result {
-	body, err := q.readCompleteBody(x, resp)
+	body, err := q.readCompleteBody(x)
 	if err != nil {
 		x.Abort()
 		if q.ctx.Err() != nil {
@@ -59,21 +59,17 @@
 	return done
 }
 
-// readCompleteBody reads the body of an answer. The body counts as buffered while it is read; if
-// reading fails, it no longer counts.
-func (q *request) readCompleteBody(x *upstream.Exchange, resp *http.Response) (body []byte, err error) {
-	bufferedBefore := q.buffered
-	defer func() { q.addBuffered(len(body) - int(q.buffered-bufferedBefore)) }()
-	length := resp.ContentLength
-	if resp.Body == http.NoBody || length > maxAnswerBytes { // No body, or one too large to be read.
-		length = 0
+// readCompleteBody reads the body of an answer. Its memory counts as buffered; if reading fails, it no
+// longer does.
+func (q *request) readCompleteBody(x *upstream.Exchange) (body [][]byte, err error) {
+	before := q.buffered
+	body, err = x.ReadWhole(maxAnswerBytes, q.reserveAnswer)
+	length := 0
+	for _, piece := range body {
+		length += len(piece)
 	}
-	length = max(length, 0)
-	if !q.reserve(length) {
-		return nil, errBufferFull
-	}
-	resp.Body = &countedBody{resp.Body, q, length}
-	return x.ReadWhole(maxAnswerBytes)
+	q.addBuffered(length - int(q.buffered-before))
+	return body, err
 }
 
 // endpointResponse is what an endpoint sent in answer to a request, for the log.
@@ -89,7 +85,7 @@
 type fallbackAnswer struct {
 	from fleet.Endpoint
 	resp *http.Response
-	body []byte
+	body [][]byte
 }
 
 // endpointLeaving reports whether an endpoint is leaving or no longer listed.
@@ -114,10 +110,10 @@
 }
 
 // sendAnswer sends a complete answer to the caller, and sets the outcome.
-func (q *request) sendAnswer(e fleet.Endpoint, resp *http.Response, body []byte) {
+func (q *request) sendAnswer(e fleet.Endpoint, resp *http.Response, body [][]byte) {
 	q.servedBy, q.outcome = e.ID, served
 	q.firstByteAt = time.Now()
-	if err := q.reply.sendComplete(q.callerHead(resp), body); err != nil {
+	if err := q.reply.sendComplete(q.callerHead(resp), body...); err != nil {
 		q.note("caller: " + err.Error())
 		q.outcome = callerLeft
 	}
--- a/internal/upstream/churn_test.go
+++ b/internal/upstream/churn_test.go
@@ -120,7 +120,7 @@
 	}
 	if err == nil {
 		var body []byte
-		if body, err = x.ReadWhole(1 << 10); err == nil && string(body) != id {
+		if body, err = readBody(x); err == nil && string(body) != id {
 			return errors.Newf("%s got the body of %s", id, body)
 		}
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -131,12 +131,18 @@
 
 // Head reads the head of the answer. It skips interim answers (1xx), and reads and discards answers
 // for which isOurs returns false. It returns an error for more than maxForeignAnswers of both
-// together, and for a foreign answer that does not indicate its end or whose body is longer than
-// maxForeignBody.
+// together, for a foreign answer that does not indicate its end or whose body is longer than
+// maxForeignBody, and ErrTooLong for heads that together exceed maxHeadBytes or maxHeadLines.
 func (x *Exchange) Head(r *Request, isOurs func(status int, h http.Header) bool) (resp *http.Response, err error) {
 	defer func() { err = errors.Wrap(err, "answer's head") }()
+	x.conn.raw.head = headMeter{}
 	for range maxForeignAnswers + 1 {
+		x.conn.raw.head.active = true
 		resp, err = http.ReadResponse(x.conn.br, &http.Request{Method: r.Method})
+		x.conn.raw.head.active = false
+		if err == nil {
+			err = checkLines(resp.Header)
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -164,6 +170,9 @@
 	return nil, errors.New("it belongs to another request")
 }
 
+// HeadBytes returns how many bytes were read until the head was complete.
+func (x *Exchange) HeadBytes() int { return x.conn.raw.head.bytes }
+
 // isFramed reports whether the answer itself indicates its end.
 func isFramed(resp *http.Response) bool {
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
@@ -224,22 +233,5 @@
 	return defaultIdleTimeout
 }
 
-// ReadWhole reads a body of at most limit bytes to its end.
-func (x *Exchange) ReadWhole(limit int64) (body []byte, err error) {
-	defer func() { err = errors.Wrap(err, "answer's body") }()
-	var b bytes.Buffer
-	if n := x.resp.ContentLength; n > 0 && n <= limit {
-		b.Grow(int(n) + bytes.MinRead)
-	}
-	n, err := b.ReadFrom(io.LimitReader(x.resp.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if n > limit {
-		return nil, errors.Newf("longer than %d bytes", limit)
-	}
-	return b.Bytes(), nil
-}
-
 // Reader returns a buffered reader over the body.
 func (x *Exchange) Reader() *bufio.Reader { return bufio.NewReaderSize(x.resp.Body, readBufferSize) }
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -51,7 +51,7 @@
 	if _, err = x.Head(r, func(_ int, h http.Header) bool { return h.Get(idHeader) == "mine" }); err != nil {
 		return "", err
 	}
-	b, err := x.ReadWhole(1 << 10)
+	b, err := readBody(x)
 	return string(b), err
 }
 
@@ -92,7 +92,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		_, err = x.Head(&Request{Method: http.MethodGet}, func(int, http.Header) bool { return true })
 		g.Expect(err).NotTo(HaveOccurred())
-		_, err = x.ReadWhole(1 << 10)
+		_, err = readBody(x)
 		g.Expect(err).NotTo(HaveOccurred())
 		x.Done(p)
 		time.Sleep(time.Until(deadline) + time.Millisecond)
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -39,7 +39,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = x.Head(r, anyAnswer)
 	g.Expect(err).NotTo(HaveOccurred())
-	_, err = x.ReadWhole(1 << 10)
+	_, err = readBody(x)
 	g.Expect(err).NotTo(HaveOccurred())
 	x.Done(p)
 }
--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -32,6 +32,7 @@
 	deadline      time.Time     // Deadline of the request; valid while watch is set.
 	closedUnacked atomic.Bool   // The connection was closed because nothing was acknowledged.
 	interrupted   atomic.Bool   // Set by interrupt.
+	head          headMeter     // Used by the goroutine that reads.
 	arrived       atomic.Int64  // Bytes that had arrived when the answer was interrupted and are not read yet.
 }
 
@@ -89,7 +90,11 @@
 
 // Read implements io.Reader. Once the answer is interrupted, it returns only what had arrived by then.
 func (in *input) Read(p []byte) (n int, err error) {
+	if err = in.head.check(); err != nil {
+		return 0, err
+	}
 	defer func() {
+		in.head.add(p[:n])
 		if err != nil && in.closedUnacked.Load() {
 			err = errUnacked
 		}
--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -70,7 +70,7 @@
 			x.Watch(SilenceWatch{Timeout: func() time.Duration { return 50 * time.Millisecond }, Abandon: func(time.Duration) bool { return true }})
 			_, err := x.Head(r, anyAnswer)
 			if err == nil {
-				_, err = x.ReadWhole(1 << 10)
+				_, err = readBody(x)
 			}
 			g.Expect(errors.Is(err, ErrSilent)).To(BeTrue(), "%v", err)
 		})
@@ -95,7 +95,7 @@
 	}})
 	_, err := x.Head(r, anyAnswer)
 	g.Expect(err).NotTo(HaveOccurred())
-	body, err := x.ReadWhole(1 << 10)
+	body, err := readBody(x)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(string(body)).To(Equal("ab"))
 	g.Expect(times).To(Equal(1), "Abandon is called once")
@@ -114,7 +114,7 @@
 	x.Watch(SilenceWatch{Timeout: func() time.Duration { return 20 * time.Millisecond }, Abandon: func(time.Duration) bool { return false }})
 	_, err := x.Head(r, anyAnswer)
 	g.Expect(err).NotTo(HaveOccurred())
-	_, err = x.ReadWhole(1 << 10)
+	_, err = readBody(x)
 	g.Expect(err).To(HaveOccurred())
 }
 
@@ -135,7 +135,7 @@
 			})
 			_, err := x.Head(r, anyAnswer)
 			g.Expect(err).NotTo(HaveOccurred())
-			body, err := x.ReadWhole(1 << 10)
+			body, err := readBody(x)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(string(body)).To(Equal("a"))
 		})
