platform, internal/adapter, sidecar, gateway: heads of other processes' answers have a bound

Clients of engines, the store, gateways, sidecars and services read heads of up to 10 MB, net/http's default, for each call; parsed, many short headers take a multiple of that.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 )
 
 // maxAnswerBytes limits the size of a platform's answer that is not a stream.
@@ -106,14 +108,15 @@
 		d.LocalAddr = &net.TCPAddr{IP: ip}
 	}
 	return &http.Transport{
-		Proxy:                 nil,
-		DialContext:           d.DialContext,
-		MaxIdleConnsPerHost:   256,
-		IdleConnTimeout:       IdleTimeout,
-		ReadBufferSize:        2 << 10,
-		WriteBufferSize:       2 << 10,
-		ResponseHeaderTimeout: 0,
-		DisableCompression:    true,
+		Proxy:                  nil,
+		DialContext:            d.DialContext,
+		MaxIdleConnsPerHost:    256,
+		IdleConnTimeout:        IdleTimeout,
+		ReadBufferSize:         2 << 10,
+		WriteBufferSize:        2 << 10,
+		ResponseHeaderTimeout:  0,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: httpjson.MaxHeadBytes,
 	}
 }
 
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -16,6 +16,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
+	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/node"
 	"github.com/canvaspulley/canvaspulley/internal/trust"
 )
@@ -38,7 +39,7 @@
 	if err != nil {
 		return nil, "", nil, err
 	}
-	c = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{TLSClientConfig: creds.Client()}}
+	c = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{TLSClientConfig: creds.Client(), MaxResponseHeaderBytes: httpjson.MaxHeadBytes}}
 	return c, creds.Scheme(), c.CloseIdleConnections, nil
 }
 
@@ -55,9 +56,12 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return json.NewDecoder(resp.Body).Decode(v)
+	return json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(v)
 }
 
+// maxStatusBytes bounds an answer of an operators' listener.
+const maxStatusBytes = 32 << 20
+
 // post posts an empty body to the operators' listener of a process.
 func (a *operatorAccess) post(address, path string) (status int, err error) {
 	defer func() { err = errors.Wrapf(err, "%s%s", address, path) }()
--- a/internal/gateway/listen_test.go
+++ b/internal/gateway/listen_test.go
@@ -22,6 +22,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/decide/roster"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
 	"github.com/canvaspulley/canvaspulley/internal/follow"
+	"github.com/canvaspulley/canvaspulley/internal/httpjson/endlesstest"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 )
 
@@ -394,3 +395,11 @@
 	t.Logf("%d of %d calls without an answer", silent.Load(), callers*each)
 	g.Expect(silent.Load()).To(BeNumerically("<", callers*each/2))
 }
+
+func TestAnswersWithoutEndOfAGateway(t *testing.T) {
+	follower := newTestPeer(t, 9)
+	endlesstest.ExpectAbandoned(t, 2*maxPublishedBytes, func(t *testing.T, address string) error {
+		_, err := follower.fetch(t.Context(), address, "")
+		return err
+	})
+}
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -15,6 +15,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/dialer"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 )
 
@@ -93,9 +94,10 @@
 // connections.
 func NewPeerExchange(cfg PeerExchangeConfig, g *Gateway, socket *peers.Socket, log *zap.Logger) (n *PeerExchange, cleanup func()) {
 	t := &http.Transport{
-		DialContext:         dialer.New("", fetchTimeout, 0).DialContext,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     peers.ClientIdleTimeout,
+		DialContext:            dialer.New("", fetchTimeout, 0).DialContext,
+		MaxIdleConnsPerHost:    1,
+		IdleConnTimeout:        peers.ClientIdleTimeout,
+		MaxResponseHeaderBytes: httpjson.MaxHeadBytes,
 	}
 	n = &PeerExchange{
 		g: g, socket: socket, log: log, decode: cfg.Decode, client: &http.Client{Transport: t},
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -17,6 +17,11 @@
 	"github.com/cockroachdb/errors"
 )
 
+// MaxHeadBytes bounds the head of an answer of another process, including the interim answers before it.
+// It is the value for http.Transport.MaxResponseHeaderBytes, whose default would take a few hundred times
+// as much for each call.
+const MaxHeadBytes = 32 << 10
+
 // Do sends a request and returns the first maxBytes bytes of the answer's body. An answer with a
 // status other than 200 is an error.
 func Do(c *http.Client, r *http.Request, maxBytes int64) (raw []byte, err error) {
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -140,7 +140,7 @@
 
 func newPeerClient(cfg Config) (c *peerClient, cleanup func()) {
 	d := dialer.New("", engineTimeout, 0)
-	t := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: peers.ClientIdleTimeout, DisableCompression: true}
+	t := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: peers.ClientIdleTimeout, DisableCompression: true, MaxResponseHeaderBytes: httpjson.MaxHeadBytes}
 	return &peerClient{client: &http.Client{Transport: t}, port: cfg.PeersPort}, t.CloseIdleConnections
 }
 
--- a/internal/sidecar/calls_test.go
+++ b/internal/sidecar/calls_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -20,6 +21,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
+	"github.com/canvaspulley/canvaspulley/internal/httpjson/endlesstest"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
 )
@@ -146,3 +148,13 @@
 	t.Logf("%d of %d orders without an answer", lost.Load(), sidecarCount*each)
 	g.Expect(lost.Load()).To(BeNumerically("<", sidecarCount*each/2))
 }
+
+func TestAnswersWithoutEndOfASidecar(t *testing.T) {
+	endlesstest.ExpectAbandoned(t, 2*maxPeerResponse, func(t *testing.T, address string) error {
+		at := netip.MustParseAddrPort(address)
+		c, cleanup := newPeerClient(Config{PeersPort: int(at.Port())})
+		defer cleanup()
+		_, err := c.queryTree(t.Context(), treeQuery{Engines: []string{address}, Fanout: 1})
+		return err
+	})
+}
