internal/gateway: in a planned stop nothing is sent that can't be expected to end in time

Users reported requests that were passed on late in a planned stop and ended without an answer when the process did, among them requests that may not be repeated. Here a request whose head came in time and whose body was complete 6.5 s after the signal was passed on (grace 8 s, run 2 s) and got 502.

Cause: whether a request is accepted was judged once, by when its head arrived, with a constant. Neither the time until it was sent nor that of its answer counted, nor did waiting for a place, retries, continued or moved streams.

Change: before each sending, while it waits, and before a stream is moved, a gateway compares what is left of the stop with the time that nearly all answers of the route take, or with the request's deadline if that is sooner. Without answers so far it assumes what was left when it stopped accepting. A request that can't be expected to end is refused at once as not run, with the Retry-After of a stopping gateway, on a connection that closes.

--- a/internal/gateway/ended.go
+++ b/internal/gateway/ended.go
@@ -76,6 +76,7 @@
 // recordCompletion records that an endpoint ran the request and is still running.
 func (q *request) recordCompletion() {
 	q.attemptFinished = true
+	q.g.recordAnswerTime(q.route.Name, time.Since(q.sentAt))
 	q.g.suspects.RecordSuccess(q.subjects(), q.g.cfg.Now())
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,6 +92,7 @@
 	queues         map[string]*waitqueue.Queue            // Requests waiting for capacity, by service.
 	capacityShares map[string]*slotshare.Share            // This gateway's share of a group's free capacity, by group.
 	responseTimes  map[string]*estimate.Estimator         // Of answers that are not streams, by service.
+	answerTimes    map[string]*estimate.Estimator         // Of complete answers, from sending to their end, by route.
 	movable        map[string]map[*request]movableRequest // Requests that may be moved to another endpoint, by endpoint.
 	otherGateways  int                                    // Known gateways besides this one.
 	lastHelloAt    time.Time                              // When the last hello of another gateway was received.
@@ -157,6 +158,7 @@
 		queues:         map[string]*waitqueue.Queue{},
 		capacityShares: map[string]*slotshare.Share{},
 		responseTimes:  map[string]*estimate.Estimator{},
+		answerTimes:    map[string]*estimate.Estimator{},
 		movable:        map[string]map[*request]movableRequest{},
 
 		started:       time.Now(),
@@ -337,8 +339,8 @@
 	}
 }
 
-// stopAcceptTime is how long after the start of a planned stop requests are still accepted. Any
-// accepted request must be able to end within the grace period.
+// stopAcceptTime is how long after the start of a planned stop requests are still accepted. An accepted
+// request is sent only while it can be expected to end before the process, see mayBegin.
 const stopAcceptTime = 2700 * time.Millisecond
 
 // maxAdvertisedKeepAlive limits the keep-alive timeout that is advertised to callers, so that the
--- a/internal/gateway/recover.go
+++ b/internal/gateway/recover.go
@@ -55,7 +55,7 @@
 		return e, false // The caller would have left by then.
 	}
 	q.g.stats.heldForGroup.Inc(1)
-	for now.Before(until) && q.ctx.Err() == nil && q.g.processCtx.Err() == nil {
+	for now.Before(until) && q.ctx.Err() == nil && q.g.processCtx.Err() == nil && q.mayBegin(now) {
 		wait.For(q.ctx, min(groupOpenPoll, until.Sub(now)))
 		now = time.Now()
 		q.waited = now.Sub(q.arrived)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -41,6 +41,7 @@
 	closedReused    string              // Endpoint that only closed a reused connection during the last attempt; "" for none.
 	notes           []string            // Result of each attempt, for the log.
 	mayHaveRun      bool                // An endpoint may have run it.
+	stopsTooSoon    bool                // A planned stop ends the process before the request could be expected to end.
 	fallback        *fallbackAnswer     // Newest error answer that was held back to try another endpoint; nil if none.
 	groupRejected   bool                // A whole group of ranks rejected it.
 	allGroupsDown   bool                // All groups of ranks are closed, or no rank has reported yet.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -22,8 +22,8 @@
 const maxUnreached = 2
 
 // run sends the request to one endpoint after another until it has its final answer, or until it is
-// concluded without one. Before each attempt it checks the caller, the deadline, the configuration
-// and the quarantine again.
+// concluded without one. Before each attempt it checks the caller, the deadline, a planned stop, the
+// configuration and the quarantine again.
 func (q *request) run() {
 	defer func() {
 		q.g.mu.Lock()
@@ -45,6 +45,10 @@
 			q.concludeUnserved(last, true)
 			return
 		}
+		if !q.mayBegin(now) {
+			q.concludeUnserved(last, false)
+			return
+		}
 		if cause, ok := q.revalidate(); !ok {
 			q.note(cause)
 			q.concludeUnserved(last, false)
@@ -143,6 +147,8 @@
 // limits it assigns a retry time, see exclusionRetry, so it is called once for each refusal.
 func (q *request) retryDelay() time.Duration {
 	switch {
+	case q.stopsTooSoon:
+		return stopRetry
 	case q.quarantinedFor > 0:
 		return q.quarantinedFor
 	case q.exclusion.nonEmpty():
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -120,6 +120,9 @@
 		q.note(e.ID + ": its failure domain is evacuated")
 		return false
 	}
+	if !q.mayBegin(time.Now()) {
+		return false // The loop in run repeats the check.
+	}
 	if _, ok := q.revalidate(); !ok || !q.keyFresh() {
 		return false // The loop in run repeats the check and notes the cause.
 	}
--- a/internal/gateway/vacate.go
+++ b/internal/gateway/vacate.go
@@ -3,6 +3,8 @@
 package gateway
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
@@ -15,6 +17,7 @@
 type movableRequest struct {
 	conn     *upstream.Conn
 	mayRetry bool // It may be sent to one more endpoint.
+	route    string
 }
 
 // registerMovable records that a request is at an endpoint from which it may be moved. Unregister
@@ -25,7 +28,7 @@
 	if g.movable[id] == nil {
 		g.movable[id] = map[*request]movableRequest{}
 	}
-	g.movable[id][q] = movableRequest{conn: conn, mayRetry: len(q.attempted) < q.route.MaxAttempts}
+	g.movable[id][q] = movableRequest{conn: conn, mayRetry: len(q.attempted) < q.route.MaxAttempts, route: q.route.Name}
 	return func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -45,7 +48,7 @@
 		return
 	}
 	for q, attempt := range g.movable[id] {
-		if !attempt.mayRetry || q.moved || !q.stillAllowed(true) || !g.takeRetry(q.service, retryMoved) {
+		if !attempt.mayRetry || q.moved || !q.stillAllowed(true) || !g.endsBeforeStop(attempt.route, 0, q.remaining(), time.Now()) || !g.takeRetry(q.service, retryMoved) {
 			continue
 		}
 		g.stats.moved.Inc(1)
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -54,7 +54,7 @@
 		defer g.mu.Unlock()
 		g.queue(q.service).Leave(w.ID, ok, time.Now())
 	}()
-	for now.Before(until) && q.ctx.Err() == nil && q.g.processCtx.Err() == nil {
+	for now.Before(until) && q.ctx.Err() == nil && q.g.processCtx.Err() == nil && q.mayBegin(now) {
 		wait.For(q.ctx, min(queuePoll, until.Sub(now)))
 		now = time.Now()
 		q.waited = now.Sub(q.arrived)
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -103,6 +103,9 @@
 		return false
 	}
 	now := time.Now()
+	if !q.mayBegin(now) {
+		return false
+	}
 	if _, ok := q.chooseEndpoint(now); !ok {
 		return false
 	}
