--- a/internal/gateway/listen_test.go
+++ b/internal/gateway/listen_test.go
@@ -337,21 +337,36 @@
 }
 
 // The state sent by a gateway that follows another one is valid up to the position of its own
-// source, so that a new follower drops what has been removed meanwhile.
+// source, so that a new follower drops what has been removed meanwhile, or overwritten by another
+// writer, and takes the endpoint back with its next entry.
 func TestFollowerOfAFollowerDropsRemovedEndpoints(t *testing.T) {
-	g := NewWithT(t)
-	ctx := context.Background()
-	reader, middle, leaf := newTestPeer(t, 7), newTestPeer(t, 8), newTestPeer(t, 9)
-	reader.publish(3, 6, endpointAt("one", 5), endpointAt("two", 6))
-	for _, s := range []testPeer{middle, leaf} {
-		g.Expect(s.pollPeer(ctx, reader.self)).To(Succeed())
-		g.Expect(s.view.State().Endpoints).To(HaveLen(2))
+	for _, tc := range []struct {
+		name    string
+		changes follow.Changes
+	}{
+		{"removed", follow.Changes{Removals: []follow.Removal{{Name: "one", Revision: 8}}, UpTo: 8}},
+		{"overwritten", follow.Changes{Invalid: []follow.InvalidEntry{{Name: "one", Revision: 8, Err: errors.New("address: invalid")}}, UpTo: 8}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			ctx := context.Background()
+			reader, middle, leaf := newTestPeer(t, 7), newTestPeer(t, 8), newTestPeer(t, 9)
+			reader.publish(3, 6, endpointAt("one", 5), endpointAt("two", 6))
+			for _, s := range []testPeer{middle, leaf} {
+				g.Expect(s.pollPeer(ctx, reader.self)).To(Succeed())
+				g.Expect(s.view.State().Endpoints).To(HaveLen(2))
+			}
+			reader.view.Apply(tc.changes, time.Now(), false)
+			g.Expect(middle.pollPeer(ctx, reader.self)).To(Succeed())
+			g.Expect(leaf.pollPeer(ctx, middle.self)).To(Succeed())
+			g.Expect(leaf.view.State().Endpoints).To(HaveLen(1))
+			g.Expect(leaf.view.State().Endpoints).To(HaveKey("two"))
+			reader.view.Apply(follow.Changes{Endpoints: []fleet.Endpoint{endpointAt("one", 9)}, UpTo: 9}, time.Now(), false)
+			g.Expect(middle.pollPeer(ctx, reader.self)).To(Succeed())
+			g.Expect(leaf.pollPeer(ctx, middle.self)).To(Succeed())
+			g.Expect(leaf.view.State().Endpoints).To(HaveKey("one"))
+		})
 	}
-	reader.view.Apply(follow.Changes{Removals: []follow.Removal{{Name: "one", Revision: 8}}, UpTo: 8}, time.Now(), false)
-	g.Expect(middle.pollPeer(ctx, reader.self)).To(Succeed())
-	g.Expect(leaf.pollPeer(ctx, middle.self)).To(Succeed())
-	g.Expect(leaf.view.State().Endpoints).To(HaveLen(1))
-	g.Expect(leaf.view.State().Endpoints).To(HaveKey("two"))
 }
 
 // Guards against taking a part of another gateway's answer for the whole when its connections are
