--- a/internal/httpjson/endlesstest/endlesstest.go
+++ b/internal/httpjson/endlesstest/endlesstest.go
@@ -13,7 +13,7 @@
 	"sync/atomic"
 	"testing"
 
-	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
@@ -38,9 +38,9 @@
 	const maxSocketBytes = 16 << 20 // More than the buffers of both sides.
 	for _, tc := range beginnings {
 		t.Run(tc.name, func(t *testing.T) {
-			g := NewWithT(t)
+			g := gomega.NewWithT(t)
 			l, err := net.Listen("tcp4", "127.0.0.1:0")
-			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(err).NotTo(gomega.HaveOccurred())
 			var written, conns atomic.Int64
 			var srv errgroup.Group
 			srv.Go(func() error {
@@ -54,14 +54,14 @@
 				}
 			})
 			err = call(t, l.Addr().String())
-			g.Expect(err).To(HaveOccurred())
+			g.Expect(err).To(gomega.HaveOccurred())
 			if tc.inHead {
-				g.Expect(err.Error()).To(ContainSubstring(strconv.Itoa(httpjson.MaxHeadBytes)))
+				g.Expect(err.Error()).To(gomega.ContainSubstring(strconv.Itoa(httpjson.MaxHeadBytes)))
 			}
-			g.Expect(l.Close()).To(Succeed())
-			g.Expect(srv.Wait()).To(Succeed())
-			g.Expect(conns.Load()).To(BeNumerically(">", 0), "the server was called")
-			g.Expect(written.Load()).To(BeNumerically("<=", conns.Load()*(limit+maxSocketBytes)))
+			g.Expect(l.Close()).To(gomega.Succeed())
+			g.Expect(srv.Wait()).To(gomega.Succeed())
+			g.Expect(conns.Load()).To(gomega.BeNumerically(">", 0), "the server was called")
+			g.Expect(written.Load()).To(gomega.BeNumerically("<=", conns.Load()*(limit+maxSocketBytes)))
 		})
 	}
 }
