internal/wire: a frame's line may be longer than the reader's buffer

A stream from an agent failed if a line was longer than 2,048 bytes, although frames may have 64 KiB: the reader returned the error of its full buffer. Lines are put together now, up to the longest line of a frame. The test failed before ("bufio: buffer full").

--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -23,6 +23,9 @@
 // MaxFrameBytes is the largest server-sent event that is read.
 const MaxFrameBytes = 64 << 10
 
+// maxLineBytes is the length of a line that holds a frame of MaxFrameBytes with its field's name.
+const maxLineBytes = MaxFrameBytes + 256
+
 // EventID is the id of a server-sent event: the request, the endpoint that produced the event, and
 // the token that it holds.
 type EventID struct {
@@ -65,6 +68,7 @@
 type FrameReader struct {
 	r    *bufio.Reader
 	data []byte
+	line []byte // Holds a line that is longer than the buffer of r.
 }
 
 // NewFrameReader returns a FrameReader that reads from r through a small buffer.
@@ -78,7 +82,7 @@
 	fr.data = fr.data[:0]
 	inFrame := false
 	for {
-		line, err := fr.r.ReadSlice('\n')
+		line, err := fr.readLine()
 		if err != nil {
 			if errors.Is(err, io.EOF) && (inFrame || len(line) > 0) {
 				err = io.ErrUnexpectedEOF
@@ -100,6 +104,24 @@
 	}
 }
 
+// readLine returns the next line with its end. The line may be longer than the buffer, but not longer than
+// the longest line of a frame. It is valid until the next read.
+func (fr *FrameReader) readLine() (line []byte, err error) {
+	line, err = fr.r.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return line, err
+	}
+	fr.line = fr.line[:0]
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if fr.line = append(fr.line, line...); len(fr.line) > maxLineBytes {
+			return nil, errors.Newf("line is longer than %d bytes", maxLineBytes)
+		}
+		line, err = fr.r.ReadSlice('\n')
+	}
+	fr.line = append(fr.line, line...)
+	return fr.line, err
+}
+
 func (fr *FrameReader) parseField(f *Frame, line []byte) (err error) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -99,3 +99,22 @@
 		})
 	}
 }
+
+// A line that was longer than the reader's buffer failed its stream.
+func TestLinesLongerThanTheBufferAreRead(t *testing.T) {
+	for _, length := range []int{2047, 2048, 10_000, MaxFrameBytes - 1, MaxFrameBytes + 1, 4 * MaxFrameBytes} {
+		g := gomega.NewWithT(t)
+		data := bytes.Repeat([]byte("x"), length)
+		text := AppendFrame(nil, EventID{"r", "e", 7}, "", data)
+		fr := NewFrameReader(bytes.NewReader(append(text, text...)))
+		for range 2 {
+			f, err := fr.Next()
+			if length > MaxFrameBytes {
+				g.Expect(err).To(gomega.HaveOccurred())
+				break
+			}
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(f.Data).To(gomega.Equal(data))
+		}
+	}
+}
