internal/gateway: events of a stream do not depend on the size of the read buffer

Cause: a line that did not fit into the buffer was read in parts, and the name of its field from the last part, so that its event counted as one without data and moved no position.

The reader works on whole lines now and follows the standard of server-sent events. Long events are reserved before they are allocated, and their memory goes back.

--- a/internal/gateway/kept.go
+++ b/internal/gateway/kept.go
@@ -87,9 +87,13 @@
 	return true
 }
 
-// reserveAnswer reserves memory for a part of an answer. It returns errBufferFull if the limit would be
-// exceeded.
+// reserveAnswer reserves memory for a part of an answer; a negative n releases it. It returns
+// errBufferFull if the limit would be exceeded.
 func (q *request) reserveAnswer(n int) error {
+	if n < 0 {
+		q.addBuffered(n)
+		return nil
+	}
 	if !q.reserve(int64(n)) {
 		return errBufferFull
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,8 +3,6 @@
 package gateway
 
 import (
-	"bufio"
-	"bytes"
 	"io"
 	"mime"
 	"net/http"
@@ -71,11 +69,10 @@
 // endpoint can continue after the last one.
 func (q *request) relayStream(e fleet.Endpoint, x *upstream.Exchange, resp *http.Response) result {
 	continuing := q.events > 0
-	br := x.Reader()
-	var buf []byte
+	events := &eventReader{br: x.Reader(), weights: q.g.codec.EventWeights, reserve: q.reserveAnswer}
+	defer events.release()
 	for {
-		ev, err := q.g.readEvent(br, buf, q.reserveAnswer)
-		buf = ev.raw
+		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
 			return q.endStream(e, x, resp)
 		}
@@ -95,7 +92,7 @@
 			return unknown
 		}
 		q.acceptTakeover(e, x)
-		if err := q.sendEvent(e, resp, ev, !eventBuffered(br)); err != nil {
+		if err := q.sendEvent(e, resp, ev, !events.nextBuffered()); err != nil {
 			x.Abort()
 			q.note("caller: " + err.Error())
 			q.outcome = callerLeft
@@ -105,13 +102,6 @@
 	}
 }
 
-// eventBuffered reports whether the end of a further event is buffered. The rest of a partial one may take
-// long to arrive, and the events before it must not wait for it.
-func eventBuffered(br *bufio.Reader) bool {
-	raw, _ := br.Peek(br.Buffered()) // Never more than is buffered, so that it cannot fail.
-	return bytes.Contains(raw, []byte("\n\n")) || bytes.Contains(raw, []byte("\n\r\n"))
-}
-
 // pinToEndpoint excludes the request from being moved, since it cannot be continued elsewhere after
 // an event without an id. It returns false if the request is being moved already.
 func (q *request) pinToEndpoint() bool {
