internal/soak, cli: a soak without the daemon's program says so

"canvaspulley soak" panicked where the daemon's program was missing: the site was closed with a process that had never started. The program is looked for before anything starts; the error names it and how to build it, the exit code is 1, and a process that never started is not signalled.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -59,6 +59,9 @@
 			cfg.Log = io.Discard
 		}
 		r, err := soak.Run(ctx, cfg)
+		if errors.Is(err, soak.ErrNoDaemon) {
+			return markFailed(err)
+		}
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", cfg.Seed)
 		}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/duty"
 )
 
 // process is a daemon that the soak runs; it may be restarted many times.
@@ -175,11 +177,14 @@
 	if p == nil || p.cmd == nil {
 		return
 	}
-	p.mu.Lock()
-	p.closed = true
-	p.stopRequested = true
-	p.s.ledger.recordSignal(p.current, syscall.SIGKILL)
-	_ = p.cmd.Process.Signal(syscall.SIGKILL) // The process may have ended.
-	p.mu.Unlock()
+	duty.Locked(&p.mu, func() {
+		p.closed = true
+		p.stopRequested = true
+		if p.current == nil {
+			return // It has never started.
+		}
+		p.s.ledger.recordSignal(p.current, syscall.SIGKILL)
+		_ = p.cmd.Process.Signal(syscall.SIGKILL) // The process may have ended.
+	})
 	_ = p.waiters.Wait() // Functions of the group return no error.
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -9,6 +9,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os/exec"
 	"strings"
 	"time"
 
@@ -67,6 +68,9 @@
 	return nil
 }
 
+// ErrNoDaemon means that the program of the daemon cannot be run.
+var ErrNoDaemon = errors.New("nothing was started")
+
 // Report holds the results of a run.
 type Report struct {
 	Dir            string // Directory of settings and logs.
@@ -100,6 +104,9 @@
 	if err := cfg.Check(); err != nil {
 		return r, err
 	}
+	if _, err := exec.LookPath(cfg.Daemon); err != nil {
+		return r, errors.Wrapf(ErrNoDaemon, "daemon %q: %v; build it with \"go build -o DIR ./cmd/...\"", cfg.Daemon, err)
+	}
 	s, err := newSite(cfg)
 	if err != nil {
 		return r, err
