internal/follow: a listing that was overtaken restores and removes nothing

A listing that takes long to arrive may be older than what a gateway has learned from others meanwhile. It brought back endpoints that a peer's complete view lacked, since only removals that were named are remembered, and dropped those that were added since. As for a peer that is behind, the revision up to which the view is complete decides; a newer listing decides over everything.

--- a/internal/follow/leaving_test.go
+++ b/internal/follow/leaving_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -512,3 +513,31 @@
 		t.Fatal(got)
 	}
 }
+
+// A listing that the view has overtaken while it was on its way brings back nothing that has been removed
+// since, and removes nothing that has been added.
+func TestOvertakenSnapshotChangesNothingOlder(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		apply func(v *View)
+	}{
+		{"overtaken by changes", func(v *View) {
+			v.Apply(Changes{Endpoints: []fleet.Endpoint{endpoint("new", 8)}, Removals: []Removal{{Name: "gone", Revision: 7}}, UpTo: 9}, at(1), false)
+		}},
+		{"overtaken by a peer's complete view", func(v *View) {
+			v.ApplyUpdate(Update{Whole: true, Endpoints: []fleet.Endpoint{endpoint("new", 8)}, UpTo: 9}, at(1))
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g := NewWithT(t)
+			v := NewView()
+			v.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{endpoint("gone", 4)}, UpTo: 5}, at(0), false)
+			tc.apply(v)
+			v.Replace(Snapshot{Config: version(1), Endpoints: []fleet.Endpoint{endpoint("gone", 4)}, UpTo: 6}, at(0), false)
+			g.Expect(v.State().Endpoints).To(HaveLen(1))
+			g.Expect(v.State().Endpoints).To(HaveKey("new"))
+			v.Replace(Snapshot{Config: version(1), UpTo: 10}, at(2), false)
+			g.Expect(v.State().Endpoints).To(BeEmpty(), "a newer one decides")
+		})
+	}
+}
--- a/internal/follow/view.go
+++ b/internal/follow/view.go
@@ -208,7 +208,8 @@
 }
 
 // Replace applies a complete snapshot that was requested at the given time. Endpoints that are not
-// in it are removed, or kept as missing if keepMissing is set.
+// in it are removed, or kept as missing if keepMissing is set. A snapshot that the view has overtaken, since
+// it took long to arrive, neither restores what has been removed since nor removes what has been added.
 func (v *View) Replace(snap Snapshot, requestedAt time.Time, keepMissing bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -218,14 +219,26 @@
 	next.Endpoints = make(map[string]fleet.Endpoint, len(snap.Endpoints))
 	next.idByName = make(map[string]string, len(snap.Endpoints))
 	next.Missing = map[string]time.Time{}
+	overtaken := snap.UpTo < v.knownRevision
 	for _, e := range snap.Endpoints {
-		v.mergeEntry(&next, &old, e)
+		if !overtaken || !v.isRemoved(&old, e) {
+			v.mergeEntry(&next, &old, e)
+		}
 	}
 	for _, b := range snap.Invalid {
 		v.dropInvalid(&next, b)
 	}
 	for id, e := range old.Endpoints {
-		if _, ok := next.idByName[e.Name()]; !ok && keepMissing {
+		if _, ok := next.idByName[e.Name()]; ok {
+			continue
+		}
+		switch since, missing := old.Missing[id]; {
+		case overtaken && e.Revision > snap.UpTo && v.removedAt[e.Name()] < e.Revision:
+			next.Endpoints[id], next.idByName[e.Name()] = e, id
+			if missing {
+				next.Missing[id] = since
+			}
+		case keepMissing:
 			next.Endpoints[id], next.idByName[e.Name()] = e, id
 			next.Missing[id] = requestedAt
 		}
