--- a/internal/decide/cutover/cutover.go
+++ b/internal/decide/cutover/cutover.go
@@ -14,8 +14,8 @@
 //   - To abort, the leader first raises the fence again: an arming whose answer was lost can then no
 //     longer take effect.
 //   - A version stands for one map. Other ranks get it only after the leader's own engine has accepted
-//     it as new, which it does once (see version.go). Passes are never used twice, and a pass whose hold a leader may have released is not
-//     held by it again: that release may still arrive.
+//     it as new, which it does once (see version.go). Passes are never used twice, and a pass whose
+//     hold a leader may have released is not held by it again: that release may still arrive.
 //   - A leader arms its own rank last, through the rank that holds passes for it (the holder), which
 //     is never its own rank: an instance that freezes or is cut off takes both its process and its
 //     engine along. If that happens while a hold stands, the hold can still be released at the holder.
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -33,9 +33,9 @@
 }
 
 // endsBeforeStop reports whether a request of a route can be expected to end before the process does, if
-// it is sent now. Remaining is the time to its deadline, and elapsed the time since its answer began. The
-// time of a route without answers so far is taken to be what is left once requests are refused. The
-// caller holds mu.
+// it is sent now. Remaining is the time to its deadline, and elapsed the time since its answer began. It
+// goes by the time that nearly all answers of the route take; without any so far, by the time that is left
+// once requests are refused. The caller holds mu.
 func (g *Gateway) endsBeforeStop(route string, elapsed, remaining time.Duration, now time.Time) bool {
 	left, stopping := g.stopTimeLeft(now)
 	if !stopping {
@@ -52,6 +52,9 @@
 // Otherwise the caller should go elsewhere at once: an attempt that the process ends leaves it without an
 // answer, and not knowing whether the request ran.
 func (q *request) mayBegin(now time.Time) (ok bool) {
+	if _, stopping := q.g.stopTimeLeft(now); !stopping {
+		return true
+	}
 	elapsed := time.Duration(0)
 	if q.reply.begun() {
 		elapsed = now.Sub(q.firstByteAt)
