internal/upstream: a head that is cut at its limit is reported as too long

A head that exceeded its bound within a line was mostly reported as such, but where the cut line had no colon yet the parser called it malformed: the log did not name the bound, and the failure counted half on a reused connection.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -139,11 +139,15 @@
 	for range maxForeignAnswers + 1 {
 		x.conn.raw.head.active = true
 		resp, err = http.ReadResponse(x.conn.br, &http.Request{Method: r.Method})
+		tooLong := x.conn.raw.head.check()
 		x.conn.raw.head.active = false
-		if err == nil {
-			err = checkLines(resp.Header)
+		switch {
+		case err != nil && tooLong != nil:
+			return nil, tooLong // The parser may have reported the line that was cut as malformed.
+		case err != nil:
+			return nil, err
 		}
-		if err != nil {
+		if err = checkLines(resp.Header); err != nil {
 			return nil, err
 		}
 		if resp.StatusCode < 100 {
