internal/upstream: the body of a skipped answer doesn't count as the next head

Callers would have lost an attempt, and its endpoint been taken as failed: after an answer to an earlier request that is skipped, the lines of its body that were read together with its head counted for the head that follows. 1,000 short lines were enough to call a usual answer too long. The test failed before ("head of more than 256 lines").

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -132,12 +132,11 @@
 // Head reads the head of the answer. It skips interim answers (1xx), and reads and discards answers
 // for which isOurs returns false. It returns an error for more than maxForeignAnswers of both
 // together, for a foreign answer that does not indicate its end or whose body is longer than
-// maxForeignBody, and ErrTooLong for heads that together exceed maxHeadBytes or maxHeadLines.
+// maxForeignBody, and ErrTooLong for a head that exceeds maxHeadBytes or maxHeadLines.
 func (x *Exchange) Head(r *Request, isOurs func(status int, h http.Header) bool) (resp *http.Response, err error) {
 	defer func() { err = errors.Wrap(err, "answer's head") }()
-	x.conn.raw.head = headMeter{}
 	for range maxForeignAnswers + 1 {
-		x.conn.raw.head.active = true
+		x.conn.raw.head = headMeter{active: true} // Begins anew: a skipped body may have been read with its head.
 		resp, err = http.ReadResponse(x.conn.br, &http.Request{Method: r.Method})
 		tooLong := x.conn.raw.head.check()
 		x.conn.raw.head.active = false
@@ -174,7 +173,7 @@
 	return nil, errors.New("it belongs to another request")
 }
 
-// HeadBytes returns how many bytes were read until the head was complete.
+// HeadBytes returns how many bytes were read for the last head until it was complete.
 func (x *Exchange) HeadBytes() int { return x.conn.raw.head.bytes }
 
 // isFramed reports whether the answer itself indicates its end.
--- a/internal/upstream/limits.go
+++ b/internal/upstream/limits.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Limits of the head of an answer, including the interim answers before it. A head of many short lines
-// takes far more memory than its bytes, so that lines are limited, too.
+// Limits of the head of an answer. A head of many short lines takes far more memory than its bytes, so
+// that lines are limited, too.
 const (
 	maxHeadBytes = 32 << 10
 	maxHeadLines = 256
@@ -69,9 +69,9 @@
 	maxAnnouncedBytes = 64 << 10
 )
 
-// ReadWhole reads a body to its end and returns it in pieces without unused memory. It calls reserve before it allocates
-// memory, with the number of bytes, and returns the error of reserve. It returns ErrTooLong for a body of
-// more than limit bytes.
+// ReadWhole reads a body to its end and returns it in pieces without unused memory. It calls reserve with
+// the number of bytes before it allocates memory, and returns the error of reserve. It returns ErrTooLong
+// for a body of more than limit bytes.
 func (x *Exchange) ReadWhole(limit int64, reserve func(n int) error) (body [][]byte, err error) {
 	defer func() { err = errors.Wrap(err, "answer's body") }()
 	if x.resp.Body == http.NoBody {
--- a/internal/upstream/limits_test.go
+++ b/internal/upstream/limits_test.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -157,3 +158,18 @@
 		x.Abort()
 	})
 }
+
+// The lines of the body of a skipped answer must not count as lines of the next head.
+func TestBodyOfASkippedAnswerDoesNotCountAsHead(t *testing.T) {
+	g := NewWithT(t)
+	lines := strings.Repeat("x\n", 1000)
+	x, r := exchangeWith(t, func(c net.Conn) {
+		write(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nForeign: 1\r\nContent-Length: %d\r\n\r\n%s", len(lines), lines))
+		write(c, "HTTP/1.1 200 OK\r\nA: "+strings.Repeat("y", 2*readBufferSize)+"\r\nContent-Length: 2\r\n\r\nok")
+	})
+	_, err := x.Head(r, func(_ int, h http.Header) bool { return h.Get("Foreign") == "" })
+	g.Expect(err).NotTo(HaveOccurred())
+	body, err := readBody(x)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(body)).To(Equal("ok"))
+}
