internal/upstream: an answer that is reset during its upload is not whole

Callers got a part of an answer as a complete one (MIXED): an endpoint answered a long upload at once without a length, sent part of the body and reset the connection, or closed it with bytes of the upload unread.

Cause: an upload above 16 KiB is written by another goroutine than the one that reads the answer. A socket reports the error of a reset once, to whichever of them asks first. Where it was the writer, the next read returned a clean end, which is the end of an answer without a length.

Change: when a read returns the end, the state of the socket decides: only in CLOSE_WAIT has the endpoint's own end arrived. A reset, an expired timeout or any other error of the kernel closes the socket, no matter who took the error. The check stands in the one place through which every byte of an endpoint is read, and runs only at ends of connections.

An orderly end that is followed by a reset before it was checked is not taken as whole either: the socket does not tell the two apart any more.

--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -3,6 +3,7 @@
 package upstream
 
 import (
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -88,7 +89,8 @@
 	}
 }
 
-// Read implements io.Reader. Once the answer is interrupted, it returns only what had arrived by then.
+// Read implements io.Reader. Once the answer is interrupted, it returns only what had arrived by then. It
+// returns io.EOF only for an orderly end of the connection.
 func (in *input) Read(p []byte) (n int, err error) {
 	if err = in.head.check(); err != nil {
 		return 0, err
@@ -103,7 +105,12 @@
 		n, err = in.readWatched(p)
 	}
 	if n == 0 && in.interrupted.Load() && (err == nil || errors.Is(err, os.ErrDeadlineExceeded)) {
-		return in.readArrived(p)
+		n, err = in.readArrived(p)
+	}
+	if errors.Is(err, io.EOF) {
+		if endErr := checkOrderlyEnd(in.nc); endErr != nil {
+			err = endErr
+		}
 	}
 	return n, err
 }
