internal/httphead: names of fields in answers are tokens

Callers got an answer with a field whose name has a blank, with that line passed on, or with a body that is not the endpoint's (MIXED): "Content-Length : 4" alone made the body end with the connection, "Transfer-Encoding : chunked" passed the chunks' framing on as the body. A head of that kind before the answer (103) was skipped, in a trailer it was dropped.

Cause: net/http accepts blanks in the names of fields, for compatibility, and keeps such a name as it is, so that no lookup finds it. Nothing checked what the parser returns.

The connection is closed, the failure counts against the endpoint and in gateway.malformed-heads, and the request's line quotes what was wrong: 64 bytes of a name, 256 of the parser's text, which had no bound.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -12,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 
+	"github.com/canvaspulley/canvaspulley/internal/httphead"
 	"github.com/canvaspulley/canvaspulley/internal/load"
 	"github.com/canvaspulley/canvaspulley/internal/standin"
 )
@@ -89,7 +90,7 @@
 // fetchRuns reads from the stand-ins' control listener how many times the plain services have run
 // each request, by its id.
 func fetchRuns(control string) (runs map[string]int, err error) {
-	resp, err := http.Get("http://" + control + standin.PathRuns)
+	resp, err := httphead.NewClient(&http.Transport{DisableKeepAlives: true}).Get("http://" + control + standin.PathRuns)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -16,6 +16,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
+	"github.com/canvaspulley/canvaspulley/internal/httphead"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/node"
 	"github.com/canvaspulley/canvaspulley/internal/trust"
@@ -39,7 +40,8 @@
 	if err != nil {
 		return nil, "", nil, err
 	}
-	c = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{TLSClientConfig: creds.Client(), MaxResponseHeaderBytes: httpjson.MaxHeadBytes}}
+	c = httphead.NewClient(&http.Transport{TLSClientConfig: creds.Client(), MaxResponseHeaderBytes: httpjson.MaxHeadBytes})
+	c.Timeout = 5 * time.Second
 	return c, creds.Scheme(), c.CloseIdleConnections, nil
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/audit"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
 	"github.com/canvaspulley/canvaspulley/internal/entry"
+	"github.com/canvaspulley/canvaspulley/internal/httphead"
 	"github.com/canvaspulley/canvaspulley/internal/node"
 	"github.com/canvaspulley/canvaspulley/internal/settings"
 	"github.com/canvaspulley/canvaspulley/internal/trust"
@@ -78,8 +79,8 @@
 		d.entry = entry.New(d.node)
 		return d.entry.PeerHandler()
 	}
-	pooled := &http.Client{Transport: adapter.NewTransport(d.set.SourceIP)}
-	singleUse := &http.Client{Transport: adapter.NewSingleUseTransport(d.set.SourceIP)}
+	pooled := httphead.NewClient(adapter.NewTransport(d.set.SourceIP))
+	singleUse := httphead.NewClient(adapter.NewSingleUseTransport(d.set.SourceIP))
 	if d.set.EngineURL != "" {
 		d.agent = agent.New(d.node, adapter.NewEngine(d.set.EngineURL, pooled), nil)
 	} else {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/decide/quarantine"
 	"github.com/canvaspulley/canvaspulley/internal/decide/retry"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
+	"github.com/canvaspulley/canvaspulley/internal/httphead"
 	"github.com/canvaspulley/canvaspulley/internal/node"
 	"github.com/canvaspulley/canvaspulley/internal/policy"
 	"github.com/canvaspulley/canvaspulley/internal/published"
@@ -62,8 +63,8 @@
 	singleUse.TLSClientConfig = n.Credentials().Client()
 	e := &Entry{
 		node:      n,
-		pooled:    &http.Client{Transport: pooled},
-		singleUse: &http.Client{Transport: singleUse},
+		pooled:    httphead.NewClient(pooled),
+		singleUse: httphead.NewClient(singleUse),
 		tracker:   newTracker(),
 		budgets:   map[string]*retry.Budget{},
 		now:       clock.Now,
--- a/internal/gateway/figures.go
+++ b/internal/gateway/figures.go
@@ -34,6 +34,7 @@
 	sharesLent            metrics.Counter      // Grants of such shares that were sent.
 	sharesInvalid         metrics.Counter      // Messages about shares that were ignored as invalid.
 	invalidHeaders        metrics.Counter      // Invalid headers of answers that were ignored.
+	malformedHeads        metrics.Counter      // Answers whose head or trailer is not one of the protocol.
 	evacuatedDomains      metrics.Gauge        // Failure domains that are evacuated.
 	continuationsRejected metrics.Counter      // Answers and events that did not continue a cut stream at its position.
 	endedDuringAttempt    metrics.Counter      // Attempts cut because their endpoint ended.
@@ -70,6 +71,7 @@
 		sharesLent:            metrics.GetOrRegisterCounter("gateway.parts-lent", reg),
 		sharesInvalid:         metrics.GetOrRegisterCounter("gateway.parts-invalid", reg),
 		invalidHeaders:        metrics.GetOrRegisterCounter("gateway.invalid-headers", reg),
+		malformedHeads:        metrics.GetOrRegisterCounter("gateway.malformed-heads", reg),
 		evacuatedDomains:      metrics.GetOrRegisterGauge("gateway.evacuated-domains", reg),
 		continuationsRejected: metrics.GetOrRegisterCounter("gateway.not-joined", reg),
 		endedDuringAttempt:    metrics.GetOrRegisterCounter("gateway.ended-under-try", reg),
--- a/internal/gateway/neighbours.go
+++ b/internal/gateway/neighbours.go
@@ -15,6 +15,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/dialer"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/httphead"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 )
@@ -100,7 +101,7 @@
 		MaxResponseHeaderBytes: httpjson.MaxHeadBytes,
 	}
 	n = &PeerExchange{
-		g: g, socket: socket, log: log, decode: cfg.Decode, client: &http.Client{Transport: t},
+		g: g, socket: socket, log: log, decode: cfg.Decode, client: httphead.NewClient(t),
 		self: cfg.Address, incarnation: time.Now().UnixMilli(), started: time.Now(), firstStart: cfg.FirstStart, readSpread: max(cfg.EffectTime-turnMargin, 0), name: cfg.Name, domain: cfg.Domain, seeds: cfg.Seeds, sidecarPort: cfg.SidecarsPort,
 		positions: peerPositions{}, unresponsive: map[string]time.Time{},
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -203,7 +203,7 @@
 	case errors.Is(err, errBufferFull):
 		q.recordFailure(e, 0, "stream: "+err.Error()) // The gateway, not the endpoint, lacks memory.
 	case !errors.Is(err, upstream.ErrSilent) && !q.noteIfMoved(e):
-		q.recordFailure(e, 1, "stream: "+err.Error())
+		q.recordAnswerFailure(e, 1, errors.Wrap(err, "stream"))
 		q.checkEndpointEnded(e, err)
 	}
 	q.flushPartialStream()
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -13,6 +13,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/duty"
 	"github.com/canvaspulley/canvaspulley/internal/fleet"
+	"github.com/canvaspulley/canvaspulley/internal/httphead"
 	"github.com/canvaspulley/canvaspulley/internal/upstream"
 )
 
@@ -257,10 +258,10 @@
 	}
 	q.retryCause = retryReset
 	weight, reused := 1.0, x.Conn().Reused()
-	if reused && !errors.Is(err, upstream.ErrTooLong) {
+	if reused && !errors.IsAny(err, upstream.ErrTooLong, httphead.ErrMalformed) {
 		weight = 0.5 // It may just have closed an idle connection.
 	}
-	q.recordFailure(e, weight, err.Error())
+	q.recordAnswerFailure(e, weight, err)
 	if ended := q.checkEndpointEnded(e, err); reused && !ended && closedByPeer(err) {
 		q.closedReused = e.ID
 	}
@@ -311,6 +312,14 @@
 	}
 }
 
+// recordAnswerFailure records a failure because an answer could not be read, and counts malformed ones.
+func (q *request) recordAnswerFailure(e fleet.Endpoint, weight float64, err error) {
+	if errors.Is(err, httphead.ErrMalformed) {
+		q.g.stats.malformedHeads.Inc(1)
+	}
+	q.recordFailure(e, weight, err.Error())
+}
+
 // recordSuccess records that an endpoint has answered completely and without an error of its own.
 func (q *request) recordSuccess(e fleet.Endpoint) {
 	q.g.mu.Lock()
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -33,7 +33,7 @@
 			q.attemptFinished = true
 			q.recordFailure(e, 0, err.Error()) // The gateway, not the endpoint, lacks memory.
 		case !errors.Is(err, upstream.ErrSilent):
-			q.recordFailure(e, 1, err.Error())
+			q.recordAnswerFailure(e, 1, err)
 			q.checkEndpointEnded(e, err)
 		}
 		return unknown
--- /dev/null
+++ b/internal/httphead/httphead.go
@@ -0,0 +1,83 @@
+// Copyright 2026 The canvaspulley Authors. SPDX-License-Identifier: MIT
+
+// Package httphead checks the heads of answers of other processes, which net/http parses more leniently than
+// the protocol allows. What it lets through would be passed on to callers, or taken for another framing than
+// the sender's.
+package httphead
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
+)
+
+// ErrMalformed means that a head is not one of the protocol. Nothing else that arrives on its connection can
+// be trusted.
+var ErrMalformed = errors.New("malformed head")
+
+const (
+	// maxQuotedBytes limits how much of a malformed part an error quotes.
+	maxQuotedBytes = 64
+	// maxErrorBytes limits the text of a parser's error, which may quote a whole line.
+	maxErrorBytes = 256
+)
+
+// Check returns ErrMalformed, with the part that is wrong, for an interim or final answer that net/http has
+// parsed.
+func Check(resp *http.Response) error {
+	return checkFields(resp.Header)
+}
+
+// checkFields checks the fields of a head or trailer. RFC 9110, section 5.1: a name is a token.
+func checkFields(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrMalformed, "field name %s", quote(name))
+		}
+	}
+	return nil
+}
+
+func quote(s string) string {
+	if len(s) > maxQuotedBytes {
+		return fmt.Sprintf("%q and %d more bytes", s[:maxQuotedBytes], len(s)-maxQuotedBytes)
+	}
+	return strconv.Quote(s)
+}
+
+// FromParser returns ErrMalformed for an error with which the parser of net/http rejects a head. Its text is
+// bounded.
+func FromParser(err error) error {
+	return errors.Wrapf(ErrMalformed, "%.*s", maxErrorBytes, err.Error())
+}
+
+// CheckTrailer has reads of the body of an answer return ErrMalformed at its end, and call onMalformed, if its
+// trailer is malformed. Only an answer in chunks has a trailer.
+func CheckTrailer(resp *http.Response, onMalformed func()) {
+	if len(resp.TransferEncoding) > 0 && resp.Body != http.NoBody {
+		resp.Body = &trailerChecker{ReadCloser: resp.Body, resp: resp, onMalformed: onMalformed}
+	}
+}
+
+// trailerChecker is a body whose trailer is checked.
+type trailerChecker struct {
+	io.ReadCloser
+	resp        *http.Response // Its trailer is complete when the body ends.
+	onMalformed func()
+}
+
+// Read implements io.Reader.
+func (c *trailerChecker) Read(p []byte) (n int, err error) {
+	n, err = c.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if invalid := checkFields(c.resp.Trailer); invalid != nil {
+			c.onMalformed()
+			return n, errors.Wrap(invalid, "trailer")
+		}
+	}
+	return n, err
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
+	"github.com/canvaspulley/canvaspulley/internal/httphead"
 	"github.com/canvaspulley/canvaspulley/internal/wire"
 )
 
@@ -103,7 +104,7 @@
 // for their answers.
 func Run(ctx context.Context, cfg Config) (res Result, err error) {
 	cfg.MaxAttempts = max(1, cfg.MaxAttempts)
-	r := &runner{cfg: cfg, client: &http.Client{Transport: adapter.NewTransport("")}}
+	r := &runner{cfg: cfg, client: httphead.NewClient(adapter.NewTransport(""))}
 	r.res = Result{
 		PaymentOutcomes: map[string]wire.Outcome{},
 		FirstToken:      hdrhistogram.New(minMicros, maxMicros, significantDigits),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/canvaspulley/canvaspulley/internal/decide/configadopt"
 	"github.com/canvaspulley/canvaspulley/internal/decide/member"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
+	"github.com/canvaspulley/canvaspulley/internal/httphead"
 	"github.com/canvaspulley/canvaspulley/internal/published"
 	"github.com/canvaspulley/canvaspulley/internal/requestid"
 	"github.com/canvaspulley/canvaspulley/internal/ring"
@@ -115,14 +116,14 @@
 	}
 	transport := adapter.NewTransport(set.SourceIP)
 	transport.TLSClientConfig = creds.Client()
-	direct := &http.Client{Transport: adapter.NewTransport(set.SourceIP)}
+	direct := httphead.NewClient(adapter.NewTransport(set.SourceIP))
 	n = &Node{
 		cfg:           set,
 		log:           log,
 		reg:           reg,
 		trail:         audit.New(set.Name, log, reg),
 		creds:         creds,
-		peers:         &http.Client{Transport: transport},
+		peers:         httphead.NewClient(transport),
 		configService: adapter.NewConfigService(set.ConfigServiceURL, direct),
 		instances:     adapter.NewInstances(set.InstancesURL, direct),
 		startedAt:     time.Now(),
--- a/internal/sidecar/calls.go
+++ b/internal/sidecar/calls.go
@@ -15,6 +15,7 @@
 
 	"github.com/canvaspulley/canvaspulley/internal/dialer"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
+	"github.com/canvaspulley/canvaspulley/internal/httphead"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
 	"github.com/canvaspulley/canvaspulley/internal/rank"
@@ -139,9 +140,13 @@
 }
 
 func newPeerClient(cfg Config) (c *peerClient, cleanup func()) {
+	t := peerTransport()
+	return &peerClient{client: httphead.NewClient(t), port: cfg.PeersPort}, t.CloseIdleConnections
+}
+
+func peerTransport() *http.Transport {
 	d := dialer.New("", engineTimeout, 0)
-	t := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: peers.ClientIdleTimeout, DisableCompression: true, MaxResponseHeaderBytes: httpjson.MaxHeadBytes}
-	return &peerClient{client: &http.Client{Transport: t}, port: cfg.PeersPort}, t.CloseIdleConnections
+	return &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: peers.ClientIdleTimeout, DisableCompression: true, MaxResponseHeaderBytes: httpjson.MaxHeadBytes}
 }
 
 // order asks the sidecar of an engine to send the leader's engine an order.
--- a/internal/sidecar/calls_test.go
+++ b/internal/sidecar/calls_test.go
@@ -20,6 +20,8 @@
 	. "github.com/onsi/gomega"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/canvaspulley/canvaspulley/internal/httphead"
+	"github.com/canvaspulley/canvaspulley/internal/httphead/headtest"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson"
 	"github.com/canvaspulley/canvaspulley/internal/httpjson/endlesstest"
 	"github.com/canvaspulley/canvaspulley/internal/peers"
@@ -63,12 +65,11 @@
 	srv.Config.IdleTimeout = peers.ServerIdleTimeout / factor
 	srv.Start()
 	t.Cleanup(srv.Close)
-	client, cleanup := newPeerClient(Config{PeersPort: l.Addr().(*net.TCPAddr).Port})
-	t.Cleanup(cleanup)
-	transport := client.client.Transport.(*http.Transport)
+	transport := peerTransport()
+	t.Cleanup(transport.CloseIdleConnections)
 	transport.IdleConnTimeout /= factor
 	transport.DialContext = (&net.Dialer{}).DialContext // No dial timeout, so that a busy machine does not fail the test.
-	s.client = client
+	s.client = &peerClient{client: httphead.NewClient(transport), port: l.Addr().(*net.TCPAddr).Port}
 	return s
 }
 
@@ -158,3 +159,13 @@
 		return err
 	})
 }
+
+func TestMalformedAnswersOfASidecar(t *testing.T) {
+	headtest.ExpectRejected(t, "{}", headtest.Names(), func(t *testing.T, address string) error {
+		at := netip.MustParseAddrPort(address)
+		c, cleanup := newPeerClient(Config{PeersPort: int(at.Port())})
+		defer cleanup()
+		_, err := c.order(t.Context(), address, orderRequest{})
+		return err
+	})
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -14,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/canvaspulley/canvaspulley/internal/httphead"
 )
 
 // Request is a request to an endpoint.
@@ -132,7 +134,8 @@
 // Head reads the head of the answer. It skips interim answers (1xx), and reads and discards answers
 // for which isOurs returns false. It returns an error for more than maxForeignAnswers of both
 // together, for a foreign answer that does not indicate its end or whose body is longer than
-// maxForeignBody, and ErrTooLong for a head that exceeds maxHeadBytes or maxHeadLines.
+// maxForeignBody, ErrTooLong for a head that exceeds maxHeadBytes or maxHeadLines, and
+// httphead.ErrMalformed for one that is not of the protocol. Reads of the body return the latter for its trailer.
 func (x *Exchange) Head(r *Request, isOurs func(status int, h http.Header) bool) (resp *http.Response, err error) {
 	defer func() { err = errors.Wrap(err, "answer's head") }()
 	for range maxForeignAnswers + 1 {
@@ -143,12 +146,18 @@
 		switch {
 		case err != nil && tooLong != nil:
 			return nil, tooLong // The parser may have reported the line that was cut as malformed.
+		case err != nil && !x.conn.raw.head.ended:
+			return nil, httphead.FromParser(err)
 		case err != nil:
 			return nil, err
 		}
 		if err = checkLines(resp.Header); err != nil {
 			return nil, err
 		}
+		if err = httphead.Check(resp); err != nil {
+			return nil, err
+		}
+		httphead.CheckTrailer(resp, x.Abort)
 		if resp.StatusCode < 100 {
 			return nil, errors.Newf("status %d", resp.StatusCode) // The caller's server cannot write such a status.
 		}
--- a/internal/upstream/limits.go
+++ b/internal/upstream/limits.go
@@ -26,6 +26,7 @@
 	active bool
 	bytes  int
 	lines  int
+	ended  bool // A read failed, so that the head is cut.
 }
 
 // check returns ErrTooLong if the head is still incomplete after the most that it may have.
@@ -52,11 +53,12 @@
 	return nil
 }
 
-// add counts bytes that were read.
-func (m *headMeter) add(p []byte) {
+// add counts bytes that were read, together with an error.
+func (m *headMeter) add(p []byte, err error) {
 	if m.active {
 		m.bytes += len(p)
 		m.lines += bytes.Count(p, []byte{'\n'})
+		m.ended = m.ended || err != nil
 	}
 }
 
--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -96,7 +96,7 @@
 		return 0, err
 	}
 	defer func() {
-		in.head.add(p[:n])
+		in.head.add(p[:n], err)
 		if err != nil && in.closedUnacked.Load() {
 			err = errUnacked
 		}
