internal/httphead: an answer's status is one of the protocol

A plain service behind an agent that answered with status 000 or 099 was taken at its word: the agent stored status 0 or 99 under the request's key, WriteHeader panicked, and the entry's connection ended without an answer; a second send with the key was replayed from what was stored and ended alike.

Cause: net/http parses any three digits, and signs, as a status. Gateways rejected those below 100 in a place of their own; no other reader did. 101 is final, but gateways skipped it like an interim answer: what came next was taken as the answer, and where nothing came, the request waited until its deadline.

Change: the check of heads, which all readers share, rejects statuses below 100, 101, which no request asks for, and status lines with control bytes; the check of gateways is gone. An agent logs why a service gave no whole answer, and counts it (calls.broken).

This has a test.

Evidence, tests on the former commit: the agent's test failed for 000, 099, +20, -00, 101, 101 before an answer, and control bytes; the adapter of services took the same. Through a gateway 101 before an answer and control bytes in the status line were taken as answers on all three kinds of routes; the other forms were rejected there before and keep their tests. All pass now.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -24,6 +24,8 @@
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/duty"
 	"github.com/canvaspulley/canvaspulley/internal/example"
+	"github.com/canvaspulley/canvaspulley/internal/httphead"
+	"github.com/canvaspulley/canvaspulley/internal/httphead/headtest"
 	"github.com/canvaspulley/canvaspulley/internal/node"
 	"github.com/canvaspulley/canvaspulley/internal/requestid"
 	"github.com/canvaspulley/canvaspulley/internal/settings"
@@ -160,6 +162,27 @@
 	wg.Wait()
 }
 
+// A service's answer whose status is none was stored under the request's key, and the entry's connection ended
+// without an answer, also when the stored answer was replayed.
+func TestMalformedAnswerOfAServiceIsNotStored(t *testing.T) {
+	for _, h := range append(headtest.Names(), headtest.Statuses()...) {
+		t.Run(h.Name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			address, cleanup := headtest.Serve(t, h.Raw("", "paid"))
+			defer cleanup()
+			client := httphead.NewClient(adapter.NewSingleUseTransport(""))
+			b := newHarness(t, nil, nil, adapter.NewService("http://"+address, client, client))
+			key := requestid.NewKey(b.endpoint).String()
+			for range 2 {
+				a := b.send(call(key), "x")
+				g.Expect(a.err).NotTo(gomega.HaveOccurred())
+				g.Expect(a.outcome).To(gomega.Equal(wire.Unknown), "it may have run")
+				g.Expect(a.status).To(gomega.BeElementOf(http.StatusBadGateway, http.StatusConflict))
+			}
+		})
+	}
+}
+
 func TestKeysAreScopedToTheCustomer(t *testing.T) {
 	g := gomega.NewWithT(t)
 	c := &countingService{}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 
 	"github.com/canvaspulley/canvaspulley/internal/adapter"
 	"github.com/canvaspulley/canvaspulley/internal/chart"
@@ -382,6 +383,8 @@
 		return
 	case err != nil:
 		j.applyFinal(eventBreak)
+		a.count("calls.broken")
+		a.node.Log().Warn("service gave no whole answer", zap.String("request", j.attemptID), zap.Error(err))
 		refusal := wire.RefuseUnknown(http.StatusBadGateway, "service gave no whole answer")
 		refusal.Ended = a.detectEnd()
 		a.refuse(w, refusal)
--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -34,7 +34,7 @@
 // An answer with a malformed head or trailer is a failure of its endpoint, which is logged with what is wrong,
 // and counted.
 func TestMalformedHeadIsLoggedAndCounted(t *testing.T) {
-	for _, h := range headtest.Names() {
+	for _, h := range append(headtest.Names(), headtest.Statuses()...) {
 		if !h.Framed && !h.Chunks {
 			continue // It has no end, so that its connection would have to be closed.
 		}
--- a/internal/httphead/client.go
+++ b/internal/httphead/client.go
@@ -29,7 +29,7 @@
 	interim := 0
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
-		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { // Never called for 101.
 			if interim++; interim > maxInterimAnswers { // With this function, net/http does not limit them.
 				return errors.Newf("more than %d interim answers", maxInterimAnswers)
 			}
--- a/internal/httphead/client_test.go
+++ b/internal/httphead/client_test.go
@@ -45,6 +45,10 @@
 	headtest.ExpectRejected(t, "{}", headtest.Names(), get)
 }
 
+func TestClientRejectsStatusesThatAreNone(t *testing.T) {
+	headtest.ExpectRejected(t, "{}", headtest.Statuses(), get)
+}
+
 // What follows a malformed head cannot be trusted, although the answer seems to have ended.
 func TestClientClosesTheConnectionOfAMalformedHead(t *testing.T) {
 	for name, raw := range map[string]string{
--- a/internal/httphead/headtest/headtest.go
+++ b/internal/httphead/headtest/headtest.go
@@ -19,7 +19,7 @@
 type Head struct {
 	Name   string
 	Before string // Interim answers before it.
-	Status string // "200" if empty.
+	Status string // "200 OK" if empty.
 	Fields string // Additional fields, each with its line end.
 	Framed bool   // Without this the fields alone indicate the end of the answer, if anything does.
 	Chunks bool   // The body is sent in chunks.
@@ -33,6 +33,8 @@
 		{Name: "interim answer", Before: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", Framed: true},
 		{Name: "chunks with a trailer", Fields: "Transfer-Encoding: chunked\r\n", Chunks: true, After: "X-After: v\r\n"},
 		{Name: "no reason", Status: "200 ", Framed: true},
+		{Name: "no blank before no reason", Status: "200", Framed: true},
+		{Name: "reason in another encoding", Status: "200 \xe4\t", Framed: true},
 	}
 }
 
@@ -54,6 +56,14 @@
 	return list
 }
 
+// Statuses returns heads whose status is none, or is not that of an answer to the request.
+func Statuses() (list []Head) {
+	for _, status := range []string{"000", "00", "099", "+20", "-00", "2x0", "2000", " ", "101 Switching Protocols", "200 O\x00K", "200 O\x7fK"} {
+		list = append(list, Head{Name: fmt.Sprintf("status %q", status), Status: status, Framed: true})
+	}
+	return append(list, Head{Name: "interim answer with a status that switches protocols", Before: "HTTP/1.1 101 Switching Protocols\r\n\r\n", Framed: true})
+}
+
 // Raw returns an answer with this head and a body. The fields are added to it, each with its line end.
 func (h Head) Raw(fields, body string) string {
 	status := h.Status
@@ -84,8 +94,16 @@
 	}
 }
 
-// callWith calls a server that gives a raw answer on each connection and then ends its side.
+// callWith calls a server that gives a raw answer.
 func callWith(t *testing.T, raw string, call func(t *testing.T, address string) error) error {
+	address, cleanup := Serve(t, raw)
+	defer cleanup()
+	return call(t, address)
+}
+
+// Serve starts a server that gives a raw answer on each connection and then ends its side. The cleanup
+// function stops it; clients must have closed their connections.
+func Serve(t *testing.T, raw string) (address string, cleanup func()) {
 	g := gomega.NewWithT(t)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -99,11 +117,10 @@
 			srv.Go(func() error { serve(c.(*net.TCPConn), raw); return nil })
 		}
 	})
-	defer func() {
+	return l.Addr().String(), func() {
 		g.Expect(l.Close()).To(gomega.Succeed())
 		g.Expect(srv.Wait()).To(gomega.Succeed())
-	}()
-	return call(t, l.Addr().String())
+	}
 }
 
 func serve(c *net.TCPConn, raw string) {
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -29,9 +29,21 @@
 // Check returns ErrMalformed, with the part that is wrong, for an interim or final answer that net/http has
 // parsed.
 func Check(resp *http.Response) error {
+	if err := checkStatus(resp); err != nil {
+		return err
+	}
 	return checkFields(resp.Header)
 }
 
+// checkStatus checks the status line. RFC 9110, section 15: a status has three digits, and from 600 on it
+// counts like 5xx. No request asks to switch protocols.
+func checkStatus(resp *http.Response) error {
+	if resp.StatusCode < 100 || resp.StatusCode == http.StatusSwitchingProtocols || !httpguts.ValidHeaderFieldValue(resp.Status) {
+		return errors.Wrapf(ErrMalformed, "status %s", quote(resp.Status))
+	}
+	return nil
+}
+
 // checkFields checks the fields of a head or trailer. RFC 9110, section 5.1: a name is a token.
 func checkFields(h http.Header) error {
 	for name := range h {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -158,9 +158,6 @@
 			return nil, err
 		}
 		httphead.CheckTrailer(resp, x.Abort)
-		if resp.StatusCode < 100 {
-			return nil, errors.Newf("status %d", resp.StatusCode) // The caller's server cannot write such a status.
-		}
 		if resp.StatusCode < 200 {
 			continue
 		}
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -62,6 +62,10 @@
 	expectMalformed(t, headtest.Names())
 }
 
+func TestStatusesThatAreNone(t *testing.T) {
+	expectMalformed(t, headtest.Statuses())
+}
+
 // What is wrong with a head is logged, and must not fill the log.
 func TestErrorOfAMalformedHeadIsBounded(t *testing.T) {
 	for name, line := range map[string]string{
