--- a/internal/httphead/client_test.go
+++ b/internal/httphead/client_test.go
@@ -49,6 +49,15 @@
 	headtest.ExpectRejected(t, "{}", headtest.Statuses(), get)
 }
 
+func TestClientRejectsHeadsThatAreCut(t *testing.T) {
+	whole := headtest.Head{Before: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", Framed: true}.Raw("A: b\r\n", "{}")
+	for n := range len(whole) { // Including the body, whose length is known.
+		address, cleanup := headtest.Serve(t, whole[:n])
+		NewWithT(t).Expect(get(t, address)).NotTo(Succeed(), "cut after %q", whole[:n])
+		cleanup()
+	}
+}
+
 // What follows a malformed head cannot be trusted, although the answer seems to have ended.
 func TestClientClosesTheConnectionOfAMalformedHead(t *testing.T) {
 	for name, raw := range map[string]string{
--- a/internal/upstream/ended_test.go
+++ b/internal/upstream/ended_test.go
@@ -63,7 +63,7 @@
 	x.writeResult <- <-x.writeResult
 }
 
-// ways of ending a connection whose request is not read to its end.
+// abruptEnds are ways of ending a connection that reset it unless the request was read to its end.
 var abruptEnds = []struct {
 	name string
 	end  func(c *net.TCPConn)
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -3,6 +3,7 @@
 package upstream
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -80,3 +81,22 @@
 		})
 	}
 }
+
+// An answer whose endpoint stops in the middle of its head is none, wherever it stops.
+func TestHeadThatIsCutIsNoAnswer(t *testing.T) {
+	for _, length := range []string{"", "Content-Length: 10\r\n", "Transfer-Encoding: chunked\r\n"} {
+		whole := "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n" + length + "\r\n"
+		for n := range len(whole) {
+			for _, end := range abruptEnds { // The whole request is read, so that a close is an orderly end.
+				x, r := uploadTo(t, 1, func(c *net.TCPConn, upload io.Reader) {
+					_, _ = io.Copy(io.Discard, upload)
+					write(c, whole[:n])
+					end.end(c)
+				})
+				_, err := x.Head(r, anyAnswer)
+				NewWithT(t).Expect(err).To(HaveOccurred(), "cut after %q", whole[:n])
+				NewWithT(t).Expect(err).NotTo(MatchError(httphead.ErrMalformed), "it is cut after %q", whole[:n])
+			}
+		}
+	}
+}
