internal/httpjson: an answer that ends with its connection is not whole

Looked for after the reset of an upload: calls between gateways and sidecars took an answer with neither a length nor chunks, whose end is that of its connection, also where the connection was reset as a call's body was written. Nobody has seen it: our processes always send a length, and a part of a JSON object is none. Do now demands a length or chunks, as the adapters do.

The store and engines of the platform may send such answers.

--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -65,3 +65,12 @@
 		return err
 	})
 }
+
+// The end of the connection may be that of the other gateway's process.
+func TestAnswerOfAGatewayThatEndsWithItsConnectionIsNotWhole(t *testing.T) {
+	g := NewWithT(t)
+	address, cleanup := headtest.Serve(t, "HTTP/1.1 200 OK\r\n\r\n{}")
+	defer cleanup()
+	_, err := newTestPeer(t, 9).fetch(t.Context(), address, "")
+	g.Expect(err).To(MatchError(ContainSubstring("neither a length nor chunks")))
+}
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -23,7 +23,8 @@
 const MaxHeadBytes = 32 << 10
 
 // Do sends a request and returns the first maxBytes bytes of the answer's body. An answer with a
-// status other than 200 is an error.
+// status other than 200 is an error, and so is one without a length or chunks, as Reply never sends it: its end
+// may be that of its connection.
 func Do(c *http.Client, r *http.Request, maxBytes int64) (raw []byte, err error) {
 	resp, err := c.Do(r)
 	if err != nil {
@@ -36,6 +37,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("status %d: %s", resp.StatusCode, bytes.TrimSpace(raw))
 	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return nil, errors.New("answer has neither a length nor chunks")
+	}
 	return raw, nil
 }
 
