internal/soak, platform/standin: endpoints that give broken answers

Endpoints of the soak give the forms of the incident: early answers without a length that are reset while a long upload is still written, blanks and control bytes in names of fields, odd statuses, and heads that are cut at a byte drawn from the request's id. Some callers' requests have 6 MiB; a caller also checks the head of a success. A new fault, "break answers", stands in a set of its own, so that the schedules of earlier seeds stay.

The proxies of links took the end of a reset connection for an orderly one, too; they ask the socket now, as the product does.

TestGatewaysKilledInSeriesStayWithinTheRetryBudget names the set that it had, which has another name; its run is the same.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/canvaspulley/canvaspulley/internal/httphead"
 	"github.com/canvaspulley/canvaspulley/platform/standin"
 )
 
@@ -20,6 +21,8 @@
 	callerTimeout = 3 * time.Second
 	// thinkTime is the mean time between an answer and the caller's next request.
 	thinkTime = 25 * time.Millisecond
+	// longUploadBytes is more than is buffered between a gateway and an endpoint.
+	longUploadBytes = 6 << 20
 	// streamEvents is the number of events of a stream.
 	streamEvents = 12
 )
@@ -67,7 +70,11 @@
 	if r.kind == stream {
 		url += fmt.Sprintf("?events=%d", streamEvents)
 	}
-	out, err := http.NewRequest(http.MethodPost, url, strings.NewReader("body of "+r.id))
+	body := "body of " + r.id
+	if c.s.cfg.Kinds >= AllKinds && c.sent%c.s.cfg.UploadInterval == 0 {
+		body += strings.Repeat(" ", longUploadBytes)
+	}
+	out, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
 		panic(err) // The URL is valid.
 	}
@@ -100,7 +107,9 @@
 func (c *caller) readAnswer(r *request, resp *http.Response) {
 	var a answer
 	if resp.StatusCode == http.StatusOK {
-		switch {
+		switch err := httphead.Check(resp); {
+		case err != nil:
+			a.fault = err.Error()
 		case !standin.Signed(resp.Header, r.id):
 			a.fault = "a success that no endpoint signed for it"
 		case r.kind == stream:
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -48,6 +48,7 @@
 	crashingPart // Requests that share only one part of their prompts end each endpoint that runs one.
 	crowd        // Many callers with new connections come to one gateway, and then to the next.
 	killSeries   // All gateways are killed again and again while endpoints drop requests.
+	breakAnswers // All endpoints give broken answers to a share of their requests.
 )
 
 // Kinds is a set of kinds of faults and of callers; each set extends the one before it. A seed that
@@ -66,7 +67,8 @@
 	EighthKinds
 	NinthKinds
 	TenthKinds
-	AllKinds
+	EleventhKinds
+	AllKinds // Callers also send long uploads.
 )
 
 // faultsPerFailAtRandom is the number of other kinds of SecondKinds for each entry of failAtRandom.
@@ -89,6 +91,9 @@
 // faultsPerKillSeries is the number of other kinds for each entry of killSeries.
 const faultsPerKillSeries = 15
 
+// faultsPerBreakAnswers is the number of other kinds for each entry of breakAnswers.
+const faultsPerBreakAnswers = 10
+
 // faultKinds returns the kinds to draw from; a kind listed several times is drawn more often.
 func (k Kinds) faultKinds() (list []faultKind) {
 	for one := killGateway; one <= shiftLoad; one++ {
@@ -131,17 +136,22 @@
 			list = append(list, crowd)
 		}
 	}
-	if k >= AllKinds {
+	if k >= EleventhKinds {
 		for range len(list) / faultsPerKillSeries {
 			list = append(list, killSeries)
 		}
 	}
+	if k >= AllKinds {
+		for range len(list) / faultsPerBreakAnswers {
+			list = append(list, breakAnswers)
+		}
+	}
 	return list
 }
 
 var faultNames = [...]string{"kill gateway", "stop gateway", "pause gateway", "reload gateway", "kill sidecar", "pause sidecar",
 	"spoil link", "spoil store link", "store refuses", "store silent", "store forgets", "take key", "move route", "many versions",
-	"replace endpoint", "crash endpoint", "misbehave", "shift load", "fail at random", "start again", "evacuate", "crashing request", "name limit", "ask for rest", "say leaving", "change idle time", "kill around change", "crashing part", "crowd", "kill in series"}
+	"replace endpoint", "crash endpoint", "misbehave", "shift load", "fail at random", "start again", "evacuate", "crashing request", "name limit", "ask for rest", "say leaving", "change idle time", "kill around change", "crashing part", "crowd", "kill in series", "break answers"}
 
 // fault is one fault of a schedule.
 type fault struct {
@@ -231,7 +241,9 @@
 		kinds := []standin.Behaviour{standin.NotExecuted, standin.Fails, standin.Truncates, standin.DropsAnswer, standin.AnswersTwice}
 		s.endpoint(f.target).misbehave(f.duration, 100, kinds[f.variant%len(kinds)])
 	case failAtRandom:
-		s.failAtRandom(f)
+		s.failAtRandom(f, randomBehaviours)
+	case breakAnswers:
+		s.failAtRandom(f, brokenBehaviours[f.target%len(brokenBehaviours)])
 	case startAgain:
 		return s.startAgain(f)
 	case evacuate:
@@ -265,16 +277,30 @@
 var randomBehaviours = []standin.Behaviour{standin.Fails, standin.Fails, standin.Truncates, standin.Truncates, standin.DropsAnswer, standin.NotExecuted,
 	standin.AnswersTwice, standin.Unframed, standin.UnframedReset, standin.Stalls, standin.NotFound}
 
+// brokenBehaviours are the variants of breakAnswers, each with the behaviours that it draws from.
+var brokenBehaviours = [...][]standin.Behaviour{
+	resetsDuringUploads: {standin.ResetsEarly},
+	breaksHeads:         {standin.CutsHead, standin.MalformedHead, standin.MalformedHead},
+	breaksAll:           {standin.ResetsEarly, standin.CutsHead, standin.MalformedHead},
+}
+
+// Variants of breakAnswers.
+const (
+	resetsDuringUploads = iota
+	breaksHeads
+	breaksAll
+)
+
 // Range of the percentage of requests that failAtRandom makes fail.
 const minFailPercent, maxFailPercent = 20, 80
 
-// failAtRandom makes all endpoints fail a share of their requests, so that one request runs into
-// several failures in a row.
-func (s *site) failAtRandom(f fault) {
+// failAtRandom makes all endpoints draw one of the behaviours for a share of their requests, so that one request
+// runs into several failures in a row.
+func (s *site) failAtRandom(f fault, behaviours []standin.Behaviour) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range s.endpoints {
-		e.misbehave(f.duration, minFailPercent+f.variant%(maxFailPercent-minFailPercent), randomBehaviours...)
+		e.misbehave(f.duration, minFailPercent+f.variant%(maxFailPercent-minFailPercent), behaviours...)
 	}
 }
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/canvaspulley/canvaspulley/internal/dialer"
+	"github.com/canvaspulley/canvaspulley/internal/upstream"
 )
 
 // linkFault is a fault that a proxy injects into the connections of one source address.
@@ -129,7 +130,7 @@
 		reset(c)
 		return
 	}
-	upstream, err := dialer.New(from, callerTimeout, 0).DialContext(context.Background(), "tcp4", p.target)
+	target, err := dialer.New(from, callerTimeout, 0).DialContext(context.Background(), "tcp4", p.target)
 	if err != nil {
 		if !errors.Is(err, syscall.ECONNREFUSED) { // Refused while the target is down.
 			p.logf("        the proxy of %s resets a connection of %s: %v", p.target, from, err)
@@ -137,21 +138,21 @@
 		reset(c)
 		return
 	}
-	p.trackConns(c, upstream, from)
+	p.trackConns(c, target, from)
 	var g errgroup.Group
-	g.Go(func() error { p.pump(upstream, c, from, linkDropsToTarget); return nil })
-	g.Go(func() error { p.pump(c, upstream, from, linkDropsFromTarget); return nil })
+	g.Go(func() error { p.pump(target, c, from, linkDropsToTarget); return nil })
+	g.Go(func() error { p.pump(c, target, from, linkDropsFromTarget); return nil })
 	_ = g.Wait() // Functions of the group return no error.
 	p.mu.Lock()
 	delete(p.conns, c)
-	delete(p.conns, upstream)
+	delete(p.conns, target)
 	p.mu.Unlock()
 }
 
-func (p *proxy) trackConns(c, upstream net.Conn, from string) {
+func (p *proxy) trackConns(c, target net.Conn, from string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.conns[c], p.conns[upstream] = from, from
+	p.conns[c], p.conns[target] = from, from
 }
 
 // pump copies bytes until either side ends; cut is the fault that drops the bytes of this direction.
@@ -178,7 +179,7 @@
 		if err == nil {
 			continue
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && upstream.CheckOrderlyEnd(from.(*net.TCPConn)) == nil { // The other direction may have taken the error of a reset.
 			_ = to.Close()
 		} else {
 			reset(to)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -29,6 +29,7 @@
 	Ranks          int
 	PlainEndpoints int         // Endpoints of the plain services, which have no engine.
 	Callers        int         // Callers at each gateway.
+	UploadInterval int         // Each caller's every n-th request has a long body, for AllKinds.
 	Kinds          Kinds       // Kinds of faults and of callers.
 	Apart          bool        // Gateways do not look for each other.
 	RetryBound     retry.Bound // Retry budget in the settings of all gateways.
@@ -39,7 +40,7 @@
 
 // DefaultConfig returns the default sizes of a run with a seed.
 func DefaultConfig(seed uint64) Config {
-	return Config{Seed: seed, Length: 24 * time.Second, Gateways: 4, Ranks: 3, PlainEndpoints: 6, Callers: 3, Kinds: AllKinds, RetryBound: defaultRetryBound, CheckTiming: true}
+	return Config{Seed: seed, Length: 24 * time.Second, Gateways: 4, Ranks: 3, PlainEndpoints: 6, Callers: 3, UploadInterval: 10, Kinds: AllKinds, RetryBound: defaultRetryBound, CheckTiming: true}
 }
 
 // Check reports everything that is wrong with the sizes of a run. They are limited by the site's
@@ -54,6 +55,7 @@
 		{"ranks", c.Ranks, 2, plainIP - engineIP},
 		{"endpoints of plain services", c.PlainEndpoints, len(plainServices), plainIPCount},
 		{"callers", c.Callers, 1, 100},
+		{"requests from one long upload to the next", c.UploadInterval, 1, 1000},
 	} {
 		if one.n < one.min || one.n > one.max {
 			problems = append(problems, fmt.Sprintf("%d %s: must be %d to %d", one.n, one.name, one.min, one.max))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -251,7 +251,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			g := NewWithT(t)
-			cfg := shortConfig(t, 1, AllKinds, manyCallers, tc.daemon)
+			cfg := shortConfig(t, 1, EleventhKinds, manyCallers, tc.daemon)
 			cfg.RetryBound.Share, cfg.RetryBound.Slack = 0.05, 20
 			cfg.Apart, cfg.Schedule = tc.apart, []fault{{at: firstFault, kind: killSeries, duration: 6 * time.Second}}
 			r, err := Run(context.Background(), cfg)
@@ -267,7 +267,7 @@
 }
 
 func TestSchedulesAreDeterministic(t *testing.T) {
-	for set, want := range map[Kinds]int{FirstKinds: int(shiftLoad) + 1, SecondKinds: int(failAtRandom) + 1, ThirdKinds: int(startAgain) + 1, FourthKinds: int(evacuate) + 1, FifthKinds: int(crashing) + 1, SixthKinds: int(sayLeaving) + 1, SeventhKinds: int(changeIdle) + 1, EighthKinds: int(killAround) + 1, NinthKinds: int(crashingPart) + 1, TenthKinds: int(crowd) + 1, AllKinds: int(killSeries) + 1} {
+	for set, want := range map[Kinds]int{FirstKinds: int(shiftLoad) + 1, SecondKinds: int(failAtRandom) + 1, ThirdKinds: int(startAgain) + 1, FourthKinds: int(evacuate) + 1, FifthKinds: int(crashing) + 1, SixthKinds: int(sayLeaving) + 1, SeventhKinds: int(changeIdle) + 1, EighthKinds: int(killAround) + 1, NinthKinds: int(crashingPart) + 1, TenthKinds: int(crowd) + 1, EleventhKinds: int(killSeries) + 1, AllKinds: int(breakAnswers) + 1} {
 		t.Run(fmt.Sprint(set), func(t *testing.T) {
 			g := NewWithT(t)
 			a, b := schedule(7, time.Minute, set), schedule(7, time.Minute, set)
--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -108,7 +108,7 @@
 		n, err = in.readArrived(p)
 	}
 	if errors.Is(err, io.EOF) {
-		if endErr := checkOrderlyEnd(in.nc); endErr != nil {
+		if endErr := CheckOrderlyEnd(in.nc); endErr != nil {
 			err = endErr
 		}
 	}
