internal/httphead: only answers of HTTP/1 are read

Found while looking at heads; nobody has reported it. An answer with the version HTTP/2.0, 3.0 or 0.9 was taken as one of HTTP/1.1, on all kinds of routes. The adapter of plain services took one of "HTTP/2.0" without a length as whole where its connection ended, which it does not do with 1.1: it counted every later version as framed, and net/http takes the version from the head, whatever was spoken.

The check of heads rejects other versions than 1.x, and framing is no longer taken from the version. No client of the product speaks HTTP/2.

All are rejected now; HTTP/1.0 and 1.9 stay served.

--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -181,6 +181,6 @@
 
 // framed reports whether the framing of an answer marks the end of its body, so that a truncated one is detected.
 func framed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.ProtoMajor > 1 ||
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 ||
 		resp.Request != nil && resp.Request.Method == http.MethodHead
 }
--- a/internal/adapter/malformed_test.go
+++ b/internal/adapter/malformed_test.go
@@ -12,7 +12,7 @@
 )
 
 // malformed are heads after which an answer must not be used.
-func malformed() []headtest.Head { return append(headtest.Names(), headtest.Statuses()...) }
+func malformed() []headtest.Head { return headtest.Malformed() }
 
 func TestMalformedAnswersOfAService(t *testing.T) {
 	headtest.ExpectRejected(t, "{}", malformed(), func(t *testing.T, address string) error {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -165,7 +165,7 @@
 // A service's answer whose status is none was stored under the request's key, and the entry's connection ended
 // without an answer, also when the stored answer was replayed.
 func TestMalformedAnswerOfAServiceIsNotStored(t *testing.T) {
-	for _, h := range append(headtest.Names(), headtest.Statuses()...) {
+	for _, h := range headtest.Malformed() {
 		t.Run(h.Name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			address, cleanup := headtest.Serve(t, h.Raw("", "paid"))
--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -34,7 +34,7 @@
 // An answer with a malformed head or trailer is a failure of its endpoint, which is logged with what is wrong,
 // and counted.
 func TestMalformedHeadIsLoggedAndCounted(t *testing.T) {
-	for _, h := range append(headtest.Names(), headtest.Statuses()...) {
+	for _, h := range headtest.Malformed() {
 		if !h.Framed && !h.Chunks {
 			continue // It has no end, so that its connection would have to be closed.
 		}
@@ -60,7 +60,7 @@
 
 func TestMalformedAnswersOfAGateway(t *testing.T) {
 	follower := newTestPeer(t, 9)
-	headtest.ExpectRejected(t, "{}", headtest.Names(), func(t *testing.T, address string) error {
+	headtest.ExpectRejected(t, "{}", headtest.Malformed(), func(t *testing.T, address string) error {
 		_, err := follower.fetch(t.Context(), address, "")
 		return err
 	})
--- a/internal/httphead/client_test.go
+++ b/internal/httphead/client_test.go
@@ -49,6 +49,10 @@
 	headtest.ExpectRejected(t, "{}", headtest.Statuses(), get)
 }
 
+func TestClientRejectsOtherVersions(t *testing.T) {
+	headtest.ExpectRejected(t, "{}", headtest.Versions(), get)
+}
+
 func TestClientRejectsHeadsThatAreCut(t *testing.T) {
 	whole := headtest.Head{Before: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", Framed: true}.Raw("A: b\r\n", "{}")
 	for n := range len(whole) { // Including the body, whose length is known.
--- a/internal/httphead/headtest/headtest.go
+++ b/internal/httphead/headtest/headtest.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -17,13 +18,14 @@
 
 // Head is the head of an answer that differs from a sound one in one place only.
 type Head struct {
-	Name   string
-	Before string // Interim answers before it.
-	Status string // "200 OK" if empty.
-	Fields string // Additional fields, each with its line end.
-	Framed bool   // Without this the fields alone indicate the end of the answer, if anything does.
-	Chunks bool   // The body is sent in chunks.
-	After  string // Trailer of an answer in chunks.
+	Name    string
+	Before  string // Interim answers before it.
+	Version string // "HTTP/1.1" if empty.
+	Status  string // "200 OK" if empty.
+	Fields  string // Additional fields, each with its line end.
+	Framed  bool   // Without this the fields alone indicate the end of the answer, if anything does.
+	Chunks  bool   // The body is sent in chunks.
+	After   string // Trailer of an answer in chunks.
 }
 
 // Sound returns heads that are of the protocol, although unusual.
@@ -32,12 +34,17 @@
 		{Name: "every other character of a name", Fields: "!#$%&'*+-.^_`|~09azAZ: v\r\n", Framed: true},
 		{Name: "interim answer", Before: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", Framed: true},
 		{Name: "chunks with a trailer", Fields: "Transfer-Encoding: chunked\r\n", Chunks: true, After: "X-After: v\r\n"},
+		{Name: "later minor version", Version: "HTTP/1.9", Framed: true},
+		{Name: "earlier minor version", Version: "HTTP/1.0", Framed: true},
 		{Name: "no reason", Status: "200 ", Framed: true},
 		{Name: "no blank before no reason", Status: "200", Framed: true},
 		{Name: "reason in another encoding", Status: "200 \xe4\t", Framed: true},
 	}
 }
 
+// Malformed returns heads that are not of the protocol.
+func Malformed() []Head { return slices.Concat(Names(), Statuses(), Versions()) }
+
 // Names returns heads with a field whose name is not a token.
 func Names() (list []Head) {
 	list = []Head{
@@ -64,9 +71,20 @@
 	return append(list, Head{Name: "interim answer with a status that switches protocols", Before: "HTTP/1.1 101 Switching Protocols\r\n\r\n", Framed: true})
 }
 
+// Versions returns heads of other versions than that of the request.
+func Versions() (list []Head) {
+	for _, version := range []string{"HTTP/2.0", "HTTP/0.9", "HTTP/3.0", "HTTP/1", "HTTP/1.1.1", "http/1.1", "ICY"} {
+		list = append(list, Head{Name: "version " + version, Version: version, Framed: true}, Head{Name: "version " + version + " without a length", Version: version})
+	}
+	return list
+}
+
 // Raw returns an answer with this head and a body. The fields are added to it, each with its line end.
 func (h Head) Raw(fields, body string) string {
-	status := h.Status
+	version, status := h.Version, h.Status
+	if version == "" {
+		version = "HTTP/1.1"
+	}
 	if status == "" {
 		status = "200 OK"
 	}
@@ -76,7 +94,7 @@
 	if h.Chunks {
 		body = fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n", len(body), body, h.After)
 	}
-	return h.Before + "HTTP/1.1 " + status + "\r\n" + fields + h.Fields + "\r\n" + body
+	return h.Before + version + " " + status + "\r\n" + fields + h.Fields + "\r\n" + body
 }
 
 // ExpectRejected has call make a call to a server at address, whose answer has the given body. The call must
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -29,12 +29,20 @@
 // Check returns ErrMalformed, with the part that is wrong, for an interim or final answer that net/http has
 // parsed.
 func Check(resp *http.Response) error {
-	if err := checkStatus(resp); err != nil {
+	if err := errors.CombineErrors(checkVersion(resp), checkStatus(resp)); err != nil {
 		return err
 	}
 	return checkFields(resp.Header)
 }
 
+// checkVersion returns ErrMalformed for a version that no request here was sent with. RFC 9112, section 2.3.
+func checkVersion(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return errors.Wrapf(ErrMalformed, "version %s", quote(resp.Proto))
+	}
+	return nil
+}
+
 // checkStatus checks the status line. RFC 9110, section 15: a status has three digits, and from 600 on it
 // counts like 5xx. No request asks to switch protocols.
 func checkStatus(resp *http.Response) error {
--- a/internal/sidecar/calls_test.go
+++ b/internal/sidecar/calls_test.go
@@ -161,7 +161,7 @@
 }
 
 func TestMalformedAnswersOfASidecar(t *testing.T) {
-	headtest.ExpectRejected(t, "{}", headtest.Names(), func(t *testing.T, address string) error {
+	headtest.ExpectRejected(t, "{}", headtest.Malformed(), func(t *testing.T, address string) error {
 		at := netip.MustParseAddrPort(address)
 		c, cleanup := newPeerClient(Config{PeersPort: int(at.Port())})
 		defer cleanup()
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -67,6 +67,10 @@
 	expectMalformed(t, headtest.Statuses())
 }
 
+func TestOtherVersions(t *testing.T) {
+	expectMalformed(t, headtest.Versions())
+}
+
 // What is wrong with a head is logged, and must not fill the log.
 func TestErrorOfAMalformedHeadIsBounded(t *testing.T) {
 	for name, line := range map[string]string{
