internal/soak: callers read the answer to an upload that is rejected

Raw callers read the answer after a failed write, too. Callers that rest on their connections send no long uploads: an end of their connection must come from its rest alone.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -71,7 +71,7 @@
 		url += fmt.Sprintf("?events=%d", streamEvents)
 	}
 	body := "body of " + r.id
-	if c.s.cfg.Kinds >= AllKinds && c.sent%c.s.cfg.UploadInterval == 0 {
+	if c.s.cfg.Kinds >= AllKinds && c.mode != modeIdle && c.sent%c.s.cfg.UploadInterval == 0 {
 		body += strings.Repeat(" ", longUploadBytes)
 	}
 	out, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
--- a/internal/soak/speech.go
+++ b/internal/soak/speech.go
@@ -44,7 +44,7 @@
 }
 
 // rawTransport sends each request on a connection of its own, since http.Transport sends HTTP/1.1
-// only. An orderly end of the connection completes an answer without framing; a reset truncates it.
+// only. It reads the answer also if the request cannot be written to its end. An orderly end of the connection completes an answer without framing; a reset truncates it.
 type rawTransport struct{ proto, header string }
 
 // RoundTrip sends one request and reads the header of its answer.
@@ -73,11 +73,9 @@
 	if _, err = io.Copy(&out, r.Body); err != nil {
 		return nil, err
 	}
-	if _, err = out.WriteTo(c); err != nil {
-		return nil, err
-	}
+	_, writeErr := out.WriteTo(c) // A gateway may reject a request before it has read it.
 	if resp, err = http.ReadResponse(bufio.NewReader(c), r); err != nil {
-		return nil, err
+		return nil, errors.CombineErrors(writeErr, err)
 	}
 	body.Reader, resp.Body = resp.Body, body
 	return resp, nil
