internal/httphead: an answer of HTTP/1.0 has no transfer encoding

Found while looking at heads; nobody has reported it. An answer of HTTP/1.0 with "Transfer-Encoding: chunked" reached callers as a 200 whose body is the framing of the chunks, or a part of it where a length stands beside it.

Cause: net/http removes the field from answers of HTTP/1.0 and ignores it, so that nothing of it is left to check. RFC 9112, section 6.1, demands that such a message counts as wrongly framed.

Change: gateways read heads through httphead.Read, which has an answer of HTTP/1.0 parsed like one of 1.1, so that the field counts, and rejects it.

Open: the clients of net/http cannot see the field. They demand a length or chunks, or JSON; a plain service's body with both fields would still be taken by its length.

--- a/internal/httphead/client_test.go
+++ b/internal/httphead/client_test.go
@@ -113,9 +113,9 @@
 	})
 }
 
-// readers are the files whose answers are not read by a client of this package: those with checks of their own,
+// readers are the files whose answers are not read by a client of this package: the package itself,
 // and the tools that check answers as callers do.
-var readers = []string{"internal/httphead/client.go", "internal/upstream/exchange.go", "internal/soak/", "review/"}
+var readers = []string{"internal/httphead/", "internal/soak/", "review/"}
 
 // Every answer that the product reads is checked.
 func TestNoAnswerIsReadWithoutAClientOfThisPackage(t *testing.T) {
--- a/internal/httphead/headtest/headtest.go
+++ b/internal/httphead/headtest/headtest.go
@@ -42,6 +42,15 @@
 	}
 }
 
+// OldChunks returns heads of HTTP/1.0, whose senders do not know chunks, with a transfer encoding.
+func OldChunks() []Head {
+	return []Head{
+		{Name: "HTTP/1.0 in chunks", Version: "HTTP/1.0", Fields: "Transfer-Encoding: chunked\r\n", Chunks: true},
+		{Name: "HTTP/1.0 in chunks, with a length", Version: "HTTP/1.0", Fields: "Transfer-Encoding: chunked\r\n", Chunks: true, Framed: true},
+		{Name: "HTTP/1.0 with another coding", Version: "HTTP/1.0", Fields: "Transfer-Encoding: gzip\r\n", Framed: true},
+	}
+}
+
 // Malformed returns heads that are not of the protocol.
 func Malformed() []Head { return slices.Concat(Names(), Statuses(), Versions()) }
 
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -6,10 +6,12 @@
 package httphead
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
@@ -75,6 +77,29 @@
 	return errors.Wrapf(ErrMalformed, "%.*s", maxErrorBytes, err.Error())
 }
 
+// oldVersion is a version whose senders do not know chunks.
+const oldVersion = "HTTP/1.0"
+
+// Read parses the head of an answer like http.ReadResponse, which ignores the field Transfer-Encoding of
+// HTTP/1.0. It returns ErrMalformed for such a field, as RFC 9112, section 6.1, demands, since the end of the
+// body is not known. The caller must go on reading from rest.
+func Read(br *bufio.Reader, r *http.Request) (resp *http.Response, rest *bufio.Reader, err error) {
+	if version, err := br.Peek(len(oldVersion)); err != nil || string(version) != oldVersion {
+		resp, err = http.ReadResponse(br, r)
+		return resp, br, err
+	}
+	_, _ = br.Discard(len(oldVersion)) // It is buffered.
+	rest = bufio.NewReaderSize(io.MultiReader(strings.NewReader("HTTP/1.1"), br), br.Size())
+	if resp, err = http.ReadResponse(rest, r); err != nil {
+		return nil, rest, err
+	}
+	if len(resp.TransferEncoding) > 0 {
+		return nil, rest, errors.Wrapf(ErrMalformed, "%s with a transfer encoding", oldVersion)
+	}
+	resp.Proto, resp.ProtoMinor, resp.Close = oldVersion, 0, true
+	return resp, rest, nil
+}
+
 // CheckTrailer has reads of the body of an answer return ErrMalformed at its end, and call onMalformed, if its
 // trailer is malformed. Only an answer in chunks has a trailer.
 func CheckTrailer(resp *http.Response, onMalformed func()) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -140,12 +140,14 @@
 	defer func() { err = errors.Wrap(err, "answer's head") }()
 	for range maxForeignAnswers + 1 {
 		x.conn.raw.head = headMeter{active: true} // Begins anew: a skipped body may have been read with its head.
-		resp, err = http.ReadResponse(x.conn.br, &http.Request{Method: r.Method})
+		resp, x.conn.br, err = httphead.Read(x.conn.br, &http.Request{Method: r.Method})
 		tooLong := x.conn.raw.head.check()
 		x.conn.raw.head.active = false
 		switch {
 		case err != nil && tooLong != nil:
 			return nil, tooLong // The parser may have reported the line that was cut as malformed.
+		case errors.Is(err, httphead.ErrMalformed):
+			return nil, err
 		case err != nil && !x.conn.raw.head.ended:
 			return nil, httphead.FromParser(err)
 		case err != nil:
--- a/internal/upstream/malformed_test.go
+++ b/internal/upstream/malformed_test.go
@@ -71,6 +71,11 @@
 	expectMalformed(t, headtest.Versions())
 }
 
+// The framing of chunks was passed on as the body.
+func TestChunksOfAnOldVersion(t *testing.T) {
+	expectMalformed(t, headtest.OldChunks())
+}
+
 // What is wrong with a head is logged, and must not fill the log.
 func TestErrorOfAMalformedHeadIsBounded(t *testing.T) {
 	for name, line := range map[string]string{
