--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -37,7 +37,7 @@
 	return checkFields(resp.Header)
 }
 
-// checkVersion returns ErrMalformed for a version that no request here was sent with. RFC 9112, section 2.3.
+// checkVersion checks the version. RFC 9112, section 2.3: an answer has the major version of its request.
 func checkVersion(resp *http.Response) error {
 	if resp.ProtoMajor != 1 {
 		return errors.Wrapf(ErrMalformed, "version %s", quote(resp.Proto))
