internal/httpjson: a compressed answer between gateways marks its end

Do rejected answers that net/http's transport had unpacked: it takes their length away, so that they looked like ones without a length or chunks. Gateways got no published state from each other once it was long enough to be compressed, and read the store instead.

No test sent enough.

An unpacked answer marks its end: its compressed form ends with a length and a checksum. The tests: an answer of 14 KB, which failed before, and no part of a compressed one, cut at each byte, is taken.

--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -38,12 +38,18 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("status %d: %s", resp.StatusCode, bytes.TrimSpace(raw))
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if !marksEnd(resp, raw) {
 		return nil, errors.New("answer has neither a length nor chunks")
 	}
 	return raw, nil
 }
 
+// marksEnd reports whether an answer with this body itself marks its end. The length of one that the transport has
+// unpacked is not known any more, but its compressed form, if there is any, ends with a length and a checksum.
+func marksEnd(resp *http.Response, body []byte) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Uncompressed && len(body) > 0
+}
+
 // Reply answers with v as JSON. A value that cannot be encoded is an internal error, and is
 // answered with status 500.
 func Reply(w http.ResponseWriter, v any) {
