--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -84,7 +84,14 @@
 // HTTP/1.0. It returns ErrMalformed for such a field, as RFC 9112, section 6.1, demands, since the end of the
 // body is not known. The caller must go on reading from rest.
 func Read(br *bufio.Reader, r *http.Request) (resp *http.Response, rest *bufio.Reader, err error) {
-	if version, err := br.Peek(len(oldVersion)); err != nil || string(version) != oldVersion {
+	version, err := br.Peek(len(oldVersion))
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF // As http.ReadResponse returns it.
+	}
+	if err != nil {
+		return nil, br, err // The reader returns it once: a second read would wait again.
+	}
+	if string(version) != oldVersion {
 		resp, err = http.ReadResponse(br, r)
 		return resp, br, err
 	}
