--- a/internal/httphead/client_test.go
+++ b/internal/httphead/client_test.go
@@ -68,6 +68,7 @@
 		"final answer":   "HTTP/1.1 200 OK\r\nX A: v\r\nContent-Length: 0\r\n\r\n",
 		"interim answer": "HTTP/1.1 103 X\r\nX A: v\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"trailer":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX A: v\r\n\r\n",
+		"long interim":   strings.Repeat("HTTP/1.1 103 X\r\nA: "+strings.Repeat("x", 20<<10)+"\r\n\r\n", 3) + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"many interim":   strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 100) + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -88,7 +89,7 @@
 				_, _ = io.Copy(io.Discard, c) // Returns once the client has closed the connection.
 				return nil
 			})
-			transport := &http.Transport{}
+			transport := &http.Transport{MaxResponseHeaderBytes: 32 << 10}
 			r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+l.Addr().String()+"/", nil)
 			g.Expect(err).NotTo(HaveOccurred())
 			resp, err := httphead.NewClient(transport).Do(r)
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -17,8 +17,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// MaxHeadBytes bounds the head of an answer of another process, and that of each interim answer before it, whose
-// number package httphead limits.
+// MaxHeadBytes bounds the head of an answer of another process, and all interim answers before it together, which
+// package httphead limits.
 // It is the value for http.Transport.MaxResponseHeaderBytes, whose default would take a few hundred times
 // as much for each call.
 const MaxHeadBytes = 32 << 10
--- a/internal/soak/speech.go
+++ b/internal/soak/speech.go
@@ -44,7 +44,8 @@
 }
 
 // rawTransport sends each request on a connection of its own, since http.Transport sends HTTP/1.1
-// only. It reads the answer also if the request cannot be written to its end. An orderly end of the connection completes an answer without framing; a reset truncates it.
+// only. It reads the answer also if the request cannot be written to its end. An orderly end of the
+// connection completes an answer without framing; a reset truncates it.
 type rawTransport struct{ proto, header string }
 
 // RoundTrip sends one request and reads the header of its answer.
