internal/upstream: a silence within a head is waited for once

An answer that fell silent within its head, after a line or within the first one, was waited for two to four times before another endpoint took the request, and each time took a retry of the service's budget and counted as a failure of the endpoint.

Cause: the parser of net/http drops the first error of its reader in some places (a line that is cut, the look for a continued line) and reads again; the watch of silences then began anew.

An answer that was abandoned stays abandoned: later reads return the same error.

--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -31,6 +31,7 @@
 	nc            *net.TCPConn
 	watch         *SilenceWatch // Nil if silence is not limited.
 	deadline      time.Time     // Deadline of the request; valid while watch is set.
+	abandoned     bool          // ErrSilent was returned, which parsers may drop before they read again.
 	closedUnacked atomic.Bool   // The connection was closed because nothing was acknowledged.
 	interrupted   atomic.Bool   // Set by interrupt.
 	head          headMeter     // Used by the goroutine that reads.
@@ -95,7 +96,11 @@
 	if err = in.head.check(); err != nil {
 		return 0, err
 	}
+	if in.abandoned {
+		return 0, ErrSilent
+	}
 	defer func() {
+		in.abandoned = errors.Is(err, ErrSilent)
 		in.head.add(p[:n], err)
 		if err != nil && in.closedUnacked.Load() {
 			err = errUnacked
--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -60,6 +60,8 @@
 		answer func(c net.Conn)
 	}{
 		{"before its head", func(net.Conn) {}},
+		{"within its first line", func(c net.Conn) { write(c, "HTTP/1.1 200") }},
+		{"within its head", func(c net.Conn) { write(c, "HTTP/1.1 200 OK\r\nA: b\r\n") }},
 		{"after its head", func(c net.Conn) { write(c, head) }},
 		{"within its body", func(c net.Conn) { write(c, head+"1\r\na\r\n") }},
 		{"within a chunk", func(c net.Conn) { write(c, head+"9\r\na") }},
@@ -67,12 +69,14 @@
 		t.Run(tc.name, func(t *testing.T) {
 			g := NewWithT(t)
 			x, r := exchangeWith(t, tc.answer)
-			x.Watch(SilenceWatch{Timeout: func() time.Duration { return 50 * time.Millisecond }, Abandon: func(time.Duration) bool { return true }})
+			abandoned := 0
+			x.Watch(SilenceWatch{Timeout: func() time.Duration { return 50 * time.Millisecond }, Abandon: func(time.Duration) bool { abandoned++; return true }})
 			_, err := x.Head(r, anyAnswer)
 			if err == nil {
 				_, err = readBody(x)
 			}
 			g.Expect(errors.Is(err, ErrSilent)).To(BeTrue(), "%v", err)
+			g.Expect(abandoned).To(Equal(1), "it is waited for once")
 		})
 	}
 }
