--- a/internal/upstream/ended_test.go
+++ b/internal/upstream/ended_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -145,3 +146,57 @@
 		})
 	}
 }
+
+// The rest of an upload that its endpoint reads after its answer is that upload's, not a later request's.
+func TestLaterRequestsDoNotContinueAnEarlierUpload(t *testing.T) {
+	for _, size := range []int{100, largeRequestSize + 1, 300 << 10, longUpload} {
+		t.Run(fmt.Sprint(size, " bytes"), func(t *testing.T) {
+			g := NewWithT(t)
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			g.Expect(err).NotTo(HaveOccurred())
+			var srv errgroup.Group
+			serve := func(c net.Conn) error {
+				defer func() { _ = c.Close() }()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return nil // The connection has ended.
+					}
+					write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+					time.Sleep(20 * time.Millisecond) // The next request is sent meanwhile.
+					body, _ := io.ReadAll(r.Body)     // The connection may have ended.
+					if rest := strings.Trim(string(body), r.Header.Get("Mark")); rest != "" {
+						return fmt.Errorf("%.20q in the upload of %s", rest, r.Header.Get("Mark"))
+					}
+				}
+			}
+			srv.Go(func() error {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return nil // The test has ended.
+					}
+					srv.Go(func() error { return serve(c) })
+				}
+			})
+			p, cleanup := NewPool("", func() {})
+			for _, mark := range []string{"a", "b", "c", "d"} {
+				conn, err := p.Get(t.Context(), "e", l.Addr().String(), time.Minute)
+				g.Expect(err).NotTo(HaveOccurred())
+				r := &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Mark": {mark}}, Body: bytes.Repeat([]byte(mark), size)}
+				x, err := conn.Send(r, time.Now().Add(time.Minute))
+				g.Expect(err).NotTo(HaveOccurred())
+				_, err = x.Head(r, anyAnswer)
+				g.Expect(err).NotTo(HaveOccurred())
+				body, err := readBody(x)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(string(body)).To(Equal("ok"))
+				x.Done(p)
+			}
+			cleanup()
+			g.Expect(l.Close()).To(Succeed())
+			g.Expect(srv.Wait()).To(Succeed())
+		})
+	}
+}
